--- /dev/null
+++ b/cmake/embedcharts.cmake
@@ -0,0 +1,11 @@
+# Writes a C++ source that holds every chart file as a raw string literal.
+set(TEXT "#include \"charts/embedded.h\"\n\nnamespace nutmegtide {\n\n")
+string(APPEND TEXT "const std::vector<EmbeddedChart> &embeddedCharts()\n{\n")
+string(APPEND TEXT "    static const std::vector<EmbeddedChart> Charts = {\n")
+foreach(CHART ${CHARTS})
+    get_filename_component(NAME ${CHART} NAME_WE)
+    file(READ ${CHART} BODY)
+    string(APPEND TEXT "        {\"${NAME}\", R\"chart(${BODY})chart\"},\n")
+endforeach()
+string(APPEND TEXT "    };\n    return Charts;\n}\n\n} // namespace nutmegtide\n")
+file(WRITE ${OUTPUT} "${TEXT}")
--- /dev/null
+++ b/idl/peer.thrift
@@ -0,0 +1,275 @@
+// The protocol between the processes of one fleet. Run `make generate` after a change.
+namespace cpp nutmegtide.wire
+
+// Opens every call. A peer of another fleet or of an older incarnation is refused.
+struct Header {
+  1: string fleet,
+  2: string vm,
+  3: i64 incarnation,
+  4: string failureDomain,
+  5: i64 physicalMicroseconds, // hybrid logical clock of the sender
+  6: i32 logical,
+}
+
+enum RefusalKind {
+  OTHER_FLEET = 1,
+  OLDER_INCARNATION = 2,
+  NOT_HOME = 3,
+  NOT_OWNER = 4,
+  NOT_CONTROL = 5,
+  BAD_MESSAGE = 6,
+  DRAINING = 7,
+}
+
+exception PeerRefusal {
+  1: RefusalKind kind,
+  2: string message,
+}
+
+struct Position {
+  1: i64 term,
+  2: i64 index,
+}
+
+enum TransactionStep {
+  NONE = 0,
+  OPEN = 1,
+  STATEMENT = 2,
+  COMMIT = 3,
+  ROLLBACK = 4,
+}
+
+// One statement on its way from the entry proxy to a home proxy or a transaction's owner.
+struct StatementCall {
+  1: string database,
+  2: string caller,
+  3: string session,
+  4: string requestId,
+  5: bool isWrite,
+  6: bool isRepeatable,
+  7: optional i64 maxAgeMilliseconds,
+  8: i64 timeoutMilliseconds, // left of the caller's deadline at sending
+  9: string statement,
+  10: string parameters, // JSON
+  11: optional Position token, // what the session has seen of this database
+  12: bool hasUnknownWrite,    // the session has a write of unknown outcome
+  13: TransactionStep step,
+  14: string transaction,
+  15: string unknownWriteId,   // request id of that write, empty for none
+}
+
+struct StatementAnswer {
+  1: string requestId,
+  2: string result, // JSON
+  3: Position position,
+  4: string server,
+  5: bool isPrimary,
+  6: i64 ageMilliseconds,
+  7: bool isReplay,
+  8: string transaction,
+}
+
+struct StatementFault {
+  1: string type, // a name of StatementFailure
+  2: string ran,  // no, yes or unknown
+  3: string message,
+  4: i64 retryAfterMilliseconds,
+  5: string requestId,
+  6: string cause, // event id of what is behind it, empty for none
+}
+
+// Exactly one of the two is set.
+struct StatementReply {
+  1: optional StatementAnswer answer,
+  2: optional StatementFault fault,
+}
+
+struct RequestFateReply {
+  1: bool ran,
+  2: bool isKnown, // false where no majority could be asked
+  3: Position position,
+  4: string result,
+}
+
+// Gossip of membership.
+enum MemberState {
+  ALIVE = 1,
+  SUSPECT = 2,
+  DEAD = 3,
+  LEFT = 4,
+}
+
+struct MemberUpdate {
+  1: string vm,
+  2: string failureDomain,
+  3: string peerEndpoint,
+  4: i64 incarnation,
+  5: MemberState state,
+  6: bool isControl,
+  7: bool isDraining,
+  8: i64 revision, // configuration in force there
+  9: string callerEndpoint, // where callers and backend servers reach it
+}
+
+struct Gossip {
+  1: list<MemberUpdate> updates,
+  2: string probeTarget, // indirect probe to this VM; empty for a direct one
+  3: bool wantsAll,      // a joiner asks for the whole list
+}
+
+struct GossipReply {
+  1: bool isAlive,
+  2: list<MemberUpdate> updates,
+}
+
+// The replicated log of the control VMs.
+enum RaftKind {
+  PRE_VOTE = 1,
+  PRE_VOTE_REPLY = 2,
+  VOTE = 3,
+  VOTE_REPLY = 4,
+  APPEND = 5,
+  APPEND_REPLY = 6,
+  SNAPSHOT = 7,
+  SNAPSHOT_REPLY = 8,
+}
+
+struct RaftEntry {
+  1: i64 term,
+  2: i64 index,
+  3: i32 kind,
+  4: binary command,
+}
+
+struct RaftMessage {
+  1: RaftKind kind,
+  2: string sender,
+  3: string receiver,
+  4: i64 term,
+  5: i64 lastIndex,
+  6: i64 lastTerm,
+  7: i64 commit,
+  8: bool isGranted,
+  9: list<RaftEntry> entries,
+  10: binary snapshot,
+  11: list<string> members,
+  12: i64 round,
+  13: string identity, // of the sender's data folder, so that an emptied one is not taken for it
+}
+
+// Configuration.
+struct ConfigSubmission {
+  1: string changeId,
+  2: i64 baseRevision,
+  3: string toml, // the merged whole
+  4: string operatorName,
+}
+
+enum SubmitOutcome {
+  ACCEPTED = 1,
+  CONFLICT = 2,
+  INVALID = 3,
+  UNKNOWN = 4,
+  NOT_LEADER = 5,
+}
+
+struct SubmitReply {
+  1: SubmitOutcome outcome,
+  2: i64 revision,
+  3: string winner, // change id that a conflict lost to
+  4: string message,
+  5: string leader, // endpoint to ask instead, where known
+}
+
+struct ConfigRevision {
+  1: i64 revision,
+  2: string toml,
+  3: string changeId,
+}
+
+struct ConfigPage {
+  1: i64 latest,
+  2: list<ConfigRevision> revisions,
+}
+
+struct ConfigPush {
+  1: ConfigRevision revision,
+  2: list<string> onward, // VMs that the receiver passes it on to
+}
+
+// What control knows of a database group.
+struct GroupRecord {
+  1: string database,
+  2: i64 term,
+  3: string primary,
+  4: list<string> voters,
+  5: list<string> pendingVoters,
+}
+
+struct ServerReport {
+  1: string server,
+  2: string address,
+  3: string failureDomain,
+  4: i64 term,
+  5: bool isPrimary,
+  6: Position last,
+  7: Position durable,
+  8: i32 state, // ServerState
+  9: i64 silentMilliseconds,
+  10: bool isRefusing,
+  11: list<string> voters,
+}
+
+// What a home proxy sees of a group, sent to control with each suspicion and seldom without.
+struct GroupReport {
+  1: string database,
+  2: bool isPrimarySuspected,
+  3: list<ServerReport> servers,
+  4: i32 queuedReads,
+}
+
+struct GroupReportReply {
+  1: bool isLeader,
+  2: string leader,
+  3: list<GroupRecord> records,
+}
+
+// Time line.
+struct EventRecord {
+  1: i64 physicalMicroseconds,
+  2: i32 logical,
+  3: string vm,
+  4: string failureDomain,
+  5: string kind,
+  6: string database,
+  7: i64 term,
+  8: string requestId,
+  9: string id,
+  10: string cause,
+  11: map<string, string> details,
+}
+
+struct EventPage {
+  1: list<EventRecord> events,
+  2: i64 dropped,
+  3: i64 nextSequence,
+}
+
+struct NodeStatusReply {
+  1: string json,
+}
+
+service Peer {
+  Header handshake(1: Header header) throws (1: PeerRefusal refusal),
+  StatementReply execute(1: Header header, 2: StatementCall call) throws (1: PeerRefusal refusal),
+  RequestFateReply requestFate(1: Header header, 2: string database, 3: string caller, 4: string requestId)
+    throws (1: PeerRefusal refusal),
+  GossipReply gossip(1: Header header, 2: Gossip message) throws (1: PeerRefusal refusal),
+  void raft(1: Header header, 2: list<RaftMessage> messages) throws (1: PeerRefusal refusal),
+  SubmitReply submitConfig(1: Header header, 2: ConfigSubmission submission) throws (1: PeerRefusal refusal),
+  void pushConfig(1: Header header, 2: ConfigPush push) throws (1: PeerRefusal refusal),
+  ConfigPage fetchConfig(1: Header header, 2: i64 afterSequence) throws (1: PeerRefusal refusal),
+  GroupReportReply reportGroups(1: Header header, 2: list<GroupReport> reports) throws (1: PeerRefusal refusal),
+  EventPage events(1: Header header, 2: i64 afterSequence) throws (1: PeerRefusal refusal),
+  NodeStatusReply status(1: Header header) throws (1: PeerRefusal refusal),
+}
--- /dev/null
+++ b/include/nutmegtide/backend/messages.h
@@ -0,0 +1,180 @@
+#pragma once
+
+#include "nutmegtide/base/endpoint.h"
+#include "nutmegtide/base/ids.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+// The messages between the system and a backend server, as JSON over HTTP. A
+// decoder throws MessageError for a missing member or one of a wrong type.
+namespace nutmegtide {
+
+using Json = nlohmann::json;
+
+enum class ServerRole {
+    Primary,
+    Replica,
+};
+
+enum class ServerState {
+    Joining, // doesn't hold its group's log yet
+    Ready,
+    Leaving, // takes no new work
+};
+
+enum class Access {
+    Read,
+    Write,
+};
+
+// What a backend server says of itself: POST /v1/announce to a proxy.
+struct Announcement
+{
+    ServerId server;
+    Incarnation incarnation = 0;
+    Endpoint address;
+    DatabaseName database;
+    FailureDomain failureDomain;
+    Term term = 0; // the highest one it has accepted, also by a fence
+    ServerRole role = ServerRole::Replica;
+    LogPosition last; // applied and readable
+    LogPosition durable; // synced to its disk
+    int slots = 0; // statements it runs at the same time
+    int connections = 0; // connections it accepts from all proxies together
+    ServerState state = ServerState::Joining;
+    std::vector<ServerId> voters; // of its term, as named by the promotion
+};
+
+struct AnnouncementReply
+{
+    std::vector<Endpoint> homes; // proxies to announce to from now on
+    std::chrono::milliseconds nextDue = std::chrono::milliseconds::zero();
+};
+
+// POST /v1/execute. A transaction is begun, committed and rolled back by the
+// statements "begin", "commit" and "rollback" with its id.
+struct ExecuteRequest
+{
+    Term term = 0;
+    RequestId requestId;
+    CallerId caller; // request ids are scoped to caller and database
+    Access access = Access::Read;
+    std::optional<TransactionId> transaction;
+    std::string statement;
+    Json parameters = Json::object();
+};
+
+struct ExecuteReply
+{
+    RequestId requestId;
+    Term term = 0;
+    ServerRole role = ServerRole::Replica;
+    LogPosition position; // of the write, or the last applied one for a read
+    bool isReplay = false; // the request had run before; this is its first result
+    Json result;
+};
+
+// GET /v1/position?term=&at_least=&wait_ms= : answers once the server's durable
+// position is past at_least, its term changes, or the wait is over.
+struct PositionReply
+{
+    Term term = 0;
+    ServerRole role = ServerRole::Replica;
+    LogPosition last;
+    LogPosition durable;
+};
+
+// POST /v1/fence: the server takes the term, refuses lower ones and stops replicating.
+struct FenceRequest
+{
+    Term term = 0;
+};
+
+struct FenceReply
+{
+    Term term = 0;
+    LogPosition last;
+    LogPosition durable;
+};
+
+// POST /v1/promote: the server becomes primary of the term and writes a barrier entry.
+struct PromoteRequest
+{
+    Term term = 0;
+    std::vector<ServerId> voters;
+};
+
+struct PromoteReply
+{
+    Term term = 0;
+    LogPosition barrier;
+};
+
+// POST /v1/follow: the server cuts off what the primary doesn't have and replicates from it.
+struct FollowRequest
+{
+    Term term = 0;
+    Endpoint primary;
+    std::vector<ServerId> voters;
+};
+
+struct FollowReply
+{
+    Term term = 0;
+    LogPosition last;
+};
+
+// GET /v1/requests/{id}?caller= : what became of a request.
+struct RequestFate
+{
+    bool ran = false;
+    LogPosition position;
+    Json result;
+};
+
+// Any refusal, with status 409 for stale_term and key_reused, 400, 404, 422, 429 or 503.
+struct BackendRefusal
+{
+    std::string type; // stale_term, key_reused, not_primary, leaving, no_transaction, rejected, ...
+    std::string message;
+    Term term = 0; // the server's own term
+};
+
+void to_json(Json &json, const Announcement &message);
+void from_json(const Json &json, Announcement &message);
+void to_json(Json &json, const AnnouncementReply &message);
+void from_json(const Json &json, AnnouncementReply &message);
+void to_json(Json &json, const ExecuteRequest &message);
+void from_json(const Json &json, ExecuteRequest &message);
+void to_json(Json &json, const ExecuteReply &message);
+void from_json(const Json &json, ExecuteReply &message);
+void to_json(Json &json, const PositionReply &message);
+void from_json(const Json &json, PositionReply &message);
+void to_json(Json &json, const FenceRequest &message);
+void from_json(const Json &json, FenceRequest &message);
+void to_json(Json &json, const FenceReply &message);
+void from_json(const Json &json, FenceReply &message);
+void to_json(Json &json, const PromoteRequest &message);
+void from_json(const Json &json, PromoteRequest &message);
+void to_json(Json &json, const PromoteReply &message);
+void from_json(const Json &json, PromoteReply &message);
+void to_json(Json &json, const FollowRequest &message);
+void from_json(const Json &json, FollowRequest &message);
+void to_json(Json &json, const FollowReply &message);
+void from_json(const Json &json, FollowReply &message);
+void to_json(Json &json, const RequestFate &message);
+void from_json(const Json &json, RequestFate &message);
+void to_json(Json &json, const BackendRefusal &message);
+void from_json(const Json &json, BackendRefusal &message);
+void to_json(Json &json, const LogPosition &position);
+void from_json(const Json &json, LogPosition &position);
+
+// Parses one message of the given type. Throws MessageError for bad JSON or another form.
+template <typename Message>
+Message parseMessage(const std::string &body);
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,6 @@
+#include "cli/commandline.h"
+
+int main(int argc, char **argv)
+{
+    return nutmegtide::runCommandLine(argc, argv);
+}
