--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -1039,6 +1039,10 @@
 void StatementAnswer::__set_transaction(const std::string& val) {
   this->transaction = val;
 }
+
+void StatementAnswer::__set_settledUnknownWrite(const bool val) {
+  this->settledUnknownWrite = val;
+}
 std::ostream& operator<<(std::ostream& out, const StatementAnswer& obj)
 {
   obj.printTo(out);
@@ -1131,6 +1135,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->settledUnknownWrite);
+          this->__isset.settledUnknownWrite = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1180,6 +1192,10 @@
   xfer += oprot->writeString(this->transaction);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("settledUnknownWrite", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->settledUnknownWrite);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1195,6 +1211,7 @@
   swap(a.ageMilliseconds, b.ageMilliseconds);
   swap(a.isReplay, b.isReplay);
   swap(a.transaction, b.transaction);
+  swap(a.settledUnknownWrite, b.settledUnknownWrite);
   swap(a.__isset, b.__isset);
 }
 
@@ -1207,6 +1224,7 @@
   ageMilliseconds = other10.ageMilliseconds;
   isReplay = other10.isReplay;
   transaction = other10.transaction;
+  settledUnknownWrite = other10.settledUnknownWrite;
   __isset = other10.__isset;
 }
 StatementAnswer& StatementAnswer::operator=(const StatementAnswer& other11) {
@@ -1218,6 +1236,7 @@
   ageMilliseconds = other11.ageMilliseconds;
   isReplay = other11.isReplay;
   transaction = other11.transaction;
+  settledUnknownWrite = other11.settledUnknownWrite;
   __isset = other11.__isset;
   return *this;
 }
@@ -1232,6 +1251,7 @@
   out << ", " << "ageMilliseconds=" << to_string(ageMilliseconds);
   out << ", " << "isReplay=" << to_string(isReplay);
   out << ", " << "transaction=" << to_string(transaction);
+  out << ", " << "settledUnknownWrite=" << to_string(settledUnknownWrite);
   out << ")";
 }
 
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -488,7 +488,7 @@
 std::ostream& operator<<(std::ostream& out, const StatementCall& obj);
 
 typedef struct _StatementAnswer__isset {
-  _StatementAnswer__isset() : requestId(false), result(false), position(false), server(false), isPrimary(false), ageMilliseconds(false), isReplay(false), transaction(false) {}
+  _StatementAnswer__isset() : requestId(false), result(false), position(false), server(false), isPrimary(false), ageMilliseconds(false), isReplay(false), transaction(false), settledUnknownWrite(false) {}
   bool requestId :1;
   bool result :1;
   bool position :1;
@@ -497,6 +497,7 @@
   bool ageMilliseconds :1;
   bool isReplay :1;
   bool transaction :1;
+  bool settledUnknownWrite :1;
 } _StatementAnswer__isset;
 
 class StatementAnswer : public virtual ::apache::thrift::TBase {
@@ -511,7 +512,8 @@
                     isPrimary(0),
                     ageMilliseconds(0),
                     isReplay(0),
-                    transaction() {
+                    transaction(),
+                    settledUnknownWrite(0) {
   }
 
   virtual ~StatementAnswer() noexcept;
@@ -523,6 +525,7 @@
   int64_t ageMilliseconds;
   bool isReplay;
   std::string transaction;
+  bool settledUnknownWrite;
 
   _StatementAnswer__isset __isset;
 
@@ -542,6 +545,8 @@
 
   void __set_transaction(const std::string& val);
 
+  void __set_settledUnknownWrite(const bool val);
+
   bool operator == (const StatementAnswer & rhs) const
   {
     if (!(requestId == rhs.requestId))
@@ -560,6 +565,8 @@
       return false;
     if (!(transaction == rhs.transaction))
       return false;
+    if (!(settledUnknownWrite == rhs.settledUnknownWrite))
+      return false;
     return true;
   }
   bool operator != (const StatementAnswer &rhs) const {
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -67,6 +67,7 @@
   6: i64 ageMilliseconds,
   7: bool isReplay,
   8: string transaction,
+  9: bool settledUnknownWrite,
 }
 
 struct StatementFault {
--- /dev/null
+++ b/src/fleet/groupstate.cpp
@@ -0,0 +1,115 @@
+#include "nutmegtide/fleet/groupstate.h"
+
+#include <algorithm>
+
+namespace nutmegtide {
+
+namespace {
+
+// Within one term a log only grows, so the higher position is the later one.
+void raise(LogPosition &known, const LogPosition &reported, bool isSameTerm)
+{
+    known = isSameTerm ? std::max(known, reported) : reported;
+}
+
+} // namespace
+
+bool GroupState::observe(const Announcement &announcement, TimePoint now)
+{
+    const auto found = m_servers.find(announcement.server);
+    if (found == m_servers.end()) {
+        m_servers[announcement.server] = {announcement, now, false, announcement.term};
+        return true;
+    }
+    GroupServer &server = found->second;
+    if (announcement.incarnation < server.said.incarnation)
+        return false;
+    const bool isSameRun = announcement.incarnation == server.said.incarnation;
+    if (isSameRun && announcement.term < server.said.term)
+        return false;
+    const bool isSameTerm = isSameRun && announcement.term == server.said.term;
+    const LogPosition last = server.said.last;
+    const LogPosition durable = server.said.durable;
+    server = {announcement, now, false, announcement.term};
+    if (isSameTerm) {
+        server.said.last = std::max(last, announcement.last);
+        server.said.durable = std::max(durable, announcement.durable);
+    }
+    return true;
+}
+
+bool GroupState::observePosition(const ServerId &server, const PositionReply &reply, TimePoint now)
+{
+    const auto found = m_servers.find(server);
+    if (found == m_servers.end() || reply.term < found->second.said.term)
+        return false;
+    Announcement &said = found->second.said;
+    const bool isSameTerm = reply.term == said.term;
+    said.term = reply.term;
+    said.role = reply.role;
+    raise(said.last, reply.last, isSameTerm);
+    raise(said.durable, reply.durable, isSameTerm);
+    found->second.heardAt = now;
+    found->second.isRefusing = false;
+    return true;
+}
+
+void GroupState::observeRefusal(const ServerId &server)
+{
+    const auto found = m_servers.find(server);
+    if (found != m_servers.end())
+        found->second.isRefusing = true;
+}
+
+std::vector<ServerId> GroupState::forgetSilent(Duration silence, TimePoint now)
+{
+    std::vector<ServerId> forgotten;
+    for (const auto &[id, server] : m_servers) {
+        if (now - server.heardAt > silence)
+            forgotten.push_back(id);
+    }
+    for (const ServerId &id : forgotten)
+        m_servers.erase(id);
+    return forgotten;
+}
+
+Term GroupState::term() const
+{
+    Term highest = 0;
+    for (const auto &[id, server] : m_servers)
+        highest = std::max(highest, server.said.term);
+    return highest;
+}
+
+std::optional<ServerId> GroupState::primary() const
+{
+    const Term current = term();
+    for (const auto &[id, server] : m_servers) {
+        if (server.said.term == current && server.said.role == ServerRole::Primary)
+            return id;
+    }
+    return std::nullopt;
+}
+
+std::vector<ServerId> GroupState::voters() const
+{
+    const std::optional<ServerId> id = primary();
+    if (!id)
+        return {};
+    const GroupServer &server = m_servers.at(*id);
+    return server.votersTerm == term() ? server.said.voters : std::vector<ServerId>();
+}
+
+bool GroupState::isSuspect(const ServerId &server, Duration silence, TimePoint now) const
+{
+    const GroupServer *known = find(server);
+    return !known || known->isRefusing || now - known->heardAt > silence;
+}
+
+const GroupServer *GroupState::find(const ServerId &server) const
+{
+    const auto found = m_servers.find(server);
+    return found == m_servers.end() ? nullptr : &found->second;
+}
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/fleet/placement.cpp
@@ -0,0 +1,62 @@
+#include "nutmegtide/fleet/placement.h"
+
+#include <algorithm>
+#include <map>
+#include <xxhash.h>
+
+namespace nutmegtide {
+
+namespace {
+
+struct Weighted
+{
+    const PlacementCandidate *candidate;
+    std::uint64_t weight;
+};
+
+std::uint64_t weightOf(const DatabaseName &database, const VmName &vm)
+{
+    const std::string key = database.text() + '\0' + vm.text();
+    return XXH3_64bits(key.data(), key.size());
+}
+
+std::vector<Weighted> orderByWeight(const DatabaseName &database,
+                                    const std::vector<PlacementCandidate> &candidates)
+{
+    const bool isAnyServing =
+            std::any_of(candidates.begin(), candidates.end(),
+                        [](const PlacementCandidate &candidate) { return !candidate.isDraining; });
+    std::vector<Weighted> order;
+    for (const PlacementCandidate &candidate : candidates) {
+        if (isAnyServing && candidate.isDraining)
+            continue;
+        order.push_back({&candidate, weightOf(database, candidate.vm)});
+    }
+    std::sort(order.begin(), order.end(), [](const Weighted &left, const Weighted &right) {
+        return left.weight != right.weight ? left.weight > right.weight
+                                           : left.candidate->vm < right.candidate->vm;
+    });
+    return order;
+}
+
+} // namespace
+
+std::vector<VmName> chooseHomes(const DatabaseName &database,
+                                const std::vector<PlacementCandidate> &candidates,
+                                const PlacementRule &rule)
+{
+    std::map<FailureDomain, int> taken;
+    std::vector<VmName> homes;
+    std::vector<VmName> others;
+    for (const Weighted &entry : orderByWeight(database, candidates)) {
+        const bool isHome = taken[entry.candidate->failureDomain]++ < rule.perDomain;
+        (isHome ? homes : others).push_back(entry.candidate->vm);
+    }
+    const auto standbys =
+            std::min<std::size_t>(others.size(), static_cast<std::size_t>(rule.standbys));
+    homes.insert(homes.end(), others.begin(),
+                 others.begin() + static_cast<std::ptrdiff_t>(standbys));
+    return homes;
+}
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/serve/entryrunner.cpp
@@ -0,0 +1,144 @@
+#include "serve/entryrunner.h"
+
+#include "serve/announceapi.h"
+#include "serve/exchange.h"
+#include "serve/wireconvert.h"
+
+#include <algorithm>
+
+namespace nutmegtide {
+
+namespace {
+
+constexpr std::size_t MostHomesTried = 3;
+constexpr auto PeerAnswerTime = 200ms; // beyond the statement's own deadline
+
+// These say something of one home proxy, not of the statement.
+bool isWorthAnotherHome(const StatementError &error)
+{
+    switch (error.failure()) {
+    case StatementFailure::NoPrimary:
+    case StatementFailure::NoConnection:
+    case StatementFailure::StaleTerm:
+    case StatementFailure::UnknownDatabase:
+    case StatementFailure::Draining:
+        return error.ran() == Ran::No;
+    default:
+        return false;
+    }
+}
+
+// Once the statement may have run at one home, a refusal by another proves nothing.
+StatementError afterLostAnswer(const StatementError &error)
+{
+    if (error.ran() != Ran::No)
+        return error;
+    return {StatementFailure::OutcomeUnknown, Ran::Unknown,
+            std::string("an earlier answer was lost; then: ") + error.what(), RetryAfterNoPrimary};
+}
+
+} // namespace
+
+EntryRunner::EntryRunner(const Identity &identity, const Directory &directory,
+                         const SettingsSource &settings, PeerClients &peers,
+                         StatementRunner &home)
+    : m_identity(identity)
+    , m_directory(directory)
+    , m_settings(settings)
+    , m_peers(peers)
+    , m_home(home)
+{ }
+
+StatementResult EntryRunner::run(const Statement &statement)
+{
+    if (statement.step != TransactionStep::None && statement.step != TransactionStep::Begin) {
+        const auto owner = ownerOf(statement.transaction);
+        if (!owner) {
+            throw StatementError(StatementFailure::UnknownTransaction, Ran::No,
+                                 "not a transaction id: " + statement.transaction.text());
+        }
+        return runAtOwner(statement, *owner);
+    }
+    StatementError error(StatementFailure::NoConnection, Ran::No, "no home proxy can be reached",
+                         RetryAfterNoPrimary);
+    bool isMaybeRun = false;
+    std::vector<VmRecord> homes = homesByDistance(statement.database);
+    homes.resize(std::min(homes.size(), MostHomesTried));
+    for (const VmRecord &home : homes) {
+        try {
+            return runAt(home, statement);
+        } catch (const StatementError &fault) {
+            error = fault;
+            isMaybeRun = isMaybeRun || fault.ran() == Ran::Unknown;
+            if (!isWorthAnotherHome(fault) && fault.failure() != StatementFailure::NoConnection)
+                break;
+        }
+        if (timeLeft(statement.deadline) <= 0ms)
+            break;
+    }
+    throw isMaybeRun && statement.access == Access::Write ? afterLostAnswer(error) : error;
+}
+
+std::vector<VmRecord> EntryRunner::homesByDistance(const DatabaseName &database) const
+{
+    const PlacementRule rule = placementRule(*m_settings.current(), database);
+    std::vector<VmRecord> homes;
+    for (const VmName &vm : m_directory.homesOf(database, rule)) {
+        if (const auto record = m_directory.find(vm))
+            homes.push_back(*record);
+    }
+    std::stable_sort(homes.begin(), homes.end(), [this](const auto &left, const auto &right) {
+        const auto distance = [this](const VmRecord &record) {
+            if (record.vm == m_identity.vm)
+                return 0;
+            return record.failureDomain == m_identity.failureDomain ? 1 : 2;
+        };
+        return distance(left) < distance(right);
+    });
+    return homes;
+}
+
+StatementResult EntryRunner::runAtOwner(const Statement &statement, const TransactionOwner &owner)
+{
+    const auto record = m_directory.find(owner.vm);
+    const bool isSelf = owner.vm == m_identity.vm;
+    const Incarnation known = isSelf ? m_identity.incarnation : record ? record->incarnation : 0;
+    if (known == owner.incarnation)
+        return isSelf ? m_home.run(statement) : runAt(*record, statement);
+    // The connection closed with its owner, so the backend server rolls back.
+    // A commit may have reached the server before its owner ended.
+    const bool isCommit = statement.step == TransactionStep::Commit;
+    throw StatementError(StatementFailure::TransactionLost, isCommit ? Ran::Unknown : Ran::No,
+                         "the transaction's owner " + owner.vm.text() + " is gone");
+}
+
+StatementResult EntryRunner::runAt(const VmRecord &vm, const Statement &statement)
+{
+    if (vm.vm == m_identity.vm)
+        return m_home.run(statement);
+    const bool isSafeToResend = statement.access == Access::Read
+            && statement.step != TransactionStep::Commit;
+    try {
+        const auto timeout = timeLeft(statement.deadline) + PeerAnswerTime;
+        const wire::StatementReply reply =
+                m_peers.call(vm.peers, timeout, [&](wire::PeerClient &client) {
+                    wire::StatementReply answer;
+                    client.execute(answer, m_peers.header(), toWire(statement, Clock::now()));
+                    return answer;
+                });
+        if (reply.__isset.answer)
+            return fromWire(reply.answer);
+        throw fromWire(reply.fault);
+    } catch (const wire::PeerRefusal &refusal) {
+        throw StatementError(StatementFailure::NoConnection, Ran::No, refusal.message,
+                             RetryAfterNoPrimary);
+    } catch (const MessageError &fault) {
+        throw StatementError(StatementFailure::OutcomeUnknown, Ran::Unknown, fault.what());
+    } catch (const PeerError &fault) {
+        const Ran ran = fault.wasSent() && !isSafeToResend ? Ran::Unknown : Ran::No;
+        throw StatementError(StatementFailure::NoConnection, ran, fault.what(),
+                             RetryAfterNoPrimary);
+    }
+}
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/serve/exchange.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "nutmegtide/statement/statement.h"
+#include "serve/homegroup.h"
+
+namespace nutmegtide {
+
+// When a caller that was refused should ask again.
+constexpr std::chrono::milliseconds RetryAfterNoPrimary {100};
+constexpr std::chrono::milliseconds RetryAfterBusy {20};
+
+// Returns the time left before the deadline, 0 once it has passed.
+std::chrono::milliseconds timeLeft(TimePoint deadline);
+
+ExecuteRequest makeExecuteRequest(const Statement &statement, Term term);
+StatementResult makeResult(const Statement &statement, const ExecuteReply &reply,
+                           const ServerId &server);
+
+// Turns a backend server's refusal into the error that the caller gets, and
+// notes in the group what the refusal tells of the server.
+StatementError errorOfRefusal(HomeGroup &group, const ServerId &server,
+                              const RefusedByServer &refused);
+
+// Returns the position that a majority must hold before the write in the reply
+// is acknowledged. A request that had run in an older term counts once a
+// majority holds an entry of the present term after it.
+LogPosition positionToConfirm(const ExecuteReply &reply);
+
+// Waits for the majority. Throws StatementError with OutcomeUnknown without it.
+void confirmWrite(HomeGroup &group, const ExecuteReply &reply, TimePoint deadline);
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/serve/homegroup.cpp
@@ -0,0 +1,309 @@
+#include "serve/homegroup.h"
+
+#include <algorithm>
+
+namespace nutmegtide {
+
+namespace {
+
+// A group without statements for this long is watched at the idle interval.
+constexpr auto ActiveTime = 3s;
+constexpr auto IdleInterval = 1s;
+constexpr auto ActiveWait = 100ms; // of one long poll while statements arrive
+constexpr auto RetryInterval = 50ms; // after a failed poll
+constexpr auto AnswerTime = 1s; // beyond the wait of a long poll
+constexpr int DefaultShare = 4; // connections a server, until a budget is set
+
+} // namespace
+
+HomeGroup::HomeGroup(DatabaseName database, FailureDomain ownDomain,
+                     const SettingsSource &settings)
+    : m_database(std::move(database))
+    , m_ownDomain(std::move(ownDomain))
+    , m_settings(settings)
+    , m_wantedAt(Clock::now() - ActiveTime)
+{ }
+
+HomeGroup::~HomeGroup()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_wanted.notify_all();
+    m_changed.notify_all();
+    for (auto &[server, link] : m_links)
+        link.watcher.join();
+}
+
+bool HomeGroup::observe(const Announcement &announcement)
+{
+    const std::lock_guard lock(m_mutex);
+    const Term term = m_state.term();
+    const auto primary = m_state.primary();
+    if (!m_state.observe(announcement, Clock::now()))
+        return false;
+    openLink(announcement);
+    adoptTerm();
+    settle(m_quorum.observe(announcement.server, announcement.term, announcement.durable));
+    m_changed.notify_all();
+    return m_state.term() != term || m_state.primary() != primary;
+}
+
+void HomeGroup::openLink(const Announcement &announcement)
+{
+    const auto found = m_links.find(announcement.server);
+    if (found != m_links.end()) {
+        found->second.pool->setServer(announcement.address);
+        return;
+    }
+    Link &link = m_links[announcement.server];
+    link.pool = std::make_unique<BackendPool>(announcement.address, DefaultShare);
+    link.watcher = std::thread([this, server = announcement.server] { watch(server); });
+}
+
+void HomeGroup::adoptTerm()
+{
+    const std::vector<ServerId> named = m_state.voters();
+    if (named.empty())
+        return;
+    const Voters voters({named});
+    m_proof.setTerm(m_state.term(), voters);
+    settle(m_quorum.setTerm(m_state.term(), voters));
+}
+
+void HomeGroup::observeAnswer(const ServerId &server, const ExecuteReply &reply, TimePoint sentAt)
+{
+    PositionReply position;
+    position.term = reply.term;
+    position.role = reply.role;
+    position.last = reply.position;
+    notePosition(server, position, sentAt);
+}
+
+void HomeGroup::observeRefusal(const ServerId &server)
+{
+    const std::lock_guard lock(m_mutex);
+    m_state.observeRefusal(server);
+}
+
+void HomeGroup::observeTerm(const ServerId &server, Term term)
+{
+    PositionReply position;
+    position.term = term;
+    const std::lock_guard lock(m_mutex);
+    const GroupServer *known = m_state.find(server);
+    if (known && known->said.term < term)
+        m_state.observePosition(server, position, Clock::now());
+    settle(m_quorum.observe(server, term, {}));
+}
+
+void HomeGroup::notePosition(const ServerId &server, const PositionReply &reply, TimePoint sentAt)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_state.observePosition(server, reply, Clock::now()))
+        return;
+    adoptTerm();
+    m_proof.confirm(server, reply.term, sentAt);
+    if (reply.role == ServerRole::Primary)
+        m_age.observePrimary(reply.term, reply.last, sentAt);
+    if (const auto confirmedAt = m_proof.confirmedAt())
+        m_age.confirmLeadership(m_proof.term(), *confirmedAt);
+    settle(m_quorum.observe(server, reply.term, reply.durable));
+    m_changed.notify_all();
+}
+
+void HomeGroup::settle(const WriteActions &actions)
+{
+    for (const WriteAction &action : actions)
+        m_outcomes[action.ticket] = action.kind;
+    if (!actions.empty())
+        m_changed.notify_all();
+}
+
+Term HomeGroup::term() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_state.term();
+}
+
+std::optional<ServerId> HomeGroup::primary() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_state.primary();
+}
+
+bool HomeGroup::isKnown() const
+{
+    const std::lock_guard lock(m_mutex);
+    return !m_state.servers().empty();
+}
+
+std::map<ServerId, GroupServer> HomeGroup::servers() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_state.servers();
+}
+
+bool HomeGroup::isPrimarySuspected() const
+{
+    const Duration silence = m_settings.current()->failover.detectionTime;
+    const std::lock_guard lock(m_mutex);
+    const auto primary = m_state.primary();
+    return !primary || m_state.isSuspect(*primary, silence, Clock::now());
+}
+
+GroupSnapshot HomeGroup::snapshot() const
+{
+    const auto settings = m_settings.current();
+    const Duration detection = settings->failover.detectionTime;
+    const Duration silence = detection + 2 * settings->failover.replicaAnnounceInterval;
+    const TimePoint now = Clock::now();
+    const std::lock_guard lock(m_mutex);
+    GroupSnapshot group;
+    group.term = m_state.term();
+    group.primary = m_state.primary();
+    group.isLeadershipConfirmed =
+            m_proof.term() == group.term && m_proof.isConfirmedWithin(detection, now);
+    for (const auto &[id, server] : m_state.servers()) {
+        ServerSnapshot entry;
+        entry.id = id;
+        entry.failureDomain = server.said.failureDomain;
+        entry.role = server.said.role;
+        entry.applied = server.said.last;
+        entry.provedAge = m_age.provedAge(server.said.last, now);
+        entry.inFlight = m_links.at(id).pool->inUse();
+        entry.limit = server.said.slots;
+        entry.state = server.said.state;
+        entry.isSuspect = m_state.isSuspect(id, silence, now);
+        group.servers.push_back(entry);
+    }
+    return group;
+}
+
+bool HomeGroup::confirmLeadership(std::chrono::milliseconds wait)
+{
+    const Duration detection = m_settings.current()->failover.detectionTime;
+    std::unique_lock lock(m_mutex);
+    m_wantedAt = Clock::now();
+    m_wanted.notify_all();
+    return m_changed.wait_for(lock, wait, [&] {
+        return m_proof.term() == m_state.term()
+                && m_proof.isConfirmedWithin(detection, Clock::now());
+    });
+}
+
+bool HomeGroup::waitForMajority(LogPosition position, TimePoint deadline)
+{
+    std::unique_lock lock(m_mutex);
+    m_wantedAt = Clock::now();
+    m_wanted.notify_all();
+    const WriteTicket ticket = m_nextTicket++;
+    settle(m_quorum.add(ticket, position, deadline));
+    while (m_outcomes.find(ticket) == m_outcomes.end()) {
+        m_changed.wait_until(lock, deadline);
+        settle(m_quorum.expire(Clock::now()));
+    }
+    const WriteActionKind outcome = m_outcomes.at(ticket);
+    m_outcomes.erase(ticket);
+    return outcome == WriteActionKind::Acknowledge;
+}
+
+bool HomeGroup::waitForApplied(const ServerId &server, LogPosition position, Duration wait)
+{
+    std::unique_lock lock(m_mutex);
+    m_wantedAt = Clock::now();
+    m_wanted.notify_all();
+    return m_changed.wait_for(lock, wait, [&] {
+        const GroupServer *known = m_state.find(server);
+        return known && isTokenSatisfied(known->said.last, position);
+    });
+}
+
+std::optional<Duration> HomeGroup::provedAge(LogPosition applied) const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_age.provedAge(applied, Clock::now());
+}
+
+BackendPool::Lease HomeGroup::borrow(const ServerId &server, std::chrono::milliseconds wait)
+{
+    BackendPool *pool = nullptr;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_links.find(server);
+        if (found == m_links.end())
+            throw LinkError(LinkFault::Refused, "no link to " + server.text());
+        pool = found->second.pool.get();
+    }
+    return pool->borrow(wait);
+}
+
+int HomeGroup::statementsInFlight(const ServerId &server) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_links.find(server);
+    return found == m_links.end() ? 0 : found->second.pool->inUse();
+}
+
+void HomeGroup::setShare(const ServerId &server, int connections)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_links.find(server);
+    if (found != m_links.end())
+        found->second.pool->setMost(connections);
+}
+
+bool HomeGroup::isActive(TimePoint now) const
+{
+    return now - m_wantedAt < ActiveTime;
+}
+
+void HomeGroup::watch(const ServerId &server)
+{
+    std::unique_ptr<BackendConnection> connection;
+    Endpoint address;
+    std::unique_lock lock(m_mutex);
+    while (!m_isStopping) {
+        const GroupServer *known = m_state.find(server);
+        const bool isAnswering = known && watchOnce(server, known->said, connection, lock);
+        const Duration rest = isAnswering ? Duration(IdleInterval) : Duration(RetryInterval);
+        const TimePoint wokenAfter = m_wantedAt;
+        if (isAnswering && isActive(Clock::now()))
+            continue;
+        m_wanted.wait_for(lock, rest, [&] {
+            return m_isStopping || (isAnswering && m_wantedAt != wokenAfter);
+        });
+    }
+}
+
+bool HomeGroup::watchOnce(const ServerId &server, const Announcement &said,
+                          std::unique_ptr<BackendConnection> &connection,
+                          std::unique_lock<std::mutex> &lock)
+{
+    const Endpoint address = said.address;
+    const Term term = said.term;
+    const LogPosition next {said.durable.term, said.durable.index + 1};
+    const auto wait = isActive(Clock::now()) ? ActiveWait : 0ms;
+    lock.unlock();
+    if (!connection || connection->server() != address)
+        connection = std::make_unique<BackendConnection>(address);
+    const TimePoint sentAt = Clock::now();
+    std::optional<PositionReply> reply;
+    bool isRefused = false;
+    try {
+        reply = connection->position(term, next, wait, wait + AnswerTime);
+    } catch (const LinkError &fault) {
+        isRefused = fault.fault() == LinkFault::Refused;
+    } catch (const RefusedByServer &) {
+        reply.reset();
+    }
+    if (reply)
+        notePosition(server, *reply, sentAt);
+    if (isRefused)
+        observeRefusal(server);
+    lock.lock();
+    return reply.has_value();
+}
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/serve/homegroup.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "nutmegtide/fleet/groupstate.h"
+#include "nutmegtide/statement/leadershipproof.h"
+#include "nutmegtide/statement/readrouter.h"
+#include "nutmegtide/statement/replicaage.h"
+#include "nutmegtide/statement/writequorum.h"
+#include "serve/backendclient.h"
+#include "serve/settingssource.h"
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace nutmegtide {
+
+// One database group at a home proxy: what is known of its servers, the
+// connections to them and the writes that wait for their majority. Each server
+// has one watcher thread, whose long poll serves every waiting write.
+class HomeGroup
+{
+public:
+    HomeGroup(DatabaseName database, FailureDomain ownDomain, const SettingsSource &settings);
+    ~HomeGroup();
+    HomeGroup(const HomeGroup &) = delete;
+    HomeGroup &operator=(const HomeGroup &) = delete;
+
+    // Takes an announcement and returns whether it changed the term or the primary.
+    bool observe(const Announcement &announcement);
+
+    // Takes what an executed statement says of its server.
+    void observeAnswer(const ServerId &server, const ExecuteReply &reply, TimePoint sentAt);
+    void observeRefusal(const ServerId &server);
+    // Takes the higher term that a refusal names.
+    void observeTerm(const ServerId &server, Term term);
+
+    Term term() const;
+    std::optional<ServerId> primary() const;
+    bool isKnown() const;
+
+    // The group as the read router needs it.
+    GroupSnapshot snapshot() const;
+    // The group for status and for reports to control.
+    std::map<ServerId, GroupServer> servers() const;
+    bool isPrimarySuspected() const;
+
+    // Waits until a majority has confirmed the leadership within the detection
+    // time, asking the voters at once where it is not known. Returns false after
+    // the wait.
+    bool confirmLeadership(std::chrono::milliseconds wait);
+
+    // Waits until a majority holds the position durably in its term; false when
+    // that was not confirmed by the deadline or the term has ended.
+    bool waitForMajority(LogPosition position, TimePoint deadline);
+
+    // Waits until the server has applied the position; false after the wait.
+    bool waitForApplied(const ServerId &server, LogPosition position, Duration wait);
+
+    std::optional<Duration> provedAge(LogPosition applied) const;
+
+    // Borrows a connection. Throws LinkError.
+    BackendPool::Lease borrow(const ServerId &server, std::chrono::milliseconds wait);
+    int statementsInFlight(const ServerId &server) const;
+
+    // Sets the connections that this home may hold to each server.
+    void setShare(const ServerId &server, int connections);
+
+private:
+    // The link to one backend server; it outlives the server's own restarts.
+    struct Link
+    {
+        std::unique_ptr<BackendPool> pool;
+        std::thread watcher;
+    };
+
+    void openLink(const Announcement &announcement);
+    void watch(const ServerId &server);
+    // Expects the lock to be held and gives it up during the exchange.
+    bool watchOnce(const ServerId &server, const Announcement &said,
+                   std::unique_ptr<BackendConnection> &connection,
+                   std::unique_lock<std::mutex> &lock);
+    void notePosition(const ServerId &server, const PositionReply &reply, TimePoint sentAt);
+    // These expect the mutex to be held.
+    void adoptTerm();
+    void settle(const WriteActions &actions);
+    bool isActive(TimePoint now) const;
+
+    const DatabaseName m_database;
+    const FailureDomain m_ownDomain;
+    const SettingsSource &m_settings;
+
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed; // positions, terms or outcomes
+    std::condition_variable m_wanted; // wakes idle watchers
+    GroupState m_state;
+    WriteQuorum m_quorum;
+    LeadershipProof m_proof;
+    ReplicaAge m_age;
+    std::map<ServerId, Link> m_links;
+    std::map<WriteTicket, WriteActionKind> m_outcomes;
+    WriteTicket m_nextTicket = 1;
+    TimePoint m_wantedAt; // of the latest statement
+    bool m_isStopping = false;
+};
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/serve/homerunner.cpp
@@ -0,0 +1,203 @@
+#include "serve/homerunner.h"
+
+#include "serve/exchange.h"
+
+namespace nutmegtide {
+
+namespace {
+
+constexpr int MostReadAttempts = 3;
+
+StatementError noPrimary(const std::string &message)
+{
+    return {StatementFailure::NoPrimary, Ran::No, message, RetryAfterNoPrimary};
+}
+
+StatementError outcomeUnknown(const std::string &message)
+{
+    return {StatementFailure::OutcomeUnknown, Ran::Unknown, message, RetryAfterNoPrimary};
+}
+
+// Says what an unsent statement failed for.
+StatementError errorOfUnsent(HomeGroup &group, const ServerId &server, const LinkError &fault)
+{
+    if (fault.fault() == LinkFault::NoConnectionFree)
+        return {StatementFailure::Overloaded, Ran::No, fault.what(), RetryAfterBusy};
+    group.observeRefusal(server);
+    return noPrimary(fault.what());
+}
+
+} // namespace
+
+HomeRunner::HomeRunner(HomeGroups &groups, Transactions &transactions,
+                       const SettingsSource &settings, FailureDomain ownDomain)
+    : m_groups(groups)
+    , m_transactions(transactions)
+    , m_settings(settings)
+    , m_ownDomain(std::move(ownDomain))
+    , m_generator(std::random_device()())
+{ }
+
+StatementResult HomeRunner::run(const Statement &statement)
+{
+    HomeGroup *group = m_groups.find(statement.database);
+    if (!group || !group->isKnown()) {
+        throw StatementError(StatementFailure::UnknownDatabase, Ran::No,
+                             "no backend server of " + statement.database.text()
+                                     + " has announced itself");
+    }
+    if (timeLeft(statement.deadline) <= 0ms)
+        throw StatementError(StatementFailure::DeadlinePassed, Ran::No, "the timeout is over");
+    if (statement.step == TransactionStep::Begin)
+        return m_transactions.begin(*group, statement, confirmedPrimary(*group, statement));
+    if (statement.step != TransactionStep::None)
+        return m_transactions.run(*group, statement);
+    return statement.access == Access::Write ? write(*group, statement) : read(*group, statement);
+}
+
+ServerId HomeRunner::confirmedPrimary(HomeGroup &group, const Statement &statement)
+{
+    const std::chrono::milliseconds detection = m_settings.current()->failover.detectionTime;
+    if (!group.confirmLeadership(std::min(detection, timeLeft(statement.deadline))))
+        throw noPrimary("no majority confirms a primary");
+    const auto primary = group.primary();
+    if (!primary)
+        throw noPrimary("the group has no primary");
+    return *primary;
+}
+
+StatementResult HomeRunner::write(HomeGroup &group, const Statement &statement)
+{
+    const ServerId server = confirmedPrimary(group, statement);
+    const Term term = group.term();
+    const auto ackTimeout = m_settings.current()->failover.ackTimeout;
+    ExecuteReply reply;
+    try {
+        BackendPool::Lease connection = group.borrow(server, timeLeft(statement.deadline));
+        const TimePoint sentAt = Clock::now();
+        reply = connection->execute(makeExecuteRequest(statement, term),
+                                    timeLeft(statement.deadline));
+        group.observeAnswer(server, reply, sentAt);
+    } catch (const RefusedByServer &refused) {
+        throw errorOfRefusal(group, server, refused);
+    } catch (const LinkError &fault) {
+        if (fault.isUnsent())
+            throw errorOfUnsent(group, server, fault);
+        reply = resend(group, statement);
+    }
+    confirmWrite(group, reply, std::min(statement.deadline, Clock::now() + ackTimeout));
+    return makeResult(statement, reply, server);
+}
+
+ExecuteReply HomeRunner::resend(HomeGroup &group, const Statement &statement)
+{
+    try {
+        const ServerId server = confirmedPrimary(group, statement);
+        BackendPool::Lease connection = group.borrow(server, timeLeft(statement.deadline));
+        return connection->execute(makeExecuteRequest(statement, group.term()),
+                                   timeLeft(statement.deadline));
+    } catch (const Error &fault) {
+        throw outcomeUnknown(std::string("the answer was lost, and asking again failed: ")
+                             + fault.what());
+    }
+}
+
+ReadDecision HomeRunner::route(HomeGroup &group, const Statement &statement)
+{
+    const auto settings = m_settings.current();
+    const ReadRouter router(std::make_unique<BoundedWait>(settings->reads.replicaWait),
+                            RetryAfterNoPrimary);
+    ReadNeed need;
+    need.token = statement.seen;
+    need.hasUnknownWrite = statement.unknownWrite.has_value();
+    need.maxAge = statement.maxAge;
+    need.failureDomain = m_ownDomain;
+    need.deadline = statement.deadline;
+    const std::lock_guard lock(m_generatorMutex);
+    return router.decide(group.snapshot(), need, Clock::now(), m_generator);
+}
+
+StatementResult HomeRunner::read(HomeGroup &group, const Statement &statement)
+{
+    for (int attempt = 0; attempt < MostReadAttempts && statement.maxAge; ++attempt) {
+        const ReadDecision decision = route(group, statement);
+        std::optional<ServerId> replica;
+        if (const auto *serve = std::get_if<ServeBy>(&decision))
+            replica = serve->server;
+        if (const auto *wait = std::get_if<WaitFor>(&decision)) {
+            replica = wait->server;
+            group.waitForApplied(wait->server, *statement.seen, wait->upTo);
+        }
+        if (!replica)
+            break;
+        if (auto result = readReplica(group, statement, *replica))
+            return *result;
+    }
+    return readPrimary(group, statement, confirmedPrimary(group, statement));
+}
+
+std::optional<StatementResult> HomeRunner::readReplica(HomeGroup &group,
+                                                       const Statement &statement,
+                                                       const ServerId &server)
+{
+    try {
+        BackendPool::Lease connection = group.borrow(server, timeLeft(statement.deadline));
+        const TimePoint sentAt = Clock::now();
+        const ExecuteReply reply = connection->execute(makeExecuteRequest(statement, group.term()),
+                                                       timeLeft(statement.deadline));
+        group.observeAnswer(server, reply, sentAt);
+        const auto age = group.provedAge(reply.position);
+        if (!age || *age > *statement.maxAge || !isTokenSatisfied(reply.position, statement.seen))
+            return std::nullopt;
+        StatementResult result = makeResult(statement, reply, server);
+        result.age = std::chrono::ceil<std::chrono::milliseconds>(*age);
+        return result;
+    } catch (const RefusedByServer &refused) {
+        const StatementError error = errorOfRefusal(group, server, refused);
+        if (error.failure() == StatementFailure::StatementRejected)
+            throw error;
+    } catch (const LinkError &fault) {
+        if (fault.fault() == LinkFault::Refused)
+            group.observeRefusal(server);
+    }
+    return std::nullopt;
+}
+
+StatementResult HomeRunner::readPrimary(HomeGroup &group, const Statement &statement,
+                                        const ServerId &server)
+{
+    try {
+        const bool isSettled = settleUnknownWrite(group, statement, server);
+        BackendPool::Lease connection = group.borrow(server, timeLeft(statement.deadline));
+        const TimePoint sentAt = Clock::now();
+        const ExecuteReply reply = connection->execute(makeExecuteRequest(statement, group.term()),
+                                                       timeLeft(statement.deadline));
+        group.observeAnswer(server, reply, sentAt);
+        if (!isTokenSatisfied(reply.position, statement.seen))
+            throw noPrimary("the primary is behind what the session has seen");
+        StatementResult result = makeResult(statement, reply, server);
+        result.settledUnknownWrite = isSettled;
+        return result;
+    } catch (const RefusedByServer &refused) {
+        throw errorOfRefusal(group, server, refused);
+    } catch (const LinkError &fault) {
+        if (fault.isUnsent())
+            throw errorOfUnsent(group, server, fault);
+        // A read changes nothing, so a lost answer leaves nothing unknown behind.
+        throw noPrimary(fault.what());
+    }
+}
+
+bool HomeRunner::settleUnknownWrite(HomeGroup &group, const Statement &statement,
+                                    const ServerId &server)
+{
+    if (!statement.unknownWrite)
+        return false;
+    BackendPool::Lease connection = group.borrow(server, timeLeft(statement.deadline));
+    const RequestFate fate = connection->requestFate(statement.caller, *statement.unknownWrite,
+                                                     timeLeft(statement.deadline));
+    // A request that has not run may still be on its way, so the mark stays.
+    return fate.ran;
+}
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/serve/homerunner.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "serve/homegroups.h"
+#include "serve/transactions.h"
+#include "nutmegtide/statement/statement.h"
+
+#include <random>
+
+namespace nutmegtide {
+
+// Runs statements at a home proxy, which holds connections to the backend
+// servers of the statement's database.
+class HomeRunner : public StatementRunner
+{
+public:
+    HomeRunner(HomeGroups &groups, Transactions &transactions, const SettingsSource &settings,
+               FailureDomain ownDomain);
+
+    StatementResult run(const Statement &statement) override;
+
+private:
+    StatementResult read(HomeGroup &group, const Statement &statement);
+    // Returns nothing where the answer is too old or behind the session's token.
+    std::optional<StatementResult> readReplica(HomeGroup &group, const Statement &statement,
+                                               const ServerId &server);
+    StatementResult readPrimary(HomeGroup &group, const Statement &statement,
+                                const ServerId &server);
+    bool settleUnknownWrite(HomeGroup &group, const Statement &statement, const ServerId &server);
+    ReadDecision route(HomeGroup &group, const Statement &statement);
+
+    StatementResult write(HomeGroup &group, const Statement &statement);
+    // Asks again under the same request id, which runs at most once.
+    ExecuteReply resend(HomeGroup &group, const Statement &statement);
+    ServerId confirmedPrimary(HomeGroup &group, const Statement &statement);
+
+    HomeGroups &m_groups;
+    Transactions &m_transactions;
+    const SettingsSource &m_settings;
+    const FailureDomain m_ownDomain;
+    std::mutex m_generatorMutex;
+    std::mt19937_64 m_generator;
+};
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/serve/httpserver.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "nutmegtide/base/endpoint.h"
+#include "nutmegtide/base/errors.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+struct mg_context;
+struct mg_connection;
+
+namespace nutmegtide {
+
+// A listener that could not be opened.
+class ListenError : public Error
+{
+public:
+    using Error::Error;
+};
+
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+};
+
+struct HttpRequest
+{
+    std::string method;
+    std::string path;
+    std::string query;
+    std::string body;
+    std::vector<HttpHeader> headers;
+
+    // Looks a header up without regard to case.
+    std::optional<std::string> header(const std::string &name) const;
+};
+
+struct HttpResponse
+{
+    int status = 200;
+    std::string body;
+    std::string contentType = "application/json";
+    std::vector<HttpHeader> headers;
+};
+
+// A CivetWeb listener with one handler for every path. Each connection has a
+// thread, so the handler may block.
+//
+//   HttpServer server(endpoint, options, [](const HttpRequest &request) { ... });
+//   server.bound(); // the port taken
+class HttpServer
+{
+public:
+    using Handler = std::function<HttpResponse(const HttpRequest &)>;
+
+    struct Options
+    {
+        int threads = 64;
+        std::uint64_t largestBody = 1'048'576; // bytes; a longer one is answered with 413
+    };
+
+    // Throws ListenError.
+    HttpServer(const Endpoint &endpoint, Options options, Handler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    Endpoint bound() const { return m_bound; }
+    int openConnections() const { return m_openConnections; }
+    int activeRequests() const { return m_activeRequests; }
+
+    // From now on every answer asks the client to close its connection.
+    void closeAfterAnswer() { m_isClosing = true; }
+    void stop();
+
+private:
+    static int handleRequest(mg_connection *connection, void *self);
+    static int countOpened(const mg_connection *connection, void **connectionData);
+    static void countClosed(const mg_connection *connection);
+    int handle(mg_connection *connection);
+    void write(mg_connection *connection, const HttpResponse &response) const;
+
+    Options m_options;
+    Handler m_handler;
+    mg_context *m_context = nullptr;
+    Endpoint m_bound;
+    std::atomic<int> m_openConnections = 0;
+    std::atomic<int> m_activeRequests = 0;
+    std::atomic<bool> m_isClosing = false;
+};
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/serve/node.cpp
@@ -0,0 +1,140 @@
+#include "serve/node.h"
+
+#include "serve/peerservice.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+
+namespace nutmegtide {
+
+namespace {
+
+constexpr int OperatorThreads = 4;
+constexpr auto DrainPollInterval = 20ms;
+// The balancer needs this long to see a failing health check and to look elsewhere.
+constexpr auto BalancerGrace = 1s;
+
+Identity makeIdentity(const NodeSettings &settings)
+{
+    const auto sinceEpoch = WallClock::now().time_since_epoch();
+    const auto incarnation = std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch);
+    return {settings.fleet, settings.name, settings.failureDomain,
+            static_cast<Incarnation>(incarnation.count())};
+}
+
+} // namespace
+
+Node::Node(const NodeSettings &settings)
+    : m_settings(settings)
+    , m_identity(makeIdentity(settings))
+    , m_peers([this] { return header(); })
+    , m_groups(m_identity.failureDomain, m_fleetSettings)
+    , m_transactions(m_identity)
+    , m_home(m_groups, m_transactions, m_fleetSettings, m_identity.failureDomain)
+    , m_entry(m_identity, m_directory, m_fleetSettings, m_peers, m_home)
+    , m_membership(m_identity, m_settings, m_directory, m_peers)
+    , m_callerApi(m_identity, m_fleetSettings, m_entry)
+    , m_announceApi(m_identity, m_directory, m_fleetSettings, m_groups)
+{
+    m_peerServer = std::make_unique<PeerServer>(
+            m_settings.peers, PeerServer::Options(),
+            std::make_shared<PeerService>(m_identity, m_membership, m_home,
+                                          [this] { return header(); }));
+    const HttpServer::Options callerOptions {m_settings.callerThreads,
+                                             m_fleetSettings.current()->limits.largestBody};
+    m_callerServer = std::make_unique<HttpServer>(
+            m_settings.callers, callerOptions,
+            [this](const HttpRequest &request) { return handleCaller(request); });
+    m_operatorServer = std::make_unique<HttpServer>(
+            m_settings.operators, HttpServer::Options {OperatorThreads, callerOptions.largestBody},
+            [this](const HttpRequest &request) { return handleOperator(request); });
+    VmRecord self;
+    self.vm = m_identity.vm;
+    self.failureDomain = m_identity.failureDomain;
+    self.peers = m_peerServer->bound();
+    self.callers = m_callerServer->bound();
+    self.incarnation = m_identity.incarnation;
+    self.isControl = m_settings.dataDir.has_value();
+    m_membership.start(self);
+    writePortFile();
+}
+
+Node::~Node()
+{
+    m_callerServer->stop();
+    m_operatorServer->stop();
+    m_peerServer->stop();
+}
+
+void Node::writePortFile() const
+{
+    if (!m_settings.portFile)
+        return;
+    const Json ports {{"callers", toString(m_callerServer->bound())},
+                      {"operators", toString(m_operatorServer->bound())},
+                      {"peers", toString(m_peerServer->bound())}};
+    const std::string temporary = *m_settings.portFile + ".new";
+    std::ofstream(temporary) << ports.dump() << '\n';
+    std::filesystem::rename(temporary, *m_settings.portFile);
+}
+
+wire::Header Node::header() const
+{
+    wire::Header header;
+    header.fleet = m_identity.fleet.text();
+    header.vm = m_identity.vm.text();
+    header.incarnation = static_cast<std::int64_t>(m_identity.incarnation);
+    header.failureDomain = m_identity.failureDomain.text();
+    return header;
+}
+
+HttpResponse Node::health() const
+{
+    HttpResponse response;
+    response.status = m_isDraining ? 503 : 200;
+    response.body = m_isDraining ? R"({"state":"draining"})" : R"({"state":"serving"})";
+    return response;
+}
+
+HttpResponse Node::handleCaller(const HttpRequest &request)
+{
+    if (request.path == "/healthz")
+        return health();
+    if (request.path == "/v1/announce" && request.method == "POST")
+        return m_announceApi.announce(request);
+    if (auto response = m_callerApi.handle(request))
+        return *response;
+    HttpResponse response = errorResponse(
+            {StatementFailure::BadRequest, Ran::No, "no such path: " + request.path}, {});
+    response.status = 404;
+    return response;
+}
+
+HttpResponse Node::handleOperator(const HttpRequest &request)
+{
+    if (request.path == "/healthz")
+        return health();
+    HttpResponse response = errorResponse(
+            {StatementFailure::BadRequest, Ran::No, "no such path: " + request.path}, {});
+    response.status = 404;
+    return response;
+}
+
+void Node::drain()
+{
+    m_isDraining = true;
+    m_membership.setDraining();
+    m_callerServer->closeAfterAnswer();
+    const TimePoint start = Clock::now();
+    const TimePoint latest = start + m_settings.drainTimeout;
+    while (Clock::now() < latest) {
+        const bool isIdle = m_callerServer->activeRequests() == 0 && m_transactions.open() == 0
+                && m_callerServer->openConnections() == 0;
+        if (isIdle && Clock::now() - start > BalancerGrace)
+            return;
+        std::this_thread::sleep_for(DrainPollInterval);
+    }
+}
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/serve/node.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "nutmegtide/settings/nodesettings.h"
+#include "serve/announceapi.h"
+#include "serve/callerapi.h"
+#include "serve/directory.h"
+#include "serve/entryrunner.h"
+#include "serve/homegroups.h"
+#include "serve/homerunner.h"
+#include "serve/httpserver.h"
+#include "serve/identity.h"
+#include "serve/membership.h"
+#include "serve/peerclient.h"
+#include "serve/peerserver.h"
+#include "serve/settingssource.h"
+#include "serve/transactions.h"
+
+#include <atomic>
+
+namespace nutmegtide {
+
+// One running VM of the system: its listeners and the roles behind them.
+class Node
+{
+public:
+    // Throws ListenError.
+    explicit Node(const NodeSettings &settings);
+    ~Node();
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
+    // Refuses the balancer's checks, finishes what runs and returns once no
+    // caller is connected or the drain timeout is over.
+    void drain();
+
+private:
+    HttpResponse handleCaller(const HttpRequest &request);
+    HttpResponse handleOperator(const HttpRequest &request);
+    HttpResponse health() const;
+    wire::Header header() const;
+    void writePortFile() const;
+
+    const NodeSettings m_settings;
+    const Identity m_identity;
+    SettingsSource m_fleetSettings;
+    Directory m_directory;
+    PeerClients m_peers;
+    HomeGroups m_groups;
+    Transactions m_transactions;
+    HomeRunner m_home;
+    EntryRunner m_entry;
+    Membership m_membership;
+    CallerApi m_callerApi;
+    AnnounceApi m_announceApi;
+    std::atomic<bool> m_isDraining = false;
+    std::unique_ptr<PeerServer> m_peerServer;
+    std::unique_ptr<HttpServer> m_callerServer;
+    std::unique_ptr<HttpServer> m_operatorServer;
+};
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/serve/peerclient.cpp
@@ -0,0 +1,76 @@
+#include "serve/peerclient.h"
+
+#include <poll.h>
+#include <thrift/protocol/TBinaryProtocol.h>
+
+namespace nutmegtide {
+
+namespace {
+
+constexpr std::size_t MostIdlePerPeer = 64;
+constexpr auto ConnectTimeout = 1000ms;
+
+// An idle connection has nothing to read unless the peer closed it.
+bool isClosedByPeer(int socket)
+{
+    pollfd entry {socket, POLLIN, 0};
+    return poll(&entry, 1, 0) != 0;
+}
+
+} // namespace
+
+PeerConnection::PeerConnection(const Endpoint &peer, std::chrono::milliseconds connectTimeout)
+    : m_socket(std::make_shared<apache::thrift::transport::TSocket>(peer.address, peer.port))
+    , m_transport(std::make_shared<apache::thrift::transport::TFramedTransport>(m_socket))
+{
+    m_socket->setConnTimeout(static_cast<int>(connectTimeout.count()));
+    m_socket->setNoDelay(true);
+    m_client = std::make_unique<wire::PeerClient>(
+            std::make_shared<apache::thrift::protocol::TBinaryProtocol>(m_transport));
+    try {
+        m_transport->open();
+    } catch (const apache::thrift::TException &fault) {
+        throw PeerError(toString(peer) + ": " + fault.what(), false);
+    }
+}
+
+void PeerConnection::setTimeout(std::chrono::milliseconds timeout)
+{
+    const int milliseconds = std::max(1, static_cast<int>(timeout.count()));
+    m_socket->setRecvTimeout(milliseconds);
+    m_socket->setSendTimeout(milliseconds);
+}
+
+std::unique_ptr<PeerConnection> PeerClients::borrow(const Endpoint &peer)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &idle = m_idle[peer];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (!connection->isClosed())
+            return connection;
+    }
+    return nullptr;
+}
+
+std::unique_ptr<PeerConnection> PeerClients::open(const Endpoint &peer,
+                                                  std::chrono::milliseconds timeout) const
+{
+    return std::make_unique<PeerConnection>(peer, std::min(timeout, ConnectTimeout));
+}
+
+void PeerClients::giveBack(const Endpoint &peer, std::unique_ptr<PeerConnection> connection)
+{
+    const std::lock_guard lock(m_mutex);
+    auto &idle = m_idle[peer];
+    if (idle.size() < MostIdlePerPeer)
+        idle.push_back(std::move(connection));
+}
+
+bool PeerConnection::isClosed() const
+{
+    return isClosedByPeer(m_socket->getSocketFD());
+}
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/serve/peerclient.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "Peer.h"
+#include "nutmegtide/base/endpoint.h"
+#include "nutmegtide/base/errors.h"
+#include "nutmegtide/base/time.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TSocket.h>
+#include <vector>
+
+namespace nutmegtide {
+
+// A call to another process of the fleet that brought no answer.
+class PeerError : public Error
+{
+public:
+    PeerError(const std::string &message, bool wasSent)
+        : Error(message)
+        , m_wasSent(wasSent)
+    {
+    }
+
+    // False where the connection could not be opened, so the peer saw nothing.
+    bool wasSent() const { return m_wasSent; }
+
+private:
+    bool m_wasSent;
+};
+
+// Fills in the header of each call with the identity and the clock of this process.
+using HeaderSource = std::function<wire::Header()>;
+
+// One framed Thrift connection to a peer.
+class PeerConnection
+{
+public:
+    // Throws PeerError.
+    PeerConnection(const Endpoint &peer, std::chrono::milliseconds connectTimeout);
+
+    wire::PeerClient &client() { return *m_client; }
+    void setTimeout(std::chrono::milliseconds timeout);
+    // True once the peer has closed its side.
+    bool isClosed() const;
+
+private:
+    std::shared_ptr<apache::thrift::transport::TSocket> m_socket;
+    std::shared_ptr<apache::thrift::transport::TFramedTransport> m_transport;
+    std::unique_ptr<wire::PeerClient> m_client;
+};
+
+// Connections to peers, borrowed for one call each. A connection whose call
+// failed or came late is closed and not lent again.
+//
+//   const auto reply = peers.call(endpoint, 500ms, [&](wire::PeerClient &client) {
+//       wire::GossipReply reply;
+//       client.gossip(reply, peers.header(), message);
+//       return reply;
+//   });
+class PeerClients
+{
+public:
+    explicit PeerClients(HeaderSource headerSource)
+        : m_headerSource(std::move(headerSource))
+    {
+    }
+
+    wire::Header header() const { return m_headerSource(); }
+
+    // Throws PeerError, or wire::PeerRefusal as the peer sent it.
+    template <typename Call>
+    auto call(const Endpoint &peer, std::chrono::milliseconds timeout, Call &&call)
+            -> decltype(call(std::declval<wire::PeerClient &>()));
+
+private:
+    std::unique_ptr<PeerConnection> borrow(const Endpoint &peer);
+    std::unique_ptr<PeerConnection> open(const Endpoint &peer,
+                                         std::chrono::milliseconds timeout) const;
+    void giveBack(const Endpoint &peer, std::unique_ptr<PeerConnection> connection);
+
+    HeaderSource m_headerSource;
+    std::mutex m_mutex;
+    std::map<Endpoint, std::vector<std::unique_ptr<PeerConnection>>> m_idle;
+};
+
+template <typename Call>
+auto PeerClients::call(const Endpoint &peer, std::chrono::milliseconds timeout, Call &&call)
+        -> decltype(call(std::declval<wire::PeerClient &>()))
+{
+    auto connection = borrow(peer);
+    if (!connection)
+        connection = open(peer, timeout);
+    connection->setTimeout(timeout);
+    try {
+        if constexpr (std::is_void_v<decltype(call(connection->client()))>) {
+            call(connection->client());
+            giveBack(peer, std::move(connection));
+        } else {
+            auto reply = call(connection->client());
+            giveBack(peer, std::move(connection));
+            return reply;
+        }
+    } catch (const wire::PeerRefusal &) {
+        giveBack(peer, std::move(connection));
+        throw;
+    } catch (const apache::thrift::TException &fault) {
+        throw PeerError(toString(peer) + ": " + fault.what(), true);
+    }
+}
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/serve/peerservice.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Peer.h"
+#include "nutmegtide/statement/statement.h"
+#include "serve/identity.h"
+#include "serve/membership.h"
+
+#include <map>
+#include <mutex>
+
+namespace nutmegtide {
+
+// Answers the calls of other processes. It refuses a peer of another fleet and
+// one of an older incarnation than it has heard from.
+class PeerService : public wire::PeerIf
+{
+public:
+    PeerService(const Identity &identity, Membership &membership, StatementRunner &home,
+                HeaderSource headerSource);
+
+    void handshake(wire::Header &reply, const wire::Header &header) override;
+    void execute(wire::StatementReply &reply, const wire::Header &header,
+                 const wire::StatementCall &call) override;
+    void requestFate(wire::RequestFateReply &reply, const wire::Header &header,
+                     const std::string &database, const std::string &caller,
+                     const std::string &requestId) override;
+    void gossip(wire::GossipReply &reply, const wire::Header &header,
+                const wire::Gossip &message) override;
+    void raft(const wire::Header &header, const std::vector<wire::RaftMessage> &messages) override;
+    void submitConfig(wire::SubmitReply &reply, const wire::Header &header,
+                      const wire::ConfigSubmission &submission) override;
+    void pushConfig(const wire::Header &header, const wire::ConfigPush &push) override;
+    void fetchConfig(wire::ConfigPage &page, const wire::Header &header,
+                     std::int64_t afterRevision) override;
+    void reportGroups(wire::GroupReportReply &reply, const wire::Header &header,
+                      const std::vector<wire::GroupReport> &reports) override;
+    void events(wire::EventPage &page, const wire::Header &header,
+                std::int64_t afterSequence) override;
+    void status(wire::NodeStatusReply &reply, const wire::Header &header) override;
+
+private:
+    void check(const wire::Header &header);
+
+    const Identity &m_identity;
+    Membership &m_membership;
+    StatementRunner &m_home;
+    HeaderSource m_headerSource;
+    std::mutex m_mutex;
+    std::map<std::string, std::int64_t> m_incarnations; // latest one heard of each VM
+};
+
+} // namespace nutmegtide
