--- a/src/statement/sessiontoken.cpp
+++ b/src/statement/sessiontoken.cpp
@@ -160,6 +160,8 @@
         if (!unknown.isEmpty())
             token.markUnknown(database, unknown);
     }
+    if (token.encode() != text)
+        throw TokenError("session token isn't in the form that the system writes");
     return token;
 }
 
