--- a/include/nutmegtide/settings/fleetsettings.h
+++ b/include/nutmegtide/settings/fleetsettings.h
@@ -16,6 +16,8 @@
     int voters = 3; // size that a repair restores
     int homesPerDomain = 1; // more for a hot database
     std::chrono::milliseconds requestIdKept {86'400'000};
+
+    bool operator==(const DatabaseSettings &) const = default;
 };
 
 // [reads]
@@ -23,6 +25,8 @@
 {
     std::chrono::milliseconds replicaWait {20}; // wait for a replica just behind the token
     std::chrono::milliseconds smallestAge {1'000}; // positions are refreshed at a quarter of it
+
+    bool operator==(const ReadSettings &) const = default;
 };
 
 // [limits]
@@ -34,6 +38,8 @@
     double retryShare = 0.1; // retries as a share of fresh statements
     int queueLength = 256; // statements that wait for one server
     double connectionShare = 0.9; // of a server's announced connections that homes may hold
+
+    bool operator==(const LimitSettings &) const = default;
 };
 
 // [failover]
@@ -45,6 +51,8 @@
     std::chrono::milliseconds ackTimeout {
             2'000}; // majority confirmation before the outcome is unknown
     std::chrono::milliseconds shortestBetweenChanges {5'000};
+
+    bool operator==(const FailoverSettings &) const = default;
 };
 
 // [power]
@@ -54,6 +62,8 @@
     std::chrono::milliseconds saturatedBeforeOn {30'000};
     std::chrono::milliseconds idleBeforeOff {600'000};
     std::vector<VmName> spares;
+
+    bool operator==(const PowerSettings &) const = default;
 };
 
 // [homes]
@@ -62,6 +72,8 @@
     int perDomain = 1;
     int standbys = 1;
     std::chrono::milliseconds shareTimeout {3'000}; // a connection share not renewed is void
+
+    bool operator==(const HomeSettings &) const = default;
 };
 
 // What all processes of a fleet share; accepted by control as one revision.
@@ -73,6 +85,8 @@
     FailoverSettings failover;
     PowerSettings power;
     HomeSettings homes;
+
+    bool operator==(const FleetSettings &) const = default;
 };
 
 } // namespace nutmegtide
--- a/include/nutmegtide/settings/loader.h
+++ b/include/nutmegtide/settings/loader.h
@@ -42,6 +42,8 @@
 
 // All of these throw SettingsError.
 MergedSettings mergeFolder(const std::string &folder);
+// Checks a folder as a node's when it has a [node] or [listen] table, else as a fleet's.
+MergedSettings checkFolder(const std::string &folder);
 NodeSettings loadNodeSettings(const std::string &folder);
 FleetSettings loadFleetSettings(const std::string &folder);
 // Reads what mergeFolder() wrote, as it comes over the wire.
--- /dev/null
+++ b/src/settings/nodeschema.cpp
@@ -0,0 +1,64 @@
+#include "settings/schema.h"
+#include "settings/section.h"
+
+namespace nutmegtide {
+
+namespace {
+
+constexpr Range DrainTimeoutRange {0, 3'600'000}; // ms
+constexpr Range CallerThreadsRange {1, 10'000};
+constexpr bool IsRequired = true;
+
+const KeyRow<NodeSettings> NodeRows[] = {
+        {"name", &NodeSettings::name, {}, IsRequired},
+        {"failure_domain", &NodeSettings::failureDomain, {}, IsRequired},
+        {"fleet", &NodeSettings::fleet, {}, IsRequired},
+        {"data_dir", &NodeSettings::dataDir},
+        {"control", &NodeSettings::control},
+        {"seeds", &NodeSettings::seeds},
+        {"platform", &NodeSettings::platform},
+        {"port_file", &NodeSettings::portFile},
+        {"drain_timeout", &NodeSettings::drainTimeout, DrainTimeoutRange},
+        {"caller_threads", &NodeSettings::callerThreads, CallerThreadsRange},
+};
+
+const KeyRow<ListenSettings> ListenRows[] = {
+        {"callers", &ListenSettings::callers, {}, IsRequired},
+        {"operators", &ListenSettings::operators, {}, IsRequired},
+        {"peers", &ListenSettings::peers, {}, IsRequired},
+};
+
+const KeyRow<LogSettings> LogRows[] = {
+        {"level", &LogSettings::level},
+        {"dir", &LogSettings::dir},
+};
+
+constexpr std::string_view NodeTables[] = {"node", "listen", "log"};
+
+// Port 0 stands for a port of the kernel's choice, so it never collides.
+void checkListeners(const ListenSettings &listen, SectionReader &reader)
+{
+    const bool isOperatorsTaken = listen.operators.port != 0 && listen.operators == listen.callers;
+    const bool isPeersTaken = listen.peers.port != 0
+            && (listen.peers == listen.callers || listen.peers == listen.operators);
+    if (isOperatorsTaken)
+        reader.report("listen.operators", "another listener has the same address");
+    if (isPeersTaken)
+        reader.report("listen.peers", "another listener has the same address");
+}
+
+} // namespace
+
+NodeSettings readNodeTables(MergedTables &merged)
+{
+    NodeSettings settings;
+    SectionReader reader(merged);
+    reader.readTable<NodeSettings>("node", NodeRows, settings);
+    reader.readTable<ListenSettings>("listen", ListenRows, settings.listen);
+    reader.readTable<LogSettings>("log", LogRows, settings.log);
+    reader.checkUnknown(merged.tables, "", NodeTables);
+    checkListeners(settings.listen, reader);
+    return settings;
+}
+
+} // namespace nutmegtide
