--- /dev/null
+++ b/test/standin/announcer.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "options.h"
+#include "state.h"
+
+#include <atomic>
+#include <curl/curl.h>
+#include <thread>
+
+namespace nutmegtide::standin {
+
+// A thread that announces the server to its homes. Each target has a request of
+// its own, so that a dead one doesn't delay the others.
+class Announcer
+{
+public:
+    // The announcement's fixed members come from the caller, the others from the state.
+    Announcer(StandinState &state, Announcement identity, std::vector<Endpoint> configured);
+    ~Announcer();
+    Announcer(const Announcer &) = delete;
+    Announcer &operator=(const Announcer &) = delete;
+
+    // Announces at once, after a change of role, term or state. For any thread.
+    void wake();
+
+private:
+    struct Target
+    {
+        CURL *easy = nullptr;
+        std::string body;
+        std::string answer;
+        bool isBusy = false;
+        TimePoint nextDue;
+    };
+
+    void run(const std::stop_token &stop);
+    void startDue(TimePoint now);
+    void start(Target &target, const Endpoint &endpoint, TimePoint now);
+    void finishDone(TimePoint now);
+    void take(Target &target, TimePoint now);
+    void setTargets(const std::vector<Endpoint> &endpoints);
+    void addTarget(const Endpoint &endpoint);
+    std::chrono::milliseconds untilNextDue(TimePoint now) const;
+
+    StandinState &m_state;
+    Announcement m_identity;
+    std::vector<Endpoint> m_configured;
+    std::map<Endpoint, Target> m_targets;
+    std::vector<Endpoint> m_homes; // of the latest answer
+    TimePoint m_lastAnswer;
+    std::atomic<bool> m_isWoken = false;
+    curl_slist *m_headers = nullptr;
+    CURLM *m_multi;
+    std::jthread m_thread;
+};
+
+} // namespace nutmegtide::standin
