Serve until a signal, then drain

The process blocks SIGTERM and SIGINT before its first thread and waits for them, so that a planned stop runs as ordinary code.

--- a/src/serve/membership.cpp
+++ b/src/serve/membership.cpp
@@ -72,7 +72,7 @@
 {
     while (!m_isStopping) {
         for (const Endpoint &seed : m_settings.seeds) {
-            if (seed != m_settings.peers)
+            if (seed != m_settings.listen.peers)
                 askSeed(seed);
         }
         std::this_thread::sleep_for(RoundInterval);
--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -38,16 +38,16 @@
     , m_announceApi(m_identity, m_directory, m_fleetSettings, m_groups)
 {
     m_peerServer = std::make_unique<PeerServer>(
-            m_settings.peers, PeerServer::Options(),
+            m_settings.listen.peers, PeerServer::Options(),
             std::make_shared<PeerService>(m_identity, m_membership, m_home,
                                           [this] { return header(); }));
     const HttpServer::Options callerOptions {m_settings.callerThreads,
                                              m_fleetSettings.current()->limits.largestBody};
     m_callerServer = std::make_unique<HttpServer>(
-            m_settings.callers, callerOptions,
+            m_settings.listen.callers, callerOptions,
             [this](const HttpRequest &request) { return handleCaller(request); });
     m_operatorServer = std::make_unique<HttpServer>(
-            m_settings.operators, HttpServer::Options {OperatorThreads, callerOptions.largestBody},
+            m_settings.listen.operators, HttpServer::Options {OperatorThreads, callerOptions.largestBody},
             [this](const HttpRequest &request) { return handleOperator(request); });
     VmRecord self;
     self.vm = m_identity.vm;
@@ -55,7 +55,7 @@
     self.peers = m_peerServer->bound();
     self.callers = m_callerServer->bound();
     self.incarnation = m_identity.incarnation;
-    self.isControl = m_settings.dataDir.has_value();
+    self.isControl = !m_settings.dataDir.empty();
     m_membership.start(self);
     writePortFile();
 }
@@ -69,14 +69,14 @@
 
 void Node::writePortFile() const
 {
-    if (!m_settings.portFile)
+    if (m_settings.portFile.empty())
         return;
     const Json ports {{"callers", toString(m_callerServer->bound())},
                       {"operators", toString(m_operatorServer->bound())},
                       {"peers", toString(m_peerServer->bound())}};
-    const std::string temporary = *m_settings.portFile + ".new";
+    const std::string temporary = m_settings.portFile + ".new";
     std::ofstream(temporary) << ports.dump() << '\n';
-    std::filesystem::rename(temporary, *m_settings.portFile);
+    std::filesystem::rename(temporary, m_settings.portFile);
 }
 
 wire::Header Node::header() const
--- /dev/null
+++ b/src/serve/serve.cpp
@@ -0,0 +1,44 @@
+#include "serve/serve.h"
+
+#include "serve/node.h"
+
+#include <csignal>
+#include <curl/curl.h>
+#include <glog/logging.h>
+
+namespace nutmegtide {
+
+namespace {
+
+// The signals are blocked before the first thread starts, so that only
+// sigwait() receives them.
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+} // namespace
+
+int serve(const NodeSettings &settings)
+{
+    const sigset_t signals = blockStopSignals();
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    try {
+        Node node(settings);
+        int received = 0;
+        sigwait(&signals, &received);
+        node.drain();
+        return 0;
+    } catch (const Error &fault) {
+        LOG(ERROR) << "event=start_failed message=\"" << fault.what() << '"';
+        return 1;
+    }
+}
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/serve/serve.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "nutmegtide/settings/nodesettings.h"
+
+namespace nutmegtide {
+
+// Runs the roles that the settings name until SIGTERM or SIGINT, then drains.
+// Returns the exit code of the process.
+int serve(const NodeSettings &settings);
+
+} // namespace nutmegtide
