--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -32,23 +32,31 @@
     , m_groups(m_identity.failureDomain, m_fleetSettings)
     , m_transactions(m_identity)
     , m_home(m_groups, m_transactions, m_fleetSettings, m_identity.failureDomain)
-    , m_entry(m_identity, m_directory, m_fleetSettings, m_peers, m_home)
+    , m_meteredHome(m_home)
+    , m_entry(m_identity, m_directory, m_fleetSettings, m_peers, m_meteredHome)
+    , m_meteredEntry(m_entry)
     , m_membership(m_identity, m_settings, m_directory, m_peers)
-    , m_callerApi(m_identity, m_fleetSettings, m_entry)
+    , m_callerApi(m_identity, m_fleetSettings, m_meteredEntry)
     , m_announceApi(m_identity, m_directory, m_fleetSettings, m_groups)
 {
-    m_peerServer = std::make_unique<PeerServer>(
-            m_settings.listen.peers, PeerServer::Options(),
-            std::make_shared<PeerService>(m_identity, m_membership, m_home,
-                                          [this] { return header(); }));
+    m_peerServer = std::make_unique<PeerServer>(m_settings.listen.peers, PeerServer::Options(),
+                                                std::make_shared<PeerService>(m_identity,
+                                                                              m_membership,
+                                                                              m_meteredHome, [this] {
+                                                                                  return header();
+                                                                              }));
     const HttpServer::Options callerOptions {m_settings.callerThreads,
                                              m_fleetSettings.current()->limits.largestBody};
-    m_callerServer = std::make_unique<HttpServer>(
-            m_settings.listen.callers, callerOptions,
-            [this](const HttpRequest &request) { return handleCaller(request); });
-    m_operatorServer = std::make_unique<HttpServer>(
-            m_settings.listen.operators, HttpServer::Options {OperatorThreads, callerOptions.largestBody},
-            [this](const HttpRequest &request) { return handleOperator(request); });
+    m_callerServer = std::make_unique<HttpServer>(m_settings.listen.callers, callerOptions,
+                                                  [this](const HttpRequest &request) {
+                                                      return handleCaller(request);
+                                                  });
+    m_operatorServer = std::make_unique<HttpServer>(m_settings.listen.operators,
+                                                    HttpServer::Options {OperatorThreads,
+                                                                         callerOptions.largestBody},
+                                                    [this](const HttpRequest &request) {
+                                                        return handleOperator(request);
+                                                    });
     VmRecord self;
     self.vm = m_identity.vm;
     self.failureDomain = m_identity.failureDomain;
@@ -105,8 +113,9 @@
         return m_announceApi.announce(request);
     if (auto response = m_callerApi.handle(request))
         return *response;
-    HttpResponse response = errorResponse(
-            {StatementFailure::BadRequest, Ran::No, "no such path: " + request.path}, {});
+    HttpResponse response = errorResponse({StatementFailure::BadRequest, Ran::No,
+                                           "no such path: " + request.path},
+                                          {});
     response.status = 404;
     return response;
 }
@@ -115,8 +124,9 @@
 {
     if (request.path == "/healthz")
         return health();
-    HttpResponse response = errorResponse(
-            {StatementFailure::BadRequest, Ran::No, "no such path: " + request.path}, {});
+    HttpResponse response = errorResponse({StatementFailure::BadRequest, Ran::No,
+                                           "no such path: " + request.path},
+                                          {});
     response.status = 404;
     return response;
 }
@@ -129,9 +139,10 @@
     const TimePoint start = Clock::now();
     const TimePoint latest = start + m_settings.drainTimeout;
     while (Clock::now() < latest) {
-        const bool isIdle = m_callerServer->activeRequests() == 0 && m_transactions.open() == 0
-                && m_callerServer->openConnections() == 0;
-        if (isIdle && Clock::now() - start > BalancerGrace)
+        const TimePoint quietSince = Clock::now() - BalancerGrace;
+        const bool isQuiet = m_meteredEntry.isQuietSince(quietSince)
+                && m_meteredHome.isQuietSince(quietSince) && m_transactions.open() == 0;
+        if (isQuiet && quietSince > start)
             return;
         std::this_thread::sleep_for(DrainPollInterval);
     }
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -10,6 +10,7 @@
 #include "serve/httpserver.h"
 #include "serve/identity.h"
 #include "serve/membership.h"
+#include "serve/meteredrunner.h"
 #include "serve/peerclient.h"
 #include "serve/peerserver.h"
 #include "serve/settingssource.h"
@@ -29,8 +30,8 @@
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
 
-    // Refuses the balancer's checks, finishes what runs and returns once no
-    // caller is connected or the drain timeout is over.
+    // Refuses the balancer's checks, goes on serving what still arrives, and
+    // returns once no statement has come for a while or the drain timeout is over.
     void drain();
 
 private:
@@ -48,7 +49,9 @@
     HomeGroups m_groups;
     Transactions m_transactions;
     HomeRunner m_home;
+    MeteredRunner m_meteredHome;
     EntryRunner m_entry;
+    MeteredRunner m_meteredEntry;
     Membership m_membership;
     CallerApi m_callerApi;
     AnnounceApi m_announceApi;
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <curl/curl.h>
 #include <glog/logging.h>
+#include <thrift/TOutput.h>
 
 namespace nutmegtide {
 
@@ -23,10 +24,18 @@
     return signals;
 }
 
+// Thrift reports refused connections and closed peers here; the callers of the
+// failed calls decide what they mean.
+void logThrift(const char *message)
+{
+    VLOG(1) << "event=thrift message=\"" << message << '"';
+}
+
 } // namespace
 
 int serve(const NodeSettings &settings)
 {
+    apache::thrift::GlobalOutput.setOutputFunction(&logThrift);
     const sigset_t signals = blockStopSignals();
     curl_global_init(CURL_GLOBAL_DEFAULT);
     try {
