--- /dev/null
+++ b/test/process/support/sockets.cpp
@@ -0,0 +1,67 @@
+#include "process/support/sockets.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace nutmegtide::test {
+
+namespace {
+
+sockaddr_in toSocketAddress(const Endpoint &endpoint)
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr);
+    return address;
+}
+
+} // namespace
+
+ReservedPort::ReservedPort()
+    : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    , m_endpoint {"127.0.0.1", 0}
+{
+    const int on = 1;
+    setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in address = toSocketAddress(m_endpoint);
+    socklen_t length = sizeof address;
+    if (bind(m_socket, reinterpret_cast<sockaddr *>(&address), length) != 0
+        || getsockname(m_socket, reinterpret_cast<sockaddr *>(&address), &length) != 0) {
+        release();
+        throw SocketError(std::string("cannot reserve a port: ") + std::strerror(errno));
+    }
+    m_endpoint.port = ntohs(address.sin_port);
+}
+
+ReservedPort::~ReservedPort()
+{
+    release();
+}
+
+void ReservedPort::release()
+{
+    if (m_socket >= 0)
+        close(m_socket);
+    m_socket = -1;
+}
+
+int connectTo(const Endpoint &endpoint)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = toSocketAddress(endpoint);
+    if (connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
+        close(socket);
+        return -1;
+    }
+    const int on = 1;
+    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    return socket;
+}
+
+} // namespace nutmegtide::test
--- /dev/null
+++ b/test/process/support/sockets.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "nutmegtide/base/endpoint.h"
+#include "nutmegtide/base/errors.h"
+
+namespace nutmegtide::test {
+
+// A socket of a test could not be bound.
+class SocketError : public Error
+{
+public:
+    using Error::Error;
+};
+
+// A socket bound to a free port of 127.0.0.1, which is kept from others while
+// this object lives. Release it just before a process listens there.
+class ReservedPort
+{
+public:
+    // Throws SocketError.
+    ReservedPort();
+    ~ReservedPort();
+    ReservedPort(const ReservedPort &) = delete;
+    ReservedPort &operator=(const ReservedPort &) = delete;
+
+    const Endpoint &endpoint() const { return m_endpoint; }
+    int socket() const { return m_socket; }
+    void release();
+
+private:
+    int m_socket = -1;
+    Endpoint m_endpoint;
+};
+
+// Returns a connected socket, or -1 if the connection was refused.
+int connectTo(const Endpoint &endpoint);
+
+} // namespace nutmegtide::test
