--- a/src/events/event.cpp
+++ b/src/events/event.cpp
@@ -91,13 +91,13 @@
 
 const std::vector<EventKind> &allEventKinds()
 {
-    static const std::vector<EventKind> Kinds = [] {
-        std::vector<EventKind> kinds;
+    static const std::vector<EventKind> kinds = [] {
+        std::vector<EventKind> list;
         for (const KindRow &row : KindRows)
-            kinds.push_back(row.kind);
-        return kinds;
+            list.push_back(row.kind);
+        return list;
     }();
-    return Kinds;
+    return kinds;
 }
 
 std::string toJson(const Event &event)
