--- a/include/nutmegtide/events/hybridclock.h
+++ b/include/nutmegtide/events/hybridclock.h
@@ -2,9 +2,9 @@
 
 #include "nutmegtide/base/time.h"
 
-#include <compare>
 #include <cstdint>
 #include <ostream>
+#include <tuple>
 
 namespace nutmegtide {
 
@@ -14,9 +14,20 @@
     std::int64_t physicalMicroseconds = 0; // since the epoch of the system clock
     std::uint32_t logical = 0; // orders stamps of the same physical part
 
-    auto operator<=>(const HlcTime &) const = default;
+    bool operator==(const HlcTime &) const = default;
 };
 
+inline bool operator<(const HlcTime &left, const HlcTime &right)
+{
+    return std::tie(left.physicalMicroseconds, left.logical)
+            < std::tie(right.physicalMicroseconds, right.logical);
+}
+
+inline bool operator>(const HlcTime &left, const HlcTime &right)
+{
+    return right < left;
+}
+
 std::ostream &operator<<(std::ostream &out, const HlcTime &time);
 
 // Stamps events so that a cause always has a lower stamp than its effect,
--- a/src/charts/chartparser.cpp
+++ b/src/charts/chartparser.cpp
@@ -54,10 +54,11 @@
 {
     for (const auto &[key, node] : states) {
         const std::string name(key.str());
-        if (node.is_table())
+        if (node.is_table()) {
             readState(name, *node.as_table());
-        else
+        } else {
             addFault(lineOf(node), "state " + name + " is not a table");
+        }
     }
 }
 
@@ -73,10 +74,11 @@
     }
     readTimeout(state, table);
     if (const toml::node *rows = table.get("on")) {
-        if (rows->is_array())
+        if (rows->is_array()) {
             readTransitions(state, *rows->as_array());
-        else
+        } else {
             addFault(lineOf(*rows), "on is not an array of tables");
+        }
     }
     m_chart.m_states.emplace(name, std::move(state));
 }
@@ -99,10 +101,11 @@
 void ChartParser::readTransitions(ChartState &state, const toml::array &rows)
 {
     for (const toml::node &row : rows) {
-        if (row.is_table())
+        if (row.is_table()) {
             state.transitions.push_back(readTransition(*row.as_table()));
-        else
+        } else {
             addFault(lineOf(row), "a transition is not a table");
+        }
     }
 }
 
--- a/test/unit/charts/chartlibrary_test.cpp
+++ b/test/unit/charts/chartlibrary_test.cpp
@@ -14,22 +14,22 @@
 TEST_CASE("every action that the code carries out stands in its chart")
 {
     const ChartLibrary library = ChartLibrary::embedded();
-    for (const auto &[name, vocabulary] : standardVocabularies()) {
-        CAPTURE(name);
+    for (const auto &entry : standardVocabularies()) {
+        CAPTURE(entry.first);
         std::set<std::string> used;
-        for (const auto &[stateName, state] : library.chart(name).states()) {
+        for (const auto &[stateName, state] : library.chart(entry.first).states()) {
             for (const ChartTransition &transition : state.transitions)
                 used.insert(transition.actions.begin(), transition.actions.end());
         }
-        CHECK(used == vocabulary.actions);
+        CHECK(used == entry.second.actions);
     }
 }
 
 TEST_CASE("a library lists the faults of all charts")
 {
     try {
-        ChartLibrary({{"a", ""}, {"b", "initial = \"s\"\n[states.s]\nfinal = true"}},
-                     {{"a", {}}, {"c", {}}});
+        const ChartLibrary library({{"a", ""}, {"b", "initial = \"s\"\n[states.s]\nfinal = true"}},
+                                   {{"a", {}}, {"c", {}}});
         FAIL("expected a ChartError");
     } catch (const ChartError &error) {
         CHECK(std::string(error.what())
--- a/test/unit/events/recorder_test.cpp
+++ b/test/unit/events/recorder_test.cpp
@@ -91,9 +91,9 @@
     for (std::thread &thread : threads)
         thread.join();
     const auto events = recorder.ring().page(0, 1000).events;
-    std::set<EventId> ids;
+    std::set<std::string> ids;
     for (std::size_t i = 0; i < events.size(); ++i) {
-        ids.insert(events[i].id);
+        ids.insert(events[i].id.text());
         CHECK((i == 0 || events[i - 1].time < events[i].time));
     }
     CHECK(ids.size() == 400);
