--- /dev/null
+++ b/src/base/log.cpp
@@ -0,0 +1,129 @@
+#include "base/log.h"
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <glog/logging.h>
+#include <unistd.h>
+
+namespace nutmegtide {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> LevelNames = {"debug", "info", "warning", "error"};
+
+std::atomic<LogLevel> g_level {LogLevel::Info};
+
+bool needsQuotes(std::string_view value)
+{
+    return value.empty() || std::any_of(value.begin(), value.end(), [](char c) {
+               const auto byte = static_cast<unsigned char>(c);
+               return byte <= ' ' || byte == 0x7f || c == '"' || c == '=' || c == '\\';
+           });
+}
+
+std::string escaped(char c)
+{
+    constexpr std::string_view Digits = "0123456789abcdef";
+    const auto byte = static_cast<unsigned char>(c);
+    if (c == '"' || c == '\\')
+        return {'\\', c};
+    if (c == '\n')
+        return "\\n";
+    if (byte >= ' ' && byte != 0x7f)
+        return {c};
+    return {'\\', 'x', Digits[byte / 16], Digits[byte % 16]};
+}
+
+std::string quoted(std::string_view value)
+{
+    std::string text = "\"";
+    for (const char c : value)
+        text += escaped(c);
+    return text + '"';
+}
+
+void append(std::string &line, std::string_view key, std::string_view value)
+{
+    if (!line.empty())
+        line += ' ';
+    line += key;
+    line += '=';
+    line += needsQuotes(value) ? quoted(value) : std::string(value);
+}
+
+void appendIfSet(std::string &line, std::string_view key, std::string_view value)
+{
+    if (!value.empty())
+        append(line, key, value);
+}
+
+int severityOf(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+    case LogLevel::Info:
+        return google::GLOG_INFO;
+    case LogLevel::Warning:
+        return google::GLOG_WARNING;
+    case LogLevel::Error:
+        break;
+    }
+    return google::GLOG_ERROR;
+}
+
+} // namespace
+
+std::string_view toString(LogLevel level)
+{
+    return LevelNames.at(static_cast<std::size_t>(level));
+}
+
+LogLevel logLevelFromString(std::string_view text)
+{
+    const auto *const found = std::find(LevelNames.begin(), LevelNames.end(), text);
+    if (found == LevelNames.end())
+        throw LogError("no log level " + quoted(text));
+    return static_cast<LogLevel>(found - LevelNames.begin());
+}
+
+std::string logLine(std::string_view event, const LogContext &context,
+                    const std::vector<LogField> &fields)
+{
+    std::string line;
+    append(line, "event", event);
+    appendIfSet(line, "vm", context.vm.text());
+    appendIfSet(line, "failure_domain", context.failureDomain.text());
+    appendIfSet(line, "role", context.role);
+    appendIfSet(line, "database", context.database.text());
+    if (context.term != 0)
+        append(line, "term", std::to_string(context.term));
+    appendIfSet(line, "request_id", context.request.text());
+    for (const LogField &field : fields)
+        append(line, field.key, field.value);
+    return line;
+}
+
+void initLogging(const LogSettings &settings)
+{
+    if (!settings.folder.empty() && access(settings.folder.c_str(), W_OK | X_OK) != 0)
+        throw LogError("cannot write to the log folder " + quoted(settings.folder));
+    g_level = settings.level;
+    FLAGS_logtostderr = settings.folder.empty();
+    FLAGS_log_dir = settings.folder;
+    FLAGS_logbufsecs = 0;
+    if (!google::IsGoogleLoggingInitialized())
+        google::InitGoogleLogging("nutmegtide");
+}
+
+void logEvent(LogLevel level, std::string_view event, const LogContext &context,
+              const std::vector<LogField> &fields)
+{
+    if (level < g_level.load())
+        return;
+    const std::string line = logLine(event, context, fields);
+    google::LogMessage("nutmegtide", 0, severityOf(level)).stream()
+            << "level=" << toString(level) << ' ' << line;
+}
+
+} // namespace nutmegtide
--- a/src/events/timelinerender.cpp
+++ b/src/events/timelinerender.cpp
@@ -43,10 +43,11 @@
     std::ostringstream out;
     for (const char c : text) {
         const auto byte = static_cast<unsigned char>(c);
-        if (byte >= 0x20 && byte != 0x7f)
+        if (byte >= 0x20 && byte != 0x7f) {
             out << c;
-        else
+        } else {
             out << "\\x" << std::hex << std::setw(2) << std::setfill('0') << unsigned(byte);
+        }
     }
     return out.str();
 }
