--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> LevelNames = {"debug", "info", "warning", "error"};
+constexpr std::array<std::string_view, 3> LevelNames = {"info", "warning", "error"};
 
 std::atomic<LogLevel> g_level {LogLevel::Info};
 
@@ -61,7 +61,6 @@
 int severityOf(LogLevel level)
 {
     switch (level) {
-    case LogLevel::Debug:
     case LogLevel::Info:
         return google::GLOG_INFO;
     case LogLevel::Warning:
@@ -79,14 +78,6 @@
     return LevelNames.at(static_cast<std::size_t>(level));
 }
 
-LogLevel logLevelFromString(std::string_view text)
-{
-    const auto *const found = std::find(LevelNames.begin(), LevelNames.end(), text);
-    if (found == LevelNames.end())
-        throw LogError("no log level " + quoted(text));
-    return static_cast<LogLevel>(found - LevelNames.begin());
-}
-
 std::string logLine(std::string_view event, const LogContext &context,
                     const std::vector<LogField> &fields)
 {
@@ -104,13 +95,14 @@
     return line;
 }
 
-void initLogging(const LogSettings &settings)
+void initLogging(const NodeSettings &settings)
 {
-    if (!settings.folder.empty() && access(settings.folder.c_str(), W_OK | X_OK) != 0)
-        throw LogError("cannot write to the log folder " + quoted(settings.folder));
-    g_level = settings.level;
-    FLAGS_logtostderr = settings.folder.empty();
-    FLAGS_log_dir = settings.folder;
+    const std::string &folder = settings.log.dir;
+    if (!folder.empty() && access(folder.c_str(), W_OK | X_OK) != 0)
+        throw LogError("cannot write to the log folder " + quoted(folder));
+    g_level = settings.log.level;
+    FLAGS_logtostderr = folder.empty();
+    FLAGS_log_dir = folder;
     FLAGS_logbufsecs = 0;
     if (!google::IsGoogleLoggingInitialized())
         google::InitGoogleLogging("nutmegtide");
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -2,41 +2,24 @@
 
 #include "nutmegtide/base/errors.h"
 #include "nutmegtide/base/ids.h"
+#include "nutmegtide/settings/nodesettings.h"
 
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace nutmegtide {
 
-enum class LogLevel {
-    Debug,
-    Info,
-    Warning,
-    Error,
-};
-
-// Returns "debug", "info", "warning" or "error".
+// Returns "info", "warning" or "error".
 std::string_view toString(LogLevel level);
 
-// A log level that doesn't exist, or a log folder that can't be written.
+// A log folder that can't be written.
 class LogError : public Error
 {
 public:
     using Error::Error;
 };
 
-// Throws LogError.
-LogLevel logLevelFromString(std::string_view text);
-
-// Where a process writes its log, and what.
-struct LogSettings
-{
-    LogLevel level = LogLevel::Info; // lower levels are left out
-    std::string folder {}; // empty: standard error
-};
-
 // What a log line is about; empty fields are left out of the line.
 struct LogContext
 {
@@ -60,7 +43,7 @@
                     const std::vector<LogField> &fields = {});
 
 // Sets up glog; called once per process, before the first line. Throws LogError.
-void initLogging(const LogSettings &settings);
+void initLogging(const NodeSettings &settings);
 
 // Writes one line if the level is in force. Thread-safe.
 //
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -23,9 +23,10 @@
 std::vector<Weighted> orderByWeight(const DatabaseName &database,
                                     const std::vector<PlacementCandidate> &candidates)
 {
-    const bool isAnyServing =
-            std::any_of(candidates.begin(), candidates.end(),
-                        [](const PlacementCandidate &candidate) { return !candidate.isDraining; });
+    const bool isAnyServing = std::any_of(candidates.begin(), candidates.end(),
+                                          [](const PlacementCandidate &candidate) {
+                                              return !candidate.isDraining;
+                                          });
     std::vector<Weighted> order;
     for (const PlacementCandidate &candidate : candidates) {
         if (isAnyServing && candidate.isDraining)
@@ -52,8 +53,8 @@
         const bool isHome = taken[entry.candidate->failureDomain]++ < rule.perDomain;
         (isHome ? homes : others).push_back(entry.candidate->vm);
     }
-    const auto standbys =
-            std::min<std::size_t>(others.size(), static_cast<std::size_t>(rule.standbys));
+    const auto standbys = std::min<std::size_t>(others.size(),
+                                                static_cast<std::size_t>(rule.standbys));
     homes.insert(homes.end(), others.begin(),
                  others.begin() + static_cast<std::ptrdiff_t>(standbys));
     return homes;
--- a/src/serve/announceapi.cpp
+++ b/src/serve/announceapi.cpp
@@ -20,9 +20,9 @@
         const auto announcement = parseMessage<Announcement>(request.body);
         if (announcement.server.isEmpty() || announcement.database.isEmpty())
             throw MessageError("a server or a database without a name");
-        const auto homes = m_directory.homesOf(
-                announcement.database,
-                placementRule(*m_settings.current(), announcement.database));
+        const auto homes = m_directory.homesOf(announcement.database,
+                                               placementRule(*m_settings.current(),
+                                                             announcement.database));
         const bool isHome = std::find(homes.begin(), homes.end(), m_identity.vm) != homes.end();
         if (isHome)
             m_groups.open(announcement.database).observe(announcement);
--- a/src/serve/backendclient.cpp
+++ b/src/serve/backendclient.cpp
@@ -23,14 +23,12 @@
 
 BackendConnection::BackendConnection(Endpoint server)
     : m_server(std::move(server))
-{
-}
+{ }
 
 BackendConnection::BackendConnection(BackendConnection &&other) noexcept
     : m_server(std::move(other.m_server))
     , m_handle(std::exchange(other.m_handle, nullptr))
-{
-}
+{ }
 
 BackendConnection::~BackendConnection()
 {
@@ -139,7 +137,8 @@
 RequestFate BackendConnection::requestFate(const CallerId &caller, const RequestId &id,
                                            std::chrono::milliseconds timeout)
 {
-    const std::string path = "/v1/requests/" + escape(id.text()) + "?caller=" + escape(caller.text());
+    const std::string path = "/v1/requests/" + escape(id.text())
+            + "?caller=" + escape(caller.text());
     return ask<RequestFate>(path, nullptr, timeout);
 }
 
@@ -166,8 +165,7 @@
 BackendPool::Lease::Lease(Lease &&other) noexcept
     : m_pool(std::exchange(other.m_pool, nullptr))
     , m_connection(std::move(other.m_connection))
-{
-}
+{ }
 
 BackendPool::Lease::~Lease()
 {
--- a/src/serve/backendclient.h
+++ b/src/serve/backendclient.h
@@ -29,8 +29,7 @@
     LinkError(LinkFault fault, const std::string &message)
         : Error(message)
         , m_fault(fault)
-    {
-    }
+    { }
 
     LinkFault fault() const { return m_fault; }
     bool isUnsent() const
@@ -50,8 +49,7 @@
         : Error(refusal.type + ": " + refusal.message)
         , m_refusal(std::move(refusal))
         , m_status(status)
-    {
-    }
+    { }
 
     const BackendRefusal &refusal() const { return m_refusal; }
     int status() const { return m_status; }
@@ -109,8 +107,7 @@
         Lease(BackendPool &pool, BackendConnection connection)
             : m_pool(&pool)
             , m_connection(std::move(connection))
-        {
-        }
+        { }
         Lease(Lease &&other) noexcept;
         Lease &operator=(Lease &&) = delete;
         ~Lease();
@@ -126,8 +123,7 @@
     BackendPool(Endpoint server, int most)
         : m_server(std::move(server))
         , m_most(most)
-    {
-    }
+    { }
 
     // Waits for a free connection. Throws LinkError with NoConnectionFree after the wait.
     Lease borrow(std::chrono::milliseconds wait);
--- a/src/serve/callerapi.cpp
+++ b/src/serve/callerapi.cpp
@@ -90,8 +90,8 @@
 
 void checkMembers(const Json &body)
 {
-    constexpr std::array<std::string_view, 6> Known = {
-            "statement", "parameters", "access", "max_age_ms", "repeatable", "timeout_ms"};
+    constexpr std::array<std::string_view, 6> Known = {"statement",  "parameters", "access",
+                                                       "max_age_ms", "repeatable", "timeout_ms"};
     for (const auto &[key, value] : body.items()) {
         if (std::find(Known.begin(), Known.end(), key) == Known.end())
             throw badRequest("unknown member " + key);
@@ -196,10 +196,9 @@
     if (parts.size() != 4)
         return std::nullopt;
     route.transaction = TransactionId(parts[2]);
-    const std::map<std::string, TransactionStep> steps = {
-            {"statements", TransactionStep::Statement},
-            {"commit", TransactionStep::Commit},
-            {"rollback", TransactionStep::Rollback}};
+    const std::map<std::string, TransactionStep> steps = {{"statements", TransactionStep::Statement},
+                                                          {"commit", TransactionStep::Commit},
+                                                          {"rollback", TransactionStep::Rollback}};
     const auto found = steps.find(parts[3]);
     if (found == steps.end())
         return std::nullopt;
--- a/src/serve/directory.cpp
+++ b/src/serve/directory.cpp
@@ -32,8 +32,7 @@
     return records;
 }
 
-std::vector<VmName> Directory::homesOf(const DatabaseName &database,
-                                       const PlacementRule &rule) const
+std::vector<VmName> Directory::homesOf(const DatabaseName &database, const PlacementRule &rule) const
 {
     std::vector<PlacementCandidate> candidates;
     for (const VmRecord &record : all())
--- a/src/serve/entryrunner.cpp
+++ b/src/serve/entryrunner.cpp
@@ -40,8 +40,7 @@
 } // namespace
 
 EntryRunner::EntryRunner(const Identity &identity, const Directory &directory,
-                         const SettingsSource &settings, PeerClients &peers,
-                         StatementRunner &home)
+                         const SettingsSource &settings, PeerClients &peers, StatementRunner &home)
     : m_identity(identity)
     , m_directory(directory)
     , m_settings(settings)
@@ -136,8 +135,7 @@
         throw StatementError(StatementFailure::OutcomeUnknown, Ran::Unknown, fault.what());
     } catch (const PeerError &fault) {
         const Ran ran = fault.wasSent() && !isSafeToResend ? Ran::Unknown : Ran::No;
-        throw StatementError(StatementFailure::NoConnection, ran, fault.what(),
-                             RetryAfterNoPrimary);
+        throw StatementError(StatementFailure::NoConnection, ran, fault.what(), RetryAfterNoPrimary);
     }
 }
 
--- a/src/serve/homegroup.cpp
+++ b/src/serve/homegroup.cpp
@@ -16,8 +16,7 @@
 
 } // namespace
 
-HomeGroup::HomeGroup(DatabaseName database, FailureDomain ownDomain,
-                     const SettingsSource &settings)
+HomeGroup::HomeGroup(DatabaseName database, FailureDomain ownDomain, const SettingsSource &settings)
     : m_database(std::move(database))
     , m_ownDomain(std::move(ownDomain))
     , m_settings(settings)
@@ -163,8 +162,8 @@
     GroupSnapshot group;
     group.term = m_state.term();
     group.primary = m_state.primary();
-    group.isLeadershipConfirmed =
-            m_proof.term() == group.term && m_proof.isConfirmedWithin(detection, now);
+    group.isLeadershipConfirmed = m_proof.term() == group.term
+            && m_proof.isConfirmedWithin(detection, now);
     for (const auto &[id, server] : m_state.servers()) {
         ServerSnapshot entry;
         entry.id = id;
--- a/src/serve/homerunner.cpp
+++ b/src/serve/homerunner.cpp
@@ -136,8 +136,7 @@
     return readPrimary(group, statement, confirmedPrimary(group, statement));
 }
 
-std::optional<StatementResult> HomeRunner::readReplica(HomeGroup &group,
-                                                       const Statement &statement,
+std::optional<StatementResult> HomeRunner::readReplica(HomeGroup &group, const Statement &statement,
                                                        const ServerId &server)
 {
     try {
--- a/src/serve/homerunner.h
+++ b/src/serve/homerunner.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "nutmegtide/statement/statement.h"
 #include "serve/homegroups.h"
 #include "serve/transactions.h"
-#include "nutmegtide/statement/statement.h"
 
 #include <random>
 
--- a/src/serve/membership.cpp
+++ b/src/serve/membership.cpp
@@ -38,8 +38,8 @@
 
 } // namespace
 
-Membership::Membership(const Identity &identity, const NodeSettings &settings,
-                       Directory &directory, PeerClients &peers)
+Membership::Membership(const Identity &identity, const NodeSettings &settings, Directory &directory,
+                       PeerClients &peers)
     : m_identity(identity)
     , m_settings(settings)
     , m_directory(directory)
--- a/src/serve/membership.h
+++ b/src/serve/membership.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "nutmegtide/settings/nodesettings.h"
 #include "serve/directory.h"
 #include "serve/identity.h"
 #include "serve/peerclient.h"
-#include "nutmegtide/settings/nodesettings.h"
 
 #include <atomic>
 #include <thread>
--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -37,18 +37,24 @@
     , m_callerApi(m_identity, m_fleetSettings, m_entry)
     , m_announceApi(m_identity, m_directory, m_fleetSettings, m_groups)
 {
-    m_peerServer = std::make_unique<PeerServer>(
-            m_settings.listen.peers, PeerServer::Options(),
-            std::make_shared<PeerService>(m_identity, m_membership, m_home,
-                                          [this] { return header(); }));
+    m_peerServer = std::make_unique<PeerServer>(m_settings.listen.peers, PeerServer::Options(),
+                                                std::make_shared<PeerService>(m_identity,
+                                                                              m_membership, m_home,
+                                                                              [this] {
+                                                                                  return header();
+                                                                              }));
     const HttpServer::Options callerOptions {m_settings.callerThreads,
                                              m_fleetSettings.current()->limits.largestBody};
-    m_callerServer = std::make_unique<HttpServer>(
-            m_settings.listen.callers, callerOptions,
-            [this](const HttpRequest &request) { return handleCaller(request); });
-    m_operatorServer = std::make_unique<HttpServer>(
-            m_settings.listen.operators, HttpServer::Options {OperatorThreads, callerOptions.largestBody},
-            [this](const HttpRequest &request) { return handleOperator(request); });
+    m_callerServer = std::make_unique<HttpServer>(m_settings.listen.callers, callerOptions,
+                                                  [this](const HttpRequest &request) {
+                                                      return handleCaller(request);
+                                                  });
+    m_operatorServer = std::make_unique<HttpServer>(m_settings.listen.operators,
+                                                    HttpServer::Options {OperatorThreads,
+                                                                         callerOptions.largestBody},
+                                                    [this](const HttpRequest &request) {
+                                                        return handleOperator(request);
+                                                    });
     VmRecord self;
     self.vm = m_identity.vm;
     self.failureDomain = m_identity.failureDomain;
@@ -105,8 +111,9 @@
         return m_announceApi.announce(request);
     if (auto response = m_callerApi.handle(request))
         return *response;
-    HttpResponse response = errorResponse(
-            {StatementFailure::BadRequest, Ran::No, "no such path: " + request.path}, {});
+    HttpResponse response = errorResponse({StatementFailure::BadRequest, Ran::No,
+                                           "no such path: " + request.path},
+                                          {});
     response.status = 404;
     return response;
 }
@@ -115,8 +122,9 @@
 {
     if (request.path == "/healthz")
         return health();
-    HttpResponse response = errorResponse(
-            {StatementFailure::BadRequest, Ran::No, "no such path: " + request.path}, {});
+    HttpResponse response = errorResponse({StatementFailure::BadRequest, Ran::No,
+                                           "no such path: " + request.path},
+                                          {});
     response.status = 404;
     return response;
 }
--- a/src/serve/peerclient.h
+++ b/src/serve/peerclient.h
@@ -22,8 +22,7 @@
     PeerError(const std::string &message, bool wasSent)
         : Error(message)
         , m_wasSent(wasSent)
-    {
-    }
+    { }
 
     // False where the connection could not be opened, so the peer saw nothing.
     bool wasSent() const { return m_wasSent; }
@@ -66,8 +65,7 @@
 public:
     explicit PeerClients(HeaderSource headerSource)
         : m_headerSource(std::move(headerSource))
-    {
-    }
+    { }
 
     wire::Header header() const { return m_headerSource(); }
 
--- a/src/serve/transactions.cpp
+++ b/src/serve/transactions.cpp
@@ -70,8 +70,9 @@
         transaction->server = primary;
         transaction->term = group.term();
         transaction->usedAt = Clock::now();
-        const ExecuteReply reply = transaction->connection->execute(
-                makeExecuteRequest(begin, transaction->term), timeLeft(statement.deadline));
+        const ExecuteReply reply = transaction->connection
+                                           ->execute(makeExecuteRequest(begin, transaction->term),
+                                                     timeLeft(statement.deadline));
         const std::lock_guard lock(m_mutex);
         m_transactions[begin.transaction] = transaction;
         return makeResult(begin, reply, primary);
@@ -101,9 +102,8 @@
     if (transaction->isOver)
         throw unknownTransaction(statement.transaction);
     transaction->usedAt = Clock::now();
-    return statement.step == TransactionStep::Commit
-            ? commit(group, *transaction, statement)
-            : runPinned(group, *transaction, statement);
+    return statement.step == TransactionStep::Commit ? commit(group, *transaction, statement)
+                                                     : runPinned(group, *transaction, statement);
 }
 
 StatementResult Transactions::runPinned(HomeGroup &group, Transaction &transaction,
@@ -114,8 +114,9 @@
     if (isRollback)
         sent.text = "rollback";
     try {
-        const ExecuteReply reply = transaction.connection->execute(
-                makeExecuteRequest(sent, transaction.term), timeLeft(statement.deadline));
+        const ExecuteReply reply = transaction.connection
+                                           ->execute(makeExecuteRequest(sent, transaction.term),
+                                                     timeLeft(statement.deadline));
         if (isRollback)
             finish(statement.transaction);
         return makeResult(statement, reply, transaction.server);
@@ -142,8 +143,9 @@
     sent.access = Access::Write;
     finish(statement.transaction);
     try {
-        const ExecuteReply reply = transaction.connection->execute(
-                makeExecuteRequest(sent, transaction.term), timeLeft(statement.deadline));
+        const ExecuteReply reply = transaction.connection
+                                           ->execute(makeExecuteRequest(sent, transaction.term),
+                                                     timeLeft(statement.deadline));
         confirmWrite(group, reply, statement.deadline);
         return makeResult(statement, reply, transaction.server);
     } catch (const RefusedByServer &refused) {
