--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -39,12 +39,11 @@
     , m_callerApi(m_identity, m_fleetSettings, m_meteredEntry)
     , m_announceApi(m_identity, m_directory, m_fleetSettings, m_groups)
 {
+    const HeaderSource headerSource = [this] { return header(); };
+    auto service = std::make_shared<PeerService>(m_identity, m_membership, m_meteredHome,
+                                                 headerSource);
     m_peerServer = std::make_unique<PeerServer>(m_settings.listen.peers, PeerServer::Options(),
-                                                std::make_shared<PeerService>(m_identity,
-                                                                              m_membership,
-                                                                              m_meteredHome, [this] {
-                                                                                  return header();
-                                                                              }));
+                                                std::move(service));
     const HttpServer::Options callerOptions {m_settings.callerThreads,
                                              m_fleetSettings.current()->limits.largestBody};
     m_callerServer = std::make_unique<HttpServer>(m_settings.listen.callers, callerOptions,
