--- a/test/standin/state.cpp
+++ b/test/standin/state.cpp
@@ -248,7 +248,8 @@
         refuse(ConflictStatus, "stale_term", "the term has another primary");
     takeTerm(request.term, request.voters);
     m_role = ServerRole::Primary;
-    m_serverState = ServerState::Ready;
+    if (m_serverState == ServerState::Joining)
+        m_serverState = ServerState::Ready;
     writeBarrier(now);
     return {m_term, m_barrier};
 }
