--- a/test/standin/announcer.cpp
+++ b/test/standin/announcer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <glog/logging.h>
+#include <utility>
 
 namespace nutmegtide::standin {
 
@@ -55,8 +56,10 @@
     while (!stop.stop_requested()) {
         const TimePoint now = Clock::now();
         if (m_isWoken.exchange(false)) {
-            for (auto &[endpoint, target] : m_targets)
+            for (auto &[endpoint, target] : m_targets) {
                 target.nextDue = now;
+                target.isOutdated = target.isBusy;
+            }
         }
         if (now - m_lastAnswer > FallbackAfter) {
             for (const Endpoint &endpoint : m_configured)
@@ -128,6 +131,8 @@
         target->isBusy = false;
         if (isAnswered && status == OkStatus)
             take(*target, now);
+        if (std::exchange(target->isOutdated, false))
+            target->nextDue = now;
     }
     if (!m_homes.empty())
         setTargets(m_homes);
--- a/test/standin/announcer.h
+++ b/test/standin/announcer.h
@@ -30,6 +30,7 @@
         std::string body;
         std::string answer;
         bool isBusy = false;
+        bool isOutdated = false; // the state changed while the request was on its way
         TimePoint nextDue;
     };
 
--- a/test/standin/handlers.cpp
+++ b/test/standin/handlers.cpp
@@ -12,6 +12,7 @@
 
 constexpr int OkStatus = 200;
 constexpr int BadRequestStatus = 400;
+constexpr int UnprocessableStatus = 422;
 constexpr int UnavailableStatus = 503;
 constexpr std::chrono::milliseconds LongestWait = 60s;
 constexpr std::size_t LongestParameter = 256; // bytes
@@ -127,7 +128,8 @@
         m_state.checkTerm(message.term);
         const Json &time = message.parameters.value("ms", Json());
         if (!time.is_number_unsigned())
-            throw RefusalError(422, "rejected", "ms is not a whole number of 0 or more");
+            throw RefusalError(UnprocessableStatus, "rejected",
+                               "ms is not a whole number of 0 or more");
         const std::chrono::milliseconds wait(
                 std::min<std::uint64_t>(time.get<std::uint64_t>(),
                                         static_cast<std::uint64_t>(LongestWait.count())));
@@ -153,25 +155,20 @@
 
 HttpServer::Answer HttpServer::fence(const Request &request)
 {
-    const FenceReply reply = m_state.fence(parseMessage<FenceRequest>(request.body), Clock::now());
-    reportChange();
-    return {OkStatus, reply};
+    const auto message = parseMessage<FenceRequest>(request.body);
+    return {OkStatus, m_state.fence(message, Clock::now())};
 }
 
 HttpServer::Answer HttpServer::promote(const Request &request)
 {
     const auto message = parseMessage<PromoteRequest>(request.body);
-    const PromoteReply reply = m_state.promote(message, Clock::now());
-    reportChange();
-    return {OkStatus, reply};
+    return {OkStatus, m_state.promote(message, Clock::now())};
 }
 
 HttpServer::Answer HttpServer::follow(const Request &request)
 {
     const auto message = parseMessage<FollowRequest>(request.body);
-    const FollowReply reply = m_state.follow(message, Clock::now());
-    reportChange();
-    return {OkStatus, reply};
+    return {OkStatus, m_state.follow(message, Clock::now())};
 }
 
 HttpServer::Answer HttpServer::requestFate(const Request &request)
@@ -230,7 +227,6 @@
     if (!state)
         throw MessageError("state is not ready, joining or leaving");
     m_state.setServerState(*state);
-    reportChange();
     return {OkStatus, Json::object()};
 }
 
--- a/test/standin/httpserver.cpp
+++ b/test/standin/httpserver.cpp
@@ -74,19 +74,6 @@
     mg_stop(m_context);
 }
 
-void HttpServer::setChangeHook(std::function<void()> hook)
-{
-    const std::lock_guard lock(m_mutex);
-    m_changeHook = std::move(hook);
-}
-
-void HttpServer::reportChange()
-{
-    const std::lock_guard lock(m_mutex);
-    if (m_changeHook)
-        m_changeHook();
-}
-
 int HttpServer::openConnection(const mg_connection *connection, void **data)
 {
     auto *server = static_cast<HttpServer *>(mg_get_user_data(mg_get_context(connection)));
@@ -116,11 +103,9 @@
     request.path = info->local_uri ? info->local_uri : "";
     request.query = info->query_string ? info->query_string : "";
     request.connection = static_cast<Connection *>(mg_get_user_connection_data(connection));
-    Answer answer;
+    Answer answer = {TooLargeStatus, BackendRefusal {"too_large", "the body is too large", 0}, true};
     if (readBody(connection, request.body))
         answer = static_cast<HttpServer *>(server)->route(info->request_method, request);
-    else
-        answer = {TooLargeStatus, BackendRefusal {"too_large", "the body is too large", 0}, true};
     const std::string body = answer.body.dump(-1, ' ', false, Json::error_handler_t::replace);
     send(connection, answer.status, body, answer.isClosing);
     return answer.status;
@@ -131,8 +116,9 @@
     try {
         for (const Route *route = Routes; route->method; ++route) {
             const std::string path = route->path;
-            const bool isMatch = path.ends_with('/') ? request.path.starts_with(path)
-                                                     : request.path == path;
+            const bool isPrefix = path.ends_with('/');
+            const bool isMatch = request.path.starts_with(path)
+                    && (isPrefix || request.path.size() == path.size());
             if (isMatch && method == route->method)
                 return (this->*route->handle)(request);
         }
--- a/test/standin/httpserver.h
+++ b/test/standin/httpserver.h
@@ -5,7 +5,6 @@
 #include "state.h"
 
 #include <civetweb.h>
-#include <functional>
 
 namespace nutmegtide::standin {
 
@@ -33,8 +32,6 @@
     HttpServer &operator=(const HttpServer &) = delete;
 
     Endpoint address() const { return m_address; }
-    // Called after each request that may have changed role, term or state.
-    void setChangeHook(std::function<void()> hook);
 
 private:
     struct Connection
@@ -85,7 +82,6 @@
     void countConnection(Connection &connection);
     void takeSlot();
     void releaseSlot();
-    void reportChange();
 
     StandinState &m_state;
     int m_slots;
@@ -94,7 +90,6 @@
     Counters m_counters;
     int m_busySlots = 0;
     ConnectionId m_lastConnection = 0;
-    std::function<void()> m_changeHook;
     mg_context *m_context = nullptr;
     Endpoint m_address;
 };
--- a/test/standin/main.cpp
+++ b/test/standin/main.cpp
@@ -57,13 +57,13 @@
     start(state, options);
     HttpServer server(state, options);
     Announcer announcer(state, identityOf(options, server.address()), options.announce);
-    server.setChangeHook([&announcer] { announcer.wake(); });
+    state.setChangeHook([&announcer] { announcer.wake(); });
     const Replicator replicator(state);
     if (!options.portFile.empty())
         writePortFile(options.portFile, server.address());
     int signal = 0;
     sigwait(&stopSignals, &signal);
-    server.setChangeHook(nullptr);
+    state.setChangeHook(nullptr);
     state.stop();
 }
 
--- a/test/standin/state.cpp
+++ b/test/standin/state.cpp
@@ -337,6 +337,19 @@
 {
     const std::lock_guard lock(m_mutex);
     m_serverState = serverState;
+    reportChange();
+}
+
+void StandinState::setChangeHook(std::function<void()> hook)
+{
+    const std::lock_guard lock(m_mutex);
+    m_changeHook = std::move(hook);
+}
+
+void StandinState::reportChange()
+{
+    if (m_changeHook)
+        m_changeHook();
 }
 
 void StandinState::stop()
@@ -356,13 +369,15 @@
     m_probe = {m_log.size(), false};
     saveTerm();
     m_changed.notify_all();
+    reportChange();
 }
 
 void StandinState::saveTerm()
 {
-    if (m_journal)
-        m_journal->append(
-                {{"term", m_term}, {"incarnation", m_incarnation}, {"voters", namesOf(m_voters)}});
+    if (!m_journal)
+        return;
+    const std::vector<std::string> voters = namesOf(m_voters);
+    m_journal->append({{"term", m_term}, {"incarnation", m_incarnation}, {"voters", voters}});
 }
 
 } // namespace nutmegtide::standin
--- a/test/standin/state.h
+++ b/test/standin/state.h
@@ -4,6 +4,7 @@
 #include "logentry.h"
 
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 
 namespace nutmegtide::standin {
@@ -86,6 +87,8 @@
     Delays delays() const;
     void setDelays(const Delays &delays);
     void setServerState(ServerState serverState);
+    // Called after each change of role, term or state, with the state locked.
+    void setChangeHook(std::function<void()> hook);
     // Ends every wait.
     void stop();
 
@@ -121,6 +124,7 @@
     void advance(TimePoint now);
     void takeTerm(Term term, const std::vector<ServerId> &voters);
     void saveTerm();
+    void reportChange();
     bool hasEntryOf(Term term) const;
     LogPosition positionAt(std::uint64_t index) const;
     PositionReply positionLocked(TimePoint now);
@@ -144,6 +148,7 @@
     std::map<TransactionId, Transaction> m_transactions;
     std::optional<ReplicationSource> m_source;
     Delays m_delays;
+    std::function<void()> m_changeHook;
 };
 
 } // namespace nutmegtide::standin
--- a/test/standin/statelog.cpp
+++ b/test/standin/statelog.cpp
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr int ConflictStatus = 409;
 constexpr std::size_t FeedEntries = 512; // in one answer at most
 
 } // namespace
@@ -82,7 +83,7 @@
     m_changed.wait_for(lock, wait,
                        [&] { return m_isStopped || m_term != term || m_log.size() != afterIndex; });
     if (m_role != ServerRole::Primary)
-        refuse(409, "not_primary", "only the primary feeds replicas");
+        refuse(ConflictStatus, "not_primary", "only the primary feeds replicas");
     LogFeed feed = {m_term, positionAt(afterIndex), m_log.size(), {}};
     const std::size_t begin = std::min<std::size_t>(afterIndex, m_log.size());
     const std::size_t end = std::min(begin + FeedEntries, m_log.size());
@@ -131,8 +132,10 @@
         if (positionAt(entry.position.index) != entry.position)
             replaceFrom(std::move(entry), now);
     }
-    if (m_probe.index == feed.lastIndex && m_serverState == ServerState::Joining)
+    if (m_probe.index == feed.lastIndex && m_serverState == ServerState::Joining) {
         m_serverState = ServerState::Ready;
+        reportChange();
+    }
 }
 
 void StandinState::awaitSourceChange(const std::optional<ReplicationSource> &source,
--- /dev/null
+++ b/test/unit/standin/httpserver_test.cpp
@@ -0,0 +1,133 @@
+#include "standin/httpserver.h"
+
+#include "standin/httpclient.h"
+#include "standin/replicator.h"
+
+#include <doctest/doctest.h>
+
+using namespace nutmegtide;
+using namespace nutmegtide::standin;
+
+namespace {
+
+constexpr std::chrono::milliseconds Timeout = 10s;
+constexpr long OkStatus = 200;
+
+Json jsonOf(const HttpAnswer &answer)
+{
+    return Json::parse(answer.body);
+}
+
+Options smallOptions()
+{
+    Options options;
+    options.connections = 1;
+    return options;
+}
+
+struct Server
+{
+    Server() { state.startAsPrimary(Clock::now()); }
+
+    StandinState state = StandinState(nullptr, {}, ServerState::Ready);
+    HttpServer http = HttpServer(state, smallOptions());
+};
+
+} // namespace
+
+TEST_CASE("a connection over the limit is refused and counted")
+{
+    Server server;
+    const Endpoint address = server.http.address();
+    HttpClient first;
+    HttpClient second;
+    CHECK(first.get(address, "/v1/position", Timeout).status == OkStatus);
+    const HttpAnswer refused = second.get(address, "/v1/position", Timeout);
+    CHECK(refused.status == 503);
+    CHECK(jsonOf(refused).at("type") == "too_many_connections");
+    CHECK(first.get(address, "/v1/position", Timeout).status == OkStatus);
+    const Json counters = jsonOf(second.get(address, "/debug/counters", Timeout));
+    CHECK(counters.at("connections") == 1);
+    CHECK(counters.at("peak") == 1);
+    CHECK(counters.at("refused") == 1);
+}
+
+TEST_CASE("a bad request gets a typed refusal")
+{
+    struct Row
+    {
+        const char *path;
+        long status;
+        const char *type;
+    };
+    const Row rows[] = {
+            {"/", 404, "not_found"},
+            {"/v1/execute", 404, "not_found"}, // not by GET
+            {"/v1/positions", 404, "not_found"},
+            {"/v1/position?at_least=1", 400, "bad_request"},
+            {"/v1/position?at_least=1.x", 400, "bad_request"},
+            {"/v1/position?wait_ms=-1", 400, "bad_request"},
+            {"/v1/position?term=99999999999999999999&at_least=1.1", 400, "bad_request"},
+            {"/v1/requests/r", 400, "bad_request"},
+            {"/v1/log?after=x", 400, "bad_request"},
+    };
+    Server server;
+    HttpClient client;
+    for (const Row &row : rows) {
+        CAPTURE(row.path);
+        const HttpAnswer answer = client.get(server.http.address(), row.path, Timeout);
+        CHECK(answer.status == row.status);
+        CHECK(jsonOf(answer).at("type") == row.type);
+        CHECK(jsonOf(answer).at("term") == 1);
+    }
+}
+
+TEST_CASE("a long poll answers once the position is past the known one or the term changes")
+{
+    struct Row
+    {
+        const char *name;
+        const char *query;
+        LogPosition durable; // in the answer
+    };
+    // Each wait is longer than the timeout of the client, so that only a change can answer.
+    const Row rows[] = {
+            {"already past", "?term=1&at_least=1.0&wait_ms=60000", {1, 1}},
+            {"other term", "?term=0&at_least=9.9&wait_ms=60000", {1, 1}},
+            {"no wait", "?term=1&at_least=9.9", {1, 1}},
+            {"new entry", "?term=1&at_least=1.1&wait_ms=60000", {1, 2}},
+    };
+    Server server;
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        std::jthread writer;
+        if (row.durable.index == 2) {
+            writer = std::jthread([&server] {
+                const ExecuteRequest put = {1,
+                                            RequestId("r"),
+                                            CallerId("c"),
+                                            Access::Write,
+                                            {},
+                                            "put",
+                                            {{"key", "k"}, {"value", 1}}};
+                server.state.execute(put, 1, Clock::now());
+            });
+        }
+        HttpClient client;
+        const std::string path = std::string("/v1/position") + row.query;
+        const HttpAnswer answer = client.get(server.http.address(), path, Timeout);
+        CHECK(parseMessage<PositionReply>(answer.body).durable == row.durable);
+    }
+}
+
+TEST_CASE("a replica pulls the primary's log over HTTP")
+{
+    Server server;
+    StandinState replica(nullptr, {}, ServerState::Joining);
+    const Replicator replicator(replica);
+    replica.startAsReplica(server.http.address());
+    const PositionReply reply = replica.awaitPosition(1, {0, 0}, Timeout);
+    CHECK(reply.durable == LogPosition {1, 1});
+    replica.stop();
+    server.state.stop();
+}
