Close the gaps that mutation of the statement decisions showed

Cause: with one line changed at a time the tests were to fail. Four changes went unseen: comparing a pending write by index only, dropping older reports at a higher term, taking the better of two voter sets, and proving an old term's observation by a newer term. Change: a row or case for each; row names are strings, since the framework printed their addresses.

--- a/test/unit/statement/leadershipproof_test.cpp
+++ b/test/unit/statement/leadershipproof_test.cpp
@@ -28,7 +28,7 @@
     };
     struct Row
     {
-        const char *name;
+        std::string name;
         std::vector<Confirmation> confirmations;
         Duration now;
         bool isConfirmed;
--- a/test/unit/statement/readrouter_test.cpp
+++ b/test/unit/statement/readrouter_test.cpp
@@ -61,7 +61,7 @@
 {
     struct Row
     {
-        const char *name;
+        std::string name;
         void (*change)(GroupSnapshot &, ReadNeed &);
         const char *expected;
     };
--- a/test/unit/statement/replicaage_test.cpp
+++ b/test/unit/statement/replicaage_test.cpp
@@ -65,6 +65,8 @@
     age.observePrimary(2, {2, 10}, at(100ms));
     age.confirmLeadership(2, at(100ms));
     age.observePrimary(2, {2, 10}, at(150ms)); // never proved
+    age.confirmLeadership(3, at(160ms)); // says nothing about a primary of term 2
+    CHECK(age.provedAge({2, 10}, at(300ms)) == Duration(200ms));
     age.observePrimary(3, {3, 11}, at(200ms));
     age.observePrimary(2, {2, 10}, at(250ms)); // the old primary, still answering
     age.confirmLeadership(2, at(140ms));
--- a/test/unit/statement/writequorum_test.cpp
+++ b/test/unit/statement/writequorum_test.cpp
@@ -41,7 +41,7 @@
 {
     struct Row
     {
-        const char *name;
+        std::string name;
         std::vector<std::vector<ServerId>> voters;
         std::vector<Report> reports;
         WriteActions expected;
@@ -62,11 +62,19 @@
              {{A, B, C}, {B, C, D}},
              {{A, 2, {2, 10}}, {B, 2, {2, 10}}, {D, 2, {2, 10}}},
              Acknowledged},
+            {"a joint set that is behind",
+             {{A, B, C}, {B, C, D}},
+             {{A, 2, {2, 10}}, {B, 2, {2, 10}}, {D, 2, {2, 9}}},
+             Nothing},
             {"no voters known", {}, {{A, 2, {2, 10}}, {B, 2, {2, 10}}}, Nothing},
             {"trap 1: entries of an older term that stand further on",
              {{A, B, C}},
              {{A, 2, {1, 99}}, {B, 2, {1, 99}}, {C, 2, {1, 99}}},
              Nothing},
+            {"trap 1: an entry of a higher term than the server's own",
+             {{A, B, C}},
+             {{A, 2, {3, 1}}, {B, 2, {3, 1}}},
+             Nothing},
             {"report of an older term", {{A, B, C}}, {{A, 2, {2, 10}}, {B, 1, {2, 10}}}, Nothing},
             {"trap 4: a fenced server",
              {{A, B, C}},
@@ -107,6 +115,15 @@
     CHECK(run(quorum, {{A, 2, {2, 10}}, {C, 2, {2, 10}}}) == Acknowledged);
 }
 
+TEST_CASE("trap 4: a report from before another server's fence is kept")
+{
+    WriteQuorum quorum;
+    quorum.setTerm(2, Voters({{A, B, C}}));
+    run(quorum, {{A, 2, {2, 10}}, {C, 3, {2, 10}}});
+    CHECK(quorum.add(Ticket, {2, 10}, Deadline) == Nothing);
+    CHECK(run(quorum, {{B, 2, {2, 10}}}) == Acknowledged);
+}
+
 TEST_CASE("a new term ends the writes of the older one as unknown")
 {
     WriteQuorum quorum;
@@ -124,6 +141,7 @@
 {
     WriteQuorum quorum;
     quorum.setTerm(2, Voters({{A, B, C}}));
+    run(quorum, {{A, 2, {2, 12}}, {B, 2, {2, 12}}});
     CHECK(quorum.add(Ticket, {3, 11}, Deadline) == Nothing);
     CHECK(run(quorum, {{A, 3, {3, 11}}, {B, 3, {3, 11}}}) == Nothing);
     CHECK(quorum.setTerm(3, Voters({{A, B, C}})) == Acknowledged);
