--- a/test/unit/statement/sessiontoken_test.cpp
+++ b/test/unit/statement/sessiontoken_test.cpp
@@ -148,10 +148,11 @@
         for (std::size_t i = 0; i < changes; ++i) {
             const std::size_t at = generator() % text.size();
             const char letter = static_cast<char>(generator() % 256);
-            if (generator() % 3 == 0)
+            if (generator() % 3 == 0) {
                 text.insert(at, 1, letter);
-            else
+            } else {
                 text[at] = letter;
+            }
         }
         text.resize(1 + generator() % (2 * text.size()) % text.size());
         CAPTURE(text);
