Make the settings and ids clean for the linter

clang-tidy 14 reports the 0 inside a defaulted <=> of Name as a null pointer as soon as a Name is the key of a map. Writing the operator out gives the same order.

--- a/include/nutmegtide/base/ids.h
+++ b/include/nutmegtide/base/ids.h
@@ -27,7 +27,9 @@
     const std::string &text() const { return m_text; }
     bool isEmpty() const { return m_text.empty(); }
 
-    auto operator<=>(const Name &) const = default;
+    // Not defaulted as a whole: clang-tidy 14 takes the 0 in a defaulted <=> for a null pointer.
+    auto operator<=>(const Name &other) const { return m_text <=> other.m_text; }
+    bool operator==(const Name &) const = default;
     friend std::ostream &operator<<(std::ostream &out, const Name &name)
     {
         return out << name.m_text;
--- a/src/settings/loader.cpp
+++ b/src/settings/loader.cpp
@@ -67,10 +67,11 @@
 MergedSettings checkFolder(const std::string &folder)
 {
     MergedTables merged = mergeFiles(folder);
-    if (merged.tables.contains("node") || merged.tables.contains("listen"))
+    if (merged.tables.contains("node") || merged.tables.contains("listen")) {
         readNodeTables(merged);
-    else
+    } else {
         readFleetTables(merged);
+    }
     throwFaults(merged.faults);
     return textOf(merged);
 }
--- a/src/settings/merge.cpp
+++ b/src/settings/merge.cpp
@@ -23,10 +23,11 @@
         if (entry->path().extension() == ".toml")
             files.push_back(entry->path().string());
     }
-    if (failure)
+    if (failure) {
         merged.faults.push_back({folder, 0, "", "can't read the folder: " + failure.message()});
-    else if (files.empty())
+    } else if (files.empty()) {
         merged.faults.push_back({folder, 0, "", "no *.toml file in the folder"});
+    }
     std::sort(files.begin(), files.end());
     return files;
 }
--- a/src/settings/section.cpp
+++ b/src/settings/section.cpp
@@ -64,9 +64,10 @@
     const bool isValid = !text.empty() && text.size() <= LongestName
             && std::all_of(text.begin(), text.end(),
                            [](char c) { return isNameCharacter(c) || c == '.'; });
-    if (!isValid)
+    if (!isValid) {
         throw ValueError('"' + text
                          + "\" is no name: expected 1 to 64 letters, digits, '-', '_' or '.'");
+    }
     return text;
 }
 
@@ -218,10 +219,11 @@
 void SectionReader::report(const std::string &key, const std::string &problem)
 {
     const toml::node_view<toml::node> place = m_merged.tables.at_path(key);
-    if (place)
+    if (place) {
         reportAt(*place.node(), key, problem);
-    else
+    } else {
         m_merged.faults.push_back({m_merged.origin, 0, key, problem});
+    }
 }
 
 void SectionReader::reportAt(const toml::node &node, const std::string &key,
@@ -234,10 +236,11 @@
 {
     if (!isRequired || !m_merged.isComplete)
         return;
-    if (table != nullptr)
+    if (table != nullptr) {
         reportAt(*table, key, "missing key");
-    else
+    } else {
         m_merged.faults.push_back({m_merged.origin, 0, key, "missing key"});
+    }
 }
 
 } // namespace nutmegtide
--- a/test/unit/settings/loader_test.cpp
+++ b/test/unit/settings/loader_test.cpp
@@ -23,10 +23,11 @@
 std::string faultsOf(Kind kind, const TemporaryFolder &folder)
 {
     try {
-        if (kind == Kind::Node)
+        if (kind == Kind::Node) {
             loadNodeSettings(folder.path());
-        else
+        } else {
             loadFleetSettings(folder.path());
+        }
     } catch (const SettingsError &error) {
         std::string text;
         for (const SettingsFault &fault : error.faults()) {
