--- /dev/null
+++ b/src/cli/operatorclient.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "nutmegtide/base/endpoint.h"
+#include "nutmegtide/base/errors.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace nutmegtide {
+
+// No connection came about, so nothing was sent.
+class UnreachableError : public Error
+{
+public:
+    using Error::Error;
+};
+
+// The request may have been sent, but no whole answer came.
+class NoAnswerError : public Error
+{
+public:
+    using Error::Error;
+};
+
+// An answer with a status that is no success.
+class RefusedError : public Error
+{
+public:
+    using Error::Error;
+};
+
+struct OperatorAnswer
+{
+    long status = 0; // of HTTP
+    std::string body;
+};
+
+// Talks to the operators' listener of one process, one connection a request.
+// Throws UnreachableError or NoAnswerError.
+//
+//   OperatorClient client(options.at);
+//   const nlohmann::json status = jsonOf(client.get("/v1/status"));
+class OperatorClient
+{
+public:
+    explicit OperatorClient(Endpoint at,
+                            std::chrono::milliseconds timeout = std::chrono::seconds(30));
+
+    OperatorAnswer get(const std::string &path) const;
+    OperatorAnswer post(const std::string &path, const std::string &body) const;
+
+private:
+    OperatorAnswer perform(const std::string &path, const std::string *body) const;
+
+    Endpoint m_at;
+    std::chrono::milliseconds m_timeout;
+};
+
+// Throws RefusedError for a status that is no success.
+void checkSuccess(const OperatorAnswer &answer);
+
+// Returns the body of a success. Throws RefusedError for any other status and
+// MessageError when the body is no JSON.
+nlohmann::json jsonOf(const OperatorAnswer &answer);
+
+} // namespace nutmegtide
