--- a/test/unit/cli/commandline_test.cpp
+++ b/test/unit/cli/commandline_test.cpp
@@ -82,9 +82,10 @@
     };
     const TemporaryFolder folder;
     folder.write("a.toml", "[database.A]\n");
+    FakeOperator fake;
     for (const Row &row : rows) {
         CAPTURE(row.what);
-        const FakeOperator fake({{"/v1/config", row.answer}});
+        fake.setAnswers({{"/v1/config", row.answer}});
         const std::string at = toString(fake.endpoint());
         CHECK(run({"apply", "--config", folder.path(), "--at", at, "--base", "7", "--change-id",
                    "c"})
@@ -101,8 +102,8 @@
 {
     const TemporaryFolder folder;
     folder.write("a.toml", "[database.A]\n");
-    const FakeOperator fake(
-            {{"/v1/config", {200, R"({"revision":41,"toml":"","outcome":"accepted"})"}}});
+    FakeOperator fake;
+    fake.setAnswers({{"/v1/config", {200, R"({"revision":41,"toml":"","outcome":"accepted"})"}}});
     const std::string at = toString(fake.endpoint());
     CHECK(run({"apply", "--config", folder.path(), "--at", at}) == ExitOk);
     CHECK(run({"apply", "--config", folder.path(), "--at", at}) == ExitOk);
@@ -118,11 +119,12 @@
 {
     const TemporaryFolder folder;
     folder.write("a.toml", "[database.A]\n");
+    FakeOperator fake;
     for (const FakeOperator::Answer &answer :
          {FakeOperator::Answer {200, R"({"revision":-1})"}, FakeOperator::Answer {200, "[]"},
           FakeOperator::Answer {503, "{}"}, FakeOperator::Answer {0, ""}}) {
         CAPTURE(answer.body);
-        const FakeOperator fake({{"/v1/config", answer}});
+        fake.setAnswers({{"/v1/config", answer}});
         CHECK(run({"apply", "--config", folder.path(), "--at", toString(fake.endpoint())})
               == ExitFailed);
         CHECK(fake.posted().empty());
@@ -149,10 +151,11 @@
             {"drain", "/v1/drain", {500, ""}, ExitFailed},
             {"drain", "/v1/drain", {0, ""}, ExitFailed},
     };
+    FakeOperator fake;
     for (const Row &row : rows) {
         CAPTURE(row.command);
         CAPTURE(row.answer.status);
-        const FakeOperator fake({{row.path, row.answer}});
+        fake.setAnswers({{row.path, row.answer}});
         CHECK(run({row.command, "--at", toString(fake.endpoint())}) == row.code);
     }
 }
--- a/test/unit/cli/fakeoperator.h
+++ b/test/unit/cli/fakeoperator.h
@@ -13,7 +13,8 @@
 
 // An operators' listener on a port of the kernel's choice that gives the same
 // answer on a path each time. A path whose status is 0 closes the connection
-// without an answer; a path without an entry is 404.
+// without an answer; a path without an entry is 404. Stopping takes CivetWeb up
+// to 2 s, so a test case has one fake and changes its answers.
 class FakeOperator
 {
 public:
@@ -23,8 +24,7 @@
         std::string body;
     };
 
-    explicit FakeOperator(std::map<std::string, Answer> answers)
-        : m_answers(std::move(answers))
+    FakeOperator()
     {
         const char *options[] = {"listening_ports", "127.0.0.1:0", "num_threads", "2", nullptr};
         m_server = mg_start(nullptr, this, options);
@@ -40,6 +40,13 @@
         mg_get_server_ports(m_server, 1, &port);
         return {"127.0.0.1", static_cast<std::uint16_t>(port.port)};
     }
+    // Replaces all answers and forgets the bodies that came.
+    void setAnswers(std::map<std::string, Answer> answers)
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_answers = std::move(answers);
+        m_posted.clear();
+    }
     // The bodies of all POST requests, in the order they came.
     std::vector<std::string> posted() const
     {
@@ -57,14 +64,19 @@
         const mg_request_info *request = mg_get_request_info(connection);
         if (std::string(request->request_method) == "POST")
             keepBody(connection, request->content_length);
-        const auto found = m_answers.find(request->local_uri);
-        const Answer answer = found == m_answers.end() ? Answer {404, ""} : found->second;
+        const Answer answer = answerOf(request->local_uri);
         if (answer.status != 0) {
             mg_printf(connection, "HTTP/1.1 %d X\r\nContent-Length: %zu\r\n\r\n%s", answer.status,
                       answer.body.size(), answer.body.c_str());
         }
         return answer.status == 0 ? 500 : answer.status;
     }
+    Answer answerOf(const std::string &path) const
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        const auto found = m_answers.find(path);
+        return found == m_answers.end() ? Answer {404, ""} : found->second;
+    }
     void keepBody(mg_connection *connection, long long length)
     {
         std::string body(static_cast<std::size_t>(length), '\0');
