--- a/test/process/support/testfleet.cpp
+++ b/test/process/support/testfleet.cpp
@@ -158,7 +158,7 @@
     waitUntil(
             [&] {
                 if (!m_processes.at(name)->isRunning())
-                    throw ProcessError(name + " ended before it listened");
+                    throw ProcessError(name + " ended before it listened: " + output(name));
                 std::ifstream file(portFile(name));
                 m_ports[name] = Json::parse(file, nullptr, false);
                 return m_ports[name].is_object();
@@ -173,6 +173,12 @@
     return parseEndpoint(m_ports.at(name).at(listener).get<std::string>());
 }
 
+std::string TestFleet::output(const std::string &name) const
+{
+    std::ifstream file(m_folder / (name + ".out"));
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
 std::filesystem::path TestFleet::portFile(const std::string &name) const
 {
     return m_folder / (name + ".ports.json");
--- a/test/process/support/testfleet.h
+++ b/test/process/support/testfleet.h
@@ -65,6 +65,8 @@
     void start(const std::string &name);
     void waitForPortFile(const std::string &name);
     Endpoint endpoint(const std::string &name, const std::string &listener) const;
+    // What a process wrote to its standard output and error.
+    std::string output(const std::string &name) const;
     std::filesystem::path portFile(const std::string &name) const;
 
     std::filesystem::path m_folder;
