--- a/test/standin/handlers.cpp
+++ b/test/standin/handlers.cpp
@@ -127,9 +127,10 @@
     if (message.statement == "sleep") {
         m_state.checkTerm(message.term);
         const Json &time = message.parameters.value("ms", Json());
-        if (!time.is_number_unsigned())
+        if (!time.is_number_unsigned()) {
             throw RefusalError(UnprocessableStatus, "rejected",
                                "ms is not a whole number of 0 or more");
+        }
         const std::chrono::milliseconds wait(
                 std::min<std::uint64_t>(time.get<std::uint64_t>(),
                                         static_cast<std::uint64_t>(LongestWait.count())));
