--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::array<std::string_view, 3> LevelNames = {"info", "warning", "error"};
 
-std::atomic<LogLevel> g_level {LogLevel::Info};
+std::atomic<LogLevel> levelInForce {LogLevel::Info};
 
 bool needsQuotes(std::string_view value)
 {
@@ -100,7 +100,7 @@
     const std::string &folder = settings.log.dir;
     if (!folder.empty() && access(folder.c_str(), W_OK | X_OK) != 0)
         throw LogError("cannot write to the log folder " + quoted(folder));
-    g_level = settings.log.level;
+    levelInForce = settings.log.level;
     FLAGS_logtostderr = folder.empty();
     FLAGS_log_dir = folder;
     FLAGS_logbufsecs = 0;
@@ -111,7 +111,7 @@
 void logEvent(LogLevel level, std::string_view event, const LogContext &context,
               const std::vector<LogField> &fields)
 {
-    if (level < g_level.load())
+    if (level < levelInForce.load())
         return;
     const std::string line = logLine(event, context, fields);
     google::LogMessage("nutmegtide", 0, severityOf(level)).stream()
