--- a/include/nutmegtide/settings/fleetsettings.h
+++ b/include/nutmegtide/settings/fleetsettings.h
@@ -23,7 +23,7 @@
 // [reads]
 struct ReadSettings
 {
-    std::chrono::milliseconds replicaWait {20}; // wait for a replica just behind the token
+    std::chrono::milliseconds replicaWait {15}; // wait for a replica just behind the token
     std::chrono::milliseconds smallestAge {1'000}; // positions are refreshed at a quarter of it
 
     bool operator==(const ReadSettings &) const = default;
--- a/src/serve/homegroup.cpp
+++ b/src/serve/homegroup.cpp
@@ -192,6 +192,18 @@
     });
 }
 
+void HomeGroup::wakeIfIdle(std::chrono::milliseconds wait)
+{
+    bool isIdle = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        isIdle = !isActive(Clock::now());
+        m_wantedAt = Clock::now();
+    }
+    if (isIdle)
+        confirmLeadership(wait);
+}
+
 bool HomeGroup::waitForMajority(LogPosition position, TimePoint deadline)
 {
     std::unique_lock lock(m_mutex);
--- a/src/serve/homegroup.h
+++ b/src/serve/homegroup.h
@@ -52,6 +52,10 @@
     // the wait.
     bool confirmLeadership(std::chrono::milliseconds wait);
 
+    // Wakes the watchers of a group without recent statements and waits for a
+    // first proof of leadership, without which no replica's age is proved.
+    void wakeIfIdle(std::chrono::milliseconds wait);
+
     // Waits until a majority holds the position durably in its term; false when
     // that was not confirmed by the deadline or the term has ended.
     bool waitForMajority(LogPosition position, TimePoint deadline);
--- a/src/serve/homerunner.cpp
+++ b/src/serve/homerunner.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int MostReadAttempts = 3;
+constexpr std::chrono::milliseconds WakeTime {100};
 
 StatementError noPrimary(const std::string &message)
 {
@@ -119,6 +120,7 @@
 
 StatementResult HomeRunner::read(HomeGroup &group, const Statement &statement)
 {
+    group.wakeIfIdle(std::min(WakeTime, timeLeft(statement.deadline)));
     for (int attempt = 0; attempt < MostReadAttempts && statement.maxAge; ++attempt) {
         const ReadDecision decision = route(group, statement);
         std::optional<ServerId> replica;
