Let roles plug in: peer handlers, operators' routes, the control log's interface

Each role now fills in the calls it answers, so that control, configuration, membership and change of primary can be built beside each other. Messages carry the hybrid logical clock, and a process creates its log folder.

--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int OperatorThreads = 4;
+constexpr std::size_t EventRingSize = 20'000; // events
+constexpr std::uint64_t LargestEventFile = 16ULL * 1024 * 1024; // bytes
 constexpr auto DrainPollInterval = 20ms;
 // The balancer needs this long to see a failing health check and to look elsewhere.
 constexpr auto BalancerGrace = 1s;
@@ -28,6 +30,7 @@
 Node::Node(const NodeSettings &settings)
     : m_settings(settings)
     , m_identity(makeIdentity(settings))
+    , m_recorder({m_identity.vm, m_identity.failureDomain, m_identity.incarnation}, EventRingSize)
     , m_peers([this] { return header(); })
     , m_groups(m_identity.failureDomain, m_fleetSettings)
     , m_transactions(m_identity)
@@ -38,10 +41,37 @@
     , m_membership(m_identity, m_settings, m_directory, m_peers)
     , m_callerApi(m_identity, m_fleetSettings, m_meteredEntry)
     , m_announceApi(m_identity, m_directory, m_fleetSettings, m_groups)
+{
+    attachEventFile();
+    fillPeerHandlers();
+    fillOperatorRoutes();
+    openListeners();
+    VmRecord self;
+    self.vm = m_identity.vm;
+    self.failureDomain = m_identity.failureDomain;
+    self.peers = m_peerServer->bound();
+    self.callers = m_callerServer->bound();
+    self.incarnation = m_identity.incarnation;
+    self.isControl = !m_settings.dataDir.empty();
+    m_membership.start(self);
+    writePortFile();
+    m_recorder.record(EventKind::NodeStarted);
+}
+
+void Node::attachEventFile()
+{
+    if (m_settings.dataDir.empty())
+        return;
+    std::filesystem::create_directories(m_settings.dataDir);
+    m_recorder.attachFile(
+            std::make_unique<EventFile>(m_settings.dataDir + "/events.jsonl", LargestEventFile));
+}
+
+void Node::openListeners()
 {
     const HeaderSource headerSource = [this] { return header(); };
-    auto service = std::make_shared<PeerService>(m_identity, m_membership, m_meteredHome,
-                                                 headerSource);
+    auto service = std::make_shared<PeerService>(m_identity, m_recorder, headerSource,
+                                                 m_peerHandlers);
     m_peerServer = std::make_unique<PeerServer>(m_settings.listen.peers, PeerServer::Options(),
                                                 std::move(service));
     const HttpServer::Options callerOptions {m_settings.callerThreads,
@@ -54,17 +84,30 @@
                                                     HttpServer::Options {OperatorThreads,
                                                                          callerOptions.largestBody},
                                                     [this](const HttpRequest &request) {
-                                                        return handleOperator(request);
+                                                        return dispatch(m_operatorRoutes, request);
                                                     });
-    VmRecord self;
-    self.vm = m_identity.vm;
-    self.failureDomain = m_identity.failureDomain;
-    self.peers = m_peerServer->bound();
-    self.callers = m_callerServer->bound();
-    self.incarnation = m_identity.incarnation;
-    self.isControl = !m_settings.dataDir.empty();
-    m_membership.start(self);
-    writePortFile();
+}
+
+void Node::fillPeerHandlers()
+{
+    m_peerHandlers.execute = [this](const Statement &statement) {
+        return m_meteredHome.run(statement);
+    };
+    m_peerHandlers.gossip = [this](const wire::Header &, const wire::Gossip &message) {
+        return m_membership.answer(message);
+    };
+}
+
+void Node::fillOperatorRoutes()
+{
+    m_operatorRoutes.push_back(
+            {"GET", "/healthz", [this](const HttpRequest &) { return health(); }});
+    m_operatorRoutes.push_back({"GET", "/metrics", [this](const HttpRequest &) {
+                                    HttpResponse response;
+                                    response.contentType = "text/plain; version=0.0.4";
+                                    response.body = m_metrics.text();
+                                    return response;
+                                }});
 }
 
 Node::~Node()
@@ -72,6 +115,7 @@
     m_callerServer->stop();
     m_operatorServer->stop();
     m_peerServer->stop();
+    m_recorder.record(EventKind::NodeStopped);
 }
 
 void Node::writePortFile() const
@@ -86,13 +130,16 @@
     std::filesystem::rename(temporary, m_settings.portFile);
 }
 
-wire::Header Node::header() const
+wire::Header Node::header()
 {
     wire::Header header;
     header.fleet = m_identity.fleet.text();
     header.vm = m_identity.vm.text();
     header.incarnation = static_cast<std::int64_t>(m_identity.incarnation);
     header.failureDomain = m_identity.failureDomain.text();
+    const HlcTime stamp = m_recorder.stamp();
+    header.physicalMicroseconds = stamp.physicalMicroseconds;
+    header.logical = static_cast<std::int32_t>(stamp.logical);
     return header;
 }
 
@@ -119,20 +166,10 @@
     return response;
 }
 
-HttpResponse Node::handleOperator(const HttpRequest &request)
-{
-    if (request.path == "/healthz")
-        return health();
-    HttpResponse response = errorResponse({StatementFailure::BadRequest, Ran::No,
-                                           "no such path: " + request.path},
-                                          {});
-    response.status = 404;
-    return response;
-}
-
 void Node::drain()
 {
     m_isDraining = true;
+    m_recorder.record(EventKind::NodeDraining);
     m_membership.setDraining();
     m_callerServer->closeAfterAnswer();
     const TimePoint start = Clock::now();
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "nutmegtide/base/metrics.h"
+#include "nutmegtide/events/recorder.h"
 #include "nutmegtide/settings/nodesettings.h"
 #include "serve/announceapi.h"
 #include "serve/callerapi.h"
@@ -12,7 +14,9 @@
 #include "serve/membership.h"
 #include "serve/meteredrunner.h"
 #include "serve/peerclient.h"
+#include "serve/peerhandlers.h"
 #include "serve/peerserver.h"
+#include "serve/routes.h"
 #include "serve/settingssource.h"
 #include "serve/transactions.h"
 
@@ -35,14 +39,20 @@
     void drain();
 
 private:
+    // Each role adds what it answers to these before the listeners open.
+    void fillPeerHandlers();
+    void fillOperatorRoutes();
+    void openListeners();
     HttpResponse handleCaller(const HttpRequest &request);
-    HttpResponse handleOperator(const HttpRequest &request);
     HttpResponse health() const;
-    wire::Header header() const;
+    wire::Header header();
+    void attachEventFile();
     void writePortFile() const;
 
     const NodeSettings m_settings;
     const Identity m_identity;
+    MetricRegistry m_metrics;
+    Recorder m_recorder;
     SettingsSource m_fleetSettings;
     Directory m_directory;
     PeerClients m_peers;
@@ -56,6 +66,8 @@
     CallerApi m_callerApi;
     AnnounceApi m_announceApi;
     std::atomic<bool> m_isDraining = false;
+    PeerHandlers m_peerHandlers;
+    std::vector<HttpRoute> m_operatorRoutes;
     std::unique_ptr<PeerServer> m_peerServer;
     std::unique_ptr<HttpServer> m_callerServer;
     std::unique_ptr<HttpServer> m_operatorServer;
--- a/src/serve/peerservice.cpp
+++ b/src/serve/peerservice.cpp
@@ -14,14 +14,29 @@
     throw refusal;
 }
 
+// Runs a role's handler and turns its errors into refusals that the peer understands.
+template <typename Handler, typename... Arguments>
+auto answer(const Handler &handler, const Arguments &...arguments)
+{
+    if (!handler)
+        refuse(wire::RefusalKind::NOT_CONTROL, "this call is not answered here");
+    try {
+        return handler(arguments...);
+    } catch (const MessageError &fault) {
+        refuse(wire::RefusalKind::BAD_MESSAGE, fault.what());
+    } catch (const EndpointError &fault) {
+        refuse(wire::RefusalKind::BAD_MESSAGE, fault.what());
+    }
+}
+
 } // namespace
 
-PeerService::PeerService(const Identity &identity, Membership &membership, StatementRunner &home,
-                         HeaderSource headerSource)
+PeerService::PeerService(const Identity &identity, Recorder &recorder, HeaderSource headerSource,
+                         const PeerHandlers &handlers)
     : m_identity(identity)
-    , m_membership(membership)
-    , m_home(home)
+    , m_recorder(recorder)
     , m_headerSource(std::move(headerSource))
+    , m_handlers(handlers)
 { }
 
 void PeerService::check(const wire::Header &header)
@@ -30,6 +45,7 @@
         refuse(wire::RefusalKind::OTHER_FLEET,
                "fleet " + header.fleet + " called fleet " + m_identity.fleet.text());
     }
+    m_recorder.observe({header.physicalMicroseconds, static_cast<std::uint32_t>(header.logical)});
     const std::lock_guard lock(m_mutex);
     std::int64_t &latest = m_incarnations[header.vm];
     if (header.incarnation < latest)
@@ -48,7 +64,8 @@
 {
     check(header);
     try {
-        reply.__set_answer(toWire(m_home.run(fromWire(call, Clock::now()))));
+        const Statement statement = fromWire(call, Clock::now());
+        reply.__set_answer(toWire(m_handlers.execute(statement)));
     } catch (const StatementError &error) {
         reply.__set_fault(toWire(error, RequestId(call.requestId)));
     } catch (const MessageError &fault) {
@@ -56,62 +73,66 @@
     }
 }
 
-void PeerService::requestFate(wire::RequestFateReply &, const wire::Header &header,
-                              const std::string &, const std::string &, const std::string &)
+void PeerService::requestFate(wire::RequestFateReply &reply, const wire::Header &header,
+                              const std::string &database, const std::string &caller,
+                              const std::string &requestId)
 {
     check(header);
-    refuse(wire::RefusalKind::NOT_HOME, "not answered here");
+    reply = answer(m_handlers.requestFate, DatabaseName(database), CallerId(caller),
+                   RequestId(requestId));
 }
 
 void PeerService::gossip(wire::GossipReply &reply, const wire::Header &header,
                          const wire::Gossip &message)
 {
     check(header);
-    try {
-        reply = m_membership.answer(message);
-    } catch (const EndpointError &fault) {
-        refuse(wire::RefusalKind::BAD_MESSAGE, fault.what());
-    }
+    reply = answer(m_handlers.gossip, header, message);
 }
 
-void PeerService::raft(const wire::Header &header, const std::vector<wire::RaftMessage> &)
+void PeerService::raft(const wire::Header &header, const std::vector<wire::RaftMessage> &messages)
 {
     check(header);
-    refuse(wire::RefusalKind::NOT_CONTROL, "no control role here");
+    answer(m_handlers.raft, messages);
 }
 
-void PeerService::submitConfig(wire::SubmitReply &, const wire::Header &header,
-                               const wire::ConfigSubmission &)
+void PeerService::submitConfig(wire::SubmitReply &reply, const wire::Header &header,
+                               const wire::ConfigSubmission &submission)
 {
     check(header);
-    refuse(wire::RefusalKind::NOT_CONTROL, "no control role here");
+    reply = answer(m_handlers.submitConfig, submission);
 }
 
-void PeerService::pushConfig(const wire::Header &header, const wire::ConfigPush &)
+void PeerService::pushConfig(const wire::Header &header, const wire::ConfigPush &push)
 {
     check(header);
+    answer(m_handlers.pushConfig, push);
 }
 
-void PeerService::fetchConfig(wire::ConfigPage &, const wire::Header &header, std::int64_t)
+void PeerService::fetchConfig(wire::ConfigPage &page, const wire::Header &header,
+                              std::int64_t afterRevision)
 {
     check(header);
+    page = answer(m_handlers.fetchConfig, static_cast<Revision>(afterRevision));
 }
 
-void PeerService::reportGroups(wire::GroupReportReply &, const wire::Header &header,
-                               const std::vector<wire::GroupReport> &)
+void PeerService::reportGroups(wire::GroupReportReply &reply, const wire::Header &header,
+                               const std::vector<wire::GroupReport> &reports)
 {
     check(header);
-    refuse(wire::RefusalKind::NOT_CONTROL, "no control role here");
+    reply = answer(m_handlers.reportGroups, header, reports);
 }
 
-void PeerService::events(wire::EventPage &, const wire::Header &header, std::int64_t)
+void PeerService::events(wire::EventPage &page, const wire::Header &header,
+                         std::int64_t afterSequence)
 {
     check(header);
+    page = answer(m_handlers.events, afterSequence);
 }
 
-void PeerService::status(wire::NodeStatusReply &, const wire::Header &header)
+void PeerService::status(wire::NodeStatusReply &reply, const wire::Header &header)
 {
     check(header);
+    reply = answer(m_handlers.status);
 }
 
 } // namespace nutmegtide
--- a/src/serve/peerservice.h
+++ b/src/serve/peerservice.h
@@ -1,22 +1,24 @@
 #pragma once
 
 #include "Peer.h"
-#include "nutmegtide/statement/statement.h"
+#include "nutmegtide/events/recorder.h"
 #include "serve/identity.h"
-#include "serve/membership.h"
+#include "serve/peerclient.h"
+#include "serve/peerhandlers.h"
 
 #include <map>
 #include <mutex>
 
 namespace nutmegtide {
 
-// Answers the calls of other processes. It refuses a peer of another fleet and
-// one of an older incarnation than it has heard from.
+// Answers the calls of other processes by the handlers of the roles. It refuses
+// a peer of another fleet and one of an older incarnation than it has heard
+// from, and takes in the sender's clock, so that events keep their causal order.
 class PeerService : public wire::PeerIf
 {
 public:
-    PeerService(const Identity &identity, Membership &membership, StatementRunner &home,
-                HeaderSource headerSource);
+    PeerService(const Identity &identity, Recorder &recorder, HeaderSource headerSource,
+                const PeerHandlers &handlers);
 
     void handshake(wire::Header &reply, const wire::Header &header) override;
     void execute(wire::StatementReply &reply, const wire::Header &header,
@@ -42,9 +44,9 @@
     void check(const wire::Header &header);
 
     const Identity &m_identity;
-    Membership &m_membership;
-    StatementRunner &m_home;
+    Recorder &m_recorder;
     HeaderSource m_headerSource;
+    const PeerHandlers &m_handlers;
     std::mutex m_mutex;
     std::map<std::string, std::int64_t> m_incarnations; // latest one heard of each VM
 };
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -1,5 +1,6 @@
 #include "serve/serve.h"
 
+#include "base/log.h"
 #include "serve/node.h"
 
 #include <csignal>
@@ -37,6 +38,7 @@
 {
     apache::thrift::GlobalOutput.setOutputFunction(&logThrift);
     const sigset_t signals = blockStopSignals();
+    initLogging(settings);
     curl_global_init(CURL_GLOBAL_DEFAULT);
     try {
         Node node(settings);
