--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -36,7 +36,7 @@
     return {'\\', 'x', Digits[byte / 16], Digits[byte % 16]};
 }
 
-std::string quoted(std::string_view value)
+std::string quote(std::string_view value)
 {
     std::string text = "\"";
     for (const char c : value)
@@ -50,7 +50,7 @@
         line += ' ';
     line += key;
     line += '=';
-    line += needsQuotes(value) ? quoted(value) : std::string(value);
+    line += needsQuotes(value) ? quote(value) : std::string(value);
 }
 
 void appendIfSet(std::string &line, std::string_view key, std::string_view value)
@@ -103,7 +103,7 @@
     if (!folder.empty())
         std::filesystem::create_directories(folder, ignored);
     if (!folder.empty() && access(folder.c_str(), W_OK | X_OK) != 0)
-        throw LogError("cannot write to the log folder " + quoted(folder));
+        throw LogError("cannot write to the log folder " + quote(folder));
     levelInForce = settings.log.level;
     FLAGS_logtostderr = folder.empty();
     FLAGS_log_dir = folder;
