Show what the fleet did: status, the merged time line, failures with their cause

The operators' listener answers /v1/status with what is wrong at the top, and /v1/timeline with the events of all VMs in the directory and the names of those that could not be asked. A statement's failure is recorded with the latest event of a change of primary that the home proxy knows, so that an operator gets from a caller's error to what was behind it.

--- a/include/nutmegtide/base/errors.h
+++ b/include/nutmegtide/base/errors.h
@@ -5,6 +5,7 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace nutmegtide {
 
@@ -87,10 +88,15 @@
     // Zero where asking again doesn't help.
     std::chrono::milliseconds retryAfter() const { return m_retryAfter; }
 
+    // The id of the event of the time line that is behind the failure, empty for none.
+    const std::string &cause() const { return m_cause; }
+    void setCause(std::string cause) { m_cause = std::move(cause); }
+
 private:
     StatementFailure m_failure;
     Ran m_ran;
     std::chrono::milliseconds m_retryAfter;
+    std::string m_cause;
 };
 
 } // namespace nutmegtide
--- a/include/nutmegtide/events/recorder.h
+++ b/include/nutmegtide/events/recorder.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -35,6 +36,10 @@
     // From now on also appends each event to a file.
     void attachFile(std::unique_ptr<EventFile> file);
     EventId record(EventKind kind, const EventFields &fields = {}, const EventId &cause = {});
+    // Returns the latest event here that belongs to a change of the database's
+    // primary, empty for none: the likely cause of a statement's failure.
+    EventId latestChange(const DatabaseName &database) const;
+
     // Returns the stamp to put into an outgoing message.
     HlcTime stamp();
     // Takes in the stamp of an incoming message, before events that it causes are recorded.
@@ -53,6 +58,7 @@
     EventRing m_ring;
     mutable std::mutex m_mutex;
     HybridClock m_clock;
+    std::map<DatabaseName, EventId> m_latestChanges;
     std::unique_ptr<EventFile> m_file;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_fileFailures = 0;
--- a/src/events/recorder.cpp
+++ b/src/events/recorder.cpp
@@ -1,7 +1,24 @@
 #include "nutmegtide/events/recorder.h"
 
+#include <algorithm>
+#include <array>
+
 namespace nutmegtide {
 
+namespace {
+
+constexpr std::array ChangeKinds = {EventKind::PrimarySuspected,   EventKind::PrimaryChangeStarted,
+                                    EventKind::GroupFenced,        EventKind::PrimaryChosen,
+                                    EventKind::PrimaryPromoted,    EventKind::PrimaryPublished,
+                                    EventKind::PrimaryChangeFailed};
+
+bool isPartOfChange(EventKind kind)
+{
+    return std::find(ChangeKinds.begin(), ChangeKinds.end(), kind) != ChangeKinds.end();
+}
+
+} // namespace
+
 Recorder::Recorder(RecorderIdentity identity, std::size_t ringSize, Now now)
     : m_identity(std::move(identity))
     , m_now(std::move(now))
@@ -30,11 +47,20 @@
     event.cause = cause;
     event.details = fields.details;
     EventId id = event.id;
+    if (isPartOfChange(kind))
+        m_latestChanges[event.database] = id;
     appendToFile(event);
     m_ring.push(std::move(event));
     return id;
 }
 
+EventId Recorder::latestChange(const DatabaseName &database) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_latestChanges.find(database);
+    return found == m_latestChanges.end() ? EventId() : found->second;
+}
+
 HlcTime Recorder::stamp()
 {
     const std::lock_guard lock(m_mutex);
--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -3,8 +3,10 @@
 #include "serve/peerservice.h"
 
 #include <algorithm>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <unistd.h>
 
 namespace nutmegtide {
 
@@ -37,10 +39,13 @@
     , m_home(m_groups, m_transactions, m_fleetSettings, m_identity.failureDomain)
     , m_meteredHome(m_home)
     , m_entry(m_identity, m_directory, m_fleetSettings, m_peers, m_meteredHome)
-    , m_meteredEntry(m_entry)
+    , m_observedEntry(m_entry, m_metrics, m_recorder)
+    , m_meteredEntry(m_observedEntry)
     , m_membership(m_identity, m_settings, m_directory, m_peers)
     , m_callerApi(m_identity, m_fleetSettings, m_meteredEntry)
     , m_announceApi(m_identity, m_directory, m_fleetSettings, m_groups)
+    , m_timelineRole(m_identity, m_recorder, m_directory, m_peers)
+    , m_statusRole(m_identity, m_fleetSettings, m_directory, m_groups, m_transactions)
 {
     attachEventFile();
     fillPeerHandlers();
@@ -90,6 +95,7 @@
 
 void Node::fillPeerHandlers()
 {
+    m_timelineRole.addTo(m_peerHandlers);
     m_peerHandlers.execute = [this](const Statement &statement) {
         return m_meteredHome.run(statement);
     };
@@ -100,6 +106,15 @@
 
 void Node::fillOperatorRoutes()
 {
+    m_timelineRole.addTo(m_operatorRoutes);
+    m_statusRole.addTo(m_operatorRoutes);
+    m_operatorRoutes.push_back({"POST", "/v1/drain", [](const HttpRequest &) {
+                                    // The same as a signal from outside: serve() drains and ends.
+                                    kill(getpid(), SIGTERM);
+                                    HttpResponse response;
+                                    response.body = R"({"state":"draining"})";
+                                    return response;
+                                }});
     m_operatorRoutes.push_back(
             {"GET", "/healthz", [this](const HttpRequest &) { return health(); }});
     m_operatorRoutes.push_back({"GET", "/metrics", [this](const HttpRequest &) {
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -13,11 +13,14 @@
 #include "serve/identity.h"
 #include "serve/membership.h"
 #include "serve/meteredrunner.h"
+#include "serve/observedrunner.h"
 #include "serve/peerclient.h"
 #include "serve/peerhandlers.h"
 #include "serve/peerserver.h"
 #include "serve/routes.h"
 #include "serve/settingssource.h"
+#include "serve/statusrole.h"
+#include "serve/timelinerole.h"
 #include "serve/transactions.h"
 
 #include <atomic>
@@ -61,10 +64,13 @@
     HomeRunner m_home;
     MeteredRunner m_meteredHome;
     EntryRunner m_entry;
+    ObservedRunner m_observedEntry;
     MeteredRunner m_meteredEntry;
     Membership m_membership;
     CallerApi m_callerApi;
     AnnounceApi m_announceApi;
+    TimelineRole m_timelineRole;
+    StatusRole m_statusRole;
     std::atomic<bool> m_isDraining = false;
     PeerHandlers m_peerHandlers;
     std::vector<HttpRoute> m_operatorRoutes;
--- a/src/serve/peerservice.cpp
+++ b/src/serve/peerservice.cpp
@@ -67,7 +67,10 @@
         const Statement statement = fromWire(call, Clock::now());
         reply.__set_answer(toWire(m_handlers.execute(statement)));
     } catch (const StatementError &error) {
-        reply.__set_fault(toWire(error, RequestId(call.requestId)));
+        wire::StatementFault fault = toWire(error, RequestId(call.requestId));
+        if (fault.cause.empty())
+            fault.cause = m_recorder.latestChange(DatabaseName(call.database)).text();
+        reply.__set_fault(fault);
     } catch (const MessageError &fault) {
         refuse(wire::RefusalKind::BAD_MESSAGE, fault.what());
     }
--- a/src/serve/wireconvert.cpp
+++ b/src/serve/wireconvert.cpp
@@ -135,6 +135,7 @@
     fault.message = error.what();
     fault.retryAfterMilliseconds = error.retryAfter().count();
     fault.requestId = id.text();
+    fault.cause = error.cause();
     return fault;
 }
 
@@ -143,8 +144,10 @@
     const auto failure = statementFailureFromString(fault.type);
     if (!failure)
         throw MessageError("no such failure: " + fault.type);
-    return {*failure, ranFromString(fault.ran), fault.message,
-            std::chrono::milliseconds(fault.retryAfterMilliseconds)};
+    StatementError error(*failure, ranFromString(fault.ran), fault.message,
+                         std::chrono::milliseconds(fault.retryAfterMilliseconds));
+    error.setCause(fault.cause);
+    return error;
 }
 
 } // namespace nutmegtide
