--- a/src/serve/powerrole.cpp
+++ b/src/serve/powerrole.cpp
@@ -80,6 +80,13 @@
     }
 }
 
+void PowerRole::recordIfLeading()
+{
+    // Carrying out further actions may have ended the leadership.
+    if (m_planner)
+        record();
+}
+
 void PowerRole::carryOut(const PowerActions &actions)
 {
     if (actions.empty())
@@ -105,10 +112,10 @@
                          PlatformTimeout);
         m_recorder.record(EventKind::PowerConfirmed, fieldsOf(action), ordered);
         carryOut(m_planner->confirm(action.order, Clock::now()));
-        record();
+        recordIfLeading();
     } catch (const PlatformRefusal &) {
         carryOut(m_planner->refuse(action.order, Clock::now()));
-        record();
+        recordIfLeading();
     } catch (const PlatformError &) {
         // The planner repeats the order under its id.
         return;
--- a/src/serve/powerrole.h
+++ b/src/serve/powerrole.h
@@ -37,6 +37,7 @@
     void carryOut(const PowerActions &actions);
     void order(const PowerAction &action);
     bool record();
+    void recordIfLeading();
 
     const SettingsSource &m_settings;
     Recorder &m_recorder;
