Add the control log's decisions and its store

A message that promises something durable is held until the write is synced. LogStore keeps the log in one file of checksummed records, replaced by rename.

--- /dev/null
+++ b/include/nutmegtide/control/raftnode.h
@@ -0,0 +1,198 @@
+#pragma once
+
+#include "nutmegtide/base/time.h"
+#include "nutmegtide/charts/chart.h"
+#include "nutmegtide/control/logstorage.h"
+#include "nutmegtide/control/raftactions.h"
+#include "nutmegtide/control/raftlog.h"
+#include "nutmegtide/control/replicatedlog.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+
+namespace nutmegtide {
+
+// A change of the members of the control log that can't be started now.
+class MembershipError : public Error
+{
+public:
+    using Error::Error;
+};
+
+struct RaftTimings
+{
+    Duration heartbeat = 100ms;
+    Duration shortestElection = 400ms;
+    Duration longestElection = 800ms;
+};
+
+// Where a control VM stands, for status pages and tests.
+struct RaftStatus
+{
+    VmName leader; // empty: none known
+    RaftTerm term = 0;
+    LogIndex last = 0;
+    LogIndex commit = 0;
+    LogIndex snapshot = 0;
+    Members members;
+    std::map<VmName, std::string> refusedFolders; // by VM whose folder isn't the member's
+};
+
+// The decisions of one control VM in the replicated log: Raft's rules with
+// pre-vote, check-quorum, snapshots and change of one member at a time. It has no
+// thread, socket, file or clock: each input returns the actions to carry out, in order.
+// A message that promises something durable is held back until the write is synced.
+//
+// Before the first leader, members are known by name only, and an election takes
+// the votes of all of them. The first leader's first entry binds each name to
+// the id of its data folder. From then on a VM whose folder has another id doesn't count
+// as that member, until it is removed and added again with its new id.
+//
+//   RaftNode node(VmName("c1"), storage.load(), names, chart, {}, std::minstd_rand(seed), now);
+//   perform(node.tick(now)); // sends, writes, applies ...
+//   perform(node.synced(lastWrite));
+//   if (node.isLeader())
+//       perform(node.propose({command}));
+class RaftNode
+{
+public:
+    // `names` are the first members, for a log that holds none. `chart` must outlive the node.
+    RaftNode(VmName self, StoredLog stored, const std::vector<VmName> &names, const Chart &chart,
+             const RaftTimings &timings, std::minstd_rand generator, TimePoint now);
+
+    RaftActions receive(const RaftMessage &message, TimePoint now);
+    RaftActions tick(TimePoint now);
+    // All disk actions up to `write` are durable.
+    RaftActions synced(WriteNumber write);
+    // Appends commands after lastIndex(), in order. Throws NotLeaderError.
+    RaftActions propose(const std::vector<Command> &commands);
+    // `state` holds the effect of every entry up to `index`, which was applied here.
+    RaftActions snapshotTaken(LogIndex index, std::string state);
+    // Brings a VM up to date, then makes it a member. Both throw NotLeaderError and
+    // MembershipError; a change is complete when its entry is applied.
+    RaftActions addMember(const Member &member);
+    RaftActions removeMember(const VmName &vm);
+
+    bool isLeader() const { return m_role.state() == "leader"; }
+    const std::string &role() const { return m_role.state(); }
+    const VmName &leader() const { return m_leader; }
+    const VmName &self() const { return m_self; }
+    RaftTerm term() const { return m_vote.term; }
+    LogIndex lastIndex() const { return m_log.lastIndex(); }
+    LogIndex commit() const { return m_commit; }
+    const RaftLog &log() const { return m_log; }
+    RaftStatus status() const;
+    // The time at which tick() has something to do.
+    TimePoint deadline() const;
+    // Equal for nodes that behave alike from now on, with times taken relative
+    // to the latest input's; for the exhaustive walk.
+    std::string fingerprint() const;
+
+private:
+    struct Progress
+    {
+        LogIndex next = 1;
+        LogIndex match = 0;
+        TimePoint heard {};
+        std::optional<TimePoint> snapshotSent;
+    };
+    struct HeldMessage
+    {
+        WriteNumber write = 0;
+        RaftMessage message;
+    };
+
+    // The role's chart, and what its actions do.
+    void fire(const std::string &event);
+    void perform(const std::string &action, const std::string &event);
+    void resetElectionTimer();
+    void adoptTerm();
+    void askPreVotes();
+    void raiseTerm();
+    void askVotes();
+    void appendBarrier();
+    void sendHeartbeats();
+    void recordLeader();
+    void recordSteppedDown(const std::string &event);
+
+    // Elections.
+    void answerPreVote(const RaftMessage &message);
+    void answerVote(const RaftMessage &message);
+    void takeVote(const RaftMessage &message);
+    void countVotes();
+    bool isUpToDate(const RaftMessage &message) const;
+    RaftMessage voteRequest(const VmName &receiver, RaftMessageKind kind, RaftTerm term) const;
+    bool hearsLeader() const;
+
+    // Following.
+    void takeAppend(const RaftMessage &message);
+    void storeEntries(const std::vector<LogEntry> &entries);
+    void takeSnapshot(const RaftMessage &message);
+    void hearLeader(const RaftMessage &message);
+    LogIndex refusalHint(const RaftMessage &message) const;
+
+    // Leading.
+    void replicate();
+    void sendTo(const VmName &peer);
+    void sendSnapshotTo(const VmName &peer, Progress &progress);
+    void sendEmptyAppendTo(const VmName &peer);
+    void takeReply(const RaftMessage &message);
+    void advanceCommit();
+    void checkQuorum();
+    void admitLearner();
+    void appendMembers(const Members &members);
+    void requireLeader() const;
+    void requireChangeable() const;
+    bool isChangeable() const;
+
+    // Members.
+    bool isVoter() const;
+    bool isBound() const;
+    const Member *findMember(const VmName &vm) const;
+    bool mayCount(const VmName &vm, const std::string &folder) const;
+    bool isQuorum(const std::set<VmName> &vms) const;
+    std::vector<VmName> receivers() const;
+
+    void commitUpTo(LogIndex index);
+    void append(const std::vector<LogEntry> &entries);
+    void persistVote();
+    void installSnapshot(LogSnapshot snapshot);
+    RaftMessage messageTo(const VmName &receiver, RaftMessageKind kind) const;
+    void refuse(const RaftMessage &message, RaftMessageKind kind);
+    void dispatch(const RaftMessage &message);
+    bool isOldTerm(const RaftMessage &message);
+    bool isImpostor(const RaftMessage &message);
+    void send(RaftMessage message);
+    void sendWhenSynced(RaftMessage message);
+    RaftActions takeActions();
+
+    VmName m_self;
+    std::string m_folder;
+    RaftTimings m_timings;
+    std::minstd_rand m_generator;
+    ChartInstance m_role;
+    TimePoint m_now;
+    TimePoint m_electionDue;
+    TimePoint m_heartbeatDue;
+    std::optional<TimePoint> m_leaderHeard;
+    VoteRecord m_vote;
+    RaftTerm m_higherTerm = 0; // what adopt_term takes over
+    VmName m_leader;
+    RaftLog m_log;
+    LogIndex m_commit = 0;
+    std::map<VmName, std::string> m_votes; // granted in this election, with the folder's id
+    std::map<VmName, Progress> m_progress; // as leader
+    std::optional<Member> m_learner;
+    std::map<VmName, std::string> m_refusedFolders;
+    WriteNumber m_lastWrite = 0;
+    WriteNumber m_syncedWrite = 0;
+    std::deque<std::pair<WriteNumber, LogIndex>> m_ownWrites; // last index after each write
+    LogIndex m_ownDurable = 0;
+    std::deque<HeldMessage> m_held;
+    RaftActions m_actions;
+};
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/control/logrecords.cpp
@@ -0,0 +1,245 @@
+#include "control/logrecords.h"
+
+#include "control/bytes.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace nutmegtide {
+
+namespace {
+
+enum class RecordType : std::uint32_t {
+    Folder = 1,
+    Snapshot = 2,
+    Vote = 3,
+    Entry = 4,
+    Truncate = 5,
+};
+
+constexpr std::size_t HeaderSize = 16; // length, type, checksum of both
+constexpr std::size_t TrailerSize = 9; // checksum of the body, end byte
+constexpr std::size_t SectorSize = 512; // written as a whole or not at all
+constexpr char EndByte = '\xa5';
+
+std::uint64_t checksum(std::string_view bytes, RecordType type)
+{
+    return XXH64(bytes.data(), bytes.size(), static_cast<std::uint64_t>(type));
+}
+
+std::string makeRecord(RecordType type, const std::string &body)
+{
+    ByteWriter header;
+    header.number(static_cast<std::uint32_t>(body.size()));
+    header.number(static_cast<std::uint32_t>(type));
+    header.number(checksum(header.bytes(), RecordType {}));
+    ByteWriter trailer;
+    trailer.number(checksum(body, type));
+    return header.bytes() + body + trailer.bytes() + EndByte;
+}
+
+bool isZero(std::string_view bytes)
+{
+    return std::all_of(bytes.begin(), bytes.end(), [](char byte) { return byte == 0; });
+}
+
+// Applies the records of a file one after the other.
+class RecordReader
+{
+public:
+    explicit RecordReader(std::string_view file)
+        : m_file(file)
+    { }
+
+    StoredLog read()
+    {
+        while (m_offset < m_file.size() && readOne()) { }
+        if (m_stored.folder.empty())
+            fail("no folder id at the start");
+        m_stored.cutBytes = m_file.size() - m_offset;
+        return std::move(m_stored);
+    }
+
+private:
+    [[noreturn]] void fail(const std::string &problem) const
+    {
+        throw LogCorruptError("control log, byte " + std::to_string(m_offset) + ": " + problem);
+    }
+
+    // Returns false at a write that was torn off.
+    bool readOne()
+    {
+        const std::string_view rest = m_file.substr(m_offset);
+        if (rest.size() < HeaderSize || isZero(rest))
+            return false;
+        ByteReader header(rest);
+        const auto length = header.number<std::uint32_t>();
+        const auto type = static_cast<RecordType>(header.number<std::uint32_t>());
+        if (header.number<std::uint64_t>() != checksum(rest.substr(0, 8), RecordType {}))
+            fail("altered header");
+        const std::size_t whole = HeaderSize + length + TrailerSize;
+        if (rest.size() < whole)
+            return false;
+        const std::string_view body = rest.substr(HeaderSize, length);
+        if (!isWhole(rest.substr(0, whole), body, type)) {
+            if (isTorn(whole))
+                return false;
+            fail("altered record");
+        }
+        apply(type, body);
+        m_offset += whole;
+        return true;
+    }
+
+    static bool isWhole(std::string_view record, std::string_view body, RecordType type)
+    {
+        ByteReader trailer(record.substr(HeaderSize + body.size()));
+        return trailer.number<std::uint64_t>() == checksum(body, type) && record.back() == EndByte;
+    }
+
+    // A crash leaves whole sectors of zeros in the last record, and nothing after it.
+    bool isTorn(std::size_t whole) const
+    {
+        const std::size_t end = m_offset + whole;
+        if (!isZero(m_file.substr(end)))
+            return false;
+        std::size_t begin = m_offset;
+        while (begin < end) {
+            const std::size_t next = std::min(end, (begin / SectorSize + 1) * SectorSize);
+            if (isZero(m_file.substr(begin, next - begin)))
+                return true;
+            begin = next;
+        }
+        return false;
+    }
+
+    void apply(RecordType type, std::string_view body)
+    {
+        if ((type == RecordType::Folder) != (m_offset == 0))
+            fail("folder id at the wrong place");
+        ByteReader reader(body);
+        try {
+            applyBody(type, reader);
+        } catch (const MessageError &fault) {
+            fail(fault.what());
+        }
+        if (!reader.isAtEnd())
+            fail("record too long");
+    }
+
+    void applyBody(RecordType type, ByteReader &reader)
+    {
+        switch (type) {
+        case RecordType::Folder:
+            m_stored.folder = reader.text();
+            return;
+        case RecordType::Snapshot:
+            return applySnapshot(reader);
+        case RecordType::Vote:
+            return applyVote(reader);
+        case RecordType::Entry:
+            return applyEntry(reader);
+        case RecordType::Truncate:
+            return applyTruncate(reader.number<LogIndex>());
+        }
+        fail("unknown type of record");
+    }
+
+    void applySnapshot(ByteReader &reader)
+    {
+        if (m_stored.snapshot.index != 0 || !m_stored.entries.empty())
+            fail("snapshot at the wrong place");
+        m_stored.snapshot.index = reader.number<LogIndex>();
+        m_stored.snapshot.term = reader.number<RaftTerm>();
+        m_stored.snapshot.members = decodeMembers(reader.text());
+        m_stored.snapshot.state = reader.text();
+    }
+
+    void applyVote(ByteReader &reader)
+    {
+        VoteRecord vote;
+        vote.term = reader.number<RaftTerm>();
+        vote.votedFor = VmName(reader.text());
+        if (vote.term < m_stored.vote.term)
+            fail("term goes back");
+        m_stored.vote = std::move(vote);
+    }
+
+    LogIndex lastIndex() const { return m_stored.snapshot.index + m_stored.entries.size(); }
+
+    void applyEntry(ByteReader &reader)
+    {
+        LogEntry entry;
+        entry.term = reader.number<RaftTerm>();
+        entry.index = reader.number<LogIndex>();
+        entry.kind = static_cast<EntryKind>(reader.number<std::uint32_t>());
+        entry.payload = reader.text();
+        if (entry.index != lastIndex() + 1)
+            fail("entry " + std::to_string(entry.index) + " follows " + std::to_string(lastIndex()));
+        if (entry.kind == EntryKind::Members)
+            decodeMembers(entry.payload);
+        m_stored.entries.push_back(std::move(entry));
+    }
+
+    void applyTruncate(LogIndex index)
+    {
+        if (index <= m_stored.snapshot.index || index > lastIndex())
+            fail("truncation of an entry that isn't there");
+        m_stored.entries.resize(index - m_stored.snapshot.index - 1);
+    }
+
+    std::string_view m_file;
+    std::size_t m_offset = 0;
+    StoredLog m_stored;
+};
+
+} // namespace
+
+std::string folderRecord(const std::string &folder)
+{
+    ByteWriter body;
+    body.text(folder);
+    return makeRecord(RecordType::Folder, body.bytes());
+}
+
+std::string voteRecord(const VoteRecord &vote)
+{
+    ByteWriter body;
+    body.number(vote.term);
+    body.text(vote.votedFor.text());
+    return makeRecord(RecordType::Vote, body.bytes());
+}
+
+std::string snapshotRecord(const LogSnapshot &snapshot)
+{
+    ByteWriter body;
+    body.number(snapshot.index);
+    body.number(snapshot.term);
+    body.text(encodeMembers(snapshot.members));
+    body.text(snapshot.state);
+    return makeRecord(RecordType::Snapshot, body.bytes());
+}
+
+std::string entryRecord(const LogEntry &entry)
+{
+    ByteWriter body;
+    body.number(entry.term);
+    body.number(entry.index);
+    body.number(static_cast<std::uint32_t>(entry.kind));
+    body.text(entry.payload);
+    return makeRecord(RecordType::Entry, body.bytes());
+}
+
+std::string truncateRecord(LogIndex index)
+{
+    ByteWriter body;
+    body.number(index);
+    return makeRecord(RecordType::Truncate, body.bytes());
+}
+
+StoredLog readRecords(std::string_view file)
+{
+    return RecordReader(file).read();
+}
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/control/logstore.cpp
@@ -0,0 +1,117 @@
+#include "control/logstore.h"
+
+#include "control/logrecords.h"
+
+namespace nutmegtide {
+
+namespace {
+
+constexpr const char *LogFile = "control.log";
+constexpr const char *NewFile = "control.log.new";
+
+} // namespace
+
+LogStore::LogStore(Disk &disk, std::string newFolderId)
+    : m_disk(disk)
+    , m_folderId(std::move(newFolderId))
+{ }
+
+StoredLog LogStore::load()
+{
+    if (m_disk.exists(NewFile))
+        m_disk.remove(NewFile);
+    if (!m_disk.exists(LogFile)) {
+        writeNewFile(folderRecord(m_folderId));
+        StoredLog fresh;
+        fresh.folder = m_folderId;
+        fresh.isNew = true;
+        return fresh;
+    }
+    const std::string file = m_disk.read(LogFile);
+    StoredLog stored = readRecords(file);
+    m_folderId = stored.folder;
+    m_size = file.size() - stored.cutBytes;
+    if (stored.cutBytes > 0)
+        m_disk.truncate(LogFile, m_size);
+    // What was read may not have been synced before a crash, and counts from now on.
+    m_disk.sync(LogFile);
+    m_disk.syncFolder();
+    return stored;
+}
+
+void LogStore::persistVote(const VoteRecord &vote)
+{
+    write(voteRecord(vote));
+}
+
+void LogStore::append(const std::vector<LogEntry> &entries)
+{
+    std::string bytes;
+    for (const LogEntry &entry : entries)
+        bytes += entryRecord(entry);
+    write(bytes);
+}
+
+void LogStore::truncateFrom(LogIndex index)
+{
+    write(truncateRecord(index));
+}
+
+void LogStore::sync()
+{
+    requireUsable();
+    m_isBroken = true;
+    m_disk.sync(LogFile);
+    m_isBroken = false;
+}
+
+void LogStore::replace(const LogSnapshot &snapshot, const VoteRecord &vote,
+                       const std::vector<LogEntry> &tail)
+{
+    requireUsable();
+    std::string bytes = folderRecord(m_folderId) + snapshotRecord(snapshot) + voteRecord(vote);
+    for (const LogEntry &entry : tail)
+        bytes += entryRecord(entry);
+    writeNewFile(bytes);
+}
+
+void LogStore::requireUsable() const
+{
+    if (m_isBroken)
+        throw LogStorageError("the control log can't be trusted after a failed write or sync");
+}
+
+void LogStore::write(const std::string &bytes)
+{
+    requireUsable();
+    try {
+        m_disk.append(LogFile, bytes);
+        m_size += bytes.size();
+    } catch (const LogStorageError &) {
+        m_isBroken = true;
+        m_disk.truncate(LogFile, m_size);
+        m_isBroken = false;
+        throw;
+    }
+}
+
+void LogStore::writeNewFile(const std::string &bytes)
+{
+    try {
+        m_disk.append(NewFile, bytes);
+        m_disk.sync(NewFile);
+    } catch (const LogStorageError &) {
+        // The log file is as it was; a part of the new one must not stay.
+        if (m_disk.exists(NewFile))
+            m_disk.remove(NewFile);
+        throw;
+    }
+    // From the rename on, the old file is gone: a failure leaves the state unknown.
+    m_isBroken = true;
+    m_disk.rename(NewFile, LogFile);
+    m_disk.syncFolder();
+    m_isBroken = false;
+    m_size = bytes.size();
+}
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/control/posixdisk.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "control/disk.h"
+
+#include <map>
+
+namespace nutmegtide {
+
+// A folder of the file system. Holds a lock on it, so that no second process writes there.
+class PosixDisk : public Disk
+{
+public:
+    // Makes the folder. Throws LogStorageError, also when another process has it.
+    explicit PosixDisk(std::string folder);
+    ~PosixDisk() override;
+    PosixDisk(const PosixDisk &) = delete;
+    PosixDisk &operator=(const PosixDisk &) = delete;
+
+    bool exists(const std::string &file) const override;
+    std::string read(const std::string &file) const override;
+    void append(const std::string &file, const std::string &bytes) override;
+    void truncate(const std::string &file, std::uint64_t size) override;
+    void sync(const std::string &file) override;
+    void rename(const std::string &from, const std::string &to) override;
+    void remove(const std::string &file) override;
+    void syncFolder() override;
+
+private:
+    std::string path(const std::string &file) const { return m_folder + "/" + file; }
+    int opened(const std::string &file);
+    void close(const std::string &file);
+
+    const std::string m_folder;
+    int m_lock = -1;
+    std::map<std::string, int> m_descriptors;
+};
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/control/raftfollower.cpp
@@ -0,0 +1,90 @@
+// What RaftNode does with the messages of a leader.
+#include "nutmegtide/control/raftnode.h"
+
+#include <algorithm>
+
+namespace nutmegtide {
+
+namespace {
+
+bool isConsecutive(const RaftMessage &message)
+{
+    LogIndex index = message.lastIndex;
+    return std::all_of(message.entries.begin(), message.entries.end(),
+                       [&index](const LogEntry &entry) { return entry.index == ++index; });
+}
+
+} // namespace
+
+void RaftNode::hearLeader(const RaftMessage &message)
+{
+    fire("leader_heard");
+    m_leader = message.sender;
+    m_leaderHeard = m_now;
+}
+
+void RaftNode::takeAppend(const RaftMessage &message)
+{
+    if (isLeader() || !isConsecutive(message))
+        return;
+    hearLeader(message);
+    RaftMessage answer = messageTo(message.sender, RaftMessageKind::AppendReply);
+    if (message.lastIndex < m_commit) {
+        // What is committed here is the same everywhere, so the leader can go on from there.
+        answer.isGranted = true;
+        answer.lastIndex = m_commit;
+    } else if (m_log.termAt(message.lastIndex) != message.lastTerm) {
+        answer.lastIndex = refusalHint(message);
+    } else {
+        storeEntries(message.entries);
+        answer.isGranted = true;
+        answer.lastIndex = message.lastIndex + message.entries.size();
+        commitUpTo(std::min(message.commit, answer.lastIndex));
+    }
+    sendWhenSynced(std::move(answer));
+}
+
+// Skips the whole term that differs, so a long difference costs few messages.
+LogIndex RaftNode::refusalHint(const RaftMessage &message) const
+{
+    if (message.lastIndex > m_log.lastIndex())
+        return m_log.lastIndex();
+    LogIndex index = message.lastIndex;
+    const auto term = m_log.termAt(index);
+    while (index > m_commit && m_log.termAt(index) == term)
+        --index;
+    return index;
+}
+
+void RaftNode::storeEntries(const std::vector<LogEntry> &entries)
+{
+    auto fresh = entries.begin();
+    while (fresh != entries.end() && m_log.termAt(fresh->index) == fresh->term)
+        ++fresh;
+    if (fresh == entries.end())
+        return;
+    if (fresh->index <= m_log.lastIndex()) {
+        m_log.truncateFrom(fresh->index);
+        m_actions.emplace_back(TruncateFrom {++m_lastWrite, fresh->index});
+        m_ownWrites.emplace_back(m_lastWrite, m_log.lastIndex());
+    }
+    append({fresh, entries.end()});
+}
+
+void RaftNode::takeSnapshot(const RaftMessage &message)
+{
+    if (isLeader())
+        return;
+    hearLeader(message);
+    if (message.snapshot.index > m_commit) {
+        m_commit = message.snapshot.index;
+        installSnapshot(message.snapshot);
+        m_actions.emplace_back(RestoreState {m_commit, message.snapshot.state});
+    }
+    RaftMessage answer = messageTo(message.sender, RaftMessageKind::SnapshotReply);
+    answer.isGranted = true;
+    answer.lastIndex = m_commit;
+    sendWhenSynced(std::move(answer));
+}
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/control/raftleader.cpp
@@ -0,0 +1,243 @@
+// What RaftNode does as leader.
+#include "nutmegtide/control/raftnode.h"
+
+#include <algorithm>
+
+namespace nutmegtide {
+
+namespace {
+
+constexpr std::size_t MostEntriesPerMessage = 64;
+
+} // namespace
+
+void RaftNode::appendBarrier()
+{
+    m_progress.clear();
+    for (const VmName &peer : receivers())
+        m_progress[peer] = {m_log.lastIndex() + 1, 0, m_now, std::nullopt};
+    const LogIndex index = m_log.lastIndex() + 1;
+    if (isBound())
+        return append({{m_vote.term, index, EntryKind::Barrier, {}}});
+    Members members;
+    for (const auto &[vm, folder] : m_votes)
+        members.push_back({vm, folder});
+    append({{m_vote.term, index, EntryKind::Members, encodeMembers(members)}});
+}
+
+void RaftNode::recordLeader()
+{
+    m_leader = m_self;
+    m_actions.emplace_back(BecameLeader {m_vote.term});
+}
+
+void RaftNode::recordSteppedDown(const std::string &event)
+{
+    resetElectionTimer();
+    m_leader = {};
+    m_learner.reset();
+    m_progress.clear();
+    m_actions.emplace_back(SteppedDown {m_vote.term, event});
+}
+
+void RaftNode::sendHeartbeats()
+{
+    m_heartbeatDue = m_now + m_timings.heartbeat;
+    for (const VmName &peer : receivers()) {
+        if (m_progress.at(peer).snapshotSent)
+            sendEmptyAppendTo(peer);
+        sendTo(peer);
+    }
+}
+
+void RaftNode::replicate()
+{
+    for (const VmName &peer : receivers())
+        sendTo(peer);
+}
+
+void RaftNode::sendTo(const VmName &peer)
+{
+    Progress &progress = m_progress.at(peer);
+    if (progress.next <= m_log.snapshot().index)
+        return sendSnapshotTo(peer, progress);
+    RaftMessage message = messageTo(peer, RaftMessageKind::Append);
+    message.lastIndex = progress.next - 1;
+    message.lastTerm = *m_log.termAt(message.lastIndex);
+    message.commit = m_commit;
+    message.entries = m_log.from(progress.next, MostEntriesPerMessage);
+    progress.next += message.entries.size();
+    send(std::move(message));
+}
+
+// A snapshot may be large, so it is sent again only after a while without an answer.
+void RaftNode::sendSnapshotTo(const VmName &peer, Progress &progress)
+{
+    if (progress.snapshotSent && m_now - *progress.snapshotSent < m_timings.longestElection)
+        return;
+    progress.snapshotSent = m_now;
+    RaftMessage message = messageTo(peer, RaftMessageKind::Snapshot);
+    message.snapshot = m_log.snapshot();
+    message.commit = m_commit;
+    send(std::move(message));
+}
+
+// Keeps a peer that is busy with a snapshot from looking lost.
+void RaftNode::sendEmptyAppendTo(const VmName &peer)
+{
+    RaftMessage message = messageTo(peer, RaftMessageKind::Append);
+    message.lastIndex = m_log.snapshot().index;
+    message.lastTerm = m_log.snapshot().term;
+    message.commit = m_log.snapshot().index;
+    send(std::move(message));
+}
+
+void RaftNode::takeReply(const RaftMessage &message)
+{
+    const auto found = m_progress.find(message.sender);
+    const bool isLearner = m_learner && m_learner->vm == message.sender;
+    if (!isLeader() || found == m_progress.end())
+        return;
+    if (!isLearner && !mayCount(message.sender, message.folder))
+        return;
+    Progress &progress = found->second;
+    progress.heard = m_now;
+    if (message.isGranted) {
+        progress.match = std::max(progress.match, message.lastIndex);
+        progress.next = std::max(progress.next, progress.match + 1);
+        if (progress.match >= m_log.snapshot().index)
+            progress.snapshotSent.reset();
+        admitLearner();
+        advanceCommit();
+    } else {
+        const LogIndex hinted = std::min(progress.next, message.lastIndex + 1);
+        progress.next = std::max(hinted, progress.match + 1);
+    }
+    // A commit may have ended this VM's leadership or the sender's membership.
+    const auto left = m_progress.find(message.sender);
+    if (left == m_progress.end())
+        return;
+    if (!message.isGranted || left->second.next <= m_log.lastIndex())
+        sendTo(message.sender);
+}
+
+// Only an entry of the current term is committed by counting; earlier ones follow from it.
+void RaftNode::advanceCommit()
+{
+    for (LogIndex index = m_log.lastIndex(); index > m_commit; --index) {
+        if (m_log.termAt(index) != m_vote.term)
+            return;
+        std::set<VmName> holders;
+        if (m_ownDurable >= index)
+            holders.insert(m_self);
+        for (const auto &[peer, progress] : m_progress) {
+            if (progress.match >= index)
+                holders.insert(peer);
+        }
+        if (!isQuorum(holders))
+            continue;
+        commitUpTo(index);
+        if (!isVoter() && m_log.membersIndex() <= m_commit)
+            return fire("removed");
+        return admitLearner();
+    }
+}
+
+void RaftNode::checkQuorum()
+{
+    if (!isLeader())
+        return;
+    std::set<VmName> heard {m_self};
+    for (const auto &[peer, progress] : m_progress) {
+        if (m_now - progress.heard < m_timings.longestElection)
+            heard.insert(peer);
+    }
+    if (!isQuorum(heard))
+        fire("quorum_lost");
+}
+
+void RaftNode::requireLeader() const
+{
+    if (!isLeader())
+        throw NotLeaderError(m_self.text() + " doesn't lead the control log", m_leader);
+}
+
+RaftActions RaftNode::propose(const std::vector<Command> &commands)
+{
+    requireLeader();
+    std::vector<LogEntry> entries;
+    for (const Command &command : commands) {
+        const LogIndex index = m_log.lastIndex() + entries.size() + 1;
+        entries.push_back(
+                {m_vote.term, index, static_cast<EntryKind>(command.kind), command.payload});
+    }
+    append(entries);
+    replicate();
+    return takeActions();
+}
+
+// One change at a time, and only after an entry of the current term is committed.
+bool RaftNode::isChangeable() const
+{
+    return m_log.termAt(m_commit) == m_vote.term && m_log.membersIndex() <= m_commit;
+}
+
+void RaftNode::requireChangeable() const
+{
+    requireLeader();
+    if (!isChangeable())
+        throw MembershipError("an earlier change of the control members is not complete yet");
+}
+
+RaftActions RaftNode::addMember(const Member &member)
+{
+    requireChangeable();
+    if (findMember(member.vm))
+        throw MembershipError(member.vm.text() + " is a control member already");
+    if (member.vm.isEmpty() || member.folder.empty())
+        throw MembershipError("a control member needs a name and the id of its data folder");
+    m_learner = member;
+    m_progress[member.vm] = {m_log.lastIndex() + 1, 0, m_now, std::nullopt};
+    sendTo(member.vm);
+    return takeActions();
+}
+
+RaftActions RaftNode::removeMember(const VmName &vm)
+{
+    requireChangeable();
+    if (!findMember(vm))
+        throw MembershipError(vm.text() + " is no control member");
+    Members members = m_log.members();
+    std::erase_if(members, [&vm](const Member &member) { return member.vm == vm; });
+    if (members.empty())
+        throw MembershipError("the last control member can't be removed");
+    appendMembers(members);
+    return takeActions();
+}
+
+// A newcomer becomes a member once it holds all that is committed.
+void RaftNode::admitLearner()
+{
+    if (!isLeader() || !m_learner || !isChangeable())
+        return;
+    if (m_progress.at(m_learner->vm).match < m_commit)
+        return;
+    Members members = m_log.members();
+    members.push_back(*m_learner);
+    m_learner.reset();
+    appendMembers(members);
+}
+
+void RaftNode::appendMembers(const Members &members)
+{
+    append({{m_vote.term, m_log.lastIndex() + 1, EntryKind::Members, encodeMembers(members)}});
+    std::set<VmName> kept;
+    for (const VmName &peer : receivers()) {
+        kept.insert(peer);
+        m_progress.try_emplace(peer, Progress {m_log.lastIndex(), 0, m_now, std::nullopt});
+    }
+    std::erase_if(m_progress, [&kept](const auto &item) { return kept.count(item.first) == 0; });
+    replicate();
+}
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/control/raftlog.cpp
@@ -0,0 +1,103 @@
+#include "nutmegtide/control/raftlog.h"
+
+#include "nutmegtide/base/errors.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace nutmegtide {
+
+std::string encodeMembers(const Members &members)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const Member &member : members)
+        list.push_back({{"vm", member.vm.text()}, {"folder", member.folder}});
+    return list.dump();
+}
+
+Members decodeMembers(const std::string &payload)
+{
+    try {
+        Members members;
+        for (const nlohmann::json &item : nlohmann::json::parse(payload))
+            members.push_back({VmName(item.at("vm").get<std::string>()),
+                               item.at("folder").get<std::string>()});
+        return members;
+    } catch (const nlohmann::json::exception &fault) {
+        throw MessageError(std::string("not a list of control members: ") + fault.what());
+    }
+}
+
+RaftLog::RaftLog(LogSnapshot snapshot, std::vector<LogEntry> tail, Members firstMembers)
+    : m_snapshot(std::move(snapshot))
+    , m_tail(std::move(tail))
+    , m_firstMembers(std::move(firstMembers))
+{
+    findMembers();
+}
+
+RaftTerm RaftLog::lastTerm() const
+{
+    return m_tail.empty() ? m_snapshot.term : m_tail.back().term;
+}
+
+std::optional<RaftTerm> RaftLog::termAt(LogIndex index) const
+{
+    if (index == m_snapshot.index)
+        return m_snapshot.term;
+    if (index < m_snapshot.index || index > lastIndex())
+        return std::nullopt;
+    return at(index).term;
+}
+
+std::vector<LogEntry> RaftLog::from(LogIndex index, std::size_t most) const
+{
+    const auto begin = m_tail.begin() + static_cast<std::ptrdiff_t>(index - m_snapshot.index - 1);
+    const auto left = static_cast<std::size_t>(m_tail.end() - begin);
+    return {begin, begin + static_cast<std::ptrdiff_t>(std::min(most, left))};
+}
+
+void RaftLog::append(const LogEntry &entry)
+{
+    m_tail.push_back(entry);
+    if (entry.kind == EntryKind::Members)
+        findMembers();
+}
+
+void RaftLog::truncateFrom(LogIndex index)
+{
+    m_tail.resize(index - m_snapshot.index - 1);
+    findMembers();
+}
+
+void RaftLog::install(LogSnapshot snapshot)
+{
+    const bool continues = termAt(snapshot.index) == snapshot.term;
+    std::vector<LogEntry> tail;
+    if (continues)
+        tail = from(snapshot.index + 1, m_tail.size());
+    m_snapshot = std::move(snapshot);
+    m_tail = std::move(tail);
+    findMembers();
+}
+
+Members RaftLog::membersAt(LogIndex index) const
+{
+    for (auto entry = m_tail.rbegin(); entry != m_tail.rend(); ++entry) {
+        if (entry->index <= index && entry->kind == EntryKind::Members)
+            return decodeMembers(entry->payload);
+    }
+    return m_snapshot.members.empty() ? m_firstMembers : m_snapshot.members;
+}
+
+void RaftLog::findMembers()
+{
+    m_members = membersAt(lastIndex());
+    m_membersIndex = m_snapshot.index;
+    for (const LogEntry &entry : m_tail) {
+        if (entry.kind == EntryKind::Members)
+            m_membersIndex = entry.index;
+    }
+}
+
+} // namespace nutmegtide
