Run the control log in the node

ControlLog drives a RaftNode by one thread, sends through a thread for each peer, and hands committed entries to the registered state machines. A VM whose log can't be trusted stays out of control and goes on as a proxy.

--- /dev/null
+++ b/src/serve/controllog.cpp
@@ -0,0 +1,412 @@
+#include "serve/controllog.h"
+
+#include "base/log.h"
+#include "control/bytes.h"
+#include "serve/raftwire.h"
+
+#include <iomanip>
+#include <sstream>
+
+namespace nutmegtide {
+
+namespace {
+
+constexpr LogIndex SnapshotInterval = 1'000; // entries
+// A snapshot is stored this much later than it was taken, so that a follower
+// that is just behind gets entries and not the whole state.
+constexpr LogIndex SnapshotDelay = 64; // entries
+constexpr auto FullDiskRetryInterval = 500ms;
+
+std::string makeFolderId()
+{
+    std::random_device device;
+    std::ostringstream text;
+    text << std::hex << std::setfill('0');
+    for (int part = 0; part < 4; ++part)
+        text << std::setw(8) << device();
+    return text.str();
+}
+
+} // namespace
+
+ControlLog::ControlLog(const NodeSettings &settings, const Directory &directory, PeerClients &peers,
+                       Recorder &recorder, const RaftTimings &timings)
+    : m_settings(settings)
+    , m_directory(directory)
+    , m_peers(peers)
+    , m_recorder(recorder)
+    , m_timings(timings)
+    , m_charts(ChartLibrary::embedded())
+{ }
+
+ControlLog::~ControlLog()
+{
+    stop();
+}
+
+void ControlLog::registerMachine(CommandKind kind, StateMachine &machine)
+{
+    m_machines[kind] = &machine;
+}
+
+void ControlLog::start()
+{
+    m_disk = std::make_unique<PosixDisk>(m_settings.dataDir + "/control");
+    m_store = std::make_unique<LogStore>(*m_disk, makeFolderId());
+    StoredLog stored = m_store->load();
+    EventFields fields;
+    fields.term = stored.vote.term;
+    fields.details = {{"entries", std::to_string(stored.entries.size())},
+                      {"snapshot", std::to_string(stored.snapshot.index)},
+                      {"cut_bytes", std::to_string(stored.cutBytes)},
+                      {"folder", stored.folder},
+                      {"new", stored.isNew ? "yes" : "no"}};
+    m_recorder.record(EventKind::LogRecovered, fields);
+    m_applied = stored.snapshot.index;
+    m_lastCapture = m_applied;
+    if (m_applied > 0)
+        restoreMachines(stored.snapshot.state);
+    m_node = std::make_unique<RaftNode>(m_settings.name, std::move(stored), m_settings.control,
+                                        m_charts.chart("control_role"), m_timings,
+                                        std::minstd_rand(std::random_device()()), Clock::now());
+    publish();
+    m_isStopped = false;
+    m_thread = std::thread([this] { run(); });
+}
+
+void ControlLog::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_changed.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+    m_senders.clear();
+}
+
+void ControlLog::post(Input input)
+{
+    const std::lock_guard lock(m_mutex);
+    if (!m_isStopped)
+        m_inputs.push_back(std::move(input));
+    m_changed.notify_all();
+}
+
+void ControlLog::receive(const std::vector<wire::RaftMessage> &messages)
+{
+    for (const wire::RaftMessage &message : messages) {
+        post([this, taken = fromWire(message)] { perform(m_node->receive(taken, Clock::now())); });
+    }
+}
+
+bool ControlLog::isLeader() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_isLeader;
+}
+
+VmName ControlLog::leader() const
+{
+    return status().leader;
+}
+
+RaftStatus ControlLog::status() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_status;
+}
+
+std::uint64_t ControlLog::propose(const Command &command, std::chrono::milliseconds timeout)
+{
+    std::future<std::uint64_t> result;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isStopped || !m_isLeader)
+            throw NotLeaderError(m_settings.name.text() + " doesn't lead the control log",
+                                 m_status.leader);
+        Proposal proposal {command, {}};
+        result = proposal.result.get_future();
+        m_proposals.push_back(std::move(proposal));
+    }
+    m_changed.notify_all();
+    if (result.wait_for(timeout) != std::future_status::ready)
+        throw ProposalUnknownError("no majority of control VMs confirmed the entry in time");
+    return result.get();
+}
+
+void ControlLog::changeMembers(std::function<RaftActions()> change)
+{
+    const auto done = std::make_shared<std::promise<void>>();
+    std::future<void> result = done->get_future();
+    post([this, done, change = std::move(change)] {
+        try {
+            perform(change());
+            done->set_value();
+        } catch (const Error &) {
+            done->set_exception(std::current_exception());
+        }
+    });
+    if (result.wait_for(m_timings.longestElection) != std::future_status::ready)
+        throw ProposalUnknownError("the control log doesn't answer");
+    result.get();
+}
+
+void ControlLog::addMember(const Member &member)
+{
+    changeMembers([this, member] { return m_node->addMember(member); });
+}
+
+void ControlLog::removeMember(const VmName &vm)
+{
+    changeMembers([this, vm] { return m_node->removeMember(vm); });
+}
+
+void ControlLog::run()
+{
+    try {
+        std::unique_lock lock(m_mutex);
+        while (!m_isStopping) {
+            const TimePoint due = m_writes.empty() ? m_node->deadline()
+                                                   : std::min(m_node->deadline(), m_writeAgainAt);
+            m_changed.wait_until(lock, due, [this] {
+                return m_isStopping || !m_inputs.empty() || !m_proposals.empty();
+            });
+            const std::vector<Input> inputs = std::exchange(m_inputs, {});
+            std::vector<Proposal> proposals = std::exchange(m_proposals, {});
+            lock.unlock();
+            for (const Input &input : inputs)
+                input();
+            takeProposals(std::move(proposals));
+            perform(m_node->tick(Clock::now()));
+            flushWrites();
+            publish();
+            lock.lock();
+        }
+    } catch (const Error &fault) {
+        logEvent(LogLevel::Error, "control_log_stopped", {m_settings.name},
+                 {{"reason", fault.what()}});
+    }
+    failAll("the control log has stopped");
+}
+
+template <typename Fault>
+void ControlLog::failWaiters(WaiterIterator first, WaiterIterator last, const Fault &fault)
+{
+    for (auto waiter = first; waiter != last; ++waiter)
+        waiter->second.result.set_exception(std::make_exception_ptr(fault));
+    m_waiters.erase(first, last);
+}
+
+void ControlLog::takeProposals(std::vector<Proposal> proposals)
+{
+    if (proposals.empty())
+        return;
+    const LogIndex before = m_node->lastIndex();
+    std::vector<Command> commands;
+    for (const Proposal &proposal : proposals)
+        commands.push_back(proposal.command);
+    RaftActions actions;
+    try {
+        actions = m_node->propose(commands);
+    } catch (const NotLeaderError &) {
+        for (Proposal &proposal : proposals)
+            proposal.result.set_exception(std::current_exception());
+        return;
+    }
+    LogIndex index = before;
+    // A waiter of an earlier term waits for an entry that was cut off since.
+    failWaiters(m_waiters.upper_bound(before), m_waiters.end(),
+                NotLeaderError("another leader took over", m_node->self()));
+    for (Proposal &proposal : proposals)
+        m_waiters[++index] = {m_node->term(), std::move(proposal.result)};
+    perform(actions);
+}
+
+void ControlLog::publish()
+{
+    const std::lock_guard lock(m_mutex);
+    m_status = m_node->status();
+    m_isLeader = m_node->isLeader();
+}
+
+void ControlLog::perform(const RaftActions &actions)
+{
+    for (const RaftAction &action : actions)
+        std::visit([this](const auto &kind) { perform(kind); }, action);
+}
+
+void ControlLog::perform(const SendMessage &action)
+{
+    const VmName &peer = action.message.receiver;
+    auto &sender = m_senders[peer];
+    if (!sender)
+        sender = std::make_unique<RaftSender>(peer, m_directory, m_peers);
+    sender->send(action.message);
+}
+
+void ControlLog::perform(const ApplyCommitted &action)
+{
+    for (const LogEntry &entry : action.entries) {
+        apply(entry);
+        settleWaiter(entry);
+    }
+    captureState();
+}
+
+void ControlLog::apply(const LogEntry &entry)
+{
+    m_applied = entry.index;
+    const auto machine = m_machines.find(static_cast<CommandKind>(entry.kind));
+    if (machine != m_machines.end())
+        machine->second->apply(entry.index, entry.payload);
+}
+
+void ControlLog::settleWaiter(const LogEntry &entry)
+{
+    const auto waiter = m_waiters.find(entry.index);
+    if (waiter == m_waiters.end())
+        return;
+    if (waiter->second.term == entry.term) {
+        waiter->second.result.set_value(entry.index);
+    } else {
+        // Another leader's entry stands in this place, so the command can never be committed.
+        waiter->second.result.set_exception(std::make_exception_ptr(
+                NotLeaderError("another leader took over", m_node->leader())));
+    }
+    m_waiters.erase(waiter);
+}
+
+void ControlLog::captureState()
+{
+    if (m_captured && m_applied >= m_captured->index + SnapshotDelay) {
+        const CapturedState captured = *std::exchange(m_captured, std::nullopt);
+        perform(m_node->snapshotTaken(captured.index, captured.state));
+    }
+    if (m_applied < m_lastCapture + SnapshotInterval)
+        return;
+    m_lastCapture = m_applied;
+    m_captured = CapturedState {m_applied, machineStates()};
+}
+
+std::string ControlLog::machineStates() const
+{
+    ByteWriter writer;
+    for (const auto &[kind, machine] : m_machines) {
+        writer.number(static_cast<std::uint32_t>(kind));
+        writer.text(machine->snapshot());
+    }
+    return writer.bytes();
+}
+
+void ControlLog::restoreMachines(const std::string &state)
+{
+    ByteReader reader(state);
+    while (!reader.isAtEnd()) {
+        const auto kind = static_cast<CommandKind>(reader.number<std::uint32_t>());
+        const std::string part = reader.text();
+        const auto machine = m_machines.find(kind);
+        if (machine != m_machines.end())
+            machine->second->restore(part);
+    }
+}
+
+void ControlLog::perform(const RestoreState &action)
+{
+    m_applied = action.index;
+    m_lastCapture = action.index;
+    m_captured.reset();
+    failWaiters(m_waiters.begin(), m_waiters.upper_bound(action.index),
+                ProposalUnknownError("a snapshot stands in the place of the entry"));
+    restoreMachines(action.state);
+}
+
+void ControlLog::perform(const BecameLeader &action)
+{
+    EventFields fields;
+    fields.term = action.term;
+    m_recorder.record(EventKind::ControlLeader, fields);
+}
+
+void ControlLog::perform(const SteppedDown &action)
+{
+    EventFields fields;
+    fields.term = action.term;
+    fields.details = {{"reason", action.reason}};
+    m_recorder.record(EventKind::ControlSteppedDown, fields);
+}
+
+void ControlLog::perform(const RoleChanged &action)
+{
+    EventFields fields;
+    fields.term = m_node->term();
+    fields.details = detailsOf(action.step);
+    m_recorder.record(EventKind::ChartTransition, fields);
+}
+
+// Carries out all writes that wait, and syncs once for all of them. On a full
+// disk the rest waits for room; nothing of it counts until then.
+void ControlLog::flushWrites()
+{
+    while (!m_writes.empty() && Clock::now() >= m_writeAgainAt) {
+        WriteNumber last = 0;
+        try {
+            while (!m_writes.empty()) {
+                last = write(m_writes.front());
+                m_writes.pop_front();
+            }
+            m_isDiskFull = false;
+        } catch (const DiskFullError &fault) {
+            if (!m_isDiskFull)
+                logEvent(LogLevel::Error, "control_disk_full", {m_settings.name},
+                         {{"reason", fault.what()}});
+            m_isDiskFull = true;
+            m_writeAgainAt = Clock::now() + FullDiskRetryInterval;
+        }
+        if (last == 0)
+            return;
+        m_store->sync();
+        perform(m_node->synced(last));
+    }
+}
+
+WriteNumber ControlLog::write(const RaftAction &action)
+{
+    if (const auto *vote = std::get_if<PersistVote>(&action)) {
+        m_store->persistVote(vote->vote);
+        return vote->write;
+    }
+    if (const auto *entries = std::get_if<AppendEntries>(&action)) {
+        m_store->append(entries->entries);
+        return entries->write;
+    }
+    if (const auto *truncation = std::get_if<TruncateFrom>(&action)) {
+        m_store->truncateFrom(truncation->index);
+        return truncation->write;
+    }
+    const auto &install = std::get<InstallSnapshot>(action);
+    m_store->replace(install.snapshot, install.vote, install.tail);
+    EventFields fields;
+    fields.term = install.snapshot.term;
+    fields.details = {{"index", std::to_string(install.snapshot.index)},
+                      {"bytes", std::to_string(m_store->size())}};
+    m_recorder.record(EventKind::SnapshotTaken, fields);
+    return install.write;
+}
+
+void ControlLog::failAll(const std::string &reason)
+{
+    const ProposalUnknownError error(reason);
+    const auto fault = std::make_exception_ptr(error);
+    failWaiters(m_waiters.begin(), m_waiters.end(), error);
+    const std::lock_guard lock(m_mutex);
+    for (Proposal &proposal : m_proposals)
+        proposal.result.set_exception(fault);
+    m_proposals.clear();
+    m_inputs.clear();
+    m_isLeader = false;
+    m_isStopped = true;
+}
+
+} // namespace nutmegtide
--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -1,5 +1,6 @@
 #include "serve/node.h"
 
+#include "base/log.h"
 #include "serve/peerservice.h"
 
 #include <algorithm>
@@ -43,6 +44,7 @@
     , m_announceApi(m_identity, m_directory, m_fleetSettings, m_groups)
 {
     attachEventFile();
+    makeControlLog();
     fillPeerHandlers();
     fillOperatorRoutes();
     openListeners();
@@ -52,8 +54,9 @@
     self.peers = m_peerServer->bound();
     self.callers = m_callerServer->bound();
     self.incarnation = m_identity.incarnation;
-    self.isControl = !m_settings.dataDir.empty();
+    self.isControl = m_controlLog != nullptr;
     m_membership.start(self);
+    startControlLog();
     writePortFile();
     m_recorder.record(EventKind::NodeStarted);
 }
@@ -67,6 +70,27 @@
             std::make_unique<EventFile>(m_settings.dataDir + "/events.jsonl", LargestEventFile));
 }
 
+void Node::makeControlLog()
+{
+    const auto &names = m_settings.control;
+    const bool isNamed = std::find(names.begin(), names.end(), m_identity.vm) != names.end();
+    if (isNamed && !m_settings.dataDir.empty())
+        m_controlLog = std::make_unique<ControlLog>(m_settings, m_directory, m_peers, m_recorder);
+}
+
+// A VM whose log can't be trusted stays out of control and goes on as a proxy.
+void Node::startControlLog()
+{
+    if (!m_controlLog)
+        return;
+    try {
+        m_controlLog->start();
+    } catch (const LogStorageError &fault) {
+        logEvent(LogLevel::Error, "control_log_refused", {m_identity.vm},
+                 {{"reason", fault.what()}});
+    }
+}
+
 void Node::openListeners()
 {
     const HeaderSource headerSource = [this] { return header(); };
@@ -96,6 +120,11 @@
     m_peerHandlers.gossip = [this](const wire::Header &, const wire::Gossip &message) {
         return m_membership.answer(message);
     };
+    if (m_controlLog) {
+        m_peerHandlers.raft = [this](const std::vector<wire::RaftMessage> &messages) {
+            m_controlLog->receive(messages);
+        };
+    }
 }
 
 void Node::fillOperatorRoutes()
@@ -115,6 +144,8 @@
     m_callerServer->stop();
     m_operatorServer->stop();
     m_peerServer->stop();
+    if (m_controlLog)
+        m_controlLog->stop();
     m_recorder.record(EventKind::NodeStopped);
 }
 
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -5,6 +5,7 @@
 #include "nutmegtide/settings/nodesettings.h"
 #include "serve/announceapi.h"
 #include "serve/callerapi.h"
+#include "serve/controllog.h"
 #include "serve/directory.h"
 #include "serve/entryrunner.h"
 #include "serve/homegroups.h"
@@ -47,6 +48,9 @@
     HttpResponse health() const;
     wire::Header header();
     void attachEventFile();
+    // Makes the control log where the settings name this VM as a control VM.
+    void makeControlLog();
+    void startControlLog();
     void writePortFile() const;
 
     const NodeSettings m_settings;
@@ -65,6 +69,7 @@
     Membership m_membership;
     CallerApi m_callerApi;
     AnnounceApi m_announceApi;
+    std::unique_ptr<ControlLog> m_controlLog; // null where this VM runs no control
     std::atomic<bool> m_isDraining = false;
     PeerHandlers m_peerHandlers;
     std::vector<HttpRoute> m_operatorRoutes;
--- /dev/null
+++ b/src/serve/raftsender.cpp
@@ -0,0 +1,74 @@
+#include "serve/raftsender.h"
+
+#include "serve/raftwire.h"
+
+namespace nutmegtide {
+
+namespace {
+
+constexpr std::size_t LongestQueue = 64; // messages
+constexpr auto CallTimeout = 1s;
+
+} // namespace
+
+RaftSender::RaftSender(VmName peer, const Directory &directory, PeerClients &peers)
+    : m_peer(std::move(peer))
+    , m_directory(directory)
+    , m_peers(peers)
+    , m_thread([this] { run(); })
+{ }
+
+RaftSender::~RaftSender()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_changed.notify_one();
+    m_thread.join();
+}
+
+void RaftSender::send(RaftMessage message)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_queue.size() == LongestQueue)
+        m_queue.pop_front();
+    m_queue.push_back(std::move(message));
+    m_changed.notify_one();
+}
+
+void RaftSender::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        m_changed.wait(lock, [this] { return m_isStopping || !m_queue.empty(); });
+        if (m_isStopping)
+            return;
+        const std::deque<RaftMessage> messages = std::move(m_queue);
+        m_queue.clear();
+        lock.unlock();
+        deliver(messages);
+        lock.lock();
+    }
+}
+
+void RaftSender::deliver(const std::deque<RaftMessage> &messages)
+{
+    const auto record = m_directory.find(m_peer);
+    if (!record)
+        return;
+    std::vector<wire::RaftMessage> batch;
+    batch.reserve(messages.size());
+    for (const RaftMessage &message : messages)
+        batch.push_back(toWire(message));
+    try {
+        m_peers.call(record->peers, CallTimeout,
+                     [&](wire::PeerClient &client) { client.raft(m_peers.header(), batch); });
+    } catch (const PeerError &) {
+        return;
+    } catch (const wire::PeerRefusal &) {
+        return;
+    }
+}
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/serve/raftsender.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "nutmegtide/control/raftmessage.h"
+#include "serve/directory.h"
+#include "serve/peerclient.h"
+
+#include <condition_variable>
+#include <deque>
+#include <thread>
+
+namespace nutmegtide {
+
+// Sends control log messages to one VM from a thread of its own, so that a dead
+// VM holds up no other. What can't be sent is dropped; the log sends it again.
+class RaftSender
+{
+public:
+    RaftSender(VmName peer, const Directory &directory, PeerClients &peers);
+    ~RaftSender();
+    RaftSender(const RaftSender &) = delete;
+    RaftSender &operator=(const RaftSender &) = delete;
+
+    void send(RaftMessage message);
+
+private:
+    void run();
+    void deliver(const std::deque<RaftMessage> &messages);
+
+    const VmName m_peer;
+    const Directory &m_directory;
+    PeerClients &m_peers;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<RaftMessage> m_queue;
+    bool m_isStopping = false;
+    std::thread m_thread;
+};
+
+} // namespace nutmegtide
