Prove a replica's age with the first read after a pause

Cause: in the demo the first read with an age still went to the primary. The wait was for a proof of leadership; an observation of the primary counts only once leadership is proved for a later moment, and the first poll after a pause was a long poll of 100 ms. Ruled out: a stale token (the applied position was past it). Change: two polls without a wait after a pause, and the read waits until some replica's age is proved.

--- a/src/serve/homegroup.cpp
+++ b/src/serve/homegroup.cpp
@@ -10,6 +10,8 @@
 constexpr auto ActiveTime = 3s;
 constexpr auto IdleInterval = 1s;
 constexpr auto ActiveWait = 100ms; // of one long poll while statements arrive
+// Polls without a wait after a pause: the second proves what the first observed.
+constexpr int QuickPolls = 2;
 constexpr auto RetryInterval = 50ms; // after a failed poll
 constexpr auto AnswerTime = 1s; // beyond the wait of a long poll
 constexpr int DefaultShare = 4; // connections a server, until a budget is set
@@ -200,8 +202,22 @@
         isIdle = !isActive(Clock::now());
         m_wantedAt = Clock::now();
     }
-    if (isIdle)
-        confirmLeadership(wait);
+    if (!isIdle)
+        return;
+    m_wanted.notify_all();
+    std::unique_lock lock(m_mutex);
+    m_changed.wait_for(lock, wait, [&] { return isAnyReplicaProved(); });
+}
+
+bool HomeGroup::isAnyReplicaProved() const
+{
+    const TimePoint now = Clock::now();
+    for (const auto &[id, server] : m_state.servers()) {
+        const auto age = m_age.provedAge(server.said.last, now);
+        if (server.said.role == ServerRole::Replica && age && *age <= ActiveWait)
+            return true;
+    }
+    return false;
 }
 
 bool HomeGroup::waitForMajority(LogPosition position, TimePoint deadline)
@@ -273,15 +289,18 @@
 void HomeGroup::watch(const ServerId &server)
 {
     std::unique_ptr<BackendConnection> connection;
-    Endpoint address;
+    int quickPolls = QuickPolls;
     std::unique_lock lock(m_mutex);
     while (!m_isStopping) {
         const GroupServer *known = m_state.find(server);
-        const bool isAnswering = known && watchOnce(server, known->said, connection, lock);
+        const auto wait = quickPolls > 0 ? 0ms : ActiveWait;
+        quickPolls = std::max(0, quickPolls - 1);
+        const bool isAnswering = known && watchOnce(server, known->said, wait, connection, lock);
         const Duration rest = isAnswering ? Duration(IdleInterval) : Duration(RetryInterval);
         const TimePoint wokenAfter = m_wantedAt;
         if (isAnswering && isActive(Clock::now()))
             continue;
+        quickPolls = QuickPolls;
         m_wanted.wait_for(lock, rest, [&] {
             return m_isStopping || (isAnswering && m_wantedAt != wokenAfter);
         });
@@ -289,13 +308,13 @@
 }
 
 bool HomeGroup::watchOnce(const ServerId &server, const Announcement &said,
+                          std::chrono::milliseconds wait,
                           std::unique_ptr<BackendConnection> &connection,
                           std::unique_lock<std::mutex> &lock)
 {
     const Endpoint address = said.address;
     const Term term = said.term;
     const LogPosition next {said.durable.term, said.durable.index + 1};
-    const auto wait = isActive(Clock::now()) ? ActiveWait : 0ms;
     lock.unlock();
     if (!connection || connection->server() != address)
         connection = std::make_unique<BackendConnection>(address);
--- a/src/serve/homegroup.h
+++ b/src/serve/homegroup.h
@@ -52,8 +52,8 @@
     // the wait.
     bool confirmLeadership(std::chrono::milliseconds wait);
 
-    // Wakes the watchers of a group without recent statements and waits for a
-    // first proof of leadership, without which no replica's age is proved.
+    // Wakes the watchers of a group without recent statements and waits until the
+    // age of a replica is proved.
     void wakeIfIdle(std::chrono::milliseconds wait);
 
     // Waits until a majority holds the position durably in its term; false when
@@ -83,7 +83,7 @@
     void openLink(const Announcement &announcement);
     void watch(const ServerId &server);
     // Expects the lock to be held and gives it up during the exchange.
-    bool watchOnce(const ServerId &server, const Announcement &said,
+    bool watchOnce(const ServerId &server, const Announcement &said, std::chrono::milliseconds wait,
                    std::unique_ptr<BackendConnection> &connection,
                    std::unique_lock<std::mutex> &lock);
     void notePosition(const ServerId &server, const PositionReply &reply, TimePoint sentAt);
@@ -91,6 +91,7 @@
     void adoptTerm();
     void settle(const WriteActions &actions);
     bool isActive(TimePoint now) const;
+    bool isAnyReplicaProved() const;
 
     const DatabaseName m_database;
     const FailureDomain m_ownDomain;
