Poll backend servers no more often than the settings need

Change: the interval is a quarter of the detection time or of the smallest age in use, an idle link is polled at the replicas' announce interval, and a link that answered a statement within the interval isn't polled at all; only writes that wait for their majority use the long poll.

--- a/src/serve/homegroup.cpp
+++ b/src/serve/homegroup.cpp
@@ -8,8 +8,9 @@
 
 // A group without statements for this long is watched at the idle interval.
 constexpr auto ActiveTime = 3s;
-constexpr auto IdleInterval = 1s;
-constexpr auto ActiveWait = 100ms; // of one long poll while statements arrive
+constexpr auto ShortestInterval = 10ms;
+constexpr auto WaitingPollWait = 5ms; // of a poll while statements wait for what it tells
+constexpr auto FreshAge = 100ms; // of a replica that the first read after a pause takes
 // Polls without a wait after a pause: the second proves what the first observed.
 constexpr int QuickPolls = 2;
 constexpr auto RetryInterval = 50ms; // after a failed poll
@@ -80,6 +81,8 @@
     position.role = reply.role;
     position.last = reply.position;
     notePosition(server, position, sentAt);
+    const std::lock_guard lock(m_mutex);
+    m_answeredAt[server] = sentAt;
 }
 
 void HomeGroup::observeRefusal(const ServerId &server)
@@ -187,11 +190,17 @@
     const Duration detection = m_settings.current()->failover.detectionTime;
     std::unique_lock lock(m_mutex);
     m_wantedAt = Clock::now();
-    m_wanted.notify_all();
-    return m_changed.wait_for(lock, wait, [&] {
+    const auto isConfirmed = [&] {
         return m_proof.term() == m_state.term()
                 && m_proof.isConfirmedWithin(detection, Clock::now());
-    });
+    };
+    if (isConfirmed())
+        return true;
+    ++m_waitingStatements; // makes the watchers poll without delay
+    m_wanted.notify_all();
+    const bool isInTime = m_changed.wait_for(lock, wait, isConfirmed);
+    --m_waitingStatements;
+    return isInTime;
 }
 
 void HomeGroup::wakeIfIdle(std::chrono::milliseconds wait)
@@ -214,7 +223,7 @@
     const TimePoint now = Clock::now();
     for (const auto &[id, server] : m_state.servers()) {
         const auto age = m_age.provedAge(server.said.last, now);
-        if (server.said.role == ServerRole::Replica && age && *age <= ActiveWait)
+        if (server.said.role == ServerRole::Replica && age && *age <= FreshAge)
             return true;
     }
     return false;
@@ -224,9 +233,9 @@
 {
     std::unique_lock lock(m_mutex);
     m_wantedAt = Clock::now();
-    m_wanted.notify_all();
     const WriteTicket ticket = m_nextTicket++;
     settle(m_quorum.add(ticket, position, deadline));
+    m_wanted.notify_all();
     while (m_outcomes.find(ticket) == m_outcomes.end()) {
         m_changed.wait_until(lock, deadline);
         settle(m_quorum.expire(Clock::now()));
@@ -240,11 +249,14 @@
 {
     std::unique_lock lock(m_mutex);
     m_wantedAt = Clock::now();
+    ++m_waitingStatements;
     m_wanted.notify_all();
-    return m_changed.wait_for(lock, wait, [&] {
+    const bool isInTime = m_changed.wait_for(lock, wait, [&] {
         const GroupServer *known = m_state.find(server);
         return known && isTokenSatisfied(known->said.last, position);
     });
+    --m_waitingStatements;
+    return isInTime;
 }
 
 std::optional<Duration> HomeGroup::provedAge(LogPosition applied) const
@@ -286,24 +298,66 @@
     return now - m_wantedAt < ActiveTime;
 }
 
+std::chrono::milliseconds HomeGroup::pollInterval() const
+{
+    const auto settings = m_settings.current();
+    if (!isActive(Clock::now()))
+        return settings->failover.replicaAnnounceInterval;
+    // Four observations within the shortest time that depends on them.
+    const auto shortest = std::min(settings->failover.detectionTime, settings->reads.smallestAge);
+    return std::max<std::chrono::milliseconds>(shortest / 4, ShortestInterval);
+}
+
+bool HomeGroup::isPollUrgent() const
+{
+    return m_quorum.nextDeadline().has_value() || m_waitingStatements > 0;
+}
+
+TimePoint HomeGroup::pollDueAt(const ServerId &server, const Watch &watch) const
+{
+    if (!watch.isAnswering)
+        return watch.polledAt + RetryInterval;
+    if (watch.quickPolls > 0 || isPollUrgent())
+        return watch.polledAt;
+    // A busy link needs no poll: the answers on it carry the server's position.
+    const auto answered = m_answeredAt.find(server);
+    const TimePoint heardAt = answered == m_answeredAt.end()
+            ? watch.polledAt
+            : std::max(watch.polledAt, answered->second);
+    return heardAt + pollInterval();
+}
+
+void HomeGroup::restUntilDue(const ServerId &server, Watch &watch,
+                             std::unique_lock<std::mutex> &lock)
+{
+    while (!m_isStopping) {
+        const bool isNowActive = isActive(Clock::now());
+        if (isNowActive && !watch.wasActive)
+            watch.quickPolls = QuickPolls;
+        watch.wasActive = isNowActive;
+        const TimePoint due = pollDueAt(server, watch);
+        if (due <= Clock::now())
+            return;
+        m_wanted.wait_until(lock, due);
+    }
+}
+
 void HomeGroup::watch(const ServerId &server)
 {
     std::unique_ptr<BackendConnection> connection;
-    int quickPolls = QuickPolls;
+    Watch watch;
     std::unique_lock lock(m_mutex);
     while (!m_isStopping) {
+        restUntilDue(server, watch, lock);
         const GroupServer *known = m_state.find(server);
-        const auto wait = quickPolls > 0 ? 0ms : ActiveWait;
-        quickPolls = std::max(0, quickPolls - 1);
-        const bool isAnswering = known && watchOnce(server, known->said, wait, connection, lock);
-        const Duration rest = isAnswering ? Duration(IdleInterval) : Duration(RetryInterval);
-        const TimePoint wokenAfter = m_wantedAt;
-        if (isAnswering && isActive(Clock::now()))
-            continue;
-        quickPolls = QuickPolls;
-        m_wanted.wait_for(lock, rest, [&] {
-            return m_isStopping || (isAnswering && m_wantedAt != wokenAfter);
-        });
+        const auto longPoll = m_waitingStatements > 0 ? WaitingPollWait : pollInterval();
+        const auto wait = isPollUrgent() && watch.quickPolls == 0 ? longPoll : 0ms;
+        watch.polledAt = Clock::now();
+        watch.isAnswering = known && !m_isStopping
+                && watchOnce(server, known->said, wait, connection, lock);
+        watch.quickPolls = std::max(0, watch.quickPolls - 1);
+        if (!watch.isAnswering)
+            watch.quickPolls = QuickPolls;
     }
 }
 
--- a/src/serve/homegroup.h
+++ b/src/serve/homegroup.h
@@ -80,6 +80,15 @@
         std::thread watcher;
     };
 
+    // How a server's watcher stands.
+    struct Watch
+    {
+        TimePoint polledAt;
+        int quickPolls = 2; // polls without a wait that are still to be made
+        bool isAnswering = true;
+        bool wasActive = false;
+    };
+
     void openLink(const Announcement &announcement);
     void watch(const ServerId &server);
     // Expects the lock to be held and gives it up during the exchange.
@@ -91,6 +100,10 @@
     void adoptTerm();
     void settle(const WriteActions &actions);
     bool isActive(TimePoint now) const;
+    std::chrono::milliseconds pollInterval() const;
+    bool isPollUrgent() const;
+    TimePoint pollDueAt(const ServerId &server, const Watch &watch) const;
+    void restUntilDue(const ServerId &server, Watch &watch, std::unique_lock<std::mutex> &lock);
     bool isAnyReplicaProved() const;
 
     const DatabaseName m_database;
@@ -108,6 +121,8 @@
     std::map<WriteTicket, WriteActionKind> m_outcomes;
     WriteTicket m_nextTicket = 1;
     TimePoint m_wantedAt; // of the latest statement
+    std::map<ServerId, TimePoint> m_answeredAt; // sending of the latest statement answered
+    int m_waitingStatements = 0; // statements that wait for a proof or a position
     bool m_isStopping = false;
 };
 
