Decide a change of primary from the homes' suspicion, by fencing alone

Cause: a group whose primary was lost stayed without one. Ruled out: leases, which need clocks, and control in the write path.

--- /dev/null
+++ b/include/nutmegtide/failover/primarysuspicion.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "nutmegtide/base/ids.h"
+#include "nutmegtide/base/time.h"
+
+#include <map>
+#include <optional>
+
+namespace nutmegtide {
+
+// What one home proxy says of the primary of a database group.
+struct HomeOpinion
+{
+    Term term = 0; // the highest that the home has heard of
+    bool isSuspected = false; // silent for the detection time, refusing, or none is there
+};
+
+struct SuspicionTimings
+{
+    std::chrono::milliseconds shortestBetweenChanges {5'000};
+    std::chrono::milliseconds opinionKept {
+            2'500}; // a home that is silent for longer is not reached
+};
+
+// Decides at the control leader when the primary of one database group is to be
+// changed: once most of the homes that control can reach can't use it. Homes that
+// are cut off from control don't count, and a home whose term is older than the
+// published one speaks of an earlier primary.
+//
+// Hysteresis keeps a flapping link from causing change after change: within
+// shortestBetweenChanges of the last one all reachable homes must agree.
+//
+//   suspicion.report(home, {7, true}, now);
+//   if (suspicion.isChangeDue(record.term, now)) ...
+class PrimarySuspicion
+{
+public:
+    explicit PrimarySuspicion(SuspicionTimings timings)
+        : m_timings(timings)
+    { }
+
+    void setTimings(SuspicionTimings timings) { m_timings = timings; }
+    void report(const VmName &home, HomeOpinion opinion, TimePoint now);
+    // A change of this group was published.
+    void noteChange(TimePoint now) { m_changedAt = now; }
+
+    // `published` is the term in the control log.
+    bool isChangeDue(Term published, TimePoint now) const;
+    // True once most reachable homes can use the primary again.
+    bool isRecovered(Term published, TimePoint now) const;
+
+private:
+    struct Heard
+    {
+        HomeOpinion opinion;
+        TimePoint at;
+    };
+    struct Count
+    {
+        int reached = 0;
+        int suspecting = 0;
+    };
+
+    Count count(Term published, TimePoint now) const;
+
+    SuspicionTimings m_timings;
+    std::map<VmName, Heard> m_heard;
+    std::optional<TimePoint> m_changedAt;
+};
+
+} // namespace nutmegtide
