Carry out changes of primary in the processes

Homes report to control at once when their suspicion changes; the control leader runs the actions with one thread a backend server. The process test with a killed primary passes: every acknowledged write is in the new primary's log once.

--- /dev/null
+++ b/src/serve/changerole.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "nutmegtide/charts/chartlibrary.h"
+#include "nutmegtide/control/replicatedlog.h"
+#include "nutmegtide/events/recorder.h"
+#include "nutmegtide/failover/followercare.h"
+#include "nutmegtide/failover/primarychange.h"
+#include "nutmegtide/failover/primarysuspicion.h"
+#include "peer_types.h"
+#include "serve/identity.h"
+#include "serve/serverworkers.h"
+#include "serve/settingssource.h"
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace nutmegtide {
+
+// The ledger of groups behind a lock, since the log applies to it from its own thread.
+class SharedLedger : public StateMachine
+{
+public:
+    void apply(std::uint64_t index, const std::string &payload) override;
+    std::string snapshot() const override;
+    void restore(const std::string &snapshot) override;
+
+    std::optional<GroupRecord> find(const DatabaseName &database) const;
+    std::map<DatabaseName, GroupRecord> records() const;
+
+private:
+    mutable std::mutex m_mutex;
+    GroupLedger m_ledger;
+};
+
+// Changes of primary on a control VM. It takes the reports of the homes, and while
+// this VM leads control it starts the changes and carries out their actions.
+class ChangeRole
+{
+public:
+    ChangeRole(const Identity &identity, const SettingsSource &settings, Recorder &recorder);
+    ~ChangeRole();
+    ChangeRole(const ChangeRole &) = delete;
+    ChangeRole &operator=(const ChangeRole &) = delete;
+
+    // To be registered with the log for CommandKind::Group.
+    SharedLedger &ledger() { return m_ledger; }
+    // The log must outlive stop().
+    void start(ReplicatedLog &log);
+    void stop();
+
+    // Takes what a home sees of its groups. Thread-safe.
+    wire::GroupReportReply report(const wire::Header &header,
+                                  const std::vector<wire::GroupReport> &reports);
+
+private:
+    // What is known of one group from reports, also while another VM leads.
+    struct Group
+    {
+        explicit Group(SuspicionTimings timings)
+            : suspicion(timings)
+        { }
+
+        PrimarySuspicion suspicion;
+        FollowerCare care {std::chrono::milliseconds(500)};
+        std::map<ServerId, Endpoint> addresses;
+        std::map<ServerId, ServerSighting> sightings;
+        std::optional<GroupCommand> announced; // an adoption, from what the primary announces
+        std::unique_ptr<PrimaryChange> change;
+        EventId cause; // of the change's next event
+        bool isProposing = false;
+    };
+
+    void take(const VmName &home, const wire::GroupReport &report, TimePoint now);
+    void run();
+    void propose();
+    // These expect the lock to be held.
+    void step(const DatabaseName &database, Group &group, TimePoint now);
+    void startChange(const DatabaseName &database, Group &group, const GroupRecord &record,
+                     std::optional<ServerId> suspect, TimePoint now);
+    void careForFollowers(const DatabaseName &database, Group &group, const GroupRecord &record,
+                          TimePoint now);
+    void perform(const DatabaseName &database, const ChangeActions &actions);
+    void performOne(const DatabaseName &database, const ChangeAction &action);
+    void record(const DatabaseName &database, const RecordChange &event);
+    void post(const DatabaseName &database, const ServerId &server, std::size_t slot,
+              const ServerWorkers::Job &job);
+    void enqueue(const GroupCommand &command);
+    // Runs `answer` on the change of the group, if it is still under way.
+    template <typename Answer>
+    void feed(const DatabaseName &database, const Answer &answer);
+    template <typename Exchange>
+    ServerWorkers::Job guarded(const DatabaseName &database, Term term, Exchange exchange);
+    SuspicionTimings suspicionTimings() const;
+
+    const Identity &m_identity;
+    const SettingsSource &m_settings;
+    Recorder &m_recorder;
+    const ChartLibrary m_charts = ChartLibrary::embedded();
+    SharedLedger m_ledger;
+    ReplicatedLog *m_log = nullptr;
+
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::condition_variable m_proposed;
+    std::map<DatabaseName, Group> m_groups;
+    std::deque<GroupCommand> m_proposals;
+    std::uint64_t m_changes = 0;
+    bool m_isStopping = false;
+    ServerWorkers m_workers;
+    std::thread m_thread;
+    std::thread m_proposer;
+};
+
+} // namespace nutmegtide
--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -47,6 +47,8 @@
     , m_announceApi(m_identity, m_directory, m_fleetSettings, m_groups)
     , m_timelineRole(m_identity, m_recorder, m_directory, m_peers)
     , m_statusRole(m_identity, m_fleetSettings, m_directory, m_groups, m_transactions)
+    , m_groupReporter(m_groups, m_directory, m_peers, m_recorder)
+    , m_changeRole(m_identity, m_fleetSettings, m_recorder)
 {
     attachEventFile();
     makeControlLog();
@@ -62,6 +64,7 @@
     self.isControl = m_controlLog != nullptr;
     m_membership.start(self);
     startControlLog();
+    m_groupReporter.start();
     writePortFile();
     m_recorder.record(EventKind::NodeStarted);
 }
@@ -81,6 +84,8 @@
     const bool isNamed = std::find(names.begin(), names.end(), m_identity.vm) != names.end();
     if (isNamed && !m_settings.dataDir.empty())
         m_controlLog = std::make_unique<ControlLog>(m_settings, m_directory, m_peers, m_recorder);
+    if (m_controlLog)
+        m_controlLog->registerMachine(CommandKind::Group, m_changeRole.ledger());
 }
 
 // A VM whose log can't be trusted stays out of control and goes on as a proxy.
@@ -90,6 +95,7 @@
         return;
     try {
         m_controlLog->start();
+        m_changeRole.start(*m_controlLog);
     } catch (const LogStorageError &fault) {
         logEvent(LogLevel::Error, "control_log_refused", {m_identity.vm},
                  {{"reason", fault.what()}});
@@ -130,6 +136,10 @@
         m_peerHandlers.raft = [this](const std::vector<wire::RaftMessage> &messages) {
             m_controlLog->receive(messages);
         };
+        m_peerHandlers.reportGroups = [this](const wire::Header &from,
+                                             const std::vector<wire::GroupReport> &reports) {
+            return m_changeRole.report(from, reports);
+        };
     }
 }
 
@@ -156,9 +166,11 @@
 
 Node::~Node()
 {
+    m_groupReporter.stop();
     m_callerServer->stop();
     m_operatorServer->stop();
     m_peerServer->stop();
+    m_changeRole.stop();
     if (m_controlLog)
         m_controlLog->stop();
     m_recorder.record(EventKind::NodeStopped);
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -5,9 +5,11 @@
 #include "nutmegtide/settings/nodesettings.h"
 #include "serve/announceapi.h"
 #include "serve/callerapi.h"
+#include "serve/changerole.h"
 #include "serve/controllog.h"
 #include "serve/directory.h"
 #include "serve/entryrunner.h"
+#include "serve/groupreporter.h"
 #include "serve/homegroups.h"
 #include "serve/homerunner.h"
 #include "serve/httpserver.h"
@@ -75,6 +77,8 @@
     AnnounceApi m_announceApi;
     TimelineRole m_timelineRole;
     StatusRole m_statusRole;
+    GroupReporter m_groupReporter;
+    ChangeRole m_changeRole;
     std::unique_ptr<ControlLog> m_controlLog; // null where this VM runs no control
     std::atomic<bool> m_isDraining = false;
     PeerHandlers m_peerHandlers;
--- /dev/null
+++ b/test/process/failover_test.cpp
@@ -0,0 +1,199 @@
+#include "process/support/callersession.h"
+#include "process/support/testfleet.h"
+#include "process/support/waituntil.h"
+
+#include <atomic>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <set>
+#include <thread>
+
+using namespace nutmegtide;
+using namespace nutmegtide::test;
+
+namespace {
+
+constexpr int Callers = 4;
+
+// Callers that write one key after another, each until it is acknowledged under its id.
+class Writers
+{
+public:
+    explicit Writers(TestFleet &fleet, const std::vector<std::string> &proxies)
+    {
+        for (int i = 0; i < Callers; ++i) {
+            const Endpoint proxy = fleet.callers(proxies[std::size_t(i) % proxies.size()]);
+            m_threads.emplace_back([this, i, proxy] { write("w" + std::to_string(i), proxy); });
+        }
+    }
+    ~Writers() { stop(); }
+
+    void stop()
+    {
+        m_isStopping = true;
+        for (std::thread &thread : m_threads) {
+            if (thread.joinable())
+                thread.join();
+        }
+    }
+    std::size_t acknowledgedCount() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_acknowledged.size();
+    }
+    std::set<std::string> acknowledged() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_acknowledged;
+    }
+    std::set<std::string> notRun() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_notRun;
+    }
+
+private:
+    // A refused write is given up and not sent again, so that its "not run" can be checked;
+    // one of unknown outcome is sent again under the same id.
+    void write(const std::string &name, const Endpoint &proxy)
+    {
+        CallerSession caller(proxy, "casks");
+        for (int n = 0; !m_isStopping; ++n) {
+            const std::string key = name + "-" + std::to_string(n);
+            bool isFirst = true;
+            while (!m_isStopping && !writeOnce(caller, key, isFirst))
+                isFirst = false;
+        }
+    }
+
+    bool writeOnce(CallerSession &caller, const std::string &key, bool isFirst)
+    {
+        try {
+            const CallerAnswer answer = caller.write("add", {{"key", key}, {"amount", 1}}, key);
+            const std::lock_guard lock(m_mutex);
+            if (answer.status == 200) {
+                m_acknowledged.insert(key);
+                return true;
+            }
+            if (answer.ran == Ran::No && isFirst) {
+                m_notRun.insert(key);
+                std::this_thread::sleep_for(std::chrono::milliseconds(2));
+                return true;
+            }
+        } catch (const HttpError &) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        }
+        return false;
+    }
+
+    mutable std::mutex m_mutex;
+    std::set<std::string> m_acknowledged;
+    std::set<std::string> m_notRun;
+    std::atomic<bool> m_isStopping = false;
+    std::vector<std::thread> m_threads;
+};
+
+// Three nodes with control and three servers, of which s1 is the primary.
+struct Scene
+{
+    explicit Scene(const std::vector<NodeOptions> &nodes = {{"a1", "fd-a", true},
+                                                            {"b1", "fd-b", true},
+                                                            {"c1", "fd-c", true}})
+        : fleet(nodes)
+    {
+        const std::vector<std::string> voters {"s1", "s2", "s3"};
+        fleet.addServer({"s1", "casks", "fd-a", voters, "", {}});
+        fleet.addServer({"s2", "casks", "fd-b", voters, "s1", {}});
+        fleet.addServer({"s3", "casks", "fd-c", voters, "s1", {}});
+    }
+
+    TestFleet fleet;
+};
+
+void waitForMore(const Writers &writers, const std::string &what, std::size_t more = 20)
+{
+    const std::size_t before = writers.acknowledgedCount();
+    waitUntil([&] { return writers.acknowledgedCount() >= before + more; }, what);
+}
+
+Json logOf(TestFleet &fleet, const std::string &server)
+{
+    return HttpClient(fleet.server(server)).get("/debug/log").json();
+}
+
+// Returns the id of the live server that leads the group, as the proxies answer it.
+std::string primaryOf(TestFleet &fleet, const std::string &node)
+{
+    std::string primary;
+    waitUntil(
+            [&] {
+                CallerSession caller(fleet.callers(node), "casks");
+                const CallerAnswer answer = caller.read("get", {{"key", "none"}});
+                primary = answer.status == 200 ? answer.servedBy().value("backend_server", "") : "";
+                return !primary.empty();
+            },
+            "a read of the primary");
+    return primary;
+}
+
+// Each acknowledged write is in the log exactly once, and none that was answered "not run".
+void checkLog(const Json &log, const Writers &writers)
+{
+    std::map<std::string, int> times;
+    for (const Json &entry : log.at("entries"))
+        ++times[entry.value("request_id", "")];
+    for (const std::string &key : writers.acknowledged()) {
+        CAPTURE(key);
+        CHECK(times[key] == 1);
+    }
+    for (const std::string &key : writers.notRun()) {
+        CAPTURE(key);
+        CHECK(times[key] == 0);
+    }
+}
+
+} // namespace
+
+TEST_CASE("a killed primary is replaced, and no acknowledged write is lost or doubled")
+{
+    Scene scene;
+    Writers writers(scene.fleet, {"a1", "b1", "c1"});
+    waitForMore(writers, "writes before the kill");
+    scene.fleet.kill("s1");
+    waitForMore(writers, "writes after the kill");
+    writers.stop();
+    const std::string primary = primaryOf(scene.fleet, "b1");
+    CHECK(primary != "s1");
+    checkLog(logOf(scene.fleet, primary), writers);
+}
+
+TEST_CASE("a primary that was frozen beyond every timeout acknowledges nothing when it thaws")
+{
+    Scene scene;
+    Writers writers(scene.fleet, {"a1", "b1", "c1"});
+    waitForMore(writers, "writes before the freeze");
+    scene.fleet.sendSignal("s1", SIGSTOP);
+    waitForMore(writers, "writes after the freeze", 100);
+    const std::string primary = primaryOf(scene.fleet, "b1");
+    CHECK(primary != "s1");
+    scene.fleet.sendSignal("s1", SIGCONT);
+    waitForMore(writers, "writes after the thaw", 100);
+    // The old primary is told to follow, and gives up what no majority had.
+    writers.stop();
+    waitUntil([&] { return logOf(scene.fleet, "s1") == logOf(scene.fleet, primary); },
+              "the log of the old primary is that of the new one");
+    checkLog(logOf(scene.fleet, primary), writers);
+}
+
+TEST_CASE("without control an existing primary goes on acknowledging")
+{
+    Scene scene({{"a1", "fd-a", true}, {"b1", "fd-b"}, {"c1", "fd-c"}});
+    Writers writers(scene.fleet, {"b1", "c1"});
+    waitForMore(writers, "writes with control");
+    scene.fleet.kill("a1");
+    waitForMore(writers, "writes without control", 200);
+    writers.stop();
+    CHECK(primaryOf(scene.fleet, "b1") == "s1");
+    checkLog(logOf(scene.fleet, "s1"), writers);
+}
