--- /dev/null
+++ b/test/unit/failover/primarysuspicion_test.cpp
@@ -0,0 +1,104 @@
+#include "nutmegtide/failover/primarysuspicion.h"
+
+#include <doctest/doctest.h>
+#include <string>
+#include <vector>
+
+using namespace nutmegtide;
+
+namespace {
+
+constexpr Term Published = 7;
+
+// One letter a home: S suspects, w works, o suspects in an older term, . is not reached.
+void reportAll(PrimarySuspicion &suspicion, const std::string &homes, TimePoint now)
+{
+    for (std::size_t i = 0; i < homes.size(); ++i) {
+        const VmName home("home-" + std::to_string(i));
+        const Term term = homes[i] == 'o' ? Published - 1 : Published;
+        if (homes[i] != '.')
+            suspicion.report(home, {term, homes[i] != 'w'}, now);
+    }
+}
+
+} // namespace
+
+TEST_CASE("a change is due when most of the homes that control reaches can't use the primary")
+{
+    struct Row
+    {
+        const char *name;
+        std::string homes;
+        bool isDue;
+    };
+    const Row rows[] = {
+            {"nobody is heard", "....", false},
+            {"all work", "wwww", false},
+            {"one home is cut from the primary", "Swww", false},
+            {"half of the homes", "SSww", false},
+            {"two-two, the primary on the side of control", "ww..", false},
+            {"two-two, the primary on the other side", "SS..", true},
+            {"one-three, control with the three, the primary alone", ".SSS", true},
+            {"one-three, control with the three, and the primary", ".www", false},
+            {"one-three, control alone with the primary", "w...", false},
+            {"one-three, control alone", "S...", true},
+            {"asymmetric: homes hear control, but not the primary", "SSSw", true},
+            {"homes that speak of an earlier primary", "oooS", false},
+            {"silent for all", "SSSS", true},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        PrimarySuspicion suspicion {SuspicionTimings()};
+        reportAll(suspicion, row.homes, TimePoint());
+        CHECK(suspicion.isChangeDue(Published, TimePoint() + 1s) == row.isDue);
+    }
+}
+
+TEST_CASE("a home that control no longer hears doesn't count")
+{
+    PrimarySuspicion suspicion {SuspicionTimings()};
+    reportAll(suspicion, "wwww", TimePoint());
+    reportAll(suspicion, "SS..", TimePoint() + 1s);
+    CHECK_FALSE(suspicion.isChangeDue(Published, TimePoint() + 1s));
+    CHECK(suspicion.isChangeDue(Published, TimePoint() + 2600ms));
+}
+
+TEST_CASE("soon after a change only the agreement of all homes starts another")
+{
+    struct Row
+    {
+        const char *name;
+        std::string homes;
+        Duration sinceChange;
+        bool isDue;
+    };
+    const Row rows[] = {
+            {"flapping for most", "SSSw", 1s, false},
+            {"gone for all", "SSSS", 1s, true},
+            {"most, later", "SSSw", 5s, true},
+            {"nobody is heard", "....", 1s, false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        PrimarySuspicion suspicion {SuspicionTimings()};
+        suspicion.noteChange(TimePoint());
+        const TimePoint now = TimePoint() + row.sinceChange;
+        reportAll(suspicion, row.homes, now);
+        CHECK(suspicion.isChangeDue(Published, now) == row.isDue);
+    }
+}
+
+TEST_CASE("a flapping primary is changed once in the settable time")
+{
+    PrimarySuspicion suspicion {SuspicionTimings()};
+    int changes = 0;
+    for (int i = 0; i < 300; ++i) { // 30 s
+        const TimePoint now = TimePoint() + i * 100ms;
+        reportAll(suspicion, i % 2 == 0 ? "SSSw" : "wwww", now);
+        if (!suspicion.isChangeDue(Published, now))
+            continue;
+        suspicion.noteChange(now);
+        ++changes;
+    }
+    CHECK(changes == 6);
+}
