--- a/src/serve/changerole.cpp
+++ b/src/serve/changerole.cpp
@@ -20,19 +20,6 @@
 template <typename... Functions>
 Overloaded(Functions...) -> Overloaded<Functions...>;
 
-wire::GroupRecord toWire(const DatabaseName &database, const GroupRecord &record)
-{
-    wire::GroupRecord message;
-    message.database = database.text();
-    message.term = static_cast<std::int64_t>(record.term);
-    message.primary = record.primary.text();
-    for (const ServerId &server : record.voters)
-        message.voters.push_back(server.text());
-    for (const ServerId &server : record.pendingVoters)
-        message.pendingVoters.push_back(server.text());
-    return message;
-}
-
 LogPosition fromWire(const wire::Position &position)
 {
     return {static_cast<Term>(position.term), static_cast<std::uint64_t>(position.index)};
@@ -50,38 +37,19 @@
     return command;
 }
 
-} // namespace
-
-void SharedLedger::apply(std::uint64_t index, const std::string &payload)
-{
-    const std::lock_guard lock(m_mutex);
-    m_ledger.apply(index, payload);
-}
-
-std::string SharedLedger::snapshot() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_ledger.snapshot();
-}
-
-void SharedLedger::restore(const std::string &snapshot)
-{
-    const std::lock_guard lock(m_mutex);
-    m_ledger.restore(snapshot);
-}
-
-std::optional<GroupRecord> SharedLedger::find(const DatabaseName &database) const
+// A server counts as heard when any home has heard it.
+void takePresence(std::map<ServerId, VoterSighting> &presence, const wire::ServerReport &server,
+                  TimePoint now)
 {
-    const std::lock_guard lock(m_mutex);
-    const GroupRecord *record = m_ledger.find(database);
-    return record ? std::optional(*record) : std::nullopt;
+    const ServerId id(server.server);
+    const TimePoint heardAt = now - std::chrono::milliseconds(server.silentMilliseconds);
+    VoterSighting &known = presence[id];
+    if (!known.server.isEmpty() && heardAt < known.heardAt)
+        return;
+    known = {id, static_cast<ServerState>(server.state), fromWire(server.durable), heardAt};
 }
 
-std::map<DatabaseName, GroupRecord> SharedLedger::records() const
-{
-    const std::lock_guard lock(m_mutex);
-    return m_ledger.records();
-}
+} // namespace
 
 ChangeRole::ChangeRole(const Identity &identity, const SettingsSource &settings, Recorder &recorder)
     : m_identity(identity)
@@ -156,6 +124,7 @@
         const ServerId id(server.server);
         const Term term = static_cast<Term>(server.term);
         opinion.term = std::max(opinion.term, term);
+        takePresence(group.presence, server, now);
         ServerSighting &sighting = group.sightings[id];
         if (term < sighting.term)
             continue; // another home has heard of it since
@@ -196,31 +165,58 @@
         return;
     }
     group.suspicion.setTimings(suspicionTimings());
-    if (group.change) {
-        if (group.suspicion.isRecovered(record->term, now) && group.change->request().suspect)
-            perform(database, group.change->withdraw(now));
-        perform(database, group.change->tick(now));
-        if (group.change->isPublished())
-            group.suspicion.noteChange(now);
-        if (group.change->isOver())
-            group.change.reset();
-    } else if (group.suspicion.isChangeDue(record->term, now)) {
-        startChange(database, group, *record, record->primary, now);
-    } else if (record->isChangePending() || !record->pendingVoters.empty()) {
-        startChange(database, group, *record, std::nullopt, now); // an earlier leader's
-    } else {
+    if (group.change)
+        stepChange(database, group, *record, now);
+    else if (group.suspicion.isChangeDue(record->term, now))
+        startChange(database, group, *record, record->primary, {}, now);
+    else if (record->isChangePending() || !record->pendingVoters.empty())
+        startChange(database, group, *record, std::nullopt, {}, now); // an earlier leader's
+    else if (const auto voters = repairedVoters(database, group, *record, now))
+        startChange(database, group, *record, std::nullopt, *voters, now);
+    else
         careForFollowers(database, group, *record, now);
+}
+
+void ChangeRole::stepChange(const DatabaseName &database, Group &group, const GroupRecord &record,
+                            TimePoint now)
+{
+    PrimaryChange &change = *group.change;
+    if (change.request().suspect && group.suspicion.isRecovered(record.term, now))
+        perform(database, change.withdraw(now));
+    perform(database, change.tick(now));
+    if (change.isPublished()) {
+        group.suspicion.noteChange(now);
+        group.repair.noteChange(now);
     }
+    if (change.isOver())
+        group.change.reset();
+}
+
+std::optional<std::vector<ServerId>> ChangeRole::repairedVoters(const DatabaseName &database,
+                                                                const Group &group,
+                                                                const GroupRecord &record,
+                                                                TimePoint now) const
+{
+    const auto settings = m_settings.current();
+    const auto found = settings->databases.find(database);
+    const int wanted = found == settings->databases.end() ? DatabaseSettings().voters
+                                                          : found->second.voters;
+    std::vector<VoterSighting> sightings;
+    for (const auto &[server, sighting] : group.presence)
+        sightings.push_back(sighting);
+    return group.repair.voters(record, wanted, sightings, now);
 }
 
 void ChangeRole::startChange(const DatabaseName &database, Group &group, const GroupRecord &record,
-                             std::optional<ServerId> suspect, TimePoint now)
+                             std::optional<ServerId> suspect, const std::vector<ServerId> &voters,
+                             TimePoint now)
 {
     ChangeRequest request;
     request.database = database;
     request.owner = m_identity.vm.text() + '-' + std::to_string(m_identity.incarnation) + '-'
             + std::to_string(++m_changes);
     request.suspect = std::move(suspect);
+    request.voters = voters;
     group.cause = EventId();
     if (request.suspect) {
         group.cause = m_recorder.record(EventKind::PrimarySuspected,
--- a/src/serve/changerole.h
+++ b/src/serve/changerole.h
@@ -6,10 +6,12 @@
 #include "nutmegtide/failover/followercare.h"
 #include "nutmegtide/failover/primarychange.h"
 #include "nutmegtide/failover/primarysuspicion.h"
+#include "nutmegtide/failover/voterrepair.h"
 #include "peer_types.h"
 #include "serve/identity.h"
 #include "serve/serverworkers.h"
 #include "serve/settingssource.h"
+#include "serve/sharedledger.h"
 
 #include <condition_variable>
 #include <deque>
@@ -20,22 +22,6 @@
 
 namespace nutmegtide {
 
-// The ledger of groups behind a lock, since the log applies to it from its own thread.
-class SharedLedger : public StateMachine
-{
-public:
-    void apply(std::uint64_t index, const std::string &payload) override;
-    std::string snapshot() const override;
-    void restore(const std::string &snapshot) override;
-
-    std::optional<GroupRecord> find(const DatabaseName &database) const;
-    std::map<DatabaseName, GroupRecord> records() const;
-
-private:
-    mutable std::mutex m_mutex;
-    GroupLedger m_ledger;
-};
-
 // Changes of primary on a control VM. It takes the reports of the homes, and while
 // this VM leads control it starts the changes and carries out their actions.
 class ChangeRole
@@ -67,7 +53,9 @@
         PrimarySuspicion suspicion;
         FollowerCare care {std::chrono::milliseconds(500)};
         std::map<ServerId, Endpoint> addresses;
+        VoterRepair repair {RepairTimings()};
         std::map<ServerId, ServerSighting> sightings;
+        std::map<ServerId, VoterSighting> presence;
         std::optional<GroupCommand> announced; // an adoption, from what the primary announces
         std::unique_ptr<PrimaryChange> change;
         EventId cause; // of the change's next event
@@ -80,7 +68,14 @@
     // These expect the lock to be held.
     void step(const DatabaseName &database, Group &group, TimePoint now);
     void startChange(const DatabaseName &database, Group &group, const GroupRecord &record,
-                     std::optional<ServerId> suspect, TimePoint now);
+                     std::optional<ServerId> suspect, const std::vector<ServerId> &voters,
+                     TimePoint now);
+    void stepChange(const DatabaseName &database, Group &group, const GroupRecord &record,
+                    TimePoint now);
+    std::optional<std::vector<ServerId>> repairedVoters(const DatabaseName &database,
+                                                        const Group &group,
+                                                        const GroupRecord &record,
+                                                        TimePoint now) const;
     void careForFollowers(const DatabaseName &database, Group &group, const GroupRecord &record,
                           TimePoint now);
     void perform(const DatabaseName &database, const ChangeActions &actions);
