Follow the accepted configuration without going back

ConfigFollower takes pushes and answers to its digest, never lowers its revision, and after a start waits for a majority of control VMs (2 s at most) before it puts one in force: a restored disk or a lagging control VM would otherwise take it back. fanOut() splits a push over a tree of degree 8; the part of a dead receiver goes to its next member.

--- /dev/null
+++ b/src/fleet/configfollower.cpp
@@ -0,0 +1,168 @@
+#include "nutmegtide/fleet/configfollower.h"
+
+#include "nutmegtide/settings/loader.h"
+
+#include <algorithm>
+
+namespace nutmegtide {
+
+namespace {
+
+constexpr auto PersistRetryInterval = 1s;
+constexpr double ShortestShare = 0.75; // of the digest's interval; jitter spreads the questions
+constexpr double LongestShare = 1.25;
+
+} // namespace
+
+ConfigFollower::ConfigFollower(Options options, ConfigRevision persisted, TimePoint now,
+                               std::uint64_t seed)
+    : m_options(std::move(options))
+    , m_catchUpEnd(now + m_options.catchUpTime)
+    , m_random(seed)
+    , m_latest(std::move(persisted))
+    , m_persisted(m_latest.revision)
+    , m_nextQuestion(now)
+    , m_nextPersist(now)
+{ }
+
+ConfigActions ConfigFollower::takePush(const ConfigRevision &revision,
+                                       const std::vector<VmName> &onward)
+{
+    ConfigActions actions = {};
+    take(revision, actions);
+    // Also after a revision that is known here: the VMs onward may lack it.
+    const ConfigActions pushes = pass(onward);
+    actions.insert(actions.end(), pushes.begin(), pushes.end());
+    return actions;
+}
+
+ConfigActions ConfigFollower::takePage(const VmName &peer, const ConfigRevision &latest)
+{
+    ConfigActions actions;
+    take(latest, actions);
+    if (m_isCaughtUp)
+        return actions;
+    m_answered.insert(peer);
+    if (m_answered.size() >= m_options.answersWanted)
+        finishCatchUp(actions);
+    return actions;
+}
+
+ConfigActions ConfigFollower::takeAccepted(const ConfigRevision &revision)
+{
+    ConfigActions actions;
+    take(revision, actions);
+    return actions;
+}
+
+void ConfigFollower::takePersisted(Revision revision)
+{
+    m_persisted = std::max(m_persisted, revision);
+}
+
+ConfigActions ConfigFollower::takePushFailure(const PushConfig &push) const
+{
+    if (push.onward.empty())
+        return {};
+    const std::vector<VmName> rest(push.onward.begin() + 1, push.onward.end());
+    return {PushConfig {push.onward.front(), m_latest, rest}};
+}
+
+ConfigActions ConfigFollower::publish(const std::vector<ConfigPeer> &peers) const
+{
+    if (m_latest.revision == 0)
+        return {};
+    std::vector<FanOutMember> members;
+    for (const ConfigPeer &peer : peers)
+        members.push_back({peer.vm, peer.failureDomain});
+    return pass(pushOrder(std::move(members), m_latest.revision));
+}
+
+ConfigActions ConfigFollower::tick(TimePoint now, const std::vector<ConfigPeer> &peers)
+{
+    ConfigActions actions;
+    const bool isCatchUpOver = m_options.answersWanted == 0 || now >= m_catchUpEnd;
+    if (!m_isCaughtUp && isCatchUpOver)
+        finishCatchUp(actions);
+    if (m_persisted < m_latest.revision && now >= m_nextPersist) {
+        m_nextPersist = now + PersistRetryInterval;
+        actions.emplace_back(PersistConfig {m_latest});
+    }
+    if (now < m_nextQuestion)
+        return actions;
+    if (m_isCaughtUp) {
+        askOne(now, peers, actions);
+    } else {
+        askControl(now, peers, actions);
+    }
+    return actions;
+}
+
+ConfigRevision ConfigFollower::pageAfter(Revision after) const
+{
+    return m_latest.revision > after ? m_latest : ConfigRevision();
+}
+
+void ConfigFollower::take(const ConfigRevision &revision, ConfigActions &actions)
+{
+    if (revision.revision <= m_latest.revision)
+        return;
+    m_latest = revision;
+    actions.emplace_back(PersistConfig {m_latest});
+    if (m_isCaughtUp)
+        putInForce(actions);
+}
+
+void ConfigFollower::putInForce(ConfigActions &actions)
+{
+    if (m_latest.revision <= m_tried)
+        return;
+    m_tried = m_latest.revision;
+    try {
+        actions.emplace_back(
+                PutConfigInForce {m_latest.revision, parseFleetSettings(m_latest.toml)});
+        m_inForce = m_latest.revision;
+    } catch (const SettingsError &error) {
+        actions.emplace_back(ReportUnreadableConfig {m_latest.revision, error.what()});
+    }
+}
+
+ConfigActions ConfigFollower::pass(const std::vector<VmName> &onward) const
+{
+    ConfigActions actions;
+    for (FanOutPart &part : fanOut(onward))
+        actions.emplace_back(PushConfig {part.receiver, m_latest, std::move(part.onward)});
+    return actions;
+}
+
+void ConfigFollower::finishCatchUp(ConfigActions &actions)
+{
+    m_isCaughtUp = true;
+    m_answered.clear();
+    putInForce(actions);
+}
+
+void ConfigFollower::askControl(TimePoint now, const std::vector<ConfigPeer> &peers,
+                                ConfigActions &actions)
+{
+    for (const ConfigPeer &peer : peers) {
+        if (!peer.isControl || m_answered.count(peer.vm) != 0)
+            continue;
+        actions.emplace_back(AskForConfig {peer.vm, m_latest.revision});
+        m_nextQuestion = now + m_options.catchUpInterval;
+    }
+}
+
+void ConfigFollower::askOne(TimePoint now, const std::vector<ConfigPeer> &peers,
+                            ConfigActions &actions)
+{
+    std::uniform_real_distribution<double> share(ShortestShare, LongestShare);
+    const auto interval = m_options.digestInterval * share(m_random);
+    m_nextQuestion = now + std::chrono::duration_cast<Duration>(interval);
+    if (peers.empty())
+        return;
+    std::uniform_int_distribution<std::size_t> index(0, peers.size() - 1);
+    actions.emplace_back(AskForConfig {peers[index(m_random)].vm, m_latest.revision});
+}
+
+} // namespace nutmegtide
