--- a/src/serve/directory.cpp
+++ b/src/serve/directory.cpp
@@ -14,6 +14,14 @@
     m_records.erase(vm);
 }
 
+void Directory::setRevision(const VmName &vm, Revision revision)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_records.find(vm);
+    if (found != m_records.end())
+        found->second.revision = revision;
+}
+
 std::optional<VmRecord> Directory::find(const VmName &vm) const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/serve/directory.h
+++ b/src/serve/directory.h
@@ -31,6 +31,8 @@
 public:
     void put(const VmRecord &record);
     void remove(const VmName &vm);
+    // Does nothing for a VM that isn't known.
+    void setRevision(const VmName &vm, Revision revision);
     std::optional<VmRecord> find(const VmName &vm) const;
     std::vector<VmRecord> all() const;
     std::vector<VmName> homesOf(const DatabaseName &database, const PlacementRule &rule) const;
--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -43,6 +43,7 @@
     , m_observedEntry(m_entry, m_metrics, m_recorder)
     , m_meteredEntry(m_observedEntry)
     , m_membership(m_identity, m_settings, m_directory, m_peers)
+    , m_config(m_identity, m_settings, m_fleetSettings, m_directory, m_peers, m_recorder)
     , m_callerApi(m_identity, m_fleetSettings, m_meteredEntry)
     , m_announceApi(m_identity, m_directory, m_fleetSettings, m_groups)
     , m_timelineRole(m_identity, m_recorder, m_directory, m_peers)
@@ -52,6 +53,7 @@
     makeControlLog();
     fillPeerHandlers();
     fillOperatorRoutes();
+    m_config.fill(m_peerHandlers, m_operatorRoutes);
     openListeners();
     VmRecord self;
     self.vm = m_identity.vm;
@@ -62,6 +64,7 @@
     self.isControl = m_controlLog != nullptr;
     m_membership.start(self);
     startControlLog();
+    m_config.start();
     writePortFile();
     m_recorder.record(EventKind::NodeStarted);
 }
@@ -79,8 +82,11 @@
 {
     const auto &names = m_settings.control;
     const bool isNamed = std::find(names.begin(), names.end(), m_identity.vm) != names.end();
-    if (isNamed && !m_settings.dataDir.empty())
-        m_controlLog = std::make_unique<ControlLog>(m_settings, m_directory, m_peers, m_recorder);
+    if (!isNamed || m_settings.dataDir.empty())
+        return;
+    m_controlLog = std::make_unique<ControlLog>(m_settings, m_directory, m_peers, m_recorder);
+    m_controlLog->registerMachine(CommandKind::Config, m_config.ledger());
+    m_config.attach(*m_controlLog);
 }
 
 // A VM whose log can't be trusted stays out of control and goes on as a proxy.
@@ -161,6 +167,7 @@
     m_peerServer->stop();
     if (m_controlLog)
         m_controlLog->stop();
+    m_config.stop();
     m_recorder.record(EventKind::NodeStopped);
 }
 
@@ -192,8 +199,15 @@
 HttpResponse Node::health() const
 {
     HttpResponse response;
-    response.status = m_isDraining ? 503 : 200;
-    response.body = m_isDraining ? R"({"state":"draining"})" : R"({"state":"serving"})";
+    if (m_isDraining) {
+        response.status = 503;
+        response.body = R"({"state":"draining"})";
+    } else if (!m_config.isCaughtUp()) {
+        response.status = 503;
+        response.body = R"({"state":"starting"})";
+    } else {
+        response.body = R"({"state":"serving"})";
+    }
     return response;
 }
 
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -5,6 +5,7 @@
 #include "nutmegtide/settings/nodesettings.h"
 #include "serve/announceapi.h"
 #include "serve/callerapi.h"
+#include "serve/configrole.h"
 #include "serve/controllog.h"
 #include "serve/directory.h"
 #include "serve/entryrunner.h"
@@ -71,6 +72,7 @@
     ObservedRunner m_observedEntry;
     MeteredRunner m_meteredEntry;
     Membership m_membership;
+    ConfigRole m_config;
     CallerApi m_callerApi;
     AnnounceApi m_announceApi;
     TimelineRole m_timelineRole;
