--- a/src/serve/configrole.cpp
+++ b/src/serve/configrole.cpp
@@ -103,7 +103,7 @@
 bool ConfigRole::isCaughtUp() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_follower.isCaughtUp();
+    return m_follower.isCaughtUp() && m_inForce.revision() >= m_follower.inForce();
 }
 
 void ConfigRole::run()
