Decide membership by gossip

Cause: membership polled every seed for the whole list, and nobody was ever found dead. A claim of death without own signs is settled by asking, so a healed cut kills nobody again. Ruled out as a row of the table: a member whose only link is its seed. Conclusion: nine tests in virtual time pass.

--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -1755,6 +1755,10 @@
 void MemberUpdate::__set_callerEndpoint(const std::string& val) {
   this->callerEndpoint = val;
 }
+
+void MemberUpdate::__set_version(const int64_t val) {
+  this->version = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberUpdate& obj)
 {
   obj.printTo(out);
@@ -1857,6 +1861,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1910,6 +1922,10 @@
   xfer += oprot->writeString(this->callerEndpoint);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1926,6 +1942,7 @@
   swap(a.isDraining, b.isDraining);
   swap(a.revision, b.revision);
   swap(a.callerEndpoint, b.callerEndpoint);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
@@ -1939,6 +1956,7 @@
   isDraining = other19.isDraining;
   revision = other19.revision;
   callerEndpoint = other19.callerEndpoint;
+  version = other19.version;
   __isset = other19.__isset;
 }
 MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other20) {
@@ -1951,6 +1969,7 @@
   isDraining = other20.isDraining;
   revision = other20.revision;
   callerEndpoint = other20.callerEndpoint;
+  version = other20.version;
   __isset = other20.__isset;
   return *this;
 }
@@ -1966,6 +1985,7 @@
   out << ", " << "isDraining=" << to_string(isDraining);
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "callerEndpoint=" << to_string(callerEndpoint);
+  out << ", " << "version=" << to_string(version);
   out << ")";
 }
 
@@ -1985,6 +2005,14 @@
 void Gossip::__set_wantsAll(const bool val) {
   this->wantsAll = val;
 }
+
+void Gossip::__set_pageAfter(const std::string& val) {
+  this->pageAfter = val;
+}
+
+void Gossip::__set_digest(const int64_t val) {
+  this->digest = val;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -2049,6 +2077,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pageAfter);
+          this->__isset.pageAfter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->digest);
+          this->__isset.digest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2086,6 +2130,14 @@
   xfer += oprot->writeBool(this->wantsAll);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("pageAfter", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->pageAfter);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->digest);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2096,6 +2148,8 @@
   swap(a.updates, b.updates);
   swap(a.probeTarget, b.probeTarget);
   swap(a.wantsAll, b.wantsAll);
+  swap(a.pageAfter, b.pageAfter);
+  swap(a.digest, b.digest);
   swap(a.__isset, b.__isset);
 }
 
@@ -2103,12 +2157,16 @@
   updates = other27.updates;
   probeTarget = other27.probeTarget;
   wantsAll = other27.wantsAll;
+  pageAfter = other27.pageAfter;
+  digest = other27.digest;
   __isset = other27.__isset;
 }
 Gossip& Gossip::operator=(const Gossip& other28) {
   updates = other28.updates;
   probeTarget = other28.probeTarget;
   wantsAll = other28.wantsAll;
+  pageAfter = other28.pageAfter;
+  digest = other28.digest;
   __isset = other28.__isset;
   return *this;
 }
@@ -2118,6 +2176,8 @@
   out << "updates=" << to_string(updates);
   out << ", " << "probeTarget=" << to_string(probeTarget);
   out << ", " << "wantsAll=" << to_string(wantsAll);
+  out << ", " << "pageAfter=" << to_string(pageAfter);
+  out << ", " << "digest=" << to_string(digest);
   out << ")";
 }
 
@@ -2133,6 +2193,10 @@
 void GossipReply::__set_updates(const std::vector<MemberUpdate> & val) {
   this->updates = val;
 }
+
+void GossipReply::__set_pageEnd(const std::string& val) {
+  this->pageEnd = val;
+}
 std::ostream& operator<<(std::ostream& out, const GossipReply& obj)
 {
   obj.printTo(out);
@@ -2189,6 +2253,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pageEnd);
+          this->__isset.pageEnd = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2222,6 +2294,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("pageEnd", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->pageEnd);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2231,17 +2307,20 @@
   using ::std::swap;
   swap(a.isAlive, b.isAlive);
   swap(a.updates, b.updates);
+  swap(a.pageEnd, b.pageEnd);
   swap(a.__isset, b.__isset);
 }
 
 GossipReply::GossipReply(const GossipReply& other35) {
   isAlive = other35.isAlive;
   updates = other35.updates;
+  pageEnd = other35.pageEnd;
   __isset = other35.__isset;
 }
 GossipReply& GossipReply::operator=(const GossipReply& other36) {
   isAlive = other36.isAlive;
   updates = other36.updates;
+  pageEnd = other36.pageEnd;
   __isset = other36.__isset;
   return *this;
 }
@@ -2250,6 +2329,7 @@
   out << "GossipReply(";
   out << "isAlive=" << to_string(isAlive);
   out << ", " << "updates=" << to_string(updates);
+  out << ", " << "pageEnd=" << to_string(pageEnd);
   out << ")";
 }
 
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -779,7 +779,7 @@
 std::ostream& operator<<(std::ostream& out, const RequestFateReply& obj);
 
 typedef struct _MemberUpdate__isset {
-  _MemberUpdate__isset() : vm(false), failureDomain(false), peerEndpoint(false), incarnation(false), state(false), isControl(false), isDraining(false), revision(false), callerEndpoint(false) {}
+  _MemberUpdate__isset() : vm(false), failureDomain(false), peerEndpoint(false), incarnation(false), state(false), isControl(false), isDraining(false), revision(false), callerEndpoint(false), version(false) {}
   bool vm :1;
   bool failureDomain :1;
   bool peerEndpoint :1;
@@ -789,6 +789,7 @@
   bool isDraining :1;
   bool revision :1;
   bool callerEndpoint :1;
+  bool version :1;
 } _MemberUpdate__isset;
 
 class MemberUpdate : public virtual ::apache::thrift::TBase {
@@ -805,7 +806,8 @@
                  isControl(0),
                  isDraining(0),
                  revision(0),
-                 callerEndpoint() {
+                 callerEndpoint(),
+                 version(0) {
   }
 
   virtual ~MemberUpdate() noexcept;
@@ -822,6 +824,7 @@
   bool isDraining;
   int64_t revision;
   std::string callerEndpoint;
+  int64_t version;
 
   _MemberUpdate__isset __isset;
 
@@ -843,6 +846,8 @@
 
   void __set_callerEndpoint(const std::string& val);
 
+  void __set_version(const int64_t val);
+
   bool operator == (const MemberUpdate & rhs) const
   {
     if (!(vm == rhs.vm))
@@ -863,6 +868,8 @@
       return false;
     if (!(callerEndpoint == rhs.callerEndpoint))
       return false;
+    if (!(version == rhs.version))
+      return false;
     return true;
   }
   bool operator != (const MemberUpdate &rhs) const {
@@ -882,10 +889,12 @@
 std::ostream& operator<<(std::ostream& out, const MemberUpdate& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : updates(false), probeTarget(false), wantsAll(false) {}
+  _Gossip__isset() : updates(false), probeTarget(false), wantsAll(false), pageAfter(false), digest(false) {}
   bool updates :1;
   bool probeTarget :1;
   bool wantsAll :1;
+  bool pageAfter :1;
+  bool digest :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -895,13 +904,17 @@
   Gossip& operator=(const Gossip&);
   Gossip() noexcept
          : probeTarget(),
-           wantsAll(0) {
+           wantsAll(0),
+           pageAfter(),
+           digest(0) {
   }
 
   virtual ~Gossip() noexcept;
   std::vector<MemberUpdate>  updates;
   std::string probeTarget;
   bool wantsAll;
+  std::string pageAfter;
+  int64_t digest;
 
   _Gossip__isset __isset;
 
@@ -911,6 +924,10 @@
 
   void __set_wantsAll(const bool val);
 
+  void __set_pageAfter(const std::string& val);
+
+  void __set_digest(const int64_t val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(updates == rhs.updates))
@@ -919,6 +936,10 @@
       return false;
     if (!(wantsAll == rhs.wantsAll))
       return false;
+    if (!(pageAfter == rhs.pageAfter))
+      return false;
+    if (!(digest == rhs.digest))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
@@ -938,9 +959,10 @@
 std::ostream& operator<<(std::ostream& out, const Gossip& obj);
 
 typedef struct _GossipReply__isset {
-  _GossipReply__isset() : isAlive(false), updates(false) {}
+  _GossipReply__isset() : isAlive(false), updates(false), pageEnd(false) {}
   bool isAlive :1;
   bool updates :1;
+  bool pageEnd :1;
 } _GossipReply__isset;
 
 class GossipReply : public virtual ::apache::thrift::TBase {
@@ -949,12 +971,14 @@
   GossipReply(const GossipReply&);
   GossipReply& operator=(const GossipReply&);
   GossipReply() noexcept
-              : isAlive(0) {
+              : isAlive(0),
+                pageEnd() {
   }
 
   virtual ~GossipReply() noexcept;
   bool isAlive;
   std::vector<MemberUpdate>  updates;
+  std::string pageEnd;
 
   _GossipReply__isset __isset;
 
@@ -962,12 +986,16 @@
 
   void __set_updates(const std::vector<MemberUpdate> & val);
 
+  void __set_pageEnd(const std::string& val);
+
   bool operator == (const GossipReply & rhs) const
   {
     if (!(isAlive == rhs.isAlive))
       return false;
     if (!(updates == rhs.updates))
       return false;
+    if (!(pageEnd == rhs.pageEnd))
+      return false;
     return true;
   }
   bool operator != (const GossipReply &rhs) const {
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -110,17 +110,21 @@
   7: bool isDraining,
   8: i64 revision, // configuration in force there
   9: string callerEndpoint, // where callers and backend servers reach it
+  10: i64 version, // grows within one incarnation with each refuted suspicion and each change
 }
 
 struct Gossip {
   1: list<MemberUpdate> updates,
   2: string probeTarget, // indirect probe to this VM; empty for a direct one
-  3: bool wantsAll,      // a joiner asks for the whole list
+  3: bool wantsAll,      // asks for a page of the whole list
+  4: string pageAfter,   // the page starts past this VM; empty for the first page
+  5: i64 digest,         // of the asker's list; an equal one is answered without a page
 }
 
 struct GossipReply {
   1: bool isAlive,
   2: list<MemberUpdate> updates,
+  3: string pageEnd,     // last VM of the page if more follow, else empty
 }
 
 // The replicated log of the control VMs.
--- /dev/null
+++ b/include/nutmegtide/fleet/gossip.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include "nutmegtide/base/time.h"
+#include "nutmegtide/fleet/member.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <variant>
+
+namespace nutmegtide {
+
+struct GossipSettings
+{
+    Duration probeInterval = 500ms;
+    Duration directTimeout = 300ms;
+    Duration indirectTimeout = 700ms; // of a probe through a helper
+    int helpers = 3; // asked for an indirect probe
+    int suspicionRounds = 3; // probe intervals, times the decimal logarithm of the fleet's size
+    int retransmits = 3; // of one update, times the binary logarithm of the fleet's size
+    std::size_t largestMessage = 600; // bytes of piggybacked updates
+    std::size_t pageMembers = 32;
+    int compareEvery = 20; // probe intervals between two comparisons of whole lists
+    int retryEvery = 10; // probe intervals between two probes of a dead member or an unknown seed
+    Duration forgetAfter = 24h; // how long a dead or departed member is remembered
+};
+
+struct GossipMessage
+{
+    Member sender;
+    std::vector<Member> updates;
+    VmName probeTarget; // the receiver is asked to probe this VM; empty for a direct probe
+    bool wantsPage = false;
+    VmName pageAfter;
+    std::uint64_t digest = 0;
+};
+
+struct GossipReply
+{
+    Member sender;
+    bool isAlive = true; // whether the probed VM answered
+    std::vector<Member> updates;
+    VmName pageEnd; // empty for the last page
+};
+
+using GossipCallId = std::uint64_t;
+
+// Sends a message; its outcome comes back by onReply() or onFailure().
+struct GossipCall
+{
+    GossipCallId id = 0;
+    Endpoint to;
+    GossipMessage message;
+    Duration timeout {};
+};
+
+enum class MemberChangeKind {
+    Joined, // also a return from death, and a restart
+    Updated,
+    Suspected,
+    Died,
+    Left,
+};
+
+struct MemberChange
+{
+    MemberChangeKind kind = MemberChangeKind::Joined;
+    Member member;
+};
+
+using GossipAction = std::variant<GossipCall, MemberChange>;
+using GossipActions = std::vector<GossipAction>;
+
+// Membership by gossip (SWIM: Das, Gupta, Motivala, 2002), for one member.
+//
+// Each interval it probes one member, so its cost does not depend on the
+// fleet's size. News travels on probes and their answers. A member that
+// neither answers nor is reached through helpers is suspected, and is dead
+// unless it refutes that in time with a higher version.
+//
+//   Gossip gossip(settings, self, seeds, seed);
+//   for (const GossipAction &action : gossip.tick(now)) ... // once each interval
+//   gossip.onReply(call.id, reply, now, actions);
+class Gossip
+{
+public:
+    Gossip(const GossipSettings &settings, Member self, std::vector<Endpoint> seeds,
+           std::uint64_t randomSeed);
+
+    // To be called once each probe interval.
+    GossipActions tick(TimePoint now);
+    GossipActions onReply(GossipCallId id, const GossipReply &reply, TimePoint now);
+    GossipActions onFailure(GossipCallId id, TimePoint now);
+
+    // Takes a peer's message. A message with a probe target also needs relay().
+    GossipActions onMessage(const GossipMessage &message, TimePoint now);
+    // Returns the answer to a message that was taken.
+    GossipReply answer(const GossipMessage &message);
+    // Returns the probe to make for a peer, nothing for a target that is not known.
+    std::optional<GossipCall> relay(const GossipMessage &message);
+
+    void setDraining();
+    void setRevision(Revision revision) { m_self.revision = revision; }
+    // Tells a few members at once that this one is gone by plan.
+    GossipActions leave();
+
+    const Member &self() const { return m_self; }
+    // What is known of another member.
+    const Member *find(const VmName &vm) const;
+    // Alive and suspected members, without this one.
+    std::vector<Member> present() const;
+    Duration suspicionTime() const;
+    // Equal for two members that know the same of all present members.
+    std::uint64_t digest() const;
+
+private:
+    struct Known
+    {
+        Member member;
+        TimePoint since; // of its state
+    };
+    enum class CallKind {
+        Direct,
+        Indirect,
+        Page,
+        Notice, // its failure means nothing
+    };
+    struct Pending
+    {
+        CallKind kind = CallKind::Direct;
+        VmName target; // empty for a seed
+        Endpoint to;
+    };
+
+    void take(const Member &claim, TimePoint now, GossipActions &actions);
+    void takeOfSelf(const Member &claim);
+    void takeOfDead(const Member &claim, Known &known, TimePoint now, GossipActions &actions);
+    void become(Known &known, MemberState state, TimePoint now, GossipActions &actions);
+    void suspect(const VmName &vm, TimePoint now, GossipActions &actions);
+    void expireSuspicions(TimePoint now, GossipActions &actions);
+    void forgiveStandstill(TimePoint now);
+    void forgetOld(TimePoint now);
+
+    void probeNext(GossipActions &actions);
+    void doExtra(GossipActions &actions);
+    void askSeeds(GossipActions &actions);
+    void retryLost(GossipActions &actions);
+    void askPage(const VmName &vm, const Endpoint &to, const VmName &after, GossipActions &actions);
+    void askHelpers(const VmName &target, GossipActions &actions);
+    void finishIndirect(const VmName &target, bool isAlive, TimePoint now, GossipActions &actions);
+    GossipCall call(CallKind kind, const VmName &target, const Endpoint &to, Duration timeout);
+    // Asks the member itself what is true of a claim.
+    void recheck(const Member &claim);
+
+    std::vector<Member> news(const VmName &receiver);
+    std::vector<Member> page(const VmName &after, VmName &end) const;
+    void spread(const VmName &vm) { m_news[vm] = 0; }
+    std::vector<VmName> withState(bool isPresent) const;
+    int retransmitLimit() const;
+
+    const GossipSettings m_settings;
+    Member m_self;
+    const std::vector<Endpoint> m_seeds;
+    std::mt19937_64 m_generator;
+    std::map<VmName, Known> m_members;
+    std::map<VmName, int> m_news; // times that the latest claim of a member was passed on
+    std::vector<VmName> m_round; // still to be probed in this round
+    std::deque<Member> m_recheck; // doubtful claims
+    std::map<GossipCallId, Pending> m_calls;
+    std::map<VmName, int> m_indirect; // helpers that have not answered yet
+    GossipCallId m_nextCall = 1;
+    std::uint64_t m_ticks = 0;
+    std::optional<TimePoint> m_lastTick;
+    bool m_isWalking = false; // a walk over another member's pages is under way
+};
+
+} // namespace nutmegtide
--- /dev/null
+++ b/src/fleet/gossipnews.cpp
@@ -0,0 +1,128 @@
+#include "nutmegtide/fleet/gossip.h"
+
+#include <algorithm>
+
+// How a member takes in what others say, and what it passes on.
+namespace nutmegtide {
+
+void Gossip::take(const Member &claim, TimePoint now, GossipActions &actions)
+{
+    if (claim.vm == m_self.vm) {
+        takeOfSelf(claim);
+        return;
+    }
+    const auto found = m_members.find(claim.vm);
+    if (found == m_members.end()) {
+        // The end of a member that was never met is no news.
+        if (!claim.isPresent())
+            return;
+        Known &known = m_members[claim.vm];
+        known.member = claim;
+        become(known, MemberState::Alive, now, actions);
+        if (claim.state == MemberState::Suspect)
+            become(known, MemberState::Suspect, now, actions);
+        return;
+    }
+    Known &known = found->second;
+    if (isSameVersion(claim, known.member))
+        known.member.revision = std::max(known.member.revision, claim.revision);
+    const bool isOutdated = !overrides(claim, known.member);
+    if (isOutdated) {
+        // The member refutes its death once it hears of it.
+        if (known.member.state == MemberState::Dead && claim.isPresent()
+            && isSameVersion(claim, known.member))
+            recheck(claim);
+        return;
+    }
+    if (claim.state == MemberState::Dead) {
+        takeOfDead(claim, known, now, actions);
+        return;
+    }
+    const bool wasPresent = known.member.isPresent();
+    const bool isRestart = claim.incarnation > known.member.incarnation;
+    const MemberState before = known.member.state;
+    known.member = claim;
+    if (claim.state == MemberState::Alive && wasPresent && !isRestart) {
+        known.since = now;
+        spread(claim.vm);
+        actions.push_back(MemberChange {MemberChangeKind::Updated, known.member});
+        return;
+    }
+    if (claim.state == MemberState::Suspect && (!wasPresent || isRestart))
+        become(known, MemberState::Alive, now, actions);
+    if (claim.state == MemberState::Left && before == MemberState::Dead) {
+        spread(claim.vm);
+        return;
+    }
+    become(known, claim.state, now, actions);
+}
+
+// A death that this member has no sign of is settled by asking: after a cut has
+// healed, the other side's claims of death must not spread as if they were true.
+void Gossip::takeOfDead(const Member &claim, Known &known, TimePoint now, GossipActions &actions)
+{
+    if (known.member.state == MemberState::Suspect) {
+        become(known, MemberState::Dead, now, actions);
+        return;
+    }
+    if (known.member.state == MemberState::Alive)
+        recheck(claim);
+}
+
+void Gossip::takeOfSelf(const Member &claim)
+{
+    const bool isOfThisRun = claim.incarnation == m_self.incarnation;
+    if (!isOfThisRun || claim.version < m_self.version || m_self.state == MemberState::Left)
+        return;
+    if (claim.state == MemberState::Alive && claim.version == m_self.version)
+        return;
+    // The record travels with every message, so all that are met hear of it.
+    m_self.version = claim.version + 1;
+}
+
+// The receiver is told first what is said of it, so that it can refute at once.
+std::vector<Member> Gossip::news(const VmName &receiver)
+{
+    std::vector<Member> updates;
+    std::size_t size = 0;
+    const Member *of = find(receiver);
+    if (of && of->state != MemberState::Alive) {
+        updates.push_back(*of);
+        size += wireSize(*of);
+    }
+    std::vector<std::pair<int, VmName>> order;
+    for (const auto &[vm, sent] : m_news)
+        order.emplace_back(sent, vm);
+    std::stable_sort(order.begin(), order.end(),
+                     [](const auto &left, const auto &right) { return left.first < right.first; });
+    const int limit = retransmitLimit();
+    for (const auto &[sent, vm] : order) {
+        const Member *member = find(vm);
+        if (member && vm == receiver)
+            continue;
+        if (member) {
+            size += wireSize(*member);
+            if (size > m_settings.largestMessage)
+                break;
+            updates.push_back(*member);
+        }
+        if (!member || ++m_news[vm] >= limit)
+            m_news.erase(vm);
+    }
+    return updates;
+}
+
+std::vector<Member> Gossip::page(const VmName &after, VmName &end) const
+{
+    std::vector<Member> members;
+    auto entry = after.isEmpty() ? m_members.begin() : m_members.upper_bound(after);
+    for (; entry != m_members.end() && members.size() < m_settings.pageMembers; ++entry) {
+        if (entry->second.member.isPresent())
+            members.push_back(entry->second.member);
+    }
+    if (entry != m_members.end() && !members.empty())
+        end = members.back().vm;
+    return members;
+}
+
+} // namespace nutmegtide
--- /dev/null
+++ b/test/unit/fleet/gossip_test.cpp
@@ -0,0 +1,178 @@
+#include "unit/fleet/gossipnetwork.h"
+
+#include <doctest/doctest.h>
+
+using namespace nutmegtide;
+using namespace nutmegtide::test;
+
+namespace {
+
+constexpr auto KnownWithin = 5s; // a dead VM is known everywhere
+constexpr auto Settled = 60s;
+
+VmName vm(int number)
+{
+    return GossipNetwork::name(number);
+}
+
+// A fleet of so many members that have met.
+GossipNetwork met(int members, std::uint64_t seed)
+{
+    GossipNetwork network(seed);
+    network.startAll(0, members);
+    REQUIRE(network.runUntil([&] { return network.isAgreed(); }, Settled));
+    network.seen.clear();
+    return network;
+}
+
+} // namespace
+
+TEST_CASE("members that know one seed meet, and a death is known to all in a few seconds")
+{
+    for (const int members : {2, 3, 9, 33}) {
+        CAPTURE(members);
+        GossipNetwork network = met(members, 11);
+        network.kill(vm(members - 1));
+        CHECK(network.runUntil([&] { return network.isAgreed(); }, KnownWithin));
+        CHECK(network.count(MemberChangeKind::Died) == members - 1);
+    }
+}
+
+TEST_CASE("lost messages and cuts that leave a way round kill no member")
+{
+    struct Row
+    {
+        const char *what;
+        double loss;
+        std::function<bool(const VmName &, const VmName &)> isCut;
+    };
+    const Row rows[] = {
+            {"a tenth is lost", 0.1, {}},
+            {"a fifth is lost", 0.2, {}},
+            {"one way between two members", 0,
+             [](const VmName &from, const VmName &to) { return from == vm(1) && to == vm(2); }},
+            {"both ways between two members", 0,
+             [](const VmName &from, const VmName &to) {
+                 return (from == vm(1) && to == vm(2)) || (from == vm(2) && to == vm(1));
+             }},
+            {"one member reaches only half of the others", 0,
+             [](const VmName &from, const VmName &to) { return from == vm(4) && to > vm(4); }},
+    };
+    for (const Row &row : rows) {
+        for (const std::uint64_t seed : {1, 2, 3}) {
+            CAPTURE(std::string(row.what));
+            CAPTURE(seed);
+            GossipNetwork network = met(9, seed);
+            network.loss = row.loss;
+            network.isCut = row.isCut;
+            network.run(120s);
+            CHECK(network.count(MemberChangeKind::Died) == 0);
+        }
+    }
+}
+
+TEST_CASE("a restarted member is taken in under its higher incarnation at once")
+{
+    GossipNetwork network = met(9, 5);
+    network.kill(vm(3));
+    network.run(1s);
+    network.start(vm(3), 2);
+    CHECK(network.runUntil([&] { return network.isAgreed(); }, KnownWithin));
+    network.run(Settled);
+    CHECK(network.isAgreed());
+    CHECK(network.at(vm(8)).find(vm(3))->incarnation == 2);
+    CHECK(network.count(MemberChangeKind::Died) == 0);
+}
+
+TEST_CASE("a third of the fleet is replaced at once")
+{
+    GossipNetwork network = met(33, 7);
+    for (int number = 22; number < 33; ++number)
+        network.kill(vm(number));
+    network.startAll(33, 44);
+    CHECK(network.runUntil([&] { return network.isAgreed(); }, Settled));
+    for (const GossipNetwork::Seen &entry : network.seen) {
+        if (entry.change.kind == MemberChangeKind::Died)
+            CHECK_MESSAGE(entry.change.member.vm >= vm(22), entry.change.member.vm);
+    }
+}
+
+TEST_CASE("two sides of a cut lose each other, and meet again once it has healed")
+{
+    for (const int left : {1, 3, 4}) {
+        CAPTURE(left);
+        GossipNetwork network = met(9, 13);
+        const auto isLeft = [left](const VmName &name) { return name < vm(left); };
+        network.isCut = [&](const VmName &from, const VmName &to) {
+            return isLeft(from) != isLeft(to);
+        };
+        network.run(Settled);
+        CHECK(network.at(vm(0)).present().size() == static_cast<std::size_t>(left - 1));
+        CHECK(network.at(vm(8)).present().size() == static_cast<std::size_t>(9 - left - 1));
+        network.isCut = {};
+        CHECK(network.runUntil([&] { return network.isAgreed(); }, Settled));
+        for (const GossipNetwork::Seen &entry : network.seen) {
+            if (entry.change.kind == MemberChangeKind::Died)
+                CHECK(isLeft(entry.observer) != isLeft(entry.change.member.vm));
+        }
+    }
+}
+
+TEST_CASE("a member that stood still takes nobody for dead, and is taken in again")
+{
+    GossipNetwork network = met(9, 17);
+    network.freeze(vm(2));
+    network.run(Settled);
+    CHECK(network.at(vm(0)).find(vm(2))->state == MemberState::Dead);
+    network.seen.clear();
+    network.thaw(vm(2));
+    CHECK(network.runUntil([&] { return network.isAgreed(); }, Settled));
+    CHECK(network.count(MemberChangeKind::Died) == 0);
+}
+
+TEST_CASE("a member that leaves by plan is first draining, then gone, and never suspected")
+{
+    GossipNetwork network = met(9, 19);
+    network.at(vm(6)).setDraining();
+    CHECK(network.runUntil([&] { return network.at(vm(1)).find(vm(6))->isDraining; }, KnownWithin));
+    network.perform(vm(6), network.at(vm(6)).leave());
+    network.run(10ms);
+    network.kill(vm(6));
+    CHECK(network.runUntil([&] { return network.isAgreed(); }, KnownWithin));
+    CHECK(network.count(MemberChangeKind::Suspected) == 0);
+    CHECK(network.count(MemberChangeKind::Left) == 8);
+}
+
+TEST_CASE("a dead member is forgotten after long, and a member may return later still")
+{
+    GossipSettings settings;
+    settings.forgetAfter = 60s;
+    GossipNetwork network(23, settings);
+    network.startAll(0, 5);
+    REQUIRE(network.runUntil([&] { return network.isAgreed(); }, Settled));
+    network.kill(vm(4));
+    network.run(3 * Settled);
+    CHECK(network.at(vm(1)).find(vm(4)) == nullptr);
+    network.start(vm(4), 2);
+    CHECK(network.runUntil([&] { return network.isAgreed(); }, Settled));
+}
+
+TEST_CASE("messages stay within their size however much there is to tell")
+{
+    GossipNetwork network = met(64, 29);
+    const GossipSettings settings;
+    for (int number = 40; number < 64; ++number)
+        network.kill(vm(number));
+    network.run(3s);
+    for (int round = 0; round < 20; ++round) {
+        for (const GossipAction &action : network.at(vm(0)).tick(network.now())) {
+            const auto *call = std::get_if<GossipCall>(&action);
+            if (!call)
+                continue;
+            std::size_t size = 0;
+            for (const Member &member : call->message.updates)
+                size += wireSize(member);
+            CHECK(size <= settings.largestMessage);
+        }
+    }
+}
--- /dev/null
+++ b/test/unit/fleet/gossipnetwork.h
@@ -0,0 +1,251 @@
+#pragma once
+
+#include "nutmegtide/fleet/gossip.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <queue>
+
+namespace nutmegtide::test {
+
+// Members in one process that gossip in virtual time over links that lose
+// messages and can be cut.
+class GossipNetwork
+{
+public:
+    struct Seen
+    {
+        TimePoint at;
+        VmName observer;
+        MemberChange change;
+    };
+
+    explicit GossipNetwork(std::uint64_t seed, GossipSettings settings = {})
+        : m_settings(settings)
+        , m_generator(seed)
+    { }
+
+    double loss = 0; // of each message
+    std::function<bool(const VmName &from, const VmName &to)> isCut;
+    std::vector<Seen> seen;
+    std::uint64_t bytes = 0; // sent, with what TCP and IP add
+
+    static VmName name(int number) { return VmName("vm-" + std::to_string(1000 + number)); }
+
+    // Starts a member; the first one of all is the seed of the others.
+    void start(const VmName &vm, Incarnation incarnation = 1)
+    {
+        Member self;
+        self.vm = vm;
+        self.failureDomain = FailureDomain("fd-" + std::to_string(m_nodes.size() % 3));
+        const auto port = static_cast<std::uint16_t>(
+                10'000 + std::stoi(vm.text().substr(vm.text().rfind('-') + 1)));
+        self.peers = {"127.0.0.1", port};
+        self.callers = {"127.0.0.1", static_cast<std::uint16_t>(port + 20'000)};
+        self.incarnation = incarnation;
+        if (m_seeds.empty())
+            m_seeds.push_back(self.peers);
+        m_names[self.peers] = vm;
+        Node &node = m_nodes[vm];
+        node.gossip = std::make_unique<Gossip>(m_settings, self, m_seeds, m_generator());
+        node.isRunning = true;
+        const auto phase = Duration(m_generator() % m_settings.probeInterval.count());
+        schedule(phase, [this, vm, life = ++node.life] { tick(vm, life); });
+    }
+
+    // Starts members [first, last) and lets them meet.
+    void startAll(int first, int last)
+    {
+        for (int number = first; number < last; ++number)
+            start(name(number));
+    }
+
+    void kill(const VmName &vm) { m_nodes[vm].isRunning = false; }
+    // A standstill; its messages are lost until the thaw.
+    void freeze(const VmName &vm) { m_nodes[vm].isRunning = false; }
+    void thaw(const VmName &vm)
+    {
+        m_nodes[vm].isRunning = true;
+        tick(vm, m_nodes[vm].life);
+    }
+
+    Gossip &at(const VmName &vm) { return *m_nodes.at(vm).gossip; }
+    TimePoint now() const { return m_now; }
+
+    void run(Duration time)
+    {
+        const TimePoint end = m_now + time;
+        while (!m_events.empty() && m_events.top().at <= end)
+            step();
+        m_now = end;
+    }
+
+    // Returns whether the condition came to hold within the time.
+    bool runUntil(const std::function<bool()> &condition, Duration longest)
+    {
+        const TimePoint end = m_now + longest;
+        while (!condition() && m_now < end)
+            run(100ms);
+        return condition();
+    }
+
+    // Whether every running member takes exactly the running ones for present.
+    bool isAgreed() const
+    {
+        std::vector<VmName> running;
+        for (const auto &[vm, node] : m_nodes) {
+            if (node.isRunning)
+                running.push_back(vm);
+        }
+        for (const VmName &vm : running) {
+            const Gossip &gossip = *m_nodes.at(vm).gossip;
+            if (gossip.present().size() + 1 != running.size())
+                return false;
+            for (const VmName &other : running) {
+                const Member *known = gossip.find(other);
+                if (other != vm && (!known || known->state != MemberState::Alive))
+                    return false;
+            }
+        }
+        return true;
+    }
+
+    int count(MemberChangeKind kind) const
+    {
+        return static_cast<int>(std::count_if(seen.begin(), seen.end(), [kind](const Seen &entry) {
+            return entry.change.kind == kind;
+        }));
+    }
+
+    void perform(const VmName &vm, const GossipActions &actions)
+    {
+        for (const GossipAction &action : actions) {
+            if (const auto *change = std::get_if<MemberChange>(&action))
+                seen.push_back({m_now, vm, *change});
+            if (const auto *call = std::get_if<GossipCall>(&action))
+                send(vm, *call, [](bool) {});
+        }
+    }
+
+private:
+    static constexpr Duration Latency = 1ms;
+    // Frame, call name and header of a call, and of its answer.
+    static constexpr std::size_t CallBytes = 160;
+    static constexpr std::size_t AnswerBytes = 60;
+    static constexpr std::size_t PacketBytes = 2 * 52; // TCP and IP, of a segment and of its ack
+
+    struct Node
+    {
+        std::unique_ptr<Gossip> gossip;
+        bool isRunning = false;
+        int life = 0;
+    };
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t order;
+        std::function<void()> run;
+
+        bool operator<(const Event &other) const
+        {
+            return at != other.at ? at > other.at : order > other.order;
+        }
+    };
+
+    void schedule(Duration after, std::function<void()> run)
+    {
+        m_events.push({m_now + after, m_order++, std::move(run)});
+    }
+
+    void step()
+    {
+        const Event event = m_events.top();
+        m_events.pop();
+        m_now = event.at;
+        event.run();
+    }
+
+    void tick(const VmName &vm, int life)
+    {
+        Node &node = m_nodes[vm];
+        if (!node.isRunning || node.life != life)
+            return;
+        perform(vm, node.gossip->tick(m_now));
+        schedule(m_settings.probeInterval, [this, vm, life] { tick(vm, life); });
+    }
+
+    bool isDelivered(const VmName &from, const VmName &to)
+    {
+        const bool isLost = std::uniform_real_distribution<>(0, 1)(m_generator) < loss;
+        return !isLost && m_nodes[to].isRunning && !(isCut && isCut(from, to));
+    }
+
+    void count(std::size_t fixed, const Member &sender, const std::vector<Member> &updates)
+    {
+        bytes += fixed + PacketBytes + wireSize(sender);
+        for (const Member &member : updates)
+            bytes += wireSize(member);
+    }
+
+    void send(const VmName &from, const GossipCall &call, std::function<void(bool)> done)
+    {
+        count(CallBytes, call.message.sender, call.message.updates);
+        const VmName to = m_names.at(call.to);
+        const TimePoint latest = m_now + call.timeout;
+        const int life = m_nodes[from].life;
+        const auto fail = [this, from, life, id = call.id, done] {
+            if (isCurrent(from, life))
+                perform(from, at(from).onFailure(id, m_now));
+            done(false);
+        };
+        if (!isDelivered(from, to)) {
+            schedule(call.timeout, fail);
+            return;
+        }
+        const auto reply = [=, this](bool isAlive) {
+            GossipReply answer = at(to).answer(call.message);
+            answer.isAlive = isAlive;
+            count(AnswerBytes, answer.sender, answer.updates);
+            if (m_now + Latency > latest || !isDelivered(to, from)) {
+                schedule(std::max(latest - m_now, Duration::zero()), fail);
+                return;
+            }
+            schedule(Latency, [=, this] {
+                if (isCurrent(from, life))
+                    perform(from, at(from).onReply(call.id, answer, m_now));
+                done(true);
+            });
+        };
+        schedule(Latency, [=, this] { receive(to, call, reply); });
+    }
+
+    void receive(const VmName &to, const GossipCall &call, const std::function<void(bool)> &reply)
+    {
+        perform(to, at(to).onMessage(call.message, m_now));
+        if (call.message.probeTarget.isEmpty()) {
+            reply(true);
+            return;
+        }
+        if (const auto probe = at(to).relay(call.message))
+            send(to, *probe, reply);
+        else
+            reply(false);
+    }
+
+    bool isCurrent(const VmName &vm, int life)
+    {
+        return m_nodes[vm].isRunning && m_nodes[vm].life == life;
+    }
+
+    const GossipSettings m_settings;
+    std::mt19937_64 m_generator;
+    std::map<VmName, Node> m_nodes;
+    std::map<Endpoint, VmName> m_names;
+    std::vector<Endpoint> m_seeds;
+    std::priority_queue<Event> m_events;
+    TimePoint m_now {};
+    std::uint64_t m_order = 0;
+};
+
+} // namespace nutmegtide::test
