Drive membership by gossip; a dead VM leaves the directory

Cause: homes of a dead VM never moved, since nothing took it out of the directory. Change: a round thread and four callers with short timeouts run Gossip; joined, suspected and dead members are events. Suspects stay in the directory until they are dead. A stopped VM says that it has left.

--- a/include/nutmegtide/fleet/gossip.h
+++ b/include/nutmegtide/fleet/gossip.h
@@ -19,8 +19,8 @@
     int helpers = 3; // asked for an indirect probe
     int suspicionRounds = 3; // probe intervals, times the decimal logarithm of the fleet's size
     int retransmits = 3; // of one update, times the binary logarithm of the fleet's size
-    std::size_t largestMessage = 600; // bytes of piggybacked updates
-    std::size_t pageMembers = 32;
+    std::size_t largestMessage = 256; // bytes of piggybacked updates
+    std::size_t pageMembers = 16;
     int compareEvery = 20; // probe intervals between two comparisons of whole lists
     int retryEvery = 10; // probe intervals between two probes of a dead member or an unknown seed
     Duration forgetAfter = 24h; // how long a dead or departed member is remembered
@@ -110,6 +110,7 @@
     const Member *find(const VmName &vm) const;
     // Alive and suspected members, without this one.
     std::vector<Member> present() const;
+    std::size_t presentCount() const;
     Duration suspicionTime() const;
     // Equal for two members that know the same of all present members.
     std::uint64_t digest() const;
--- a/src/fleet/gossip.cpp
+++ b/src/fleet/gossip.cpp
@@ -55,7 +55,7 @@
 
 Duration Gossip::suspicionTime() const
 {
-    const double size = static_cast<double>(withState(true).size()) + 1;
+    const double size = static_cast<double>(presentCount()) + 1;
     const double scale = std::max(1.0, std::log10(size));
     const auto time = m_settings.probeInterval * m_settings.suspicionRounds * scale;
     return std::chrono::duration_cast<Duration>(time);
@@ -63,7 +63,7 @@
 
 int Gossip::retransmitLimit() const
 {
-    const double size = static_cast<double>(withState(true).size()) + 1;
+    const double size = static_cast<double>(presentCount()) + 1;
     return m_settings.retransmits * std::max(1, static_cast<int>(std::ceil(std::log2(size + 1))));
 }
 
@@ -134,8 +134,7 @@
 // At most one further call an interval keeps the cost fixed.
 void Gossip::doExtra(GossipActions &actions)
 {
-    const std::vector<VmName> others = withState(true);
-    if (others.empty()) {
+    if (presentCount() == 0) {
         askSeeds(actions);
         return;
     }
@@ -146,6 +145,7 @@
         return;
     }
     if (m_ticks % compareEvery == 0) {
+        const std::vector<VmName> others = withState(true);
         const VmName &vm = pick(others, m_generator);
         const bool isFromStart = m_generator() % (others.size() + 1) == 0;
         askPage(vm, find(vm)->peers, isFromStart ? VmName() : pick(others, m_generator), actions);
@@ -372,6 +372,14 @@
     return members;
 }
 
+std::size_t Gossip::presentCount() const
+{
+    const auto count = std::count_if(m_members.begin(), m_members.end(), [](const auto &entry) {
+        return entry.second.member.isPresent();
+    });
+    return static_cast<std::size_t>(count);
+}
+
 std::uint64_t Gossip::digest() const
 {
     const auto hash = [](const Member &member) {
--- a/src/fleet/gossipnews.cpp
+++ b/src/fleet/gossipnews.cpp
@@ -90,15 +90,16 @@
         updates.push_back(*of);
         size += wireSize(*of);
     }
-    std::vector<std::pair<int, VmName>> order;
-    for (const auto &[vm, sent] : m_news)
-        order.emplace_back(sent, vm);
-    std::stable_sort(order.begin(), order.end(),
-                     [](const auto &left, const auto &right) { return left.first < right.first; });
+    std::vector<std::map<VmName, int>::iterator> order;
+    for (auto entry = m_news.begin(); entry != m_news.end(); ++entry)
+        order.push_back(entry);
+    std::stable_sort(order.begin(), order.end(), [](const auto &left, const auto &right) {
+        return left->second < right->second;
+    });
     const int limit = retransmitLimit();
-    for (const auto &[sent, vm] : order) {
-        const Member *member = find(vm);
-        if (member && vm == receiver)
+    for (const auto &entry : order) {
+        const Member *member = find(entry->first);
+        if (member && member == of)
             continue;
         if (member) {
             size += wireSize(*member);
@@ -106,8 +107,8 @@
                 break;
             updates.push_back(*member);
         }
-        if (!member || ++m_news[vm] >= limit)
-            m_news.erase(vm);
+        if (!member || ++entry->second >= limit)
+            m_news.erase(entry);
     }
     return updates;
 }
--- a/src/serve/membership.cpp
+++ b/src/serve/membership.cpp
@@ -1,124 +1,214 @@
 #include "serve/membership.h"
 
+#include "serve/gossipwire.h"
+
+#include <random>
+
 namespace nutmegtide {
 
 namespace {
 
-constexpr auto RoundInterval = 200ms;
-constexpr auto AnswerTime = 500ms;
+constexpr int Workers = 4;
+constexpr std::size_t LongestQueue = 64; // calls; further ones count as unanswered
 
-wire::MemberUpdate toWire(const VmRecord &record)
+Member memberOf(const VmRecord &record)
 {
-    wire::MemberUpdate update;
-    update.vm = record.vm.text();
-    update.failureDomain = record.failureDomain.text();
-    update.peerEndpoint = toString(record.peers);
-    update.callerEndpoint = toString(record.callers);
-    update.incarnation = static_cast<std::int64_t>(record.incarnation);
-    update.state = wire::MemberState::ALIVE;
-    update.isControl = record.isControl;
-    update.isDraining = record.isDraining;
-    update.revision = static_cast<std::int64_t>(record.revision);
-    return update;
+    Member member;
+    member.vm = record.vm;
+    member.failureDomain = record.failureDomain;
+    member.peers = record.peers;
+    member.callers = record.callers;
+    member.incarnation = record.incarnation;
+    member.isControl = record.isControl;
+    member.isDraining = record.isDraining;
+    member.revision = record.revision;
+    return member;
 }
 
-VmRecord fromWire(const wire::MemberUpdate &update)
+VmRecord recordOf(const Member &member)
 {
     VmRecord record;
-    record.vm = VmName(update.vm);
-    record.failureDomain = FailureDomain(update.failureDomain);
-    record.peers = parseEndpoint(update.peerEndpoint);
-    record.callers = parseEndpoint(update.callerEndpoint);
-    record.incarnation = static_cast<Incarnation>(update.incarnation);
-    record.isControl = update.isControl;
-    record.isDraining = update.isDraining;
-    record.revision = static_cast<Revision>(update.revision);
+    record.vm = member.vm;
+    record.failureDomain = member.failureDomain;
+    record.peers = member.peers;
+    record.callers = member.callers;
+    record.incarnation = member.incarnation;
+    record.isControl = member.isControl;
+    record.isDraining = member.isDraining;
+    record.revision = member.revision;
     return record;
 }
 
+std::chrono::milliseconds inMilliseconds(Duration time)
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(time);
+}
+
 } // namespace
 
-Membership::Membership(const Identity &identity, const NodeSettings &settings, Directory &directory,
-                       PeerClients &peers)
+Membership::Membership(const Identity &identity, const NodeSettings &settings,
+                       const SettingsSource &fleetSettings, Directory &directory,
+                       PeerClients &peers, Recorder &recorder)
     : m_identity(identity)
     , m_settings(settings)
+    , m_fleetSettings(fleetSettings)
     , m_directory(directory)
     , m_peers(peers)
+    , m_recorder(recorder)
 { }
 
 Membership::~Membership()
 {
-    m_isStopping = true;
-    if (m_thread.joinable())
-        m_thread.join();
+    leave();
 }
 
 void Membership::start(const VmRecord &self)
 {
+    const std::lock_guard lock(m_mutex);
     m_directory.put(self);
-    m_thread = std::thread([this] { run(); });
+    m_gossip.emplace(GossipSettings(), memberOf(self), m_settings.seeds, std::random_device()());
+    m_threads.emplace_back([this] { runRounds(); });
+    for (int worker = 0; worker < Workers; ++worker)
+        m_threads.emplace_back([this] { runCalls(); });
 }
 
 void Membership::setDraining()
 {
-    auto self = m_directory.find(m_identity.vm);
-    if (!self)
-        return;
-    self->isDraining = true;
-    m_directory.put(*self);
+    const std::lock_guard lock(m_mutex);
+    m_gossip->setDraining();
+    m_directory.put(recordOf(m_gossip->self()));
 }
 
-void Membership::run()
+void Membership::leave()
 {
+    GossipActions notices;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_isStopping)
+            return;
+        m_isStopping = true;
+        if (m_gossip)
+            notices = m_gossip->leave();
+    }
+    m_wanted.notify_all();
+    for (std::thread &thread : m_threads)
+        thread.join();
+    for (const GossipAction &notice : notices)
+        exchange(std::get<GossipCall>(notice));
+}
+
+void Membership::runRounds()
+{
+    const Duration interval = GossipSettings().probeInterval;
+    std::unique_lock lock(m_mutex);
     while (!m_isStopping) {
-        for (const Endpoint &seed : m_settings.seeds) {
-            if (seed != m_settings.listen.peers)
-                askSeed(seed);
-        }
-        std::this_thread::sleep_for(RoundInterval);
+        m_gossip->setRevision(m_fleetSettings.revision());
+        const TimePoint started = Clock::now();
+        perform(m_gossip->tick(started));
+        m_wanted.wait_until(lock, started + interval, [this] { return m_isStopping; });
+    }
+}
+
+void Membership::runCalls()
+{
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        m_wanted.wait(lock, [this] { return m_isStopping || !m_queue.empty(); });
+        if (m_isStopping)
+            return;
+        const GossipCall call = std::move(m_queue.front());
+        m_queue.pop_front();
+        lock.unlock();
+        const std::optional<GossipReply> reply = exchange(call);
+        lock.lock();
+        perform(reply ? m_gossip->onReply(call.id, *reply, Clock::now())
+                      : m_gossip->onFailure(call.id, Clock::now()));
     }
 }
 
-void Membership::askSeed(const Endpoint &seed)
+std::optional<GossipReply> Membership::exchange(const GossipCall &call)
 {
-    wire::Gossip message;
-    message.wantsAll = true;
-    if (const auto self = m_directory.find(m_identity.vm))
-        message.updates.push_back(toWire(*self));
     try {
-        const auto reply = m_peers.call(seed, AnswerTime, [&](wire::PeerClient &client) {
-            wire::GossipReply answer;
-            client.gossip(answer, m_peers.header(), message);
-            return answer;
-        });
-        take(reply.updates);
-    } catch (const PeerError &) {
-        return;
+        const wire::Gossip message = toWire(call.message);
+        return fromWire(
+                m_peers.call(call.to, inMilliseconds(call.timeout), [&](wire::PeerClient &client) {
+                    wire::GossipReply answer;
+                    client.gossip(answer, m_peers.header(), message);
+                    return answer;
+                }));
+    } catch (const Error &) {
+        return std::nullopt;
     } catch (const wire::PeerRefusal &) {
-        return;
+        return std::nullopt;
     }
 }
 
-wire::GossipReply Membership::answer(const wire::Gossip &message)
+void Membership::perform(const GossipActions &actions)
+{
+    for (const GossipAction &action : actions) {
+        if (const auto *change = std::get_if<MemberChange>(&action))
+            apply(*change);
+        const auto *call = std::get_if<GossipCall>(&action);
+        if (call && m_queue.size() < LongestQueue)
+            m_queue.push_back(*call);
+        else if (call)
+            perform(m_gossip->onFailure(call->id, Clock::now()));
+    }
+    m_wanted.notify_all();
+}
+
+void Membership::apply(const MemberChange &change)
 {
-    take(message.updates);
-    wire::GossipReply reply;
-    reply.isAlive = true;
-    for (const VmRecord &record : m_directory.all())
-        reply.updates.push_back(toWire(record));
-    return reply;
+    const Member &member = change.member;
+    EventFields fields;
+    fields.details = {{"member", member.vm.text()},
+                      {"failure_domain", member.failureDomain.text()},
+                      {"incarnation", std::to_string(member.incarnation)}};
+    switch (change.kind) {
+    case MemberChangeKind::Joined:
+        m_suspicions.erase(member.vm);
+        m_recorder.record(EventKind::MemberJoined, fields);
+        break;
+    case MemberChangeKind::Updated:
+        m_suspicions.erase(member.vm);
+        break;
+    case MemberChangeKind::Suspected:
+        m_suspicions[member.vm] = m_recorder.record(EventKind::MemberSuspected, fields);
+        break;
+    case MemberChangeKind::Died:
+    case MemberChangeKind::Left:
+        fields.details["state"] = change.kind == MemberChangeKind::Died ? "dead" : "left";
+        m_recorder.record(EventKind::MemberDead, fields, m_suspicions[member.vm]);
+        m_suspicions.erase(member.vm);
+        break;
+    }
+    if (member.isPresent())
+        m_directory.put(recordOf(member));
+    else
+        m_directory.remove(member.vm);
 }
 
-void Membership::take(const std::vector<wire::MemberUpdate> &updates)
+wire::GossipReply Membership::answer(const wire::Gossip &message)
 {
-    for (const wire::MemberUpdate &update : updates) {
-        const VmRecord record = fromWire(update);
-        const auto known = m_directory.find(record.vm);
-        const bool isNewer = !known || known->incarnation < record.incarnation
-                || (known->incarnation == record.incarnation && record.isDraining);
-        if (isNewer && record.vm != m_identity.vm)
-            m_directory.put(record);
+    const GossipMessage taken = fromWire(message);
+    std::unique_lock lock(m_mutex);
+    if (!m_gossip)
+        throw MessageError("membership has not started here");
+    perform(m_gossip->onMessage(taken, Clock::now()));
+    std::optional<GossipCall> probe;
+    if (!taken.probeTarget.isEmpty())
+        probe = m_gossip->relay(taken);
+    std::optional<GossipReply> probed;
+    if (probe) {
+        lock.unlock();
+        probed = exchange(*probe);
+        lock.lock();
+        perform(probed ? m_gossip->onReply(probe->id, *probed, Clock::now())
+                       : m_gossip->onFailure(probe->id, Clock::now()));
     }
+    GossipReply reply = m_gossip->answer(taken);
+    reply.isAlive = taken.probeTarget.isEmpty() || probed.has_value();
+    return toWire(reply);
 }
 
 } // namespace nutmegtide
--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -38,7 +38,7 @@
     , m_meteredHome(m_home)
     , m_entry(m_identity, m_directory, m_fleetSettings, m_peers, m_meteredHome)
     , m_meteredEntry(m_entry)
-    , m_membership(m_identity, m_settings, m_directory, m_peers)
+    , m_membership(m_identity, m_settings, m_fleetSettings, m_directory, m_peers, m_recorder)
     , m_callerApi(m_identity, m_fleetSettings, m_meteredEntry)
     , m_announceApi(m_identity, m_directory, m_fleetSettings, m_groups)
 {
@@ -112,6 +112,7 @@
 
 Node::~Node()
 {
+    m_membership.leave();
     m_callerServer->stop();
     m_operatorServer->stop();
     m_peerServer->stop();
--- a/test/unit/fleet/gossipnetwork.h
+++ b/test/unit/fleet/gossipnetwork.h
@@ -29,7 +29,7 @@
     double loss = 0; // of each message
     std::function<bool(const VmName &from, const VmName &to)> isCut;
     std::vector<Seen> seen;
-    std::uint64_t bytes = 0; // sent, with what TCP and IP add
+    std::uint64_t bytes = 0; // sent and received, with what TCP and IP add
 
     static VmName name(int number) { return VmName("vm-" + std::to_string(1000 + number)); }
 
@@ -100,7 +100,7 @@
         }
         for (const VmName &vm : running) {
             const Gossip &gossip = *m_nodes.at(vm).gossip;
-            if (gossip.present().size() + 1 != running.size())
+            if (gossip.presentCount() + 1 != running.size())
                 return false;
             for (const VmName &other : running) {
                 const Member *known = gossip.find(other);
@@ -130,10 +130,12 @@
 
 private:
     static constexpr Duration Latency = 1ms;
-    // Frame, call name and header of a call, and of its answer.
-    static constexpr std::size_t CallBytes = 160;
-    static constexpr std::size_t AnswerBytes = 60;
-    static constexpr std::size_t PacketBytes = 2 * 52; // TCP and IP, of a segment and of its ack
+    // Frame, call name, header and fixed fields of a call, and of its answer.
+    static constexpr std::size_t CallBytes = 140;
+    static constexpr std::size_t AnswerBytes = 48;
+    // TCP and IP: of the call with the last answer's ack, and of the answer, whose ack follows alone.
+    static constexpr std::size_t CallPacketBytes = 52;
+    static constexpr std::size_t AnswerPacketBytes = 2 * 52;
 
     struct Node
     {
@@ -181,16 +183,19 @@
         return !isLost && m_nodes[to].isRunning && !(isCut && isCut(from, to));
     }
 
-    void count(std::size_t fixed, const Member &sender, const std::vector<Member> &updates)
+    static std::size_t size(const Member &sender, const std::vector<Member> &updates)
     {
-        bytes += fixed + PacketBytes + wireSize(sender);
+        std::size_t sum = wireSize(sender);
         for (const Member &member : updates)
-            bytes += wireSize(member);
+            sum += wireSize(member);
+        return sum;
     }
 
     void send(const VmName &from, const GossipCall &call, std::function<void(bool)> done)
     {
-        count(CallBytes, call.message.sender, call.message.updates);
+        const std::size_t callSize = CallBytes + CallPacketBytes
+                + size(call.message.sender, call.message.updates);
+        bytes += callSize;
         const VmName to = m_names.at(call.to);
         const TimePoint latest = m_now + call.timeout;
         const int life = m_nodes[from].life;
@@ -206,18 +211,24 @@
         const auto reply = [=, this](bool isAlive) {
             GossipReply answer = at(to).answer(call.message);
             answer.isAlive = isAlive;
-            count(AnswerBytes, answer.sender, answer.updates);
+            const std::size_t answerSize = AnswerBytes + AnswerPacketBytes
+                    + size(answer.sender, answer.updates);
+            bytes += answerSize;
             if (m_now + Latency > latest || !isDelivered(to, from)) {
                 schedule(std::max(latest - m_now, Duration::zero()), fail);
                 return;
             }
             schedule(Latency, [=, this] {
+                bytes += answerSize;
                 if (isCurrent(from, life))
                     perform(from, at(from).onReply(call.id, answer, m_now));
                 done(true);
             });
         };
-        schedule(Latency, [=, this] { receive(to, call, reply); });
+        schedule(Latency, [=, this] {
+            bytes += callSize;
+            receive(to, call, reply);
+        });
     }
 
     void receive(const VmName &to, const GossipCall &call, const std::function<void(bool)> &reply)
