--- a/include/nutmegtide/control/raftmessage.h
+++ b/include/nutmegtide/control/raftmessage.h
@@ -35,15 +35,15 @@
 
 // A control VM with the id of its data folder. The folder's id tells a VM that
 // kept its log from one of the same name that lost it.
-struct Member
+struct ControlMember
 {
     VmName vm;
     std::string folder; // empty before the first leader has learned it
 
-    bool operator==(const Member &) const = default;
+    bool operator==(const ControlMember &) const = default;
 };
 
-using Members = std::vector<Member>;
+using Members = std::vector<ControlMember>;
 
 // Writes members as the payload of an entry, and reads it back. decodeMembers()
 // throws MessageError.
--- a/include/nutmegtide/control/raftnode.h
+++ b/include/nutmegtide/control/raftnode.h
@@ -73,7 +73,7 @@
     RaftActions snapshotTaken(LogIndex index, std::string state);
     // Brings a VM up to date, then makes it a member. Both throw NotLeaderError and
     // MembershipError; a change is complete when its entry is applied.
-    RaftActions addMember(const Member &member);
+    RaftActions addMember(const ControlMember &member);
     RaftActions removeMember(const VmName &vm);
 
     bool isLeader() const { return m_role.state() == "leader"; }
@@ -151,7 +151,7 @@
     // Members.
     bool isVoter() const;
     bool isBound() const;
-    const Member *findMember(const VmName &vm) const;
+    const ControlMember *findMember(const VmName &vm) const;
     bool mayCount(const VmName &vm, const std::string &folder) const;
     bool isQuorum(const std::set<VmName> &vms) const;
     std::vector<VmName> receivers() const;
@@ -185,7 +185,7 @@
     LogIndex m_commit = 0;
     std::map<VmName, std::string> m_votes; // granted in this election, with the folder's id
     std::map<VmName, Progress> m_progress; // as leader
-    std::optional<Member> m_learner;
+    std::optional<ControlMember> m_learner;
     std::map<VmName, std::string> m_refusedFolders;
     WriteNumber m_lastWrite = 0;
     WriteNumber m_syncedWrite = 0;
--- a/src/control/raftleader.cpp
+++ b/src/control/raftleader.cpp
@@ -189,7 +189,7 @@
         throw MembershipError("an earlier change of the control members is not complete yet");
 }
 
-RaftActions RaftNode::addMember(const Member &member)
+RaftActions RaftNode::addMember(const ControlMember &member)
 {
     requireChangeable();
     if (findMember(member.vm))
@@ -208,7 +208,7 @@
     if (!findMember(vm))
         throw MembershipError(vm.text() + " is no control member");
     Members members = m_log.members();
-    std::erase_if(members, [&vm](const Member &member) { return member.vm == vm; });
+    std::erase_if(members, [&vm](const ControlMember &member) { return member.vm == vm; });
     if (members.empty())
         throw MembershipError("the last control member can't be removed");
     appendMembers(members);
--- a/src/control/raftlog.cpp
+++ b/src/control/raftlog.cpp
@@ -10,7 +10,7 @@
 std::string encodeMembers(const Members &members)
 {
     nlohmann::json list = nlohmann::json::array();
-    for (const Member &member : members)
+    for (const ControlMember &member : members)
         list.push_back({{"vm", member.vm.text()}, {"folder", member.folder}});
     return list.dump();
 }
--- a/src/control/raftnode.cpp
+++ b/src/control/raftnode.cpp
@@ -94,7 +94,7 @@
 {
     const bool isLearner = m_learner && m_learner->vm == message.sender
             && m_learner->folder == message.folder;
-    const Member *member = findMember(message.sender);
+    const ControlMember *member = findMember(message.sender);
     if (isLearner || !member || member->folder.empty() || member->folder == message.folder) {
         m_refusedFolders.erase(message.sender);
         return false;
@@ -243,9 +243,9 @@
     return actions;
 }
 
-const Member *RaftNode::findMember(const VmName &vm) const
+const ControlMember *RaftNode::findMember(const VmName &vm) const
 {
-    for (const Member &member : m_log.members()) {
+    for (const ControlMember &member : m_log.members()) {
         if (member.vm == vm)
             return &member;
     }
@@ -256,7 +256,7 @@
 {
     const Members &members = m_log.members();
     return std::none_of(members.begin(), members.end(),
-                        [](const Member &member) { return member.folder.empty(); });
+                        [](const ControlMember &member) { return member.folder.empty(); });
 }
 
 bool RaftNode::isVoter() const
@@ -266,7 +266,7 @@
 
 bool RaftNode::mayCount(const VmName &vm, const std::string &folder) const
 {
-    const Member *member = findMember(vm);
+    const ControlMember *member = findMember(vm);
     return member && (member->folder.empty() || member->folder == folder);
 }
 
@@ -276,7 +276,7 @@
 {
     const Members &members = m_log.members();
     std::size_t count = 0;
-    for (const Member &member : members)
+    for (const ControlMember &member : members)
         count += vms.count(member.vm);
     return isBound() ? count > members.size() / 2 : count == members.size();
 }
@@ -284,7 +284,7 @@
 std::vector<VmName> RaftNode::receivers() const
 {
     std::vector<VmName> vms;
-    for (const Member &member : m_log.members()) {
+    for (const ControlMember &member : m_log.members()) {
         if (member.vm != m_self)
             vms.push_back(member.vm);
     }
--- a/src/serve/controllog.cpp
+++ b/src/serve/controllog.cpp
@@ -153,7 +153,7 @@
     result.get();
 }
 
-void ControlLog::addMember(const Member &member)
+void ControlLog::addMember(const ControlMember &member)
 {
     changeMembers([this, member] { return m_node->addMember(member); });
 }
--- a/src/serve/controllog.h
+++ b/src/serve/controllog.h
@@ -49,7 +49,7 @@
     std::uint64_t propose(const Command &command, std::chrono::milliseconds timeout) override;
     // Both return once the change is under way. They throw NotLeaderError, MembershipError
     // and ProposalUnknownError.
-    void addMember(const Member &member);
+    void addMember(const ControlMember &member);
     void removeMember(const VmName &vm);
     RaftStatus status() const;
 
--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -42,7 +42,7 @@
     , m_entry(m_identity, m_directory, m_fleetSettings, m_peers, m_meteredHome)
     , m_observedEntry(m_entry, m_metrics, m_recorder)
     , m_meteredEntry(m_observedEntry)
-    , m_membership(m_identity, m_settings, m_directory, m_peers)
+    , m_membership(m_identity, m_settings, m_fleetSettings, m_directory, m_peers, m_recorder)
     , m_config(m_identity, m_settings, m_fleetSettings, m_directory, m_peers, m_recorder)
     , m_callerApi(m_identity, m_fleetSettings, m_meteredEntry)
     , m_announceApi(m_identity, m_directory, m_fleetSettings, m_groups)
@@ -172,6 +172,7 @@
 Node::~Node()
 {
     m_groupReporter.stop();
+    m_membership.leave();
     m_callerServer->stop();
     m_operatorServer->stop();
     m_peerServer->stop();
