--- a/samples/demo.sh
+++ b/samples/demo.sh
@@ -85,4 +85,18 @@
 say "a read that accepts data of one second's age is served by a replica"
 statement "$callers_d" '{"statement":"get","parameters":{"key":"cask-7"},"access":"read","max_age_ms":1000}'
 
+say "the primary s1 is killed; the next write goes to a new term"
+kill -9 "$primary_pid"
+begin=$(date +%s%N)
+until_answered "$callers_b" '{"statement":"put","parameters":{"key":"cask-7","value":"moved"},"access":"write"}' \
+    -H 'Idempotency-Key: demo-2'
+echo "answered after $((($(date +%s%N) - begin) / 1000000)) ms"
+statement "$callers_d" '{"statement":"get","parameters":{"key":"cask-7"},"access":"read"}'
+
+say "status"
+"$build/nutmegtide" status --at "${operators%%,*}"
+say "time line"
+mkdir -p out
+"$build/nutmegtide" timeline --at "$operators" --html out/timeline.html
+echo "page: out/timeline.html"
 say "stopping"
--- a/src/serve/statusrole.cpp
+++ b/src/serve/statusrole.cpp
@@ -11,6 +11,14 @@
     return std::to_string(position.term) + '.' + std::to_string(position.index);
 }
 
+// A server that calls itself primary in an older term no longer is one.
+const char *roleName(const ServerSnapshot &server, const GroupSnapshot &group)
+{
+    if (server.role == ServerRole::Replica)
+        return "replica";
+    return group.primary == server.id ? "primary" : "old";
+}
+
 Json toMilliseconds(const std::optional<Duration> &time)
 {
     if (!time)
