--- a/src/cli/statuscommand.cpp
+++ b/src/cli/statuscommand.cpp
@@ -39,14 +39,16 @@
 void printGroup(const std::string &database, const nlohmann::json &group)
 {
     std::string homes;
-    for (const nlohmann::json &home : group.value("homes", nlohmann::json::array()))
+    const nlohmann::json names = group.value("homes", nlohmann::json::array());
+    for (const nlohmann::json &home : names)
         homes += ' ' + textOf(home);
     std::printf("database %s: term %s, primary %s, homes%s\n", database.c_str(),
                 textOf(group.value("term", nlohmann::json())).c_str(),
                 textOf(group.value("primary", nlohmann::json())).c_str(), homes.c_str());
     std::printf("  %-16s %-16s %-8s %-8s %-14s %-10s %s\n", "backend server", "failure domain",
                 "role", "state", "position", "age ms", "in flight");
-    for (const auto &[id, server] : group.value("servers", nlohmann::json::object()).items()) {
+    const nlohmann::json servers = group.value("servers", nlohmann::json::object());
+    for (const auto &[id, server] : servers.items()) {
         const auto field = [&server = server](const char *key) {
             return textOf(server.value(key, nlohmann::json()));
         };
--- a/src/serve/statusrole.cpp
+++ b/src/serve/statusrole.cpp
@@ -110,8 +110,7 @@
     Json servers = Json::object();
     for (const ServerSnapshot &server : snapshot.servers) {
         servers[server.id.text()] = {{"failure_domain", server.failureDomain.text()},
-                                     {"role",
-                                      server.role == ServerRole::Primary ? "primary" : "replica"},
+                                     {"role", roleName(server, snapshot)},
                                      {"state", stateName(server.state)},
                                      {"applied", toJson(server.applied)},
                                      {"proved_age_ms", toMilliseconds(server.provedAge)},
