--- a/src/serve/changerole.cpp
+++ b/src/serve/changerole.cpp
@@ -103,9 +103,10 @@
         m_changed.notify_all();
     }
     wire::GroupReportReply reply;
-    reply.isLeader = m_log && m_log->isLeader();
-    if (m_log)
-        reply.leader = m_log->leader().text();
+    if (const ReplicatedLog *log = m_log) {
+        reply.isLeader = log->isLeader();
+        reply.leader = log->leader().text();
+    }
     for (const wire::GroupReport &report : reports) {
         const DatabaseName database(report.database);
         if (const auto record = m_ledger.find(database))
@@ -143,7 +144,7 @@
 {
     std::unique_lock lock(m_mutex);
     while (!m_isStopping) {
-        const bool isLeader = m_log->isLeader();
+        const bool isLeader = m_log.load()->isLeader();
         for (auto &[database, group] : m_groups) {
             if (isLeader)
                 step(database, group, Clock::now());
@@ -385,7 +386,7 @@
         lock.unlock();
         bool isCommitted = false;
         try {
-            m_log->propose({CommandKind::Group, encode(command)}, ProposalTime);
+            m_log.load()->propose({CommandKind::Group, encode(command)}, ProposalTime);
             isCommitted = true;
         } catch (const NotLeaderError &) {
             isCommitted = false;
--- a/src/serve/changerole.h
+++ b/src/serve/changerole.h
@@ -13,6 +13,7 @@
 #include "serve/settingssource.h"
 #include "serve/sharedledger.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <map>
@@ -96,7 +97,7 @@
     Recorder &m_recorder;
     const ChartLibrary m_charts = ChartLibrary::embedded();
     SharedLedger m_ledger;
-    ReplicatedLog *m_log = nullptr;
+    std::atomic<ReplicatedLog *> m_log = nullptr; // null until start()
 
     mutable std::mutex m_mutex;
     std::condition_variable m_changed;
--- a/test/process/failover_test.cpp
+++ b/test/process/failover_test.cpp
@@ -197,3 +197,45 @@
     CHECK(primaryOf(scene.fleet, "b1") == "s1");
     checkLog(logOf(scene.fleet, "s1"), writers);
 }
+
+TEST_CASE("a change goes on when any control VM dies with the primary")
+{
+    for (const std::string control : {"a1", "b1", "c1"}) { // one of them leads
+        CAPTURE(control);
+        Scene scene;
+        const std::string proxy = control == "a1" ? "b1" : "a1";
+        Writers writers(scene.fleet, {proxy});
+        waitForMore(writers, "writes before the kill");
+        scene.fleet.kill("s1");
+        scene.fleet.kill(control);
+        waitForMore(writers, "writes after the kill");
+        writers.stop();
+        const std::string primary = primaryOf(scene.fleet, proxy);
+        CHECK(primary != "s1");
+        checkLog(logOf(scene.fleet, primary), writers);
+    }
+}
+
+TEST_CASE("a spare takes the place of a lost voter, and a second loss loses nothing")
+{
+    Scene scene;
+    scene.fleet.addServer({"s4", "casks", "fd-c", {"s1", "s2", "s3"}, "s1", {}});
+    Writers writers(scene.fleet, {"a1", "b1", "c1"});
+    waitForMore(writers, "writes before the loss");
+    scene.fleet.kill("s3");
+    waitUntil(
+            [&] {
+                const Json position = HttpClient(scene.fleet.server("s4")).get("/v1/position").json();
+                return position.value("term", 0) >= 2 && position["durable"].value("term", 0) >= 2;
+            },
+            "the spare holds an entry of the term of the repair");
+    waitForMore(writers, "writes after the repair", 500);
+    // Of the old voters only one is left then, so a majority needs the spare.
+    const std::string second = primaryOf(scene.fleet, "b1");
+    scene.fleet.kill(second);
+    waitForMore(writers, "writes after the second loss");
+    writers.stop();
+    const std::string primary = primaryOf(scene.fleet, "b1");
+    CHECK(primary != second);
+    checkLog(logOf(scene.fleet, primary), writers);
+}
