Show on the time line when control has agreed on a group

A test that killed a control VM before control had its first leader waited for ever: a control log that is new needs all its members once. The tests now wait until control knows the group.

--- a/src/serve/changerole.cpp
+++ b/src/serve/changerole.cpp
@@ -393,13 +393,16 @@
         } catch (const ProposalUnknownError &) {
             isCommitted = false;
         }
-        const auto record = m_ledger.find(command.database);
+        const auto known = m_ledger.find(command.database);
         feed(command.database, [&](PrimaryChange &change) {
-            return isCommitted && record ? change.onCommitted(command, *record, Clock::now())
-                                         : change.onProposalFailed(command, Clock::now());
+            return isCommitted && known ? change.onCommitted(command, *known, Clock::now())
+                                        : change.onProposalFailed(command, Clock::now());
         });
         lock.lock();
         m_groups.at(command.database).isProposing = false;
+        if (isCommitted && command.kind == GroupCommandKind::Adopt)
+            record(command.database,
+                   {EventKind::PrimaryPublished, command.term, command.primary, ""});
         m_changed.notify_all();
     }
 }
--- a/test/process/failover_test.cpp
+++ b/test/process/failover_test.cpp
@@ -94,7 +94,8 @@
     std::vector<std::thread> m_threads;
 };
 
-// Three nodes with control and three servers, of which s1 is the primary.
+// Three nodes with control and three servers, of which s1 is the primary; control has
+// agreed on the group.
 struct Scene
 {
     explicit Scene(const std::vector<NodeOptions> &nodes = {{"a1", "fd-a", true},
@@ -106,6 +107,12 @@
         fleet.addServer({"s1", "casks", "fd-a", voters, "", {}});
         fleet.addServer({"s2", "casks", "fd-b", voters, "s1", {}});
         fleet.addServer({"s3", "casks", "fd-c", voters, "s1", {}});
+        waitUntil(
+                [&] {
+                    const auto answer = HttpClient(fleet.operators("a1")).get("/v1/timeline");
+                    return answer.body.find("primary_published") != std::string::npos;
+                },
+                "control knows the group");
     }
 
     TestFleet fleet;
