Decide admission: adaptive limit, fair queue by deadline, retry budget

Cause: nothing bounds what waits for a backend server, and a waiting statement holds its caller until its deadline. Weighed: strict priority by class (starves reads), plain deadline order (a session that fills the queue takes it all). Taken: fair rounds, deadline order within a round.

--- /dev/null
+++ b/include/nutmegtide/statement/admissionqueue.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "nutmegtide/base/ids.h"
+#include "nutmegtide/statement/concurrencylimit.h"
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace nutmegtide {
+
+// Names one statement that asks to run on a backend server.
+using AdmissionTicket = std::uint64_t;
+
+// In the order in which they are preferred under overload.
+enum class AdmissionClass {
+    Write,
+    AgedRead, // a read that accepts an age
+    PlainRead,
+};
+
+constexpr std::size_t AdmissionClassCount = 3;
+
+struct AdmissionRequest
+{
+    AdmissionTicket ticket = 0;
+    SessionId session;
+    AdmissionClass kind = AdmissionClass::PlainRead;
+    TimePoint deadline;
+    bool isResent = false; // the server refused it as busy; it keeps its turn
+};
+
+enum class AdmissionActionKind {
+    Start,
+    Refuse, // it is not run
+};
+
+struct AdmissionAction
+{
+    AdmissionActionKind kind = AdmissionActionKind::Refuse;
+    AdmissionTicket ticket = 0;
+    Duration retryAfter = Duration::zero(); // of a refusal
+
+    bool operator==(const AdmissionAction &) const = default;
+};
+
+using AdmissionActions = std::vector<AdmissionAction>;
+
+// How a started statement ended.
+enum class AdmissionEnd {
+    Answered,
+    Busy, // the server refused it for want of a slot
+    Failed, // says nothing of the server's pace
+};
+
+// Decides which statement runs next on one backend server and which is refused.
+//
+//   queue.setBounds(announced.slots, connections, settings.queueLength);
+//   run(queue.add(request, now)); // Start or Refuse, now or later
+//   run(queue.finish(ticket, AdmissionEnd::Answered, now));
+//   run(queue.expire(now)); // at nextExpiry()
+//
+// Statements run in fair rounds (start-time fair queueing): each session may run
+// one write a round, a read with an age every 4 rounds and another read every 16.
+// Within a round the earliest deadline is first. So every waiting statement is
+// overtaken a bounded number of times, whatever arrives, and no class starves.
+//
+// A newcomer that can't finish by its deadline, by the running estimate of the
+// service time, is refused at once. So is one that would make a waiting statement
+// of its own or a preferred class late; one of a lesser class is given up instead.
+// Places are kept free for a session that has none and for each class.
+class AdmissionQueue
+{
+public:
+    void setBounds(int slots, int connections, int queueLength);
+
+    AdmissionActions add(const AdmissionRequest &request, TimePoint now);
+    // Ends a started statement.
+    AdmissionActions finish(AdmissionTicket ticket, AdmissionEnd end, TimePoint now);
+    // Gives up on waiting statements that can't finish in time any more, and on
+    // all of them when the server has stopped to answer.
+    AdmissionActions expire(TimePoint now);
+    // The next moment at which expire() may have something to give up.
+    std::optional<TimePoint> nextExpiry(TimePoint now) const;
+
+    int limit() const { return m_limit.value(); }
+    int running() const { return static_cast<int>(m_running.size()); }
+    int waiting() const { return static_cast<int>(m_waiting.size()); }
+
+private:
+    struct Waiting
+    {
+        std::uint64_t round = 0;
+        AdmissionRequest request;
+
+        bool isBefore(const Waiting &other) const;
+    };
+    using Flow = std::pair<SessionId, AdmissionClass>;
+
+    std::uint64_t nextRound(const AdmissionRequest &request) const;
+    bool hasPlace(const AdmissionRequest &request) const;
+    int mostOfSession() const;
+    // Takes out what the newcomer makes late; false where it has to be refused itself.
+    bool fitsInTime(std::size_t place, TimePoint now, AdmissionActions &actions);
+    Duration waitOf(std::size_t rank) const;
+    Duration retryAfter() const;
+    bool isStalled(TimePoint now) const;
+    Duration stallTime() const;
+    void start(const AdmissionRequest &request, TimePoint now, AdmissionActions &actions);
+    void startNext(TimePoint now, AdmissionActions &actions);
+    // Takes a waiting statement out of the counts.
+    void forget(const AdmissionRequest &request);
+    AdmissionAction refusal(AdmissionTicket ticket) const;
+
+    ConcurrencyLimit m_limit;
+    std::size_t m_queueLength = 0;
+    std::vector<Waiting> m_waiting; // in the order of their turns
+    std::array<std::size_t, AdmissionClassCount> m_waitingOfClass {};
+    std::map<SessionId, int> m_waitingOfSession;
+    std::map<AdmissionTicket, TimePoint> m_running; // by the moment of its start
+    std::map<Flow, std::uint64_t> m_lastRounds;
+    std::uint64_t m_round = 0; // of the statement started last
+    TimePoint m_progressAt;
+};
+
+} // namespace nutmegtide
--- /dev/null
+++ b/include/nutmegtide/statement/retrybudget.h
@@ -0,0 +1,35 @@
+#pragma once
+
+namespace nutmegtide {
+
+// Bounds retries to a share of fresh statements, so that a fault can't multiply
+// the load that caused it. It is a token bucket: a fresh statement puts the share
+// in, a retry takes one out. What it holds is bounded, so that a long quiet time
+// doesn't allow a burst.
+//
+//   RetryBudget budget(settings.retryShare);
+//   budget.noteFresh();
+//   if (budget.takeRetry()) send(again);
+class RetryBudget
+{
+public:
+    // A process that has served little may still retry a few times.
+    static constexpr double MostHeld = 10; // retries
+
+    // The share is of fresh statements: 0.1 allows one retry for ten of them.
+    explicit RetryBudget(double share)
+        : m_share(share)
+        , m_held(share > 0 ? MostHeld : 0)
+    { }
+
+    void setShare(double share) { m_share = share; }
+    void noteFresh();
+    // Returns whether a retry may be sent, and counts it if so.
+    bool takeRetry();
+
+private:
+    double m_share;
+    double m_held;
+};
+
+} // namespace nutmegtide
--- /dev/null
+++ b/test/unit/statement/admissionqueue_test.cpp
@@ -0,0 +1,222 @@
+#include "nutmegtide/statement/admissionqueue.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <string>
+
+using namespace nutmegtide;
+
+namespace {
+
+constexpr TimePoint Start = TimePoint() + 100s;
+constexpr Duration Service = 10ms;
+
+// A queue for one slot whose service time is known, with one statement running.
+struct BusyServer
+{
+    explicit BusyServer(int queueLength = 64)
+    {
+        queue.setBounds(1, 1, queueLength);
+        // The deviation of the first sample fades away.
+        for (AdmissionTicket ticket = 1'000; ticket < 1'100; ++ticket) {
+            queue.add(request(ticket, "warm", AdmissionClass::Write), now);
+            now += Service;
+            queue.finish(ticket, AdmissionEnd::Answered, now);
+        }
+        queue.add(request(RunningTicket, "warm", AdmissionClass::Write), now);
+    }
+
+    AdmissionRequest request(AdmissionTicket ticket, const std::string &session,
+                             AdmissionClass kind, Duration timeout = 60s) const
+    {
+        return {ticket, SessionId(session), kind, now + timeout, false};
+    }
+
+    AdmissionActions add(AdmissionTicket ticket, const std::string &session,
+                         AdmissionClass kind = AdmissionClass::Write, Duration timeout = 60s)
+    {
+        return queue.add(request(ticket, session, kind, timeout), now);
+    }
+
+    // Runs all that waits and returns the tickets in the order of their starts.
+    std::vector<AdmissionTicket> runAll()
+    {
+        std::vector<AdmissionTicket> order;
+        AdmissionTicket running = RunningTicket;
+        while (queue.running() > 0) {
+            now += Service;
+            const AdmissionActions actions = queue.finish(running, AdmissionEnd::Answered, now);
+            for (const AdmissionAction &action : actions) {
+                REQUIRE(action.kind == AdmissionActionKind::Start);
+                order.push_back(action.ticket);
+                running = action.ticket;
+            }
+        }
+        return order;
+    }
+
+    static constexpr AdmissionTicket RunningTicket = 999;
+    AdmissionQueue queue;
+    TimePoint now = Start;
+};
+
+bool isRefused(const AdmissionActions &actions, AdmissionTicket ticket)
+{
+    return std::any_of(actions.begin(), actions.end(), [ticket](const AdmissionAction &action) {
+        return action.ticket == ticket && action.kind == AdmissionActionKind::Refuse
+                && action.retryAfter > Duration::zero();
+    });
+}
+
+} // namespace
+
+TEST_CASE("statements start while the limit allows and wait after that")
+{
+    AdmissionQueue queue;
+    queue.setBounds(3, 20, 8);
+    for (AdmissionTicket ticket = 1; ticket <= 4; ++ticket) {
+        const AdmissionRequest request {ticket, SessionId("s"), AdmissionClass::Write, Start + 1s,
+                                        false};
+        CHECK(queue.add(request, Start).size() == (ticket <= 3 ? 1 : 0));
+    }
+    CHECK(queue.running() == 3);
+    CHECK(queue.waiting() == 1);
+    const AdmissionActions actions = queue.finish(2, AdmissionEnd::Answered, Start + 5ms);
+    CHECK(actions == AdmissionActions {{AdmissionActionKind::Start, 4, Duration::zero()}});
+    CHECK(queue.finish(2, AdmissionEnd::Answered, Start + 6ms).empty());
+}
+
+TEST_CASE("within a round the earliest deadline is first")
+{
+    BusyServer server;
+    server.add(1, "a", AdmissionClass::Write, 30s);
+    server.add(2, "b", AdmissionClass::Write, 10s);
+    server.add(3, "c", AdmissionClass::Write, 20s);
+    CHECK(server.runAll() == std::vector<AdmissionTicket> {2, 3, 1});
+}
+
+TEST_CASE("writes go first, then reads with an age, then the rest")
+{
+    BusyServer server;
+    server.add(1, "a", AdmissionClass::PlainRead);
+    server.add(2, "a", AdmissionClass::AgedRead);
+    server.add(3, "a", AdmissionClass::Write);
+    CHECK(server.runAll() == std::vector<AdmissionTicket> {3, 2, 1});
+}
+
+TEST_CASE("a read is overtaken by a bounded number of writes that keep coming")
+{
+    BusyServer server;
+    server.add(1, "reader", AdmissionClass::PlainRead);
+    AdmissionTicket next = 2;
+    AdmissionTicket running = BusyServer::RunningTicket;
+    int overtaken = 0;
+    while (running != 1 && overtaken < 100) {
+        server.add(next++, "writer");
+        server.now += Service;
+        running = server.queue.finish(running, AdmissionEnd::Answered, server.now).front().ticket;
+        ++overtaken;
+    }
+    CHECK(overtaken <= 17);
+}
+
+TEST_CASE("work that can't finish in time is refused at once and told when to come back")
+{
+    struct Row
+    {
+        Duration timeout;
+        bool isRefused;
+    };
+    const Row rows[] = {{9ms, true}, {50ms, true}, {75ms, false}};
+    for (const Row &row : rows) {
+        CAPTURE(row.timeout.count());
+        BusyServer server;
+        for (AdmissionTicket ticket = 1; ticket <= 5; ++ticket)
+            server.add(ticket, "a");
+        const AdmissionActions actions = server.add(9, "a", AdmissionClass::Write, row.timeout);
+        CHECK(isRefused(actions, 9) == row.isRefused);
+        if (row.isRefused)
+            CHECK(actions.front().retryAfter >= 5 * Service);
+        CHECK(server.queue.waiting() == (row.isRefused ? 5 : 6));
+    }
+}
+
+TEST_CASE("a newcomer makes no waiting statement of its class late; a lesser class gives way")
+{
+    struct Row
+    {
+        AdmissionClass waiting;
+        AdmissionTicket refused;
+    };
+    const Row rows[] = {{AdmissionClass::Write, 2}, {AdmissionClass::PlainRead, 1}};
+    for (const Row &row : rows) {
+        CAPTURE(int(row.waiting));
+        BusyServer server;
+        // It fits just behind the running statement, and no later than that.
+        CHECK(server.add(1, "a", row.waiting, 25ms).empty());
+        const AdmissionActions actions = server.add(2, "b", AdmissionClass::Write, 24ms);
+        CHECK(isRefused(actions, row.refused));
+        CHECK(server.queue.waiting() == 1);
+    }
+}
+
+TEST_CASE("no session fills the queue, and each gets its turn")
+{
+    BusyServer server(16);
+    int accepted = 0;
+    for (AdmissionTicket ticket = 1; ticket <= 100; ++ticket)
+        accepted += server.add(ticket, "greedy").empty() ? 1 : 0;
+    CHECK(accepted == 8);
+    CHECK(server.add(200, "modest").empty());
+    const std::vector<AdmissionTicket> order = server.runAll();
+    CHECK(std::find(order.begin(), order.end(), 200) - order.begin() <= 1);
+}
+
+TEST_CASE("the queue is bounded and keeps places for each class")
+{
+    BusyServer server(16);
+    for (AdmissionTicket ticket = 1; ticket <= 100; ++ticket)
+        server.add(ticket, "writer" + std::to_string(ticket));
+    CHECK(server.queue.waiting() == 12);
+    for (AdmissionTicket ticket = 101; ticket <= 200; ++ticket)
+        server.add(ticket, "reader" + std::to_string(ticket), AdmissionClass::PlainRead);
+    CHECK(server.queue.waiting() == 14);
+    for (AdmissionTicket ticket = 201; ticket <= 300; ++ticket)
+        server.add(ticket, "aged" + std::to_string(ticket), AdmissionClass::AgedRead);
+    CHECK(server.queue.waiting() == 16);
+}
+
+TEST_CASE("a queue of length 0 refuses what can't start")
+{
+    BusyServer server(0);
+    CHECK(isRefused(server.add(1, "a"), 1));
+}
+
+TEST_CASE("a server that stops answering has its queue given up long before the deadlines")
+{
+    BusyServer server;
+    server.add(1, "a");
+    const auto next = server.queue.nextExpiry(server.now);
+    REQUIRE(next);
+    CHECK(*next <= server.now + 300ms);
+    CHECK(server.queue.expire(server.now + 100ms).empty());
+    CHECK(isRefused(server.queue.expire(*next), 1));
+    server.now = *next;
+    CHECK(isRefused(server.add(2, "a"), 2));
+    CHECK_FALSE(server.queue.nextExpiry(server.now));
+}
+
+TEST_CASE("a statement that the server refused as busy keeps its turn")
+{
+    BusyServer server;
+    server.add(1, "a");
+    AdmissionActions actions = server.queue.finish(BusyServer::RunningTicket, AdmissionEnd::Busy,
+                                                   server.now);
+    CHECK(actions.front().ticket == 1);
+    server.add(2, "a");
+    AdmissionRequest again = server.request(3, "z", AdmissionClass::PlainRead);
+    again.isResent = true;
+    CHECK(server.queue.add(again, server.now).empty());
+    actions = server.queue.finish(1, AdmissionEnd::Failed, server.now);
+    CHECK(actions.front().ticket == 3);
+}
