Admit statements before a connection is borrowed; answer what became of a request

Cause: statements waited for a connection until their deadline, and retries had no bound. Change: home proxies admit through one queue a backend server, resend busy refusals and lost answers within the retry budget, and borrow for 20 ms at most. GET /v1/databases/NAME/requests/KEY asks a primary that a majority confirms after its answer.

--- a/include/nutmegtide/statement/admissionqueue.h
+++ b/include/nutmegtide/statement/admissionqueue.h
@@ -66,13 +66,15 @@
 //
 // Statements run in fair rounds (start-time fair queueing): each session may run
 // one write a round, a read with an age every 4 rounds and another read every 16.
-// Within a round the earliest deadline is first. So every waiting statement is
+// Within a round the earliest deadline is first, and a statement that would be late
+// otherwise is taken out of its turn. So every waiting statement is
 // overtaken a bounded number of times, whatever arrives, and no class starves.
 //
 // A newcomer that can't finish by its deadline, by the running estimate of the
-// service time, is refused at once. So is one that would make a waiting statement
-// of its own or a preferred class late; one of a lesser class is given up instead.
-// Places are kept free for a session that has none and for each class.
+// pace of answers, is refused at once. So is one that would make a waiting statement
+// late, whatever its class: what waits has been promised its turn. The preferred
+// classes may fill more of the queue, and places are kept free for each class and
+// for a session that has none.
 class AdmissionQueue
 {
 public:
@@ -104,13 +106,21 @@
     std::uint64_t nextRound(const AdmissionRequest &request) const;
     bool hasPlace(const AdmissionRequest &request) const;
     int mostOfSession() const;
-    // Takes out what the newcomer makes late; false where it has to be refused itself.
-    bool fitsInTime(std::size_t place, TimePoint now, AdmissionActions &actions);
+    // Returns whether the newcomer at this place and all behind it can finish in time.
+    bool fitsInTime(std::size_t place, TimePoint now) const;
+    // Returns the time until the statement with so many others before it starts.
     Duration waitOf(std::size_t rank) const;
+    // Returns what a waiting statement needs at least; it is given up without that.
+    Duration timeToFinish(std::size_t rank) const;
+    // Returns the time between two answers while statements wait.
+    Duration answerInterval() const;
+    void observeAnswer(Duration service, TimePoint now);
     Duration retryAfter() const;
     bool isStalled(TimePoint now) const;
     Duration stallTime() const;
     void start(const AdmissionRequest &request, TimePoint now, AdmissionActions &actions);
+    // Returns the place of the statement to start: the first, unless one must start now.
+    std::size_t nextTurn(TimePoint now) const;
     void startNext(TimePoint now, AdmissionActions &actions);
     // Takes a waiting statement out of the counts.
     void forget(const AdmissionRequest &request);
@@ -125,6 +135,8 @@
     std::map<Flow, std::uint64_t> m_lastRounds;
     std::uint64_t m_round = 0; // of the statement started last
     TimePoint m_progressAt;
+    std::optional<TimePoint> m_answeredAt; // the last answer, where statements waited since
+    std::optional<Duration> m_interval; // between answers, smoothed
 };
 
 } // namespace nutmegtide
--- a/include/nutmegtide/statement/concurrencylimit.h
+++ b/include/nutmegtide/statement/concurrencylimit.h
@@ -5,11 +5,11 @@
 namespace nutmegtide {
 
 // The number of statements that a home proxy runs at once on one backend server.
-// It starts at the slots that the server announces, grows by one a round while
-// statements wait and the server answers at its usual pace, and is cut by a
-// quarter when the server refuses as busy or slows down (additive increase,
-// multiplicative decrease). Several home proxies so find shares of one server
-// without talking to each other.
+// It starts at the slots that the server announces, grows by one for each window
+// of answers while statements wait, and is cut by a quarter when the server
+// refuses more than a few of a window as busy or slows down (additive increase,
+// multiplicative decrease). A few busy refusals are the price of knowing. Several home proxies so
+// find shares of one server without talking to each other.
 //
 //   limit.setBounds(announced.slots, connections);
 //   limit.observeServed(service, isSaturated, now);
@@ -34,7 +34,7 @@
     using Seconds = std::chrono::duration<double>;
 
     void cut(TimePoint now);
-    void grow();
+    void startWindow();
     void endWindow(TimePoint now);
 
     int m_slots = 0;
@@ -46,7 +46,9 @@
     Seconds m_deviation {0};
     Seconds m_usual {0}; // the least window mean, let up slowly
     Seconds m_windowSum {0};
-    int m_windowCount = 0;
+    int m_windowCount = 0; // answers
+    int m_windowBusy = 0; // refusals
+    int m_windowSaturated = 0; // answers while statements waited
 };
 
 } // namespace nutmegtide
--- a/src/backend/messages.cpp
+++ b/src/backend/messages.cpp
@@ -1,6 +1,7 @@
 #include "nutmegtide/backend/messages.h"
 
 #include "nutmegtide/base/errors.h"
+#include "nutmegtide/base/jsondepth.h"
 
 namespace nutmegtide {
 
@@ -282,6 +283,8 @@
 template <typename Message>
 Message parseMessage(const std::string &body)
 {
+    if (isTooDeepJson(body))
+        throw MessageError("the message nests over " + std::to_string(DeepestJson) + " levels");
     try {
         return Json::parse(body).get<Message>();
     } catch (const Json::exception &fault) {
--- a/src/serve/backendclient.cpp
+++ b/src/serve/backendclient.cpp
@@ -206,6 +206,12 @@
     m_freed.notify_all();
 }
 
+int BackendPool::most() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_most;
+}
+
 void BackendPool::setServer(const Endpoint &server)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/serve/backendclient.h
+++ b/src/serve/backendclient.h
@@ -128,6 +128,7 @@
     // Waits for a free connection. Throws LinkError with NoConnectionFree after the wait.
     Lease borrow(std::chrono::milliseconds wait);
     void setMost(int most);
+    int most() const;
     // A server that moved keeps its pool; idle connections to the old address are closed.
     void setServer(const Endpoint &server);
     int inUse() const;
--- a/src/serve/callerapi.cpp
+++ b/src/serve/callerapi.cpp
@@ -1,5 +1,6 @@
 #include "serve/callerapi.h"
 
+#include "nutmegtide/base/jsondepth.h"
 #include "serve/exchange.h"
 
 #include <algorithm>
@@ -65,6 +66,20 @@
     }
 }
 
+CallerId callerOf(const HttpRequest &request)
+{
+    const std::string name = request.header(CallerHeader).value_or("anonymous");
+    checkName(name, LongestName, CallerHeader);
+    return CallerId(name);
+}
+
+// Shares of a busy server go by the caller's name and its address. Neither a new
+// connection nor a dropped token makes another session of the same caller.
+SessionId sessionOf(const CallerId &caller, const HttpRequest &request)
+{
+    return SessionId(caller.text() + '@' + request.remoteAddress);
+}
+
 std::chrono::milliseconds readMilliseconds(const Json &body, const char *key,
                                            std::chrono::milliseconds longest)
 {
@@ -172,10 +187,11 @@
 }
 
 CallerApi::CallerApi(const Identity &identity, const SettingsSource &settings,
-                     StatementRunner &runner)
+                     StatementRunner &runner, RequestFates &fates)
     : m_identity(identity)
     , m_settings(settings)
     , m_runner(runner)
+    , m_fates(fates)
 { }
 
 std::optional<CallerApi::Route> CallerApi::parsePath(const std::string &path)
@@ -187,6 +203,10 @@
     route.database = DatabaseName(parts[0]);
     if (parts.size() == 2 && parts[1] == "statements")
         return route;
+    if (parts.size() == 3 && parts[1] == "requests") {
+        route.request = RequestId(parts[2]);
+        return route;
+    }
     if (parts.size() < 2 || parts[1] != "transactions")
         return std::nullopt;
     if (parts.size() == 2) {
@@ -211,11 +231,34 @@
     const auto route = parsePath(request.path);
     if (!route)
         return std::nullopt;
+    if (route->request && request.method == "GET")
+        return findRequest(request, *route);
+    if (route->request)
+        return errorResponse(badRequest("the method is not GET"), {});
     if (request.method != "POST")
         return errorResponse(badRequest("the method is not POST"), {});
     return run(request, *route);
 }
 
+HttpResponse CallerApi::findRequest(const HttpRequest &request, const Route &route)
+{
+    try {
+        checkName(route.database.text(), LongestName, "the database's name");
+        checkName(route.request->text(), LongestKey, "the request's key");
+        const RequestRecord record = m_fates.find(route.database, callerOf(request), *route.request);
+        Json body {{"request_id", route.request->text()},
+                   {"ran", toString(record.ran)},
+                   {"known", record.ran != Ran::Unknown}};
+        if (record.ran == Ran::Yes)
+            body["result"] = record.result;
+        HttpResponse response;
+        response.body = body.dump();
+        return response;
+    } catch (const StatementError &error) {
+        return errorResponse(error, *route.request);
+    }
+}
+
 HttpResponse CallerApi::run(const HttpRequest &request, const Route &route)
 {
     Statement statement;
@@ -253,8 +296,8 @@
     statement.step = route.step;
     statement.transaction = route.transaction;
     statement.id = requestIdOf(request);
-    statement.caller = CallerId(request.header(CallerHeader).value_or("anonymous"));
-    checkName(statement.caller.text(), LongestName, CallerHeader);
+    statement.caller = callerOf(request);
+    statement.session = sessionOf(statement.caller, request);
     if (const auto seen = token.find(route.database)) {
         statement.seen = seen->seen;
         statement.unknownWrite = seen->unknownWrite;
@@ -268,6 +311,8 @@
     const auto settings = m_settings.current();
     const bool isBodyOptional = route.step != TransactionStep::None
             && route.step != TransactionStep::Statement;
+    if (isTooDeepJson(request.body))
+        throw badRequest("the body nests over " + std::to_string(DeepestJson) + " levels");
     Json body = Json::parse(request.body, nullptr, false);
     if (request.body.empty() && isBodyOptional)
         body = Json::object();
--- a/src/serve/callerapi.h
+++ b/src/serve/callerapi.h
@@ -4,6 +4,7 @@
 #include "nutmegtide/statement/statement.h"
 #include "serve/httpserver.h"
 #include "serve/identity.h"
+#include "serve/requestfates.h"
 #include "serve/settingssource.h"
 
 #include <atomic>
@@ -15,7 +16,8 @@
 class CallerApi
 {
 public:
-    CallerApi(const Identity &identity, const SettingsSource &settings, StatementRunner &runner);
+    CallerApi(const Identity &identity, const SettingsSource &settings, StatementRunner &runner,
+              RequestFates &fates);
 
     // Returns nothing where the path isn't one of the callers' API.
     std::optional<HttpResponse> handle(const HttpRequest &request);
@@ -25,10 +27,12 @@
     {
         DatabaseName database;
         TransactionStep step = TransactionStep::None;
+        std::optional<RequestId> request; // whose fate is asked for
         TransactionId transaction;
     };
 
     static std::optional<Route> parsePath(const std::string &path);
+    HttpResponse findRequest(const HttpRequest &request, const Route &route);
     HttpResponse run(const HttpRequest &request, const Route &route);
     Statement parseStatement(const HttpRequest &request, const Route &route,
                              const SessionToken &token);
@@ -38,6 +42,7 @@
     const Identity &m_identity;
     const SettingsSource &m_settings;
     StatementRunner &m_runner;
+    RequestFates &m_fates;
     std::atomic<std::uint64_t> m_nextRequest = 1;
 };
 
--- a/src/serve/entryrunner.cpp
+++ b/src/serve/entryrunner.cpp
@@ -40,12 +40,15 @@
 } // namespace
 
 EntryRunner::EntryRunner(const Identity &identity, const Directory &directory,
-                         const SettingsSource &settings, PeerClients &peers, StatementRunner &home)
+                         const SettingsSource &settings, PeerClients &peers, StatementRunner &home,
+                         RequestFates &homeFates)
     : m_identity(identity)
     , m_directory(directory)
     , m_settings(settings)
     , m_peers(peers)
     , m_home(home)
+    , m_homeFates(homeFates)
+    , m_retries(settings)
 { }
 
 StatementResult EntryRunner::run(const Statement &statement)
@@ -58,14 +61,25 @@
         }
         return runAtOwner(statement, *owner);
     }
+    return runAtHome(statement);
+}
+
+StatementResult EntryRunner::runAtHome(const Statement &statement)
+{
+    m_retries.noteFresh();
     StatementError error(StatementFailure::NoConnection, Ran::No, "no home proxy can be reached",
                          RetryAfterNoPrimary);
     bool isMaybeRun = false;
     std::vector<VmRecord> homes = homesByDistance(statement.database);
     homes.resize(std::min(homes.size(), MostHomesTried));
+    bool wasSent = false;
     for (const VmRecord &home : homes) {
+        // A refused connection costs nothing and isn't a retry.
+        if (wasSent && !m_retries.takeRetry())
+            break;
+        wasSent = false;
         try {
-            return runAt(home, statement);
+            return runAt(home, statement, wasSent);
         } catch (const StatementError &fault) {
             error = fault;
             isMaybeRun = isMaybeRun || fault.ran() == Ran::Unknown;
@@ -102,8 +116,10 @@
     const auto record = m_directory.find(owner.vm);
     const bool isSelf = owner.vm == m_identity.vm;
     const Incarnation known = isSelf ? m_identity.incarnation : record ? record->incarnation : 0;
-    if (known == owner.incarnation)
-        return isSelf ? m_home.run(statement) : runAt(*record, statement);
+    if (known == owner.incarnation) {
+        bool wasSent = false;
+        return isSelf ? m_home.run(statement) : runAt(*record, statement, wasSent);
+    }
     // The connection closed with its owner, so the backend server rolls back.
     // A commit may have reached the server before its owner ended.
     const bool isCommit = statement.step == TransactionStep::Commit;
@@ -111,8 +127,9 @@
                          "the transaction's owner " + owner.vm.text() + " is gone");
 }
 
-StatementResult EntryRunner::runAt(const VmRecord &vm, const Statement &statement)
+StatementResult EntryRunner::runAt(const VmRecord &vm, const Statement &statement, bool &wasSent)
 {
+    wasSent = true;
     if (vm.vm == m_identity.vm)
         return m_home.run(statement);
     const bool isSafeToResend = statement.access == Access::Read
@@ -134,9 +151,47 @@
     } catch (const MessageError &fault) {
         throw StatementError(StatementFailure::OutcomeUnknown, Ran::Unknown, fault.what());
     } catch (const PeerError &fault) {
+        wasSent = fault.wasSent();
         const Ran ran = fault.wasSent() && !isSafeToResend ? Ran::Unknown : Ran::No;
         throw StatementError(StatementFailure::NoConnection, ran, fault.what(), RetryAfterNoPrimary);
     }
 }
 
+RequestRecord EntryRunner::find(const DatabaseName &database, const CallerId &caller,
+                                const RequestId &id)
+{
+    RequestRecord record;
+    bool isAnyAsked = false;
+    for (const VmRecord &home : homesByDistance(database)) {
+        try {
+            record = findAt(home, database, caller, id);
+        } catch (const Error &) {
+            continue;
+        } catch (const wire::PeerRefusal &) {
+            continue;
+        }
+        isAnyAsked = true;
+        if (record.ran != Ran::Unknown)
+            break;
+    }
+    if (isAnyAsked)
+        return record;
+    throw StatementError(StatementFailure::NoConnection, Ran::Unknown,
+                         "no home proxy of " + database.text() + " can say", RetryAfterNoPrimary);
+}
+
+RequestRecord EntryRunner::findAt(const VmRecord &vm, const DatabaseName &database,
+                                  const CallerId &caller, const RequestId &id)
+{
+    if (vm.vm == m_identity.vm)
+        return m_homeFates.find(database, caller, id);
+    const auto timeout = m_settings.current()->limits.defaultTimeout + PeerAnswerTime;
+    const auto reply = m_peers.call(vm.peers, timeout, [&](wire::PeerClient &client) {
+        wire::RequestFateReply answer;
+        client.requestFate(answer, m_peers.header(), database.text(), caller.text(), id.text());
+        return answer;
+    });
+    return fromWire(reply);
+}
+
 } // namespace nutmegtide
--- a/src/serve/entryrunner.h
+++ b/src/serve/entryrunner.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "nutmegtide/statement/statement.h"
+#include "serve/admission.h"
 #include "serve/directory.h"
 #include "serve/identity.h"
 #include "serve/peerclient.h"
+#include "serve/requestfates.h"
 #include "serve/settingssource.h"
 #include "serve/transactions.h"
 
@@ -13,17 +15,24 @@
 // home proxy of the database, else to a home proxy over Thrift, the one in the
 // own failure domain first. A statement of a transaction goes to the
 // transaction's owner in one hop.
-class EntryRunner : public StatementRunner
+class EntryRunner : public StatementRunner, public RequestFates
 {
 public:
     EntryRunner(const Identity &identity, const Directory &directory,
-                const SettingsSource &settings, PeerClients &peers, StatementRunner &home);
+                const SettingsSource &settings, PeerClients &peers, StatementRunner &home,
+                RequestFates &homeFates);
 
     StatementResult run(const Statement &statement) override;
+    RequestRecord find(const DatabaseName &database, const CallerId &caller,
+                       const RequestId &id) override;
 
 private:
     StatementResult runAtOwner(const Statement &statement, const TransactionOwner &owner);
-    StatementResult runAt(const VmRecord &vm, const Statement &statement);
+    StatementResult runAtHome(const Statement &statement);
+    // Tells whether the statement may have left this process.
+    StatementResult runAt(const VmRecord &vm, const Statement &statement, bool &wasSent);
+    RequestRecord findAt(const VmRecord &vm, const DatabaseName &database, const CallerId &caller,
+                         const RequestId &id);
     std::vector<VmRecord> homesByDistance(const DatabaseName &database) const;
 
     const Identity &m_identity;
@@ -31,6 +40,8 @@
     const SettingsSource &m_settings;
     PeerClients &m_peers;
     StatementRunner &m_home;
+    RequestFates &m_homeFates;
+    SharedRetryBudget m_retries;
 };
 
 } // namespace nutmegtide
--- a/src/serve/exchange.h
+++ b/src/serve/exchange.h
@@ -8,6 +8,8 @@
 // When a caller that was refused should ask again.
 constexpr std::chrono::milliseconds RetryAfterNoPrimary {100};
 constexpr std::chrono::milliseconds RetryAfterBusy {20};
+// An admitted statement finds a connection at once, unless a transaction just took it.
+constexpr std::chrono::milliseconds BorrowWait {20};
 
 // Returns the time left before the deadline, 0 once it has passed.
 std::chrono::milliseconds timeLeft(TimePoint deadline);
--- a/src/serve/homegroup.cpp
+++ b/src/serve/homegroup.cpp
@@ -192,6 +192,17 @@
     });
 }
 
+bool HomeGroup::confirmLeadershipSince(Term term, TimePoint moment, std::chrono::milliseconds wait)
+{
+    std::unique_lock lock(m_mutex);
+    m_wantedAt = Clock::now();
+    m_wanted.notify_all();
+    return m_changed.wait_for(lock, wait, [&] {
+        const auto confirmedAt = m_proof.confirmedAt();
+        return m_proof.term() == term && confirmedAt && *confirmedAt > moment;
+    });
+}
+
 void HomeGroup::wakeIfIdle(std::chrono::milliseconds wait)
 {
     bool isIdle = false;
@@ -257,6 +268,17 @@
     return found == m_links.end() ? 0 : found->second.pool->inUse();
 }
 
+ServerCapacity HomeGroup::capacityOf(const ServerId &server) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto link = m_links.find(server);
+    const GroupServer *known = m_state.find(server);
+    if (link == m_links.end() || !known)
+        return {};
+    const BackendPool &pool = *link->second.pool;
+    return {known->said.slots, pool.most(), pool.inUse()};
+}
+
 void HomeGroup::setShare(const ServerId &server, int connections)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/serve/homegroup.h
+++ b/src/serve/homegroup.h
@@ -17,6 +17,14 @@
 
 namespace nutmegtide {
 
+// What a home proxy may use of one backend server.
+struct ServerCapacity
+{
+    int slots = 0; // announced
+    int connections = 0; // that this process may hold
+    int connectionsInUse = 0;
+};
+
 // One database group at a home proxy: what is known of its servers, the
 // connections to them and the writes that wait for their majority. Each server
 // has one watcher thread, whose long poll serves every waiting write.
@@ -52,6 +60,10 @@
     // the wait.
     bool confirmLeadership(std::chrono::milliseconds wait);
 
+    // Waits until a majority has confirmed the leadership in this term at a moment
+    // after the given one; false after the wait.
+    bool confirmLeadershipSince(Term term, TimePoint moment, std::chrono::milliseconds wait);
+
     // Wakes the watchers of a group without recent statements and waits for a
     // first proof of leadership, without which no replica's age is proved.
     void wakeIfIdle(std::chrono::milliseconds wait);
@@ -68,6 +80,7 @@
     // Borrows a connection. Throws LinkError.
     BackendPool::Lease borrow(const ServerId &server, std::chrono::milliseconds wait);
     int statementsInFlight(const ServerId &server) const;
+    ServerCapacity capacityOf(const ServerId &server) const;
 
     // Sets the connections that this home may hold to each server.
     void setShare(const ServerId &server, int connections);
--- a/src/serve/homerunner.cpp
+++ b/src/serve/homerunner.cpp
@@ -36,24 +36,106 @@
     , m_transactions(transactions)
     , m_settings(settings)
     , m_ownDomain(std::move(ownDomain))
+    , m_admissions(settings)
+    , m_retries(settings)
     , m_generator(std::random_device()())
 { }
 
 StatementResult HomeRunner::run(const Statement &statement)
 {
-    HomeGroup *group = m_groups.find(statement.database);
-    if (!group || !group->isKnown()) {
-        throw StatementError(StatementFailure::UnknownDatabase, Ran::No,
-                             "no backend server of " + statement.database.text()
-                                     + " has announced itself");
-    }
+    HomeGroup &group = groupOf(statement.database);
+    m_retries.noteFresh();
     if (timeLeft(statement.deadline) <= 0ms)
         throw StatementError(StatementFailure::DeadlinePassed, Ran::No, "the timeout is over");
     if (statement.step == TransactionStep::Begin)
-        return m_transactions.begin(*group, statement, confirmedPrimary(*group, statement));
+        return begin(group, statement);
     if (statement.step != TransactionStep::None)
-        return m_transactions.run(*group, statement);
-    return statement.access == Access::Write ? write(*group, statement) : read(*group, statement);
+        return m_transactions.run(group, statement);
+    return statement.access == Access::Write ? write(group, statement) : read(group, statement);
+}
+
+HomeGroup &HomeRunner::groupOf(const DatabaseName &database) const
+{
+    HomeGroup *group = m_groups.find(database);
+    if (group && group->isKnown())
+        return *group;
+    throw StatementError(StatementFailure::UnknownDatabase, Ran::No,
+                         "no backend server of " + database.text() + " has announced itself");
+}
+
+StatementResult HomeRunner::begin(HomeGroup &group, const Statement &statement)
+{
+    const ServerId server = confirmedPrimary(group, statement);
+    Admission::Pass pass = m_admissions.acquire(group, statement, server);
+    try {
+        StatementResult result = m_transactions.begin(group, statement, server);
+        pass.setEnd(AdmissionEnd::Answered);
+        return result;
+    } catch (const StatementError &error) {
+        if (error.failure() == StatementFailure::Overloaded)
+            pass.setEnd(AdmissionEnd::Busy);
+        throw;
+    }
+}
+
+ExecuteReply HomeRunner::execute(HomeGroup &group, const Statement &statement,
+                                 const ServerId &server)
+{
+    bool isResent = false;
+    while (true) {
+        Admission::Pass pass = m_admissions.acquire(group, statement, server, isResent);
+        isResent = true;
+        try {
+            const auto wait = std::min(BorrowWait, timeLeft(statement.deadline));
+            BackendPool::Lease connection = group.borrow(server, wait);
+            const TimePoint sentAt = Clock::now();
+            const ExecuteReply reply = connection->execute(makeExecuteRequest(statement,
+                                                                              group.term()),
+                                                           timeLeft(statement.deadline));
+            pass.setEnd(AdmissionEnd::Answered);
+            group.observeAnswer(server, reply, sentAt);
+            return reply;
+        } catch (const RefusedByServer &refused) {
+            if (refused.refusal().type != "busy")
+                throw;
+            pass.setEnd(AdmissionEnd::Busy);
+            if (!m_retries.takeRetry())
+                throw;
+        }
+    }
+}
+
+RequestRecord HomeRunner::find(const DatabaseName &database, const CallerId &caller,
+                               const RequestId &id)
+{
+    HomeGroup &group = groupOf(database);
+    Statement question;
+    question.database = database;
+    question.deadline = Clock::now() + m_settings.current()->limits.defaultTimeout;
+    RequestRecord record;
+    try {
+        const ServerId server = confirmedPrimary(group, question);
+        const Term term = group.term();
+        BackendPool::Lease connection = group.borrow(server, BorrowWait);
+        const RequestFate fate = connection->requestFate(caller, id, timeLeft(question.deadline));
+        // A primary that was replaced before the answer knows nothing of what ran since.
+        if (!group.confirmLeadershipSince(term, Clock::now(), timeLeft(question.deadline)))
+            return record;
+        if (!fate.ran) {
+            record.ran = Ran::No;
+            return record;
+        }
+        ExecuteReply reply;
+        reply.term = term;
+        reply.position = fate.position;
+        confirmWrite(group, reply, question.deadline);
+        record.ran = Ran::Yes;
+        record.position = fate.position;
+        record.result = fate.result;
+    } catch (const Error &) {
+        record.ran = Ran::Unknown;
+    }
+    return record;
 }
 
 ServerId HomeRunner::confirmedPrimary(HomeGroup &group, const Statement &statement)
@@ -70,15 +152,10 @@
 StatementResult HomeRunner::write(HomeGroup &group, const Statement &statement)
 {
     const ServerId server = confirmedPrimary(group, statement);
-    const Term term = group.term();
     const auto ackTimeout = m_settings.current()->failover.ackTimeout;
     ExecuteReply reply;
     try {
-        BackendPool::Lease connection = group.borrow(server, timeLeft(statement.deadline));
-        const TimePoint sentAt = Clock::now();
-        reply = connection->execute(makeExecuteRequest(statement, term),
-                                    timeLeft(statement.deadline));
-        group.observeAnswer(server, reply, sentAt);
+        reply = execute(group, statement, server);
     } catch (const RefusedByServer &refused) {
         throw errorOfRefusal(group, server, refused);
     } catch (const LinkError &fault) {
@@ -92,11 +169,10 @@
 
 ExecuteReply HomeRunner::resend(HomeGroup &group, const Statement &statement)
 {
+    if (!m_retries.takeRetry())
+        throw outcomeUnknown("the answer was lost, and the retry budget is used up");
     try {
-        const ServerId server = confirmedPrimary(group, statement);
-        BackendPool::Lease connection = group.borrow(server, timeLeft(statement.deadline));
-        return connection->execute(makeExecuteRequest(statement, group.term()),
-                                   timeLeft(statement.deadline));
+        return execute(group, statement, confirmedPrimary(group, statement));
     } catch (const Error &fault) {
         throw outcomeUnknown(std::string("the answer was lost, and asking again failed: ")
                              + fault.what());
@@ -134,6 +210,11 @@
             break;
         if (auto result = readReplica(group, statement, *replica))
             return *result;
+        if (!m_retries.takeRetry()) {
+            throw StatementError(StatementFailure::Overloaded, Ran::No,
+                                 "no replica could serve it, and the retry budget is used up",
+                                 RetryAfterBusy);
+        }
     }
     return readPrimary(group, statement, confirmedPrimary(group, statement));
 }
@@ -142,11 +223,7 @@
                                                        const ServerId &server)
 {
     try {
-        BackendPool::Lease connection = group.borrow(server, timeLeft(statement.deadline));
-        const TimePoint sentAt = Clock::now();
-        const ExecuteReply reply = connection->execute(makeExecuteRequest(statement, group.term()),
-                                                       timeLeft(statement.deadline));
-        group.observeAnswer(server, reply, sentAt);
+        const ExecuteReply reply = execute(group, statement, server);
         const auto age = group.provedAge(reply.position);
         if (!age || *age > *statement.maxAge || !isTokenSatisfied(reply.position, statement.seen))
             return std::nullopt;
@@ -157,6 +234,9 @@
         const StatementError error = errorOfRefusal(group, server, refused);
         if (error.failure() == StatementFailure::StatementRejected)
             throw error;
+    } catch (const StatementError &) {
+        // Its queue is full, and another server may have room.
+        return std::nullopt;
     } catch (const LinkError &fault) {
         if (fault.fault() == LinkFault::Refused)
             group.observeRefusal(server);
@@ -169,11 +249,7 @@
 {
     try {
         const bool isSettled = settleUnknownWrite(group, statement, server);
-        BackendPool::Lease connection = group.borrow(server, timeLeft(statement.deadline));
-        const TimePoint sentAt = Clock::now();
-        const ExecuteReply reply = connection->execute(makeExecuteRequest(statement, group.term()),
-                                                       timeLeft(statement.deadline));
-        group.observeAnswer(server, reply, sentAt);
+        const ExecuteReply reply = execute(group, statement, server);
         if (!isTokenSatisfied(reply.position, statement.seen))
             throw noPrimary("the primary is behind what the session has seen");
         StatementResult result = makeResult(statement, reply, server);
@@ -194,7 +270,7 @@
 {
     if (!statement.unknownWrite)
         return false;
-    BackendPool::Lease connection = group.borrow(server, timeLeft(statement.deadline));
+    BackendPool::Lease connection = group.borrow(server, BorrowWait);
     const RequestFate fate = connection->requestFate(statement.caller, *statement.unknownWrite,
                                                      timeLeft(statement.deadline));
     // A request that has not run may still be on its way, so the mark stays.
--- a/src/serve/homerunner.h
+++ b/src/serve/homerunner.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "nutmegtide/statement/statement.h"
+#include "serve/admission.h"
 #include "serve/homegroups.h"
+#include "serve/requestfates.h"
 #include "serve/transactions.h"
 
 #include <random>
@@ -10,15 +12,22 @@
 
 // Runs statements at a home proxy, which holds connections to the backend
 // servers of the statement's database.
-class HomeRunner : public StatementRunner
+class HomeRunner : public StatementRunner, public RequestFates
 {
 public:
     HomeRunner(HomeGroups &groups, Transactions &transactions, const SettingsSource &settings,
                FailureDomain ownDomain);
 
     StatementResult run(const Statement &statement) override;
+    RequestRecord find(const DatabaseName &database, const CallerId &caller,
+                       const RequestId &id) override;
 
 private:
+    HomeGroup &groupOf(const DatabaseName &database) const;
+    // Waits for the statement's turn and runs it; sends it again, within the retry
+    // budget, where the server refused it as busy.
+    ExecuteReply execute(HomeGroup &group, const Statement &statement, const ServerId &server);
+    StatementResult begin(HomeGroup &group, const Statement &statement);
     StatementResult read(HomeGroup &group, const Statement &statement);
     // Returns nothing where the answer is too old or behind the session's token.
     std::optional<StatementResult> readReplica(HomeGroup &group, const Statement &statement,
@@ -37,6 +46,8 @@
     Transactions &m_transactions;
     const SettingsSource &m_settings;
     const FailureDomain m_ownDomain;
+    Admissions m_admissions;
+    SharedRetryBudget m_retries;
     std::mutex m_generatorMutex;
     std::mt19937_64 m_generator;
 };
--- a/src/serve/httpserver.cpp
+++ b/src/serve/httpserver.cpp
@@ -121,6 +121,7 @@
     HttpRequest request;
     request.method = info->request_method;
     request.path = info->local_uri ? info->local_uri : "";
+    request.remoteAddress = info->remote_addr;
     request.query = info->query_string ? info->query_string : "";
     for (int i = 0; i < info->num_headers; ++i)
         request.headers.push_back({info->http_headers[i].name, info->http_headers[i].value});
--- a/src/serve/httpserver.h
+++ b/src/serve/httpserver.h
@@ -34,6 +34,7 @@
     std::string path;
     std::string query;
     std::string body;
+    std::string remoteAddress; // without the port
     std::vector<HttpHeader> headers;
 
     // Looks a header up without regard to case.
--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -1,6 +1,7 @@
 #include "serve/node.h"
 
 #include "serve/peerservice.h"
+#include "serve/wireconvert.h"
 
 #include <algorithm>
 #include <filesystem>
@@ -36,10 +37,10 @@
     , m_transactions(m_identity)
     , m_home(m_groups, m_transactions, m_fleetSettings, m_identity.failureDomain)
     , m_meteredHome(m_home)
-    , m_entry(m_identity, m_directory, m_fleetSettings, m_peers, m_meteredHome)
+    , m_entry(m_identity, m_directory, m_fleetSettings, m_peers, m_meteredHome, m_home)
     , m_meteredEntry(m_entry)
     , m_membership(m_identity, m_settings, m_directory, m_peers)
-    , m_callerApi(m_identity, m_fleetSettings, m_meteredEntry)
+    , m_callerApi(m_identity, m_fleetSettings, m_meteredEntry, m_entry)
     , m_announceApi(m_identity, m_directory, m_fleetSettings, m_groups)
 {
     attachEventFile();
@@ -93,6 +94,10 @@
     m_peerHandlers.execute = [this](const Statement &statement) {
         return m_meteredHome.run(statement);
     };
+    m_peerHandlers.requestFate = [this](const DatabaseName &database, const CallerId &caller,
+                                        const RequestId &id) {
+        return toWire(m_home.find(database, caller, id));
+    };
     m_peerHandlers.gossip = [this](const wire::Header &, const wire::Gossip &message) {
         return m_membership.answer(message);
     };
--- a/src/serve/transactions.cpp
+++ b/src/serve/transactions.cpp
@@ -60,7 +60,7 @@
     begin.text = "begin";
     try {
         auto transaction = std::make_shared<Transaction>(
-                group.borrow(primary, timeLeft(statement.deadline)));
+                group.borrow(primary, std::min(BorrowWait, timeLeft(statement.deadline))));
         {
             const std::lock_guard lock(m_mutex);
             begin.transaction = makeTransactionId(m_owner, m_next++);
@@ -79,6 +79,10 @@
     } catch (const RefusedByServer &refused) {
         throw errorOfRefusal(group, primary, refused);
     } catch (const LinkError &fault) {
+        if (fault.fault() == LinkFault::NoConnectionFree) {
+            throw StatementError(StatementFailure::Overloaded, Ran::No, fault.what(),
+                                 RetryAfterBusy);
+        }
         // A begin whose answer was lost is rolled back with its connection.
         throw StatementError(StatementFailure::NoConnection, Ran::No, fault.what(),
                              RetryAfterNoPrimary);
--- a/src/serve/wireconvert.cpp
+++ b/src/serve/wireconvert.cpp
@@ -1,5 +1,7 @@
 #include "serve/wireconvert.h"
 
+#include "nutmegtide/base/jsondepth.h"
+
 namespace nutmegtide {
 
 namespace {
@@ -13,6 +15,8 @@
 
 Json parseJson(const std::string &text)
 {
+    if (isTooDeepJson(text))
+        throw MessageError("a member nests over " + std::to_string(DeepestJson) + " levels");
     Json json = Json::parse(text, nullptr, false);
     if (json.is_discarded())
         throw MessageError("a member of the message is not JSON");
@@ -147,4 +151,24 @@
             std::chrono::milliseconds(fault.retryAfterMilliseconds)};
 }
 
+wire::RequestFateReply toWire(const RequestRecord &record)
+{
+    wire::RequestFateReply reply;
+    reply.ran = record.ran == Ran::Yes;
+    reply.isKnown = record.ran != Ran::Unknown;
+    reply.position = toWire(record.position);
+    reply.result = record.result.dump();
+    return reply;
+}
+
+RequestRecord fromWire(const wire::RequestFateReply &reply)
+{
+    RequestRecord record;
+    if (reply.isKnown)
+        record.ran = reply.ran ? Ran::Yes : Ran::No;
+    record.position = fromWire(reply.position);
+    record.result = parseJson(reply.result);
+    return record;
+}
+
 } // namespace nutmegtide
--- a/src/serve/wireconvert.h
+++ b/src/serve/wireconvert.h
@@ -2,6 +2,7 @@
 
 #include "nutmegtide/statement/statement.h"
 #include "peer_types.h"
+#include "serve/requestfates.h"
 
 namespace nutmegtide {
 
@@ -21,4 +22,7 @@
 wire::StatementFault toWire(const StatementError &error, const RequestId &id);
 StatementError fromWire(const wire::StatementFault &fault);
 
+wire::RequestFateReply toWire(const RequestRecord &record);
+RequestRecord fromWire(const wire::RequestFateReply &reply);
+
 } // namespace nutmegtide
--- a/src/statement/admissionqueue.cpp
+++ b/src/statement/admissionqueue.cpp
@@ -14,6 +14,14 @@
 // Eighths of the queue up to which a class may fill it.
 constexpr std::array<std::size_t, AdmissionClassCount> FillEighths = {8, 6, 4};
 constexpr std::size_t Eighths = 8; // one of them is kept for each class
+// Waits are estimates, of which a statement must bear a multiple to be admitted: the
+// rest is room for preferred classes, which later overtake it. Less is asked of it
+// once it waits, so that what was admitted is seldom given up.
+constexpr std::array<double, AdmissionClassCount> NewcomerMargins = {1.25, 1.75, 2.5};
+constexpr double OvertakenMargin = 1.12;
+constexpr double GiveUpMargin = 0.75;
+constexpr int UrgentServices = 2; // service times left beyond a slow one
+constexpr int IntervalSmoothing = 128; // answers
 constexpr Duration LeastStall = 250ms;
 constexpr int StallFactor = 8; // slow service times without any answer
 constexpr Duration LeastRetryAfter = 5ms;
@@ -80,7 +88,25 @@
     const std::size_t ahead = rank + m_running.size();
     if (ahead < limit)
         return Duration::zero();
-    return m_limit.serviceTime() * (ahead - limit + 1) / limit;
+    return answerInterval() * (ahead - limit + 1);
+}
+
+Duration AdmissionQueue::answerInterval() const
+{
+    // The bound lets an estimate of a slower time be forgotten when nothing waits.
+    return m_interval ? std::min(*m_interval, m_limit.serviceTime())
+                      : m_limit.serviceTime() / m_limit.value();
+}
+
+void AdmissionQueue::observeAnswer(Duration service, TimePoint now)
+{
+    const bool isSaturated = !m_waiting.empty();
+    if (isSaturated && m_answeredAt) {
+        const Duration usual = answerInterval();
+        m_interval = usual + (now - *m_answeredAt - usual) / IntervalSmoothing;
+    }
+    m_answeredAt = isSaturated ? std::optional(now) : std::nullopt;
+    m_limit.observeServed(service, isSaturated, now);
 }
 
 Duration AdmissionQueue::retryAfter() const
@@ -98,7 +124,7 @@
     AdmissionActions actions = expire(now);
     const bool isFree = m_waiting.empty() && running() < m_limit.value();
     if (now + m_limit.slowServiceTime() > request.deadline || isStalled(now)
-        || (!isFree && !hasPlace(request))) {
+        || (!isFree && !request.isResent && !hasPlace(request))) {
         actions.push_back(refusal(request.ticket));
         return actions;
     }
@@ -113,7 +139,7 @@
                                      });
     const auto place = static_cast<std::size_t>(at - m_waiting.begin());
     m_waiting.insert(at, newcomer);
-    if (!fitsInTime(place, now, actions)) {
+    if (!request.isResent && !fitsInTime(place, now)) {
         m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(place));
         actions.push_back(refusal(request.ticket));
         return actions;
@@ -125,28 +151,15 @@
     return actions;
 }
 
-bool AdmissionQueue::fitsInTime(std::size_t place, TimePoint now, AdmissionActions &actions)
+bool AdmissionQueue::fitsInTime(std::size_t place, TimePoint now) const
 {
-    const AdmissionRequest &newcomer = m_waiting[place].request;
-    if (now + waitOf(place) + m_limit.slowServiceTime() > newcomer.deadline)
-        return false;
-    std::vector<AdmissionTicket> late;
-    for (std::size_t i = place + 1; i < m_waiting.size(); ++i) {
-        const AdmissionRequest &other = m_waiting[i].request;
-        const std::size_t rank = i - late.size();
-        if (now + waitOf(rank) + m_limit.serviceTime() <= other.deadline)
-            continue;
-        if (other.kind <= newcomer.kind)
+    for (std::size_t rank = place; rank < m_waiting.size(); ++rank) {
+        const AdmissionRequest &request = m_waiting[rank].request;
+        const double margin = rank == place ? NewcomerMargins[indexOf(request.kind)]
+                                            : OvertakenMargin;
+        const auto wait = std::chrono::duration_cast<Duration>(margin * waitOf(rank));
+        if (now + wait + m_limit.slowServiceTime() > request.deadline)
             return false;
-        late.push_back(other.ticket);
-    }
-    for (const AdmissionTicket ticket : late) {
-        const auto found = std::find_if(m_waiting.begin(), m_waiting.end(), [&](const Waiting &w) {
-            return w.request.ticket == ticket;
-        });
-        forget(found->request);
-        m_waiting.erase(found);
-        actions.push_back(refusal(ticket));
     }
     return true;
 }
@@ -167,16 +180,32 @@
     actions.push_back({AdmissionActionKind::Start, request.ticket, Duration::zero()});
 }
 
+std::size_t AdmissionQueue::nextTurn(TimePoint now) const
+{
+    // The others can wait for one more answer, and this one can't.
+    const TimePoint urgent = now + m_limit.slowServiceTime()
+            + UrgentServices * m_limit.serviceTime();
+    std::size_t next = 0;
+    for (std::size_t i = 1; i < m_waiting.size(); ++i) {
+        const TimePoint deadline = m_waiting[i].request.deadline;
+        if (deadline < urgent && deadline < m_waiting[next].request.deadline)
+            next = i;
+    }
+    return next;
+}
+
 void AdmissionQueue::startNext(TimePoint now, AdmissionActions &actions)
 {
-    std::size_t started = 0;
-    while (started < m_waiting.size() && running() < m_limit.value()) {
-        const Waiting &next = m_waiting[started++];
-        m_round = std::max(m_round, next.round);
+    while (!m_waiting.empty() && running() < m_limit.value()) {
+        const std::size_t turn = nextTurn(now);
+        const Waiting next = m_waiting[turn];
+        m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(turn));
+        // One that is taken out of its turn doesn't move the round on.
+        if (turn == 0)
+            m_round = std::max(m_round, next.round);
         forget(next.request);
         start(next.request, now, actions);
     }
-    m_waiting.erase(m_waiting.begin(), m_waiting.begin() + static_cast<std::ptrdiff_t>(started));
     if (m_waiting.empty())
         m_lastRounds.clear();
 }
@@ -188,7 +217,7 @@
     if (found == m_running.end())
         return actions;
     if (end == AdmissionEnd::Answered)
-        m_limit.observeServed(now - found->second, !m_waiting.empty(), now);
+        observeAnswer(now - found->second, now);
     if (end == AdmissionEnd::Busy)
         m_limit.observeBusy(now);
     m_running.erase(found);
@@ -208,13 +237,19 @@
     return running() >= m_limit.value() && now - m_progressAt > stallTime();
 }
 
+Duration AdmissionQueue::timeToFinish(std::size_t rank) const
+{
+    return std::chrono::duration_cast<Duration>(GiveUpMargin * waitOf(rank))
+            + m_limit.slowServiceTime();
+}
+
 AdmissionActions AdmissionQueue::expire(TimePoint now)
 {
     AdmissionActions actions;
     const bool isOver = isStalled(now);
     std::vector<Waiting> kept;
     for (const Waiting &waiting : m_waiting) {
-        const Duration needed = waitOf(kept.size()) + m_limit.serviceTime();
+        const Duration needed = timeToFinish(kept.size());
         if (!isOver && now + needed <= waiting.request.deadline) {
             kept.push_back(waiting);
             continue;
@@ -232,7 +267,7 @@
         return std::nullopt;
     TimePoint earliest = m_progressAt + stallTime();
     for (std::size_t rank = 0; rank < m_waiting.size(); ++rank) {
-        const Duration needed = waitOf(rank) + m_limit.serviceTime();
+        const Duration needed = timeToFinish(rank);
         earliest = std::min(earliest, m_waiting[rank].request.deadline - needed);
     }
     // What is due at this very moment is given up just after it.
--- a/src/statement/concurrencylimit.cpp
+++ b/src/statement/concurrencylimit.cpp
@@ -11,8 +11,8 @@
 constexpr int WindowSize = 32; // service times compared as one mean
 constexpr double SlowFactor = 2; // a window this much over the usual mean is slow
 constexpr double UsualRise = 1.02; // a window, so that a lasting change becomes usual
-// A server refuses what is over its slots, so more than them is tried seldom.
-constexpr double GrowthOverSlots = 1.0 / 256;
+// Busy refusals of a window that are borne; well below the retry budget's default share.
+constexpr int MostBusy = 2;
 
 } // namespace
 
@@ -50,31 +50,37 @@
         m_deviation = sample / 2;
     m_isMeasured = true;
     m_windowSum += sample;
+    m_windowSaturated += isSaturated ? 1 : 0;
     if (++m_windowCount == WindowSize)
         endWindow(now);
-    if (isSaturated)
-        grow();
 }
 
 void ConcurrencyLimit::endWindow(TimePoint now)
 {
     const Seconds mean = m_windowSum / m_windowCount;
-    m_windowSum = Seconds(0);
-    m_windowCount = 0;
-    if (m_usual > Seconds(0) && mean > SlowFactor * m_usual)
+    const bool isSlow = m_usual > Seconds(0) && mean > SlowFactor * m_usual;
+    if (isSlow)
         cut(now);
+    else if (m_windowBusy == 0 && 2 * m_windowSaturated > WindowSize)
+        m_limit = std::min(double(m_connections), m_limit + 1);
+    startWindow();
     m_usual = m_usual > Seconds(0) ? std::min(UsualRise * m_usual, mean) : mean;
 }
 
 void ConcurrencyLimit::observeBusy(TimePoint now)
 {
+    if (++m_windowBusy <= MostBusy)
+        return;
     cut(now);
+    startWindow();
 }
 
-void ConcurrencyLimit::grow()
+void ConcurrencyLimit::startWindow()
 {
-    const double step = m_limit < m_slots ? 1 / m_limit : GrowthOverSlots / m_limit;
-    m_limit = std::min(double(m_connections), m_limit + step);
+    m_windowSum = Seconds(0);
+    m_windowCount = 0;
+    m_windowBusy = 0;
+    m_windowSaturated = 0;
 }
 
 void ConcurrencyLimit::cut(TimePoint now)
