--- a/include/nutmegtide/statement/admissionqueue.h
+++ b/include/nutmegtide/statement/admissionqueue.h
@@ -84,9 +84,10 @@
     // Ends a started statement.
     AdmissionActions finish(AdmissionTicket ticket, AdmissionEnd end, TimePoint now);
     // Gives up on waiting statements that can't finish in time any more, and on
-    // all of them when the server has stopped to answer.
+    // all of them when the server has stopped to answer. Starts what was held back
+    // after a busy refusal.
     AdmissionActions expire(TimePoint now);
-    // The next moment at which expire() may have something to give up.
+    // The next moment at which expire() may have something to do.
     std::optional<TimePoint> nextExpiry(TimePoint now) const;
 
     int limit() const { return m_limit.value(); }
@@ -119,6 +120,7 @@
     bool isStalled(TimePoint now) const;
     Duration stallTime() const;
     void start(const AdmissionRequest &request, TimePoint now, AdmissionActions &actions);
+    bool mayStart(TimePoint now) const;
     // Returns the place of the statement to start: the first, unless one must start now.
     std::size_t nextTurn(TimePoint now) const;
     void startNext(TimePoint now, AdmissionActions &actions);
@@ -134,6 +136,7 @@
     std::map<AdmissionTicket, TimePoint> m_running; // by the moment of its start
     std::map<Flow, std::uint64_t> m_lastRounds;
     std::uint64_t m_round = 0; // of the statement started last
+    TimePoint m_heldUntil; // nothing starts after a busy refusal
     TimePoint m_progressAt;
     std::optional<TimePoint> m_answeredAt; // the last answer, where statements waited since
     std::optional<Duration> m_interval; // between answers, smoothed
--- a/src/serve/entryrunner.cpp
+++ b/src/serve/entryrunner.cpp
@@ -116,9 +116,16 @@
     const auto record = m_directory.find(owner.vm);
     const bool isSelf = owner.vm == m_identity.vm;
     const Incarnation known = isSelf ? m_identity.incarnation : record ? record->incarnation : 0;
+    if (known == owner.incarnation && isSelf)
+        return m_home.run(statement);
     if (known == owner.incarnation) {
         bool wasSent = false;
-        return isSelf ? m_home.run(statement) : runAt(*record, statement, wasSent);
+        try {
+            return runAt(*record, statement, wasSent);
+        } catch (const StatementError &error) {
+            if (wasSent || error.failure() != StatementFailure::NoConnection)
+                throw;
+        }
     }
     // The connection closed with its owner, so the backend server rolls back.
     // A commit may have reached the server before its owner ended.
--- a/src/serve/homerunner.cpp
+++ b/src/serve/homerunner.cpp
@@ -8,6 +8,9 @@
 
 constexpr int MostReadAttempts = 3;
 constexpr std::chrono::milliseconds WakeTime {100};
+constexpr std::chrono::milliseconds ExpiryInterval {500};
+// A transaction without a statement for so many default timeouts is rolled back.
+constexpr int IdleTimeouts = 2;
 
 StatementError noPrimary(const std::string &message)
 {
@@ -39,8 +42,18 @@
     , m_admissions(settings)
     , m_retries(settings)
     , m_generator(std::random_device()())
+    , m_expiry([this](const std::stop_token &stop) { expireTransactions(stop); })
 { }
 
+void HomeRunner::expireTransactions(const std::stop_token &stop)
+{
+    std::unique_lock lock(m_expiryMutex);
+    while (!m_expiryWanted.wait_for(lock, stop, ExpiryInterval,
+                                    [&stop] { return stop.stop_requested(); })) {
+        m_transactions.expire(IdleTimeouts * m_settings.current()->limits.defaultTimeout);
+    }
+}
+
 StatementResult HomeRunner::run(const Statement &statement)
 {
     HomeGroup &group = groupOf(statement.database);
--- a/src/serve/homerunner.h
+++ b/src/serve/homerunner.h
@@ -7,6 +7,7 @@
 #include "serve/transactions.h"
 
 #include <random>
+#include <thread>
 
 namespace nutmegtide {
 
@@ -23,6 +24,8 @@
                        const RequestId &id) override;
 
 private:
+    // Rolls back the transactions that their callers have left.
+    void expireTransactions(const std::stop_token &stop);
     HomeGroup &groupOf(const DatabaseName &database) const;
     // Waits for the statement's turn and runs it; sends it again, within the retry
     // budget, where the server refused it as busy.
@@ -50,6 +53,9 @@
     SharedRetryBudget m_retries;
     std::mutex m_generatorMutex;
     std::mt19937_64 m_generator;
+    std::mutex m_expiryMutex;
+    std::condition_variable_any m_expiryWanted;
+    std::jthread m_expiry;
 };
 
 } // namespace nutmegtide
--- a/src/statement/admissionqueue.cpp
+++ b/src/statement/admissionqueue.cpp
@@ -19,8 +19,8 @@
 // once it waits, so that what was admitted is seldom given up.
 constexpr std::array<double, AdmissionClassCount> NewcomerMargins = {1.25, 1.75, 2.5};
 constexpr double OvertakenMargin = 1.12;
-constexpr double GiveUpMargin = 0.75;
-constexpr int UrgentServices = 2; // service times left beyond a slow one
+constexpr double GiveUpMargin = 0.5;
+constexpr int UrgentServices = 6; // service times left beyond a slow one
 constexpr int IntervalSmoothing = 128; // answers
 constexpr Duration LeastStall = 250ms;
 constexpr int StallFactor = 8; // slow service times without any answer
@@ -122,7 +122,7 @@
 AdmissionActions AdmissionQueue::add(const AdmissionRequest &request, TimePoint now)
 {
     AdmissionActions actions = expire(now);
-    const bool isFree = m_waiting.empty() && running() < m_limit.value();
+    const bool isFree = m_waiting.empty() && mayStart(now);
     if (now + m_limit.slowServiceTime() > request.deadline || isStalled(now)
         || (!isFree && !request.isResent && !hasPlace(request))) {
         actions.push_back(refusal(request.ticket));
@@ -180,6 +180,11 @@
     actions.push_back({AdmissionActionKind::Start, request.ticket, Duration::zero()});
 }
 
+bool AdmissionQueue::mayStart(TimePoint now) const
+{
+    return running() < m_limit.value() && (now >= m_heldUntil || m_running.empty());
+}
+
 std::size_t AdmissionQueue::nextTurn(TimePoint now) const
 {
     // The others can wait for one more answer, and this one can't.
@@ -196,7 +201,7 @@
 
 void AdmissionQueue::startNext(TimePoint now, AdmissionActions &actions)
 {
-    while (!m_waiting.empty() && running() < m_limit.value()) {
+    while (!m_waiting.empty() && mayStart(now)) {
         const std::size_t turn = nextTurn(now);
         const Waiting next = m_waiting[turn];
         m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(turn));
@@ -221,10 +226,11 @@
     if (end == AdmissionEnd::Busy)
         m_limit.observeBusy(now);
     m_running.erase(found);
+    // Until an answer comes the next one would be refused too; other home proxies
+    // may free a slot within the time of a statement.
+    m_heldUntil = end == AdmissionEnd::Busy ? now + m_limit.serviceTime() : now;
     m_progressAt = now;
-    actions = expire(now);
-    startNext(now, actions);
-    return actions;
+    return expire(now);
 }
 
 Duration AdmissionQueue::stallTime() const
@@ -258,6 +264,7 @@
         actions.push_back(refusal(waiting.request.ticket));
     }
     m_waiting = std::move(kept);
+    startNext(now, actions);
     return actions;
 }
 
@@ -266,6 +273,8 @@
     if (m_waiting.empty())
         return std::nullopt;
     TimePoint earliest = m_progressAt + stallTime();
+    if (m_heldUntil > now)
+        earliest = std::min(earliest, m_heldUntil);
     for (std::size_t rank = 0; rank < m_waiting.size(); ++rank) {
         const Duration needed = timeToFinish(rank);
         earliest = std::min(earliest, m_waiting[rank].request.deadline - needed);
--- a/test/process/support/testfleet.h
+++ b/test/process/support/testfleet.h
@@ -48,6 +48,7 @@
     void addServer(const ServerOptions &options);
 
     Endpoint callers(const std::string &node) const { return endpoint(node, "callers"); }
+    Endpoint peers(const std::string &node) const { return endpoint(node, "peers"); }
     Endpoint operators(const std::string &node) const { return endpoint(node, "operators"); }
     Endpoint server(const std::string &id) const { return endpoint(id, "address"); }
     pid_t processId(const std::string &name) const { return m_processes.at(name)->id(); }
