--- a/src/serve/homegroup.cpp
+++ b/src/serve/homegroup.cpp
@@ -185,6 +185,16 @@
     return group;
 }
 
+bool HomeGroup::waitUrgently(std::unique_lock<std::mutex> &lock, Duration wait,
+                             const std::function<bool()> &condition)
+{
+    ++m_waitingStatements; // makes the watchers poll without delay
+    m_wanted.notify_all();
+    const bool isInTime = m_changed.wait_for(lock, wait, condition);
+    --m_waitingStatements;
+    return isInTime;
+}
+
 bool HomeGroup::confirmLeadership(std::chrono::milliseconds wait)
 {
     const Duration detection = m_settings.current()->failover.detectionTime;
@@ -194,13 +204,17 @@
         return m_proof.term() == m_state.term()
                 && m_proof.isConfirmedWithin(detection, Clock::now());
     };
-    if (isConfirmed())
-        return true;
-    ++m_waitingStatements; // makes the watchers poll without delay
-    m_wanted.notify_all();
-    const bool isInTime = m_changed.wait_for(lock, wait, isConfirmed);
-    --m_waitingStatements;
-    return isInTime;
+    return isConfirmed() || waitUrgently(lock, wait, isConfirmed);
+}
+
+bool HomeGroup::confirmLeadershipSince(Term term, TimePoint moment, std::chrono::milliseconds wait)
+{
+    std::unique_lock lock(m_mutex);
+    m_wantedAt = Clock::now();
+    return waitUrgently(lock, wait, [&] {
+        const auto confirmedAt = m_proof.confirmedAt();
+        return m_proof.term() == term && confirmedAt && *confirmedAt > moment;
+    });
 }
 
 void HomeGroup::wakeIfIdle(std::chrono::milliseconds wait)
@@ -249,14 +263,10 @@
 {
     std::unique_lock lock(m_mutex);
     m_wantedAt = Clock::now();
-    ++m_waitingStatements;
-    m_wanted.notify_all();
-    const bool isInTime = m_changed.wait_for(lock, wait, [&] {
+    return waitUrgently(lock, wait, [&] {
         const GroupServer *known = m_state.find(server);
         return known && isTokenSatisfied(known->said.last, position);
     });
-    --m_waitingStatements;
-    return isInTime;
 }
 
 std::optional<Duration> HomeGroup::provedAge(LogPosition applied) const
@@ -285,6 +295,17 @@
     return found == m_links.end() ? 0 : found->second.pool->inUse();
 }
 
+ServerCapacity HomeGroup::capacityOf(const ServerId &server) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto link = m_links.find(server);
+    const GroupServer *known = m_state.find(server);
+    if (link == m_links.end() || !known)
+        return {};
+    const BackendPool &pool = *link->second.pool;
+    return {known->said.slots, pool.most(), pool.inUse()};
+}
+
 void HomeGroup::setShare(const ServerId &server, int connections)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/serve/homegroup.h
+++ b/src/serve/homegroup.h
@@ -9,6 +9,7 @@
 #include "serve/settingssource.h"
 
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -17,6 +18,14 @@
 
 namespace nutmegtide {
 
+// What a home proxy may use of one backend server.
+struct ServerCapacity
+{
+    int slots = 0; // announced
+    int connections = 0; // that this process may hold
+    int connectionsInUse = 0;
+};
+
 // One database group at a home proxy: what is known of its servers, the
 // connections to them and the writes that wait for their majority. Each server
 // has one watcher thread, whose long poll serves every waiting write.
@@ -52,6 +61,10 @@
     // the wait.
     bool confirmLeadership(std::chrono::milliseconds wait);
 
+    // Waits until a majority has confirmed the leadership in this term at a moment
+    // after the given one; false after the wait.
+    bool confirmLeadershipSince(Term term, TimePoint moment, std::chrono::milliseconds wait);
+
     // Wakes the watchers of a group without recent statements and waits until the
     // age of a replica is proved.
     void wakeIfIdle(std::chrono::milliseconds wait);
@@ -68,6 +81,7 @@
     // Borrows a connection. Throws LinkError.
     BackendPool::Lease borrow(const ServerId &server, std::chrono::milliseconds wait);
     int statementsInFlight(const ServerId &server) const;
+    ServerCapacity capacityOf(const ServerId &server) const;
 
     // Sets the connections that this home may hold to each server.
     void setShare(const ServerId &server, int connections);
@@ -105,6 +119,9 @@
     TimePoint pollDueAt(const ServerId &server, const Watch &watch) const;
     void restUntilDue(const ServerId &server, Watch &watch, std::unique_lock<std::mutex> &lock);
     bool isAnyReplicaProved() const;
+    // Waits for the condition while the watchers poll without delay; false after the wait.
+    bool waitUrgently(std::unique_lock<std::mutex> &lock, Duration wait,
+                      const std::function<bool()> &condition);
 
     const DatabaseName m_database;
     const FailureDomain m_ownDomain;
--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "serve/peerservice.h"
+#include "serve/wireconvert.h"
 
 #include <algorithm>
 #include <csignal>
@@ -39,12 +40,12 @@
     , m_transactions(m_identity)
     , m_home(m_groups, m_transactions, m_fleetSettings, m_identity.failureDomain)
     , m_meteredHome(m_home)
-    , m_entry(m_identity, m_directory, m_fleetSettings, m_peers, m_meteredHome)
+    , m_entry(m_identity, m_directory, m_fleetSettings, m_peers, m_meteredHome, m_home)
     , m_observedEntry(m_entry, m_metrics, m_recorder)
     , m_meteredEntry(m_observedEntry)
     , m_membership(m_identity, m_settings, m_fleetSettings, m_directory, m_peers, m_recorder)
     , m_config(m_identity, m_settings, m_fleetSettings, m_directory, m_peers, m_recorder)
-    , m_callerApi(m_identity, m_fleetSettings, m_meteredEntry)
+    , m_callerApi(m_identity, m_fleetSettings, m_meteredEntry, m_entry)
     , m_announceApi(m_identity, m_directory, m_fleetSettings, m_groups)
     , m_timelineRole(m_identity, m_recorder, m_directory, m_peers)
     , m_statusRole(m_identity, m_fleetSettings, m_directory, m_groups, m_transactions)
@@ -134,6 +135,10 @@
     m_peerHandlers.execute = [this](const Statement &statement) {
         return m_meteredHome.run(statement);
     };
+    m_peerHandlers.requestFate = [this](const DatabaseName &database, const CallerId &caller,
+                                        const RequestId &id) {
+        return toWire(m_home.find(database, caller, id));
+    };
     m_peerHandlers.gossip = [this](const wire::Header &, const wire::Gossip &message) {
         return m_membership.answer(message);
     };
