Let a missing log folder be an error again

Creating it had made two checks fail: a missing folder is a LogError, and, as root, the first test then created the folder that another expects to be missing. The harness creates its folders itself.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
-#include <filesystem>
 #include <glog/logging.h>
 #include <unistd.h>
 
@@ -99,9 +98,6 @@
 void initLogging(const NodeSettings &settings)
 {
     const std::string &folder = settings.log.dir;
-    std::error_code ignored; // the check below reports a folder that can't be made
-    if (!folder.empty())
-        std::filesystem::create_directories(folder, ignored);
     if (!folder.empty() && access(folder.c_str(), W_OK | X_OK) != 0)
         throw LogError("cannot write to the log folder " + quote(folder));
     levelInForce = settings.log.level;
--- a/test/process/support/testfleet.cpp
+++ b/test/process/support/testfleet.cpp
@@ -126,6 +126,7 @@
     }
     const std::filesystem::path folder = m_folder / node.name;
     std::filesystem::create_directories(folder);
+    std::filesystem::create_directories(m_folder / (node.name + ".log"));
     std::ofstream file(folder / "node.toml");
     // JSON's text and arrays of text are also TOML's.
     file << "[node]\nname = " << Json(node.name)
