--- a/src/control/raftleader.cpp
+++ b/src/control/raftleader.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t MostEntriesPerMessage = 64;
+constexpr std::size_t MostBytesPerMessage = 1024 * 1024;
 
 } // namespace
 
@@ -65,7 +66,7 @@
     message.lastIndex = progress.next - 1;
     message.lastTerm = *m_log.termAt(message.lastIndex);
     message.commit = m_commit;
-    message.entries = m_log.from(progress.next, MostEntriesPerMessage);
+    message.entries = m_log.from(progress.next, MostEntriesPerMessage, MostBytesPerMessage);
     progress.next += message.entries.size();
     send(std::move(message));
 }
--- a/src/control/raftlog.cpp
+++ b/src/control/raftlog.cpp
@@ -57,6 +57,19 @@
     return {begin, begin + static_cast<std::ptrdiff_t>(std::min(most, left))};
 }
 
+std::vector<LogEntry> RaftLog::from(LogIndex index, std::size_t most, std::size_t mostBytes) const
+{
+    std::size_t count = 0;
+    std::size_t bytes = 0;
+    while (count < most && index + count <= lastIndex()) {
+        bytes += at(index + count).payload.size();
+        if (count > 0 && bytes > mostBytes)
+            break;
+        ++count;
+    }
+    return from(index, count);
+}
+
 void RaftLog::append(const LogEntry &entry)
 {
     m_tail.push_back(entry);
--- a/src/serve/raftsender.cpp
+++ b/src/serve/raftsender.cpp
@@ -7,8 +7,17 @@
 namespace {
 
 constexpr std::size_t LongestQueue = 64; // messages
+constexpr std::size_t MostBytesPerCall = 4 * 1024 * 1024; // below a peer's largest frame
 constexpr auto CallTimeout = 1s;
 
+std::size_t sizeOf(const RaftMessage &message)
+{
+    std::size_t size = message.snapshot.state.size();
+    for (const LogEntry &entry : message.entries)
+        size += entry.payload.size();
+    return size;
+}
+
 } // namespace
 
 RaftSender::RaftSender(VmName peer, const Directory &directory, PeerClients &peers)
@@ -44,15 +53,26 @@
         m_changed.wait(lock, [this] { return m_isStopping || !m_queue.empty(); });
         if (m_isStopping)
             return;
-        const std::deque<RaftMessage> messages = std::move(m_queue);
-        m_queue.clear();
+        const std::vector<RaftMessage> messages = takeBatch();
         lock.unlock();
         deliver(messages);
         lock.lock();
     }
 }
 
-void RaftSender::deliver(const std::deque<RaftMessage> &messages)
+std::vector<RaftMessage> RaftSender::takeBatch()
+{
+    std::vector<RaftMessage> messages;
+    std::size_t bytes = 0;
+    while (!m_queue.empty() && (messages.empty() || bytes < MostBytesPerCall)) {
+        bytes += sizeOf(m_queue.front());
+        messages.push_back(std::move(m_queue.front()));
+        m_queue.pop_front();
+    }
+    return messages;
+}
+
+void RaftSender::deliver(const std::vector<RaftMessage> &messages)
 {
     const auto record = m_directory.find(m_peer);
     if (!record)
--- a/src/serve/raftsender.h
+++ b/src/serve/raftsender.h
@@ -24,7 +24,9 @@
 
 private:
     void run();
-    void deliver(const std::deque<RaftMessage> &messages);
+    // Called with the lock held.
+    std::vector<RaftMessage> takeBatch();
+    void deliver(const std::vector<RaftMessage> &messages);
 
     const VmName m_peer;
     const Directory &m_directory;
