--- a/src/control/raftnode.cpp
+++ b/src/control/raftnode.cpp
@@ -167,7 +167,7 @@
 
 void RaftNode::perform(const std::string &action, const std::string &event)
 {
-    static const std::map<std::string, void (RaftNode::*)()> Actions {
+    static const std::map<std::string, void (RaftNode::*)()> handlers {
             {"reset_election_timer", &RaftNode::resetElectionTimer},
             {"adopt_term", &RaftNode::adoptTerm},
             {"ask_pre_votes", &RaftNode::askPreVotes},
@@ -179,7 +179,7 @@
     };
     if (action == "record_stepped_down")
         return recordSteppedDown(event);
-    (this->*Actions.at(action))();
+    (this->*handlers.at(action))();
 }
 
 void RaftNode::commitUpTo(LogIndex index)
--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -92,6 +92,7 @@
     m_controlLog->registerMachine(CommandKind::Group, m_changeRole.ledger());
     m_controlLog->registerMachine(CommandKind::Config, m_config.ledger());
     m_config.attach(*m_controlLog);
+    m_controlApi = std::make_unique<ControlApi>(*m_controlLog);
 }
 
 // A VM whose log can't be trusted stays out of control and goes on as a proxy.
@@ -157,6 +158,10 @@
 {
     m_timelineRole.addTo(m_operatorRoutes);
     m_statusRole.addTo(m_operatorRoutes);
+    if (m_controlApi) {
+        m_controlApi->addTo(m_operatorRoutes);
+        m_statusRole.addSection("control", [this] { return m_controlApi->status(); });
+    }
     m_operatorRoutes.push_back({"POST", "/v1/drain", [](const HttpRequest &) {
                                     // The same as a signal from outside: serve() drains and ends.
                                     kill(getpid(), SIGTERM);
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -7,6 +7,7 @@
 #include "serve/callerapi.h"
 #include "serve/changerole.h"
 #include "serve/configrole.h"
+#include "serve/controlapi.h"
 #include "serve/controllog.h"
 #include "serve/directory.h"
 #include "serve/entryrunner.h"
@@ -82,6 +83,7 @@
     GroupReporter m_groupReporter;
     ChangeRole m_changeRole;
     std::unique_ptr<ControlLog> m_controlLog; // null where this VM runs no control
+    std::unique_ptr<ControlApi> m_controlApi; // the same
     std::atomic<bool> m_isDraining = false;
     PeerHandlers m_peerHandlers;
     std::vector<HttpRoute> m_operatorRoutes;
--- a/test/unit/control/controlvms.h
+++ b/test/unit/control/controlvms.h
@@ -55,7 +55,7 @@
         bool loses = false; // its disk forgets to sync until the next crash
     };
 
-    explicit ControlVms(unsigned seed, std::vector<std::string> names = {"c1", "c2", "c3"})
+    explicit ControlVms(unsigned seed, const std::vector<std::string> &names = {"c1", "c2", "c3"})
         : m_random(seed)
     {
         for (const std::string &name : names)
--- a/test/unit/control/raftnode_test.cpp
+++ b/test/unit/control/raftnode_test.cpp
@@ -131,7 +131,7 @@
         const RaftNode &node = vms.node(leader.text());
         return node.log().members().size() == 2 && node.log().membersIndex() <= node.commit();
     }));
-    const Member member {VmName(name), vms.node(name).folder()};
+    const ControlMember member {VmName(name), vms.node(name).folder()};
     vms.drive(leader, [&](RaftNode &node) { return node.addMember(member); });
     CHECK(vms.runUntil([&] {
         const RaftNode &node = vms.node(leader.text());
--- a/test/unit/serve/controllog_test.cpp
+++ b/test/unit/serve/controllog_test.cpp
@@ -1,6 +1,7 @@
 #include "serve/controllog.h"
 
 #include "nutmegtide/base/metrics.h"
+#include "serve/controlapi.h"
 #include "serve/peerserver.h"
 #include "serve/peerservice.h"
 #include "unit/settings/temporaryfolder.h"
@@ -170,3 +171,37 @@
     for (auto &vm : vms)
         CHECK(comesTrue([&] { return vm->text() == "one;two;"; }));
 }
+
+TEST_CASE("operators see the members of the control log, and change them at the leader only")
+{
+    const TemporaryFolder folder;
+    ControlVms vms = startAll(folder.path());
+    proposeSomewhere(vms, "one");
+    struct Order
+    {
+        bool isAtLeader;
+        const char *body;
+        int status;
+    };
+    const Order orders[] = {
+            {false, R"({"remove": "c9"})", 409},
+            {true, R"({"remove": "c9"})", 409},
+            {true, "{", 400},
+            {true, R"({"add": "c9"})", 400},
+            {true, R"({"add": "c1", "folder": "x"})", 409},
+    };
+    for (const Order &order : orders) {
+        CAPTURE(order.body);
+        for (auto &vm : vms) {
+            if (vm->log().isLeader() != order.isAtLeader)
+                continue;
+            ControlApi api(vm->log());
+            std::vector<HttpRoute> routes;
+            api.addTo(routes);
+            HttpRequest request;
+            request.body = order.body;
+            CHECK(routes.back().handler(request).status == order.status);
+            CHECK(api.status().at("members").size() == 3);
+        }
+    }
+}
