--- a/include/nutmegtide/fleet/configfollower.h
+++ b/include/nutmegtide/fleet/configfollower.h
@@ -82,7 +82,8 @@
         std::chrono::milliseconds digestInterval {1'000}; // on average
     };
 
-    ConfigFollower(Options options, ConfigRevision persisted, TimePoint now, std::uint64_t seed);
+    ConfigFollower(const Options &options, ConfigRevision persisted, TimePoint now,
+                   std::uint64_t seed);
 
     ConfigActions takePush(const ConfigRevision &revision, const std::vector<VmName> &onward);
     // Takes the latest revision of an answer; revision 0 for "nothing above what you have".
--- a/src/fleet/configfollower.cpp
+++ b/src/fleet/configfollower.cpp
@@ -14,9 +14,9 @@
 
 } // namespace
 
-ConfigFollower::ConfigFollower(Options options, ConfigRevision persisted, TimePoint now,
+ConfigFollower::ConfigFollower(const Options &options, ConfigRevision persisted, TimePoint now,
                                std::uint64_t seed)
-    : m_options(std::move(options))
+    : m_options(options)
     , m_catchUpEnd(now + m_options.catchUpTime)
     , m_random(seed)
     , m_latest(std::move(persisted))
--- a/test/unit/fleet/fanout_test.cpp
+++ b/test/unit/fleet/fanout_test.cpp
@@ -43,9 +43,9 @@
         std::map<VmName, int> received;
         CHECK(follow(pushOrder(makeMembers(row.members, 7), 1), received) == row.depth);
         CHECK(int(received.size()) == row.members);
-        for (const auto &[vm, count] : received) {
-            CAPTURE(vm);
-            CHECK(count == 1);
+        for (const auto &entry : received) {
+            CAPTURE(entry.first);
+            CHECK(entry.second == 1);
         }
     }
 }
