--- a/src/serve/changerole.cpp
+++ b/src/serve/changerole.cpp
@@ -136,6 +136,7 @@
             group.announced = adoptionOf(database, server);
     }
     group.suspicion.report(home, opinion, now);
+    group.isReported = true;
 }
 
 // ---- decisions ----
@@ -146,10 +147,11 @@
     while (!m_isStopping) {
         const bool isLeader = m_log.load()->isLeader();
         for (auto &[database, group] : m_groups) {
-            if (isLeader)
-                step(database, group, Clock::now());
-            else
+            const bool isReported = std::exchange(group.isReported, false);
+            if (!isLeader)
                 group.change.reset(); // the next leader takes it up from the ledger
+            else if (isReported || group.change)
+                step(database, group, Clock::now());
         }
         m_changed.wait_for(lock, RoundInterval);
     }
--- a/src/serve/changerole.h
+++ b/src/serve/changerole.h
@@ -61,6 +61,7 @@
         std::unique_ptr<PrimaryChange> change;
         EventId cause; // of the change's next event
         bool isProposing = false;
+        bool isReported = false; // since the last decision; a group without news costs nothing
     };
 
     void take(const VmName &home, const wire::GroupReport &report, TimePoint now);
