--- a/include/nutmegtide/fleet/gossip.h
+++ b/include/nutmegtide/fleet/gossip.h
@@ -17,11 +17,11 @@
     Duration directTimeout = 300ms;
     Duration indirectTimeout = 700ms; // of a probe through a helper
     int helpers = 3; // asked for an indirect probe
-    int suspicionRounds = 3; // probe intervals, times the decimal logarithm of the fleet's size
+    int suspicionRounds = 4; // probe intervals; half as many more for each factor of 10 past 10 VMs
     int retransmits = 3; // of one update, times the binary logarithm of the fleet's size
     std::size_t largestMessage = 256; // bytes of piggybacked updates
     std::size_t pageMembers = 16;
-    int compareEvery = 20; // probe intervals between two comparisons of whole lists
+    int compareEvery = 40; // probe intervals between two comparisons of whole lists
     int retryEvery = 10; // probe intervals between two probes of a dead member or an unknown seed
     Duration forgetAfter = 24h; // how long a dead or departed member is remembered
 };
@@ -120,6 +120,7 @@
     {
         Member member;
         TimePoint since; // of its state
+        bool isClaimedDead = false; // by another, of this version, without own signs of it
     };
     enum class CallKind {
         Direct,
--- a/src/fleet/gossip.cpp
+++ b/src/fleet/gossip.cpp
@@ -56,7 +56,7 @@
 Duration Gossip::suspicionTime() const
 {
     const double size = static_cast<double>(presentCount()) + 1;
-    const double scale = std::max(1.0, std::log10(size));
+    const double scale = std::max(1.0, (1 + std::log10(size)) / 2);
     const auto time = m_settings.probeInterval * m_settings.suspicionRounds * scale;
     return std::chrono::duration_cast<Duration>(time);
 }
@@ -100,6 +100,11 @@
     const auto found = m_members.find(vm);
     if (found == m_members.end() || found->second.member.state != MemberState::Alive)
         return;
+    // Another has waited for a refutation already.
+    if (found->second.isClaimedDead) {
+        become(found->second, MemberState::Dead, now, actions);
+        return;
+    }
     become(found->second, MemberState::Suspect, now, actions);
     recheck(found->second.member);
 }
@@ -155,12 +160,18 @@
         const Member claim = m_recheck.front();
         m_recheck.pop_front();
         const Member *member = find(claim.vm);
-        if (!member || member->state == MemberState::Left)
+        const bool isRefuted = member && member->state == MemberState::Alive
+                && claim.state == MemberState::Suspect;
+        if (!member || isRefuted || member->state == MemberState::Left)
             continue;
-        const CallKind kind = member->isPresent() ? CallKind::Direct : CallKind::Notice;
+        const bool isAlive = member->state == MemberState::Alive;
+        const CallKind kind = isAlive ? CallKind::Direct : CallKind::Notice;
         GossipCall asked = call(kind, claim.vm, member->peers, m_settings.directTimeout);
-        if (member->state == MemberState::Alive)
+        if (isAlive)
             asked.message.updates.push_back(claim);
+        // Whoever suspects a member asks it again until it refutes that or is dead.
+        if (member->state == MemberState::Suspect)
+            recheck(*member);
         actions.push_back(std::move(asked));
         return;
     }
@@ -240,8 +251,13 @@
     const Member *before = find(reply.sender.vm);
     const bool wasLost = before && !before->isPresent();
     take(reply.sender, now, actions);
-    for (const Member &claim : reply.updates)
+    for (const Member &claim : reply.updates) {
+        const bool wasNews = m_news.count(claim.vm) != 0;
         take(claim, now, actions);
+        // The fleet has heard of what a page holds.
+        if (pending.kind == CallKind::Page && !wasNews)
+            m_news.erase(claim.vm);
+    }
     if (pending.kind == CallKind::Indirect)
         finishIndirect(pending.target, reply.isAlive, now, actions);
     if (pending.kind == CallKind::Page && !reply.pageEnd.isEmpty()) {
@@ -323,11 +339,14 @@
 {
     GossipReply reply;
     reply.sender = m_self;
-    reply.updates = news(message.sender.vm);
-    if (!message.wantsPage || message.digest == digest())
+    if (!message.wantsPage || message.digest == digest()) {
+        reply.updates = news(message.sender.vm);
         return reply;
-    for (Member &member : page(message.pageAfter, reply.pageEnd))
-        reply.updates.push_back(std::move(member));
+    }
+    reply.updates = page(message.pageAfter, reply.pageEnd);
+    const Member *of = find(message.sender.vm);
+    if (of && of->state != MemberState::Alive)
+        reply.updates.push_back(*of);
     return reply;
 }
 
--- a/src/fleet/gossipnews.cpp
+++ b/src/fleet/gossipnews.cpp
@@ -41,6 +41,7 @@
     const bool wasPresent = known.member.isPresent();
     const bool isRestart = claim.incarnation > known.member.incarnation;
     const MemberState before = known.member.state;
+    known.isClaimedDead = known.isClaimedDead && isSameVersion(claim, known.member);
     known.member = claim;
     if (claim.state == MemberState::Alive && wasPresent && !isRestart) {
         known.since = now;
@@ -65,8 +66,10 @@
         become(known, MemberState::Dead, now, actions);
         return;
     }
-    if (known.member.state == MemberState::Alive)
+    if (known.member.state == MemberState::Alive) {
+        known.isClaimedDead = known.isClaimedDead || isSameVersion(claim, known.member);
         recheck(claim);
+    }
 }
 
 void Gossip::takeOfSelf(const Member &claim)
--- a/test/unit/fleet/connectionbudget_test.cpp
+++ b/test/unit/fleet/connectionbudget_test.cpp
@@ -1,7 +1,7 @@
 #include "nutmegtide/fleet/connectionbudget.h"
 
-#include <doctest/doctest.h>
 #include <algorithm>
+#include <doctest/doctest.h>
 #include <memory>
 #include <optional>
 #include <random>
@@ -116,8 +116,8 @@
     void exchange(Home &home)
     {
         if (pick(2) == 0) {
-            home.requests.push_back(home.share.request(0, 1 + pick(9), m_connections, Validity,
-                                                       home.clock(m_now)));
+            home.requests.push_back(
+                    home.share.request(0, 1 + pick(9), m_connections, Validity, home.clock(m_now)));
         }
         if (home.isCut)
             return;
