--- a/src/fleet/gossipnews.cpp
+++ b/src/fleet/gossipnews.cpp
@@ -24,8 +24,10 @@
         return;
     }
     Known &known = found->second;
-    if (isSameVersion(claim, known.member))
-        known.member.revision = std::max(known.member.revision, claim.revision);
+    if (isSameVersion(claim, known.member) && claim.revision > known.member.revision) {
+        known.member.revision = claim.revision;
+        actions.push_back(MemberChange {MemberChangeKind::Updated, known.member});
+    }
     const bool isOutdated = !overrides(claim, known.member);
     if (isOutdated) {
         // The member refutes its death once it hears of it.
--- a/test/unit/fleet/gossip_test.cpp
+++ b/test/unit/fleet/gossip_test.cpp
@@ -176,3 +176,19 @@
         }
     }
 }
+
+TEST_CASE("a member's configuration is known from contact, without news in the fleet")
+{
+    GossipNetwork network = met(9, 31);
+    network.at(vm(5)).setRevision(7);
+    const auto isKnown = [&] {
+        for (int number = 0; number < 9; ++number) {
+            if (number != 5 && network.at(vm(number)).find(vm(5))->revision != 7)
+                return false;
+        }
+        return true;
+    };
+    CHECK(network.runUntil(isKnown, Settled));
+    CHECK(network.count(MemberChangeKind::Updated) == 8);
+    CHECK(network.at(vm(0)).find(vm(5))->version == 0);
+}
