--- a/src/fleet/gossipnews.cpp
+++ b/src/fleet/gossipnews.cpp
@@ -24,8 +24,10 @@
         return;
     }
     Known &known = found->second;
-    if (isSameVersion(claim, known.member))
-        known.member.revision = std::max(known.member.revision, claim.revision);
+    if (isSameVersion(claim, known.member) && claim.revision > known.member.revision) {
+        known.member.revision = claim.revision;
+        actions.push_back(MemberChange {MemberChangeKind::Updated, known.member});
+    }
     const bool isOutdated = !overrides(claim, known.member);
     if (isOutdated) {
         // The member refutes its death once it hears of it.
@@ -41,6 +43,7 @@
     const bool wasPresent = known.member.isPresent();
     const bool isRestart = claim.incarnation > known.member.incarnation;
     const MemberState before = known.member.state;
+    known.isClaimedDead = known.isClaimedDead && isSameVersion(claim, known.member);
     known.member = claim;
     if (claim.state == MemberState::Alive && wasPresent && !isRestart) {
         known.since = now;
@@ -65,8 +68,10 @@
         become(known, MemberState::Dead, now, actions);
         return;
     }
-    if (known.member.state == MemberState::Alive)
+    if (known.member.state == MemberState::Alive) {
+        known.isClaimedDead = known.isClaimedDead || isSameVersion(claim, known.member);
         recheck(claim);
+    }
 }
 
 void Gossip::takeOfSelf(const Member &claim)
