Use one connection in the stand-in's long poll test

Cause: under load the fourth row got a refusal (too_many_connections, as its body had no role): the connections of earlier rows still counted. Ruled out: the client's timeout, which the failing run did not reach (2 s of 10 s).

--- a/test/unit/standin/httpserver_test.cpp
+++ b/test/unit/standin/httpserver_test.cpp
@@ -99,6 +99,7 @@
             {"new entry", "?term=1&at_least=1.1&wait_ms=60000", {1, 2}},
     };
     Server server;
+    HttpClient client; // one connection, since the server frees another only some time after its end
     for (const Row &row : rows) {
         CAPTURE(row.name);
         std::jthread writer;
@@ -114,7 +115,6 @@
                 server.state.execute(put, 1, Clock::now());
             });
         }
-        HttpClient client;
         const std::string path = std::string("/v1/position") + row.query;
         const HttpAnswer answer = client.get(server.http.address(), path, Timeout);
         CHECK(parseMessage<PositionReply>(answer.body).durable == row.durable);
