--- a/bench/overload_bench.cpp
+++ b/bench/overload_bench.cpp
@@ -1,6 +1,6 @@
 // Prints what callers get when they send more than the servers can do, for the
 // admission queues and for the plain baseline. With --check it exits 1 when a
-// stated bound is passed at five times the capacity.
+// stated bound is passed at five times the capacity. --seed N after it takes another seed.
 
 #include "overloadmodel.h"
 
@@ -18,7 +18,7 @@
 constexpr int Homes[] = {1, 3};
 constexpr double LeastGoodput = 0.9; // of the capacity of the slots, ways included
 constexpr Duration SlowestRefusal = 5ms;
-constexpr std::uint64_t Seed = 2016;
+constexpr std::uint64_t UsualSeed = 2016;
 
 double milliseconds(Duration duration)
 {
@@ -34,9 +34,9 @@
 }
 
 // Prints one row and returns whether it keeps the stated bounds.
-bool report(const Scenario &scenario)
+bool report(const Scenario &scenario, std::uint64_t seed)
 {
-    Outcome outcome = Simulation(scenario, Seed).run();
+    Outcome outcome = Simulation(scenario, seed).run();
     const double retries = double(outcome.resent) / double(outcome.fresh);
     const double budget = RetryShare + RetryBudget::MostHeld / double(outcome.fresh);
     std::sort(outcome.refusalTimes.begin(), outcome.refusalTimes.end());
@@ -66,6 +66,8 @@
 int main(int argumentCount, char **arguments)
 {
     const bool isCheck = argumentCount > 1 && std::strcmp(arguments[1], "--check") == 0;
+    const bool hasSeed = argumentCount > 3 && std::strcmp(arguments[2], "--seed") == 0;
+    const std::uint64_t seed = hasSeed ? std::stoull(arguments[3]) : UsualSeed;
     bool isKept = true;
     std::printf("deployment     policy    homes load   slots reachable  late refused >5 ms  "
                 "slowest  resent"
@@ -77,7 +79,7 @@
                     const bool isJudged = policy == Policy::Admission && load == JudgedLoad;
                     if (isCheck && !isJudged)
                         continue;
-                    const bool isRowKept = report({deployment, policy, homes, load});
+                    const bool isRowKept = report({deployment, policy, homes, load}, seed);
                     isKept = isKept && (isRowKept || !isJudged);
                 }
             }
--- a/bench/overloadmodel.h
+++ b/bench/overloadmodel.h
@@ -171,7 +171,8 @@
         const int server = job.kind == AdmissionClass::AgedRead
                 ? 1 + int(random() * (ServerCount - 1))
                 : 0;
-        job.home = std::size_t(server * m_scenario.homes + job.session % m_scenario.homes);
+        const int home = server * m_scenario.homes + job.session % m_scenario.homes;
+        job.home = std::size_t(home);
         job.arrivedAt = m_now;
         job.deadline = m_now + Timeouts[std::size_t(random() * std::size(Timeouts))];
         const AdmissionTicket ticket = m_nextTicket++;
