--- a/test/unit/failover/changerig.h
+++ b/test/unit/failover/changerig.h
@@ -32,7 +32,7 @@
         : group(serversNamed(voters))
     {
         const std::vector<ServerId> ids = serversNamed(voters);
-        ledger.apply(1, encode({GroupCommandKind::Adopt, Database, 1, "", ids.front(), ids}));
+        ledger.apply(1, encode({GroupCommandKind::Adopt, database, 1, "", ids.front(), ids}));
     }
 
     void kill(const std::string &id) { group.servers.at(ServerId(id)).isUp = false; }
@@ -55,7 +55,7 @@
                const std::vector<std::string> &voters = {})
     {
         ChangeRequest request;
-        request.database = Database;
+        request.database = database;
         request.owner = owner;
         request.suspect = std::move(suspect);
         request.voters = serversNamed(voters);
@@ -89,11 +89,11 @@
         return change->isPublished();
     }
 
-    const GroupRecord &record() const { return *ledger.find(Database); }
+    const GroupRecord &record() const { return *ledger.find(database); }
     FakeServer &primary() { return group.servers.at(record().primary); }
     bool hasSent(std::size_t actionIndex) const { return sent.count(actionIndex) != 0; }
 
-    const DatabaseName Database {"casks"};
+    const DatabaseName database {"casks"};
     const ChartLibrary charts = ChartLibrary::embedded();
     FakeGroup group;
     GroupLedger ledger;
--- a/test/unit/failover/primarychange_test.cpp
+++ b/test/unit/failover/primarychange_test.cpp
@@ -250,7 +250,7 @@
         rig.group.servers[ServerId("s4")].log.clear();
         rig.ledger.apply(2,
                          encode({GroupCommandKind::Reserve,
-                                 rig.Database,
+                                 rig.database,
                                  2,
                                  "lost",
                                  {},
