Let a fence of a minority leave the primary in place; keep homes within a server's connections

The primary now leads until a majority of its voters has a higher term. Cause of the second: every home opened up to four connections and a watcher, so five homes passed the limit of 20. Each now takes an equal share of the announced connections; views of membership that disagree are not covered yet.

--- a/include/nutmegtide/fleet/groupstate.h
+++ b/include/nutmegtide/fleet/groupstate.h
@@ -25,7 +25,7 @@
 //
 //   GroupState group;
 //   group.observe(announcement, now);
-//   group.primary(); // nothing while no server claims the highest term
+//   group.primary(); // nothing while no server leads
 class GroupState
 {
 public:
@@ -39,9 +39,11 @@
     // Forgets servers that were silent for longer than this.
     std::vector<ServerId> forgetSilent(Duration silence, TimePoint now);
 
-    // Returns the highest term that any server has reported.
+    // Returns the term of primary(), or without one the highest reported.
     Term term() const;
-    // Returns the server that claims to be primary in term().
+    // Returns the server that claims to be primary in the highest term, unless a
+    // majority of its voters has been fenced by a higher one. A fence that reached
+    // only a minority must not break a primary that still works.
     std::optional<ServerId> primary() const;
     // Returns the voters that the primary of term() named, empty without one.
     std::vector<ServerId> voters() const;
@@ -52,6 +54,8 @@
     const GroupServer *find(const ServerId &server) const;
 
 private:
+    bool isLeading(const ServerId &id, const GroupServer &server) const;
+
     std::map<ServerId, GroupServer> m_servers;
 };
 
--- a/src/fleet/groupstate.cpp
+++ b/src/fleet/groupstate.cpp
@@ -73,8 +73,24 @@
     return forgotten;
 }
 
+bool GroupState::isLeading(const ServerId &id, const GroupServer &server) const
+{
+    if (server.said.role != ServerRole::Primary)
+        return false;
+    const std::vector<ServerId> &voters = server.said.voters;
+    if (server.votersTerm != server.said.term || voters.empty())
+        return true;
+    const auto fenced = std::count_if(voters.begin(), voters.end(), [&](const ServerId &voter) {
+        const GroupServer *known = find(voter);
+        return voter != id && known && known->said.term > server.said.term;
+    });
+    return voters.size() - static_cast<std::size_t>(fenced) > voters.size() / 2;
+}
+
 Term GroupState::term() const
 {
+    if (const auto id = primary())
+        return m_servers.at(*id).said.term;
     Term highest = 0;
     for (const auto &[id, server] : m_servers)
         highest = std::max(highest, server.said.term);
@@ -83,12 +99,13 @@
 
 std::optional<ServerId> GroupState::primary() const
 {
-    const Term current = term();
+    std::optional<ServerId> leader;
     for (const auto &[id, server] : m_servers) {
-        if (server.said.term == current && server.said.role == ServerRole::Primary)
-            return id;
+        const bool isHigher = !leader || m_servers.at(*leader).said.term < server.said.term;
+        if (isHigher && isLeading(id, server))
+            leader = id;
     }
-    return std::nullopt;
+    return leader;
 }
 
 std::vector<ServerId> GroupState::voters() const
--- a/src/serve/announceapi.cpp
+++ b/src/serve/announceapi.cpp
@@ -14,6 +14,14 @@
     return {perDomain, settings.homes.standbys};
 }
 
+int AnnounceApi::connectionsOfHome(const Announcement &announcement, std::size_t homes) const
+{
+    const double usable = announcement.connections * m_settings.current()->limits.connectionShare;
+    const int share = static_cast<int>(usable / static_cast<double>(homes));
+    // One connection of each share is the position watcher's.
+    return std::max(1, share - 1);
+}
+
 HttpResponse AnnounceApi::announce(const HttpRequest &request)
 {
     try {
@@ -24,8 +32,11 @@
                                                placementRule(*m_settings.current(),
                                                              announcement.database));
         const bool isHome = std::find(homes.begin(), homes.end(), m_identity.vm) != homes.end();
-        if (isHome)
-            m_groups.open(announcement.database).observe(announcement);
+        if (isHome) {
+            HomeGroup &group = m_groups.open(announcement.database);
+            group.observe(announcement);
+            group.setShare(announcement.server, connectionsOfHome(announcement, homes.size()));
+        }
         HttpResponse response;
         response.body = Json(replyTo(announcement, homes)).dump();
         return response;
--- a/test/unit/base/log_test.cpp
+++ b/test/unit/base/log_test.cpp
@@ -46,7 +46,7 @@
 TEST_CASE("lines of the levels in force reach the folder")
 {
     NodeSettings settings;
-    settings.log = {LogLevel::Warning, "/nonexistent"};
+    settings.log = {LogLevel::Warning, "/dev/null/folder"};
     CHECK_THROWS_AS(initLogging(settings), LogError);
     std::string folder = (std::filesystem::temp_directory_path() / "log-XXXXXX").string();
     REQUIRE(mkdtemp(folder.data()) != nullptr);
--- a/test/unit/events/recorder_test.cpp
+++ b/test/unit/events/recorder_test.cpp
@@ -120,7 +120,7 @@
 
 TEST_CASE("a file that cannot be opened or written is a typed error and loses no event")
 {
-    CHECK_THROWS_AS(EventFile("/nonexistent/events.jsonl", 100), EventFileError);
+    CHECK_THROWS_AS(EventFile("/dev/null/events.jsonl", 100), EventFileError);
     Recorder recorder(identity(), 10);
     recorder.attachFile(std::make_unique<EventFile>("/dev/full", 1'000'000));
     recorder.record(EventKind::NodeStarted);
