--- a/bench/gossip_bench.cpp
+++ b/bench/gossip_bench.cpp
@@ -102,7 +102,10 @@
         Row row;
         const int trials = members > 33 ? 1 : Trials;
         for (int number = 0; number < trials; ++number)
-            trial(members, static_cast<std::uint64_t>(100 * members + number), row);
+            trial(members,
+                  std::uint64_t {100} * static_cast<std::uint64_t>(members)
+                          + static_cast<std::uint64_t>(number),
+                  row);
         std::printf("%d,%.0f,%.0f,%.0f,%.0f,%d\n", members, row.quietBytes, row.death, row.join,
                     row.busyBytes, row.falseDeaths);
         std::fflush(stdout);
--- a/src/serve/membership.cpp
+++ b/src/serve/membership.cpp
@@ -46,11 +46,9 @@
 
 } // namespace
 
-Membership::Membership(const Identity &identity, const NodeSettings &settings,
-                       const SettingsSource &fleetSettings, Directory &directory,
-                       PeerClients &peers, Recorder &recorder)
-    : m_identity(identity)
-    , m_settings(settings)
+Membership::Membership(const NodeSettings &settings, const SettingsSource &fleetSettings,
+                       Directory &directory, PeerClients &peers, Recorder &recorder)
+    : m_settings(settings)
     , m_fleetSettings(fleetSettings)
     , m_directory(directory)
     , m_peers(peers)
--- a/src/serve/membership.h
+++ b/src/serve/membership.h
@@ -4,7 +4,6 @@
 #include "nutmegtide/fleet/gossip.h"
 #include "nutmegtide/settings/nodesettings.h"
 #include "serve/directory.h"
-#include "serve/identity.h"
 #include "serve/peerclient.h"
 #include "serve/settingssource.h"
 
@@ -19,9 +18,8 @@
 class Membership
 {
 public:
-    Membership(const Identity &identity, const NodeSettings &settings,
-               const SettingsSource &fleetSettings, Directory &directory, PeerClients &peers,
-               Recorder &recorder);
+    Membership(const NodeSettings &settings, const SettingsSource &fleetSettings,
+               Directory &directory, PeerClients &peers, Recorder &recorder);
     ~Membership();
     Membership(const Membership &) = delete;
     Membership &operator=(const Membership &) = delete;
@@ -44,7 +42,6 @@
     void perform(const GossipActions &actions);
     void apply(const MemberChange &change);
 
-    const Identity &m_identity;
     const NodeSettings &m_settings;
     const SettingsSource &m_fleetSettings;
     Directory &m_directory;
--- a/test/unit/fleet/gossipnetwork.h
+++ b/test/unit/fleet/gossipnetwork.h
@@ -191,7 +191,7 @@
         return sum;
     }
 
-    void send(const VmName &from, const GossipCall &call, std::function<void(bool)> done)
+    void send(const VmName &from, const GossipCall &call, const std::function<void(bool)> &done)
     {
         const std::size_t callSize = CallBytes + CallPacketBytes
                 + size(call.message.sender, call.message.updates);
