--- a/test/process/support/testfleet.cpp
+++ b/test/process/support/testfleet.cpp
@@ -132,6 +132,7 @@
     file << "[node]\nname = " << Json(node.name)
          << "\nfailure_domain = " << Json(node.failureDomain)
          << "\nfleet = \"test\"\nseeds = " << seeds << "\ncontrol = " << control
+         << "\ncaller_threads = " << node.callerThreads
          << "\nport_file = " << Json(portFile(node.name).string());
     if (node.isControl)
         file << "\ndata_dir = " << Json((m_folder / (node.name + ".data")).string());
--- a/test/process/support/testfleet.h
+++ b/test/process/support/testfleet.h
@@ -16,6 +16,7 @@
     std::string name;
     std::string failureDomain;
     bool isControl = false;
+    int callerThreads = 64;
 };
 
 struct ServerOptions
