Run the power planner on the control leader, against a platform stand-in

Cause of a failure found by its first process test: the planner kept the settings of the moment it began to lead, so that spares applied later were never used. It is now renewed with each revision and keeps what is known of the spares.

--- a/src/serve/changerole.cpp
+++ b/src/serve/changerole.cpp
@@ -135,10 +135,26 @@
         if (server.isPrimary && !server.voters.empty())
             group.announced = adoptionOf(database, server);
     }
+    group.queuedReads = report.queuedReads;
     group.suspicion.report(home, opinion, now);
     group.isReported = true;
 }
 
+std::vector<GroupDemand> ChangeRole::demands() const
+{
+    const auto settings = m_settings.current();
+    const TimePoint now = Clock::now();
+    std::vector<GroupDemand> demands;
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[database, group] : m_groups) {
+        const auto found = settings->databases.find(database);
+        const int wanted = found == settings->databases.end() ? DatabaseSettings().voters
+                                                              : found->second.voters;
+        demands.push_back(demandOf(database, group.presence, wanted, group.queuedReads, now));
+    }
+    return demands;
+}
+
 // ---- decisions ----
 
 void ChangeRole::run()
--- a/src/serve/changerole.h
+++ b/src/serve/changerole.h
@@ -7,6 +7,7 @@
 #include "nutmegtide/failover/primarychange.h"
 #include "nutmegtide/failover/primarysuspicion.h"
 #include "nutmegtide/failover/voterrepair.h"
+#include "nutmegtide/power/groupdemand.h"
 #include "peer_types.h"
 #include "serve/identity.h"
 #include "serve/serverworkers.h"
@@ -43,6 +44,9 @@
     wire::GroupReportReply report(const wire::Header &header,
                                   const std::vector<wire::GroupReport> &reports);
 
+    // Says what the reported groups ask of the spare VMs. Thread-safe.
+    std::vector<GroupDemand> demands() const;
+
 private:
     // What is known of one group from reports, also while another VM leads.
     struct Group
@@ -57,6 +61,7 @@
         VoterRepair repair {RepairTimings()};
         std::map<ServerId, ServerSighting> sightings;
         std::map<ServerId, VoterSighting> presence;
+        int queuedReads = 0;
         std::optional<GroupCommand> announced; // an adoption, from what the primary announces
         std::unique_ptr<PrimaryChange> change;
         EventId cause; // of the change's next event
--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -91,6 +91,7 @@
     m_controlLog = std::make_unique<ControlLog>(m_settings, m_directory, m_peers, m_recorder);
     m_controlLog->registerMachine(CommandKind::Group, m_changeRole.ledger());
     m_controlLog->registerMachine(CommandKind::Config, m_config.ledger());
+    m_controlLog->registerMachine(CommandKind::Power, m_powerLedger);
     m_config.attach(*m_controlLog);
     m_controlApi = std::make_unique<ControlApi>(*m_controlLog);
 }
@@ -103,12 +104,23 @@
     try {
         m_controlLog->start();
         m_changeRole.start(*m_controlLog);
+        startPower();
     } catch (const LogStorageError &fault) {
         logEvent(LogLevel::Error, "control_log_refused", {m_identity.vm},
                  {{"reason", fault.what()}});
     }
 }
 
+void Node::startPower()
+{
+    if (!m_settings.platform)
+        return;
+    m_powerRole = std::make_unique<PowerRole>(m_fleetSettings, m_recorder, m_charts, *m_controlLog,
+                                              m_powerLedger, *m_settings.platform,
+                                              [this] { return m_changeRole.demands(); });
+    m_powerRole->start();
+}
+
 void Node::openListeners()
 {
     const HeaderSource headerSource = [this] { return header(); };
@@ -186,6 +198,7 @@
     m_callerServer->stop();
     m_operatorServer->stop();
     m_peerServer->stop();
+    m_powerRole.reset();
     m_changeRole.stop();
     if (m_controlLog)
         m_controlLog->stop();
--- a/src/serve/node.h
+++ b/src/serve/node.h
@@ -22,6 +22,7 @@
 #include "serve/peerclient.h"
 #include "serve/peerhandlers.h"
 #include "serve/peerserver.h"
+#include "serve/powerrole.h"
 #include "serve/routes.h"
 #include "serve/settingssource.h"
 #include "serve/statusrole.h"
@@ -58,6 +59,7 @@
     // Makes the control log where the settings name this VM as a control VM.
     void makeControlLog();
     void startControlLog();
+    void startPower();
     void writePortFile() const;
 
     const NodeSettings m_settings;
@@ -83,6 +85,9 @@
     GroupReporter m_groupReporter;
     ChangeRole m_changeRole;
     std::unique_ptr<ControlLog> m_controlLog; // null where this VM runs no control
+    const ChartLibrary m_charts = ChartLibrary::embedded();
+    PowerLedger m_powerLedger;
+    std::unique_ptr<PowerRole> m_powerRole; // null without control or without a platform
     std::unique_ptr<ControlApi> m_controlApi; // the same
     std::atomic<bool> m_isDraining = false;
     PeerHandlers m_peerHandlers;
--- a/src/serve/powerrole.cpp
+++ b/src/serve/powerrole.cpp
@@ -58,16 +58,23 @@
 
 void PowerRole::lead()
 {
-    const auto settings = m_settings.current();
-    if (!m_planner) {
-        // The incarnation of the recorder makes the order ids of each leader its own.
-        m_planner.emplace(m_charts.chart("power"), settings->power,
-                          m_recorder.identity().incarnation, OrderRetry);
-        m_planner->restore(m_ledger.records(), Clock::now());
-    }
+    const Revision revision = m_settings.revision();
+    if (!m_planner || revision != m_plannedRevision)
+        renewPlanner(revision);
     carryOut(m_planner->observe(m_demands(), Clock::now()));
 }
 
+void PowerRole::renewPlanner(Revision revision)
+{
+    const std::vector<SpareRecord> records = m_planner ? m_planner->records() : m_ledger.records();
+    // The recorder's incarnation makes the order ids of each leader its own, and
+    // the count those of each planner.
+    const Term epoch = m_recorder.identity().incarnation + m_planners++;
+    m_planner.emplace(m_charts.chart("power"), m_settings.current()->power, epoch, OrderRetry);
+    m_planner->restore(records, Clock::now());
+    m_plannedRevision = revision;
+}
+
 bool PowerRole::record()
 {
     try {
--- a/src/serve/powerrole.h
+++ b/src/serve/powerrole.h
@@ -34,6 +34,8 @@
 private:
     void run();
     void lead();
+    // Makes a planner for the settings in force, with what is known of the spares.
+    void renewPlanner(Revision revision);
     void carryOut(const PowerActions &actions);
     void order(const PowerAction &action);
     bool record();
@@ -47,6 +49,8 @@
     const PlatformClient m_platform;
     const DemandSource m_demands;
     std::optional<PowerPlanner> m_planner; // set while this process leads
+    Revision m_plannedRevision = 0; // of the planner's settings
+    std::uint64_t m_planners = 0; // made so far
     std::atomic<bool> m_isStopping = false;
     std::thread m_thread;
 };
--- a/test/process/support/testfleet.cpp
+++ b/test/process/support/testfleet.cpp
@@ -134,6 +134,8 @@
          << "\nfleet = \"test\"\nseeds = " << seeds << "\ncontrol = " << control
          << "\ncaller_threads = " << node.callerThreads
          << "\nport_file = " << Json(portFile(node.name).string());
+    if (!node.platform.empty())
+        file << "\nplatform = " << Json(node.platform);
     if (node.isControl)
         file << "\ndata_dir = " << Json((m_folder / (node.name + ".data")).string());
     file << "\n[listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = "
--- a/test/process/support/testfleet.h
+++ b/test/process/support/testfleet.h
@@ -17,6 +17,7 @@
     std::string failureDomain;
     bool isControl = false;
     int callerThreads = 64;
+    std::string platform {}; // address of the platform; empty for none
 };
 
 struct ServerOptions
