--- a/src/serve/homegroup.h
+++ b/src/serve/homegroup.h
@@ -87,6 +87,9 @@
     void setShare(const ServerId &server, int connections);
 
 private:
+    // A group without statements for this long is watched at the idle interval.
+    static constexpr std::chrono::seconds ActiveTime {3};
+
     // The link to one backend server; it outlives the server's own restarts.
     struct Link
     {
