Work out the capacity at full size from measured slopes, and say what doesn't hold

Failed try, reverted: limiting malloc to 4 arenas, against 216 MiB resident with 3,100 connections. Cause assumed: an arena a thread. Before 222,308 KiB, after 221,432 KiB; so the memory is the threads' own, and the try was dropped. The benches print broken in place of passed for a bound that isn't kept.

--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -94,7 +94,7 @@
     std::printf("%7d %9ld %10.3f %9zu %6d %7d %10.1f %s\n", members, count.messages,
                 double(count.messages) / members, count.mostOfOneNode, count.depth,
                 largestDepth(members - 1), double(count.names) * NameBytes / members,
-                isKept ? "kept" : "passed");
+                isKept ? "kept" : "broken");
     return isKept;
 }
 
@@ -375,7 +375,7 @@
     const bool isKept = worst.untilLast <= LongestUntilInForce && rate <= LargestRate;
     std::printf("%-20s %7d %9ld %9ld %8.3f %8.3f %9ld %9.0f %s\n", row.what, row.members,
                 long(worst.until99.count()), long(worst.untilLast.count()), pushes, wholes,
-                worst.perNodeMost, rate, isKept ? "kept" : "passed");
+                worst.perNodeMost, rate, isKept ? "kept" : "broken");
     return isKept;
 }
 
--- a/bench/controllog_bench.cpp
+++ b/bench/controllog_bench.cpp
@@ -25,7 +25,7 @@
 bool report(const char *name, double value, double bound)
 {
     const bool isKept = value <= bound;
-    std::printf("%-28s %10.2f %10.2f %s\n", name, value, bound, isKept ? "kept" : "passed");
+    std::printf("%-28s %10.2f %10.2f %s\n", name, value, bound, isKept ? "kept" : "broken");
     return isKept;
 }
 
--- a/bench/failovergap_bench.cpp
+++ b/bench/failovergap_bench.cpp
@@ -74,7 +74,7 @@
                 outcome.unserved,
                 !isJudged        ? ""
                         : isKept ? "kept"
-                                 : "passed");
+                                 : "broken");
     return isKept || !isJudged;
 }
 
--- a/bench/load_measure.cpp
+++ b/bench/load_measure.cpp
@@ -176,7 +176,8 @@
         TestFleet fleet({{"a1", "fd-a", true, IdleConnections + 100},
                          {"a2", "fd-a", false},
                          {"a3", "fd-a", false}});
-        fleet.addServer({"s1", "casks", "fd-a", {"s1"}, "", {}});
+        fleet.addServer(
+                {"s1", "casks", "fd-a", {"s1"}, "", {"--slots", "64", "--connections", "200"}});
         std::vector<pid_t> proxies;
         for (const char *name : {"a1", "a2", "a3"})
             proxies.push_back(fleet.processId(name));
--- a/bench/overload_bench.cpp
+++ b/bench/overload_bench.cpp
@@ -57,7 +57,7 @@
                 outcome.refused, slow, milliseconds(outcome.slowestRefusal), 100 * retries,
                 outcome.fairness(), shareOf(outcome, AdmissionClass::Write),
                 shareOf(outcome, AdmissionClass::AgedRead),
-                shareOf(outcome, AdmissionClass::PlainRead), isKept ? "kept" : "passed");
+                shareOf(outcome, AdmissionClass::PlainRead), isKept ? "kept" : "broken");
     return isKept;
 }
 
--- a/bench/power_bench.cpp
+++ b/bench/power_bench.cpp
@@ -185,6 +185,6 @@
     const bool isWithin = planned.served >= always.served - ServedTolerance
             && planned.vmHours < always.vmHours && planned.served > none.served;
     std::printf("bound: served within %.0f%% of always on, fewer VM-hours: %s\n",
-                100 * ServedTolerance, isWithin ? "held" : "passed");
+                100 * ServedTolerance, isWithin ? "held" : "broken");
     return isChecked && !isWithin ? 1 : 0;
 }
--- a/bench/replicashare_bench.cpp
+++ b/bench/replicashare_bench.cpp
@@ -51,7 +51,7 @@
                 scenario.deployment.name, scenario.reads == Reads::FirstSoon ? "first" : "all",
                 nameOf(scenario.fault), scenario.policy.name, 100 * outcome.share(), outcome.wrong,
                 outcome.refused, outcome.total, p99, bound.count(), quantile(outcome.lags, 0.5),
-                quantile(outcome.lags, 0.99), isKept ? "kept" : "passed");
+                quantile(outcome.lags, 0.99), isKept ? "kept" : "broken");
     return isKept;
 }
 
--- a/bench/slopes_measure.cpp
+++ b/bench/slopes_measure.cpp
@@ -59,9 +59,23 @@
     return 100 * used / Span;
 }
 
-void measureGroups(int groups)
+// Puts the intervals of the letter's size in force, which docs/CAPACITY.md derives.
+void applyLargeSize(const TestFleet &fleet)
+{
+    const Json change {{"change_id", "large-size"},
+                       {"base_revision", 0},
+                       {"toml",
+                        "[failover]\nprimary_announce_interval = \"2s\"\n"
+                        "replica_announce_interval = \"5s\"\ndetection_time = \"6s\"\n"}};
+    HttpClient operators(fleet.operators("a1"));
+    waitUntil([&] { return operators.post("/v1/config", change).status == 200; }, "acceptance");
+}
+
+void measureGroups(const char *intervals, int groups)
 {
     TestFleet fleet({{"a1", "fd-a", true}});
+    if (std::string(intervals) == "large")
+        applyLargeSize(fleet);
     std::vector<CallerSession> callers;
     for (int group = 0; group < groups; ++group) {
         const std::string name = "db" + std::to_string(group);
@@ -86,7 +100,8 @@
     const double idle = percentOfCore(fleet, [] {
         std::this_thread::sleep_for(std::chrono::milliseconds(100));
     });
-    std::printf("%d,%.2f,%.2f,%ld\n", groups, idle, writing, residentKib(fleet.processId("a1")));
+    std::printf("%s,%d,%.2f,%.2f,%ld\n", intervals, groups, idle, writing,
+                residentKib(fleet.processId("a1")));
 }
 
 } // namespace
@@ -96,9 +111,11 @@
     raiseFileLimit();
     try {
         measureConnections();
-        std::printf("groups,idle_cpu_percent,writing_cpu_percent,resident_kib\n");
-        for (const int groups : GroupSizes)
-            measureGroups(groups);
+        std::printf("intervals,groups,idle_cpu_percent,writing_cpu_percent,resident_kib\n");
+        for (const char *intervals : {"today", "large"}) {
+            for (const int groups : GroupSizes)
+                measureGroups(intervals, groups);
+        }
     } catch (const Error &error) {
         std::cerr << "slopes_measure: " << error.what() << '\n';
         return EXIT_FAILURE;
