Remove counters and an accessor that nothing reads any more

The drain has asked MeteredRunner since it stopped waiting for open connections, so HttpServer counted connections and requests on every one for nobody; and HomeGroup::statementsInFlight() had no caller after capacityOf(). Behaviour stays as it is.

--- a/src/serve/homegroup.cpp
+++ b/src/serve/homegroup.cpp
@@ -280,13 +280,6 @@
     return pool->borrow(wait);
 }
 
-int HomeGroup::statementsInFlight(const ServerId &server) const
-{
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_links.find(server);
-    return found == m_links.end() ? 0 : found->second.pool->inUse();
-}
-
 ServerCapacity HomeGroup::capacityOf(const ServerId &server) const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/serve/homegroup.h
+++ b/src/serve/homegroup.h
@@ -80,7 +80,6 @@
 
     // Borrows a connection. Throws LinkError.
     BackendPool::Lease borrow(const ServerId &server, std::chrono::milliseconds wait);
-    int statementsInFlight(const ServerId &server) const;
     ServerCapacity capacityOf(const ServerId &server) const;
 
     // Sets the connections that this home may hold to each server.
--- a/src/serve/httpserver.cpp
+++ b/src/serve/httpserver.cpp
@@ -73,8 +73,6 @@
                               "1",
                               nullptr};
     mg_callbacks callbacks {};
-    callbacks.init_connection = &HttpServer::countOpened;
-    callbacks.connection_close = &HttpServer::countClosed;
     m_context = mg_start(&callbacks, this, settings);
     if (!m_context)
         throw ListenError("cannot listen at " + port);
@@ -96,19 +94,6 @@
     m_context = nullptr;
 }
 
-int HttpServer::countOpened(const mg_connection *connection, void **)
-{
-    auto *self = static_cast<HttpServer *>(mg_get_user_data(mg_get_context(connection)));
-    ++self->m_openConnections;
-    return 0;
-}
-
-void HttpServer::countClosed(const mg_connection *connection)
-{
-    auto *self = static_cast<HttpServer *>(mg_get_user_data(mg_get_context(connection)));
-    --self->m_openConnections;
-}
-
 int HttpServer::handleRequest(mg_connection *connection, void *self)
 {
     return static_cast<HttpServer *>(self)->handle(connection);
@@ -116,7 +101,6 @@
 
 int HttpServer::handle(mg_connection *connection)
 {
-    ++m_activeRequests;
     const mg_request_info *info = mg_get_request_info(connection);
     HttpRequest request;
     request.method = info->request_method;
@@ -141,7 +125,6 @@
     if (state != BodyState::Whole)
         mg_disable_connection_keep_alive(connection);
     write(connection, response);
-    --m_activeRequests;
     return response.status;
 }
 
--- a/src/serve/httpserver.h
+++ b/src/serve/httpserver.h
@@ -72,8 +72,6 @@
     HttpServer &operator=(const HttpServer &) = delete;
 
     Endpoint bound() const { return m_bound; }
-    int openConnections() const { return m_openConnections; }
-    int activeRequests() const { return m_activeRequests; }
 
     // From now on every answer asks the client to close its connection.
     void closeAfterAnswer() { m_isClosing = true; }
@@ -81,8 +79,6 @@
 
 private:
     static int handleRequest(mg_connection *connection, void *self);
-    static int countOpened(const mg_connection *connection, void **connectionData);
-    static void countClosed(const mg_connection *connection);
     int handle(mg_connection *connection);
     void write(mg_connection *connection, const HttpResponse &response) const;
 
@@ -90,8 +86,6 @@
     Handler m_handler;
     mg_context *m_context = nullptr;
     Endpoint m_bound;
-    std::atomic<int> m_openConnections = 0;
-    std::atomic<int> m_activeRequests = 0;
     std::atomic<bool> m_isClosing = false;
 };
 
