Let a peer server's stop wait for the calls that run

Cause: the address sanitizer found a worker that released its connection after the server's destructor had freed it (the restart of three control VMs, under load). stop() ended the listener's thread only; the pool's workers went on beside the destructor. Ruled out: a fault of the control log; the trace has no frame of it. Change: stop() also stops the pool, which waits for its workers. A stop lasts as long as the longest call under way, as the destructor did before.

--- a/src/serve/peerserver.cpp
+++ b/src/serve/peerserver.cpp
@@ -31,13 +31,13 @@
     using namespace apache::thrift;
     auto socket = std::make_shared<transport::TNonblockingServerSocket>(endpoint.address,
                                                                         endpoint.port);
-    auto workers = concurrency::ThreadManager::newSimpleThreadManager(
+    m_workers = concurrency::ThreadManager::newSimpleThreadManager(
             static_cast<std::size_t>(options.workers));
-    workers->threadFactory(std::make_shared<concurrency::ThreadFactory>(false));
-    workers->start();
+    m_workers->threadFactory(std::make_shared<concurrency::ThreadFactory>(false));
+    m_workers->start();
     m_server = std::make_unique<server::TNonblockingServer>(
             std::make_shared<wire::PeerProcessor>(std::move(service)),
-            std::make_shared<protocol::TBinaryProtocolFactory>(), socket, workers);
+            std::make_shared<protocol::TBinaryProtocolFactory>(), socket, m_workers);
     m_server->setMaxFrameSize(static_cast<std::size_t>(options.largestFrame));
     auto signal = std::make_shared<ListeningSignal>();
     m_server->setServerEventHandler(signal);
@@ -73,6 +73,8 @@
         return;
     m_server->stop();
     m_thread.join();
+    // A worker that still answers uses its connection, which the server's destructor frees.
+    m_workers->stop();
 }
 
 } // namespace nutmegtide
--- a/src/serve/peerserver.h
+++ b/src/serve/peerserver.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <thread>
+#include <thrift/concurrency/ThreadManager.h>
 #include <thrift/server/TNonblockingServer.h>
 
 namespace nutmegtide {
@@ -27,9 +28,11 @@
     PeerServer &operator=(const PeerServer &) = delete;
 
     Endpoint bound() const { return m_bound; }
+    // Takes no further call and returns once the calls that run have ended.
     void stop();
 
 private:
+    std::shared_ptr<apache::thrift::concurrency::ThreadManager> m_workers;
     std::unique_ptr<apache::thrift::server::TNonblockingServer> m_server;
     std::thread m_thread;
     Endpoint m_bound;
