--- a/Makefile
+++ b/Makefile
@@ -39,4 +39,4 @@
 	bench/slopes.sh $(BUILD)
 
 sanitize:
-	$(MAKE) test BUILD=build-sanitize CMAKE_FLAGS="-DNUTMEGTIDE_SANITIZE=address,undefined -DCMAKE_CXX_FLAGS_RELWITHDEBINFO='-O1 -g'"
+	$(MAKE) test BUILD=build-sanitize CMAKE_FLAGS="-DNUTMEGTIDE_SANITIZE=address,undefined"
--- a/test/unit/failover/changemodel_test.cpp
+++ b/test/unit/failover/changemodel_test.cpp
@@ -324,28 +324,37 @@
     std::string m_violation;
 };
 
+// Walks every order of steps within the bounds and checks each state.
+void checkWalk(const Bounds &bounds)
+{
+    Walk walk(bounds);
+    const std::string violation = walk.run();
+    MESSAGE(walk.states() << " states");
+    CHECK_MESSAGE(violation.empty(), violation);
+    CHECK(walk.states() < MostStates);
+    CHECK(walk.published() > 0);
+}
+
 } // namespace
 
-TEST_CASE("no walk through a change of primary loses an acknowledged write or doubles a term")
+// Each walk is a case of its own, so that they run side by side.
+TEST_CASE(
+        "no walk through one change with two writes loses an acknowledged write or doubles a term")
 {
-    struct Row
-    {
-        std::string name;
-        Bounds bounds;
-    };
-    const Row rows[] = {
-            {"one change, two writes", {1, 2, 0, 0, true}},
-            {"one change, one write, a crash", {1, 1, 1, 0, true}},
-            {"one change, one write, a retry", {1, 1, 0, 1, false}},
-            {"two competing changes, one write", {2, 1, 0, 0, true}},
-    };
-    for (const Row &row : rows) {
-        CAPTURE(row.name);
-        Walk walk(row.bounds);
-        const std::string violation = walk.run();
-        MESSAGE(row.name << ": " << walk.states() << " states");
-        CHECK_MESSAGE(violation.empty(), violation);
-        CHECK(walk.states() < MostStates);
-        CHECK(walk.published() > 0);
-    }
+    checkWalk({1, 2, 0, 0, true});
+}
+
+TEST_CASE("no walk through one change with a crash loses an acknowledged write or doubles a term")
+{
+    checkWalk({1, 1, 1, 0, true});
+}
+
+TEST_CASE("no walk through one change with a retry loses an acknowledged write or doubles a term")
+{
+    checkWalk({1, 1, 0, 1, false});
+}
+
+TEST_CASE("no walk through two competing changes loses an acknowledged write or doubles a term")
+{
+    checkWalk({2, 1, 0, 0, true});
 }
