End the wait for a silent primary once the group has a higher term

Cause: a statement that had been sent before its primary fell silent waited for the caller's whole timeout, though the group had a new primary for most of it; then no time was left to ask again. Ruled out: a shorter timeout for each exchange, which can't tell a slow statement from a lost server; ending the wait on suspicion alone, since the statement may still run and nobody can be asked. Change: the exchange with a backend server is polled, and ends as lost when the group's term is higher than the one it was sent in; then the write is sent again under its id, as after any lost answer. The answer names the server that gave it, also after such a resend; it named the first one. The writers of the failure tests send an unknown write again through the next proxy.

--- a/src/serve/backendclient.cpp
+++ b/src/serve/backendclient.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr auto ConnectTimeout = 1000ms;
+constexpr auto GiveUpInterval = 20ms; // between two checks whether an answer is still wanted
+constexpr auto LongestPoll = 1000ms;
 
 std::size_t appendToString(char *data, std::size_t size, std::size_t count, void *target)
 {
@@ -28,6 +30,7 @@
 BackendConnection::BackendConnection(BackendConnection &&other) noexcept
     : m_server(std::move(other.m_server))
     , m_handle(std::exchange(other.m_handle, nullptr))
+    , m_transfer(std::exchange(other.m_transfer, nullptr))
 { }
 
 BackendConnection::~BackendConnection()
@@ -40,13 +43,46 @@
     if (m_handle)
         curl_easy_cleanup(m_handle);
     m_handle = nullptr;
+    if (m_transfer)
+        curl_multi_cleanup(m_transfer);
+    m_transfer = nullptr;
+}
+
+void BackendConnection::open()
+{
+    if (m_handle)
+        return;
+    m_handle = curl_easy_init();
+    m_transfer = curl_multi_init();
+}
+
+int BackendConnection::perform(const GiveUpCheck &isGivenUp)
+{
+    const int pollTime = static_cast<int>((isGivenUp ? GiveUpInterval : LongestPoll).count());
+    int code = CURLE_ABORTED_BY_CALLBACK;
+    curl_multi_add_handle(m_transfer, m_handle);
+    while (true) {
+        int running = 0;
+        curl_multi_perform(m_transfer, &running);
+        int left = 0;
+        if (const CURLMsg *message = curl_multi_info_read(m_transfer, &left)) {
+            code = message->data.result;
+            break;
+        }
+        int events = 0;
+        curl_multi_poll(m_transfer, nullptr, 0, pollTime, &events);
+        if (events == 0 && isGivenUp && isGivenUp())
+            break;
+    }
+    curl_multi_remove_handle(m_transfer, m_handle);
+    return code;
 }
 
 std::string BackendConnection::exchange(const std::string &path, const std::string *body,
-                                        std::chrono::milliseconds timeout)
+                                        std::chrono::milliseconds timeout,
+                                        const GiveUpCheck &isGivenUp)
 {
-    if (!m_handle)
-        m_handle = curl_easy_init();
+    open();
     std::string answer;
     const std::string url = "http://" + toString(m_server) + path;
     curl_easy_setopt(m_handle, CURLOPT_URL, url.c_str());
@@ -66,7 +102,7 @@
         curl_easy_setopt(m_handle, CURLOPT_HTTPGET, 1L);
     }
     curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, headers);
-    const CURLcode code = curl_easy_perform(m_handle);
+    const auto code = static_cast<CURLcode>(perform(isGivenUp));
     curl_slist_free_all(headers);
     curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, nullptr);
     double connectTime = 0;
@@ -90,10 +126,10 @@
 
 template <typename Reply>
 Reply BackendConnection::ask(const std::string &path, const Json *body,
-                             std::chrono::milliseconds timeout)
+                             std::chrono::milliseconds timeout, const GiveUpCheck &isGivenUp)
 {
     const std::string text = body ? body->dump() : std::string();
-    const std::string answer = exchange(path, body ? &text : nullptr, timeout);
+    const std::string answer = exchange(path, body ? &text : nullptr, timeout, isGivenUp);
     try {
         return parseMessage<Reply>(answer);
     } catch (const MessageError &fault) {
@@ -111,10 +147,11 @@
 }
 
 ExecuteReply BackendConnection::execute(const ExecuteRequest &request,
-                                        std::chrono::milliseconds timeout)
+                                        std::chrono::milliseconds timeout,
+                                        const GiveUpCheck &isGivenUp)
 {
     const Json body = request;
-    ExecuteReply reply = ask<ExecuteReply>("/v1/execute", &body, timeout);
+    ExecuteReply reply = ask<ExecuteReply>("/v1/execute", &body, timeout, isGivenUp);
     if (reply.requestId != request.requestId) {
         close();
         throw LinkError(LinkFault::BadAnswer,
--- a/src/serve/backendclient.h
+++ b/src/serve/backendclient.h
@@ -5,12 +5,14 @@
 #include "nutmegtide/base/time.h"
 
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
 #include <vector>
 
 typedef void CURL;
+typedef void CURLM;
 
 namespace nutmegtide {
 
@@ -59,6 +61,9 @@
     int m_status;
 };
 
+// Asked now and then while an answer is waited for; true ends the wait with LinkFault::Lost.
+using GiveUpCheck = std::function<bool()>;
+
 // One connection to a backend server: an easy handle of libcurl that keeps its
 // connection open between exchanges. After a fault the connection is closed,
 // so a late answer can't be taken for that of another request.
@@ -73,7 +78,8 @@
     const Endpoint &server() const { return m_server; }
 
     // All throw LinkError or RefusedByServer.
-    ExecuteReply execute(const ExecuteRequest &request, std::chrono::milliseconds timeout);
+    ExecuteReply execute(const ExecuteRequest &request, std::chrono::milliseconds timeout,
+                         const GiveUpCheck &isGivenUp = {});
     PositionReply position(Term term, LogPosition atLeast, std::chrono::milliseconds wait,
                            std::chrono::milliseconds timeout);
     RequestFate requestFate(const CallerId &caller, const RequestId &id,
@@ -86,14 +92,19 @@
     void close();
 
 private:
+    void open();
+    // Returns libcurl's code of the exchange.
+    int perform(const GiveUpCheck &isGivenUp);
     std::string exchange(const std::string &path, const std::string *body,
-                         std::chrono::milliseconds timeout);
+                         std::chrono::milliseconds timeout, const GiveUpCheck &isGivenUp);
     template <typename Reply>
-    Reply ask(const std::string &path, const Json *body, std::chrono::milliseconds timeout);
+    Reply ask(const std::string &path, const Json *body, std::chrono::milliseconds timeout,
+              const GiveUpCheck &isGivenUp = {});
     std::string escape(const std::string &text) const;
 
     Endpoint m_server;
     CURL *m_handle = nullptr;
+    CURLM *m_transfer = nullptr; // holds the open socket between exchanges
 };
 
 // The connections of this process to one backend server, at most a stated number.
--- a/src/serve/exchange.cpp
+++ b/src/serve/exchange.cpp
@@ -48,6 +48,13 @@
     return request;
 }
 
+ExecuteReply executeInTerm(HomeGroup &group, BackendConnection &connection,
+                           const Statement &statement, Term term)
+{
+    return connection.execute(makeExecuteRequest(statement, term), timeLeft(statement.deadline),
+                              [&group, term] { return group.term() > term; });
+}
+
 StatementResult makeResult(const Statement &statement, const ExecuteReply &reply,
                            const ServerId &server)
 {
--- a/src/serve/exchange.h
+++ b/src/serve/exchange.h
@@ -15,6 +15,12 @@
 std::chrono::milliseconds timeLeft(TimePoint deadline);
 
 ExecuteRequest makeExecuteRequest(const Statement &statement, Term term);
+
+// Sends a statement in a term and waits for the answer until the statement's deadline. The wait
+// ends as soon as the group has a higher term, since the server that was asked is fenced by
+// then: its answer can't be acknowledged any more. Throws LinkError or RefusedByServer.
+ExecuteReply executeInTerm(HomeGroup &group, BackendConnection &connection,
+                           const Statement &statement, Term term);
 StatementResult makeResult(const Statement &statement, const ExecuteReply &reply,
                            const ServerId &server);
 
--- a/src/serve/homerunner.cpp
+++ b/src/serve/homerunner.cpp
@@ -102,9 +102,7 @@
             const auto wait = std::min(BorrowWait, timeLeft(statement.deadline));
             BackendPool::Lease connection = group.borrow(server, wait);
             const TimePoint sentAt = Clock::now();
-            const ExecuteReply reply = connection->execute(makeExecuteRequest(statement,
-                                                                              group.term()),
-                                                           timeLeft(statement.deadline));
+            const ExecuteReply reply = executeInTerm(group, *connection, statement, group.term());
             pass.setEnd(AdmissionEnd::Answered);
             group.observeAnswer(server, reply, sentAt);
             return reply;
@@ -164,7 +162,7 @@
 
 StatementResult HomeRunner::write(HomeGroup &group, const Statement &statement)
 {
-    const ServerId server = confirmedPrimary(group, statement);
+    ServerId server = confirmedPrimary(group, statement);
     const auto ackTimeout = m_settings.current()->failover.ackTimeout;
     ExecuteReply reply;
     try {
@@ -174,18 +172,19 @@
     } catch (const LinkError &fault) {
         if (fault.isUnsent())
             throw errorOfUnsent(group, server, fault);
-        reply = resend(group, statement);
+        reply = resend(group, statement, server);
     }
     confirmWrite(group, reply, std::min(statement.deadline, Clock::now() + ackTimeout));
     return makeResult(statement, reply, server);
 }
 
-ExecuteReply HomeRunner::resend(HomeGroup &group, const Statement &statement)
+ExecuteReply HomeRunner::resend(HomeGroup &group, const Statement &statement, ServerId &server)
 {
     if (!m_retries.takeRetry())
         throw outcomeUnknown("the answer was lost, and the retry budget is used up");
     try {
-        return execute(group, statement, confirmedPrimary(group, statement));
+        server = confirmedPrimary(group, statement);
+        return execute(group, statement, server);
     } catch (const Error &fault) {
         throw outcomeUnknown(std::string("the answer was lost, and asking again failed: ")
                              + fault.what());
--- a/src/serve/homerunner.h
+++ b/src/serve/homerunner.h
@@ -41,8 +41,9 @@
     ReadDecision route(HomeGroup &group, const Statement &statement);
 
     StatementResult write(HomeGroup &group, const Statement &statement);
-    // Asks again under the same request id, which runs at most once.
-    ExecuteReply resend(HomeGroup &group, const Statement &statement);
+    // Asks again under the same request id, which runs at most once, and names the server that
+    // was asked.
+    ExecuteReply resend(HomeGroup &group, const Statement &statement, ServerId &server);
     ServerId confirmedPrimary(HomeGroup &group, const Statement &statement);
 
     HomeGroups &m_groups;
--- a/src/serve/transactions.cpp
+++ b/src/serve/transactions.cpp
@@ -70,9 +70,8 @@
         transaction->server = primary;
         transaction->term = group.term();
         transaction->usedAt = Clock::now();
-        const ExecuteReply reply = transaction->connection
-                                           ->execute(makeExecuteRequest(begin, transaction->term),
-                                                     timeLeft(statement.deadline));
+        const ExecuteReply reply = executeInTerm(group, *transaction->connection, begin,
+                                                 transaction->term);
         const std::lock_guard lock(m_mutex);
         m_transactions[begin.transaction] = transaction;
         return makeResult(begin, reply, primary);
@@ -118,9 +117,8 @@
     if (isRollback)
         sent.text = "rollback";
     try {
-        const ExecuteReply reply = transaction.connection
-                                           ->execute(makeExecuteRequest(sent, transaction.term),
-                                                     timeLeft(statement.deadline));
+        const ExecuteReply reply = executeInTerm(group, *transaction.connection, sent,
+                                                 transaction.term);
         if (isRollback)
             finish(statement.transaction);
         return makeResult(statement, reply, transaction.server);
@@ -147,9 +145,8 @@
     sent.access = Access::Write;
     finish(statement.transaction);
     try {
-        const ExecuteReply reply = transaction.connection
-                                           ->execute(makeExecuteRequest(sent, transaction.term),
-                                                     timeLeft(statement.deadline));
+        const ExecuteReply reply = executeInTerm(group, *transaction.connection, sent,
+                                                 transaction.term);
         confirmWrite(group, reply, statement.deadline);
         return makeResult(statement, reply, transaction.server);
     } catch (const RefusedByServer &refused) {
--- a/test/process/failover_test.cpp
+++ b/test/process/failover_test.cpp
@@ -23,8 +23,10 @@
     explicit Writers(TestFleet &fleet, const std::vector<std::string> &proxies)
     {
         for (int i = 0; i < Callers; ++i) {
-            const Endpoint proxy = fleet.callers(proxies[std::size_t(i) % proxies.size()]);
-            m_threads.emplace_back([this, i, proxy] { write("w" + std::to_string(i), proxy); });
+            std::vector<Endpoint> order;
+            for (std::size_t n = 0; n < proxies.size(); ++n)
+                order.push_back(fleet.callers(proxies[(std::size_t(i) + n) % proxies.size()]));
+            m_threads.emplace_back([this, i, order] { write("w" + std::to_string(i), order); });
         }
     }
     ~Writers() { stop(); }
@@ -55,15 +57,19 @@
 
 private:
     // A refused write is given up and not sent again, so that its "not run" can be checked;
-    // one of unknown outcome is sent again under the same id.
-    void write(const std::string &name, const Endpoint &proxy)
+    // one of unknown outcome is sent again under the same id, through the next proxy.
+    void write(const std::string &name, const std::vector<Endpoint> &proxies)
     {
-        CallerSession caller(proxy, "casks");
+        std::size_t at = 0;
+        CallerSession caller(proxies[at], "casks");
         for (int n = 0; !m_isStopping; ++n) {
             const std::string key = name + "-" + std::to_string(n);
             bool isFirst = true;
-            while (!m_isStopping && !writeOnce(caller, key, isFirst))
+            while (!m_isStopping && !writeOnce(caller, key, isFirst)) {
                 isFirst = false;
+                at = (at + 1) % proxies.size();
+                caller.moveTo(proxies[at]);
+            }
         }
     }
 
@@ -193,6 +199,23 @@
     checkLog(logOf(scene.fleet, primary), writers);
 }
 
+TEST_CASE("a write that waits on a primary fallen silent is answered by the next one")
+{
+    Scene scene;
+    CallerSession caller(scene.fleet.callers("b1"), "casks");
+    const Json parameters {{"key", "k"}, {"amount", 1}};
+    REQUIRE(caller.write("add", parameters, "before").status == 200);
+    scene.fleet.sendSignal("s1", SIGSTOP);
+    CallerAnswer answer;
+    do {
+        answer = caller.write("add", parameters, "during");
+    } while (answer.ran == Ran::No); // refused before it was sent
+    CHECK_MESSAGE(answer.status == 200, answer.body.dump());
+    CHECK(answer.result()["value"] == 2);
+    CHECK(answer.servedBy()["backend_server"] != "s1");
+    scene.fleet.sendSignal("s1", SIGCONT);
+}
+
 TEST_CASE("without control an existing primary goes on acknowledging")
 {
     Scene scene({{"a1", "fd-a", true}, {"b1", "fd-b"}, {"c1", "fd-c"}});
--- a/test/unit/serve/backendclient_test.cpp
+++ b/test/unit/serve/backendclient_test.cpp
@@ -172,6 +172,24 @@
     }
 }
 
+TEST_CASE("a wait that is given up ends at once, and the next exchange has a connection of its own")
+{
+    FakeServer server([](int number, const std::string &id) {
+        return FakeServer::Answer {whole(answerTo(id)), number == 0 ? 600ms : 0ms, false};
+    });
+    BackendPool pool(server.endpoint(), 1);
+    int checks = 0;
+    try {
+        pool.borrow(1s)->execute(request("first"), 60s, [&] { return ++checks == 2; });
+        FAIL("the answer was waited for");
+    } catch (const LinkError &fault) {
+        CHECK(int(fault.fault()) == int(LinkFault::Lost));
+    }
+    CHECK(checks == 2);
+    CHECK(pool.borrow(1s)->execute(request("second"), 60s).requestId == RequestId("second"));
+    CHECK(server.connections() == 2);
+}
+
 TEST_CASE("good answers keep the connection")
 {
     FakeServer server(
