--- a/include/nutmegtide/statement/admissionqueue.h
+++ b/include/nutmegtide/statement/admissionqueue.h
@@ -31,7 +31,6 @@
     SessionId session;
     AdmissionClass kind = AdmissionClass::PlainRead;
     TimePoint deadline;
-    bool isResent = false; // the server refused it as busy; it keeps its turn
 };
 
 enum class AdmissionActionKind {
@@ -83,6 +82,10 @@
     AdmissionActions add(const AdmissionRequest &request, TimePoint now);
     // Ends a started statement.
     AdmissionActions finish(AdmissionTicket ticket, AdmissionEnd end, TimePoint now);
+    // Ends a started statement that the server refused as busy and that is to be sent
+    // again. It is the next to start: what was started has been promised an answer,
+    // and a statement that took its place would only meet the same refusal.
+    AdmissionActions resend(AdmissionTicket ticket, TimePoint now);
     // Gives up on waiting statements that can't finish in time any more, and on
     // all of them when the server has stopped to answer. Starts what was held back
     // after a busy refusal.
@@ -102,6 +105,11 @@
 
         bool isBefore(const Waiting &other) const;
     };
+    struct Running
+    {
+        TimePoint startedAt;
+        AdmissionRequest request;
+    };
     using Flow = std::pair<SessionId, AdmissionClass>;
 
     std::uint64_t nextRound(const AdmissionRequest &request) const;
@@ -124,7 +132,8 @@
     // Returns the place of the statement to start: the first, unless one must start now.
     std::size_t nextTurn(TimePoint now) const;
     void startNext(TimePoint now, AdmissionActions &actions);
-    // Takes a waiting statement out of the counts.
+    // Enters a waiting statement into the counts, and takes it out of them.
+    void count(const AdmissionRequest &request);
     void forget(const AdmissionRequest &request);
     AdmissionAction refusal(AdmissionTicket ticket) const;
 
@@ -133,7 +142,7 @@
     std::vector<Waiting> m_waiting; // in the order of their turns
     std::array<std::size_t, AdmissionClassCount> m_waitingOfClass {};
     std::map<SessionId, int> m_waitingOfSession;
-    std::map<AdmissionTicket, TimePoint> m_running; // by the moment of its start
+    std::map<AdmissionTicket, Running> m_running;
     std::map<Flow, std::uint64_t> m_lastRounds;
     std::uint64_t m_round = 0; // of the statement started last
     TimePoint m_heldUntil; // nothing starts after a busy refusal
--- a/src/serve/admission.cpp
+++ b/src/serve/admission.cpp
@@ -41,7 +41,7 @@
     m_queue.setBounds(capacity.slots, capacity.connections - pinned, queueLength);
 }
 
-Admission::Pass Admission::acquire(const Statement &statement, bool isResent)
+Admission::Pass Admission::acquire(const Statement &statement)
 {
     std::unique_lock lock(m_mutex);
     const AdmissionTicket ticket = m_next++;
@@ -50,15 +50,31 @@
     request.session = statement.session;
     request.kind = classOf(statement);
     request.deadline = statement.deadline;
-    request.isResent = isResent;
     take(m_queue.add(request, Clock::now()));
+    waitForStart(ticket, lock);
+    return {*this, ticket};
+}
+
+void Admission::Pass::resend()
+{
+    m_admission->resend(m_ticket);
+}
+
+void Admission::resend(AdmissionTicket ticket)
+{
+    std::unique_lock lock(m_mutex);
+    take(m_queue.resend(ticket, Clock::now()));
+    waitForStart(ticket, lock);
+}
+
+void Admission::waitForStart(AdmissionTicket ticket, std::unique_lock<std::mutex> &lock)
+{
     while (m_decisions.find(ticket) == m_decisions.end())
         waitForChange(lock);
     const AdmissionAction decision = m_decisions.at(ticket);
     m_decisions.erase(ticket);
     if (decision.kind == AdmissionActionKind::Refuse)
         throw overloaded(decision.retryAfter);
-    return {*this, ticket};
 }
 
 void Admission::waitForChange(std::unique_lock<std::mutex> &lock)
@@ -86,7 +102,7 @@
 }
 
 Admission::Pass Admissions::acquire(const HomeGroup &group, const Statement &statement,
-                                    const ServerId &server, bool isResent)
+                                    const ServerId &server)
 {
     const ServerCapacity capacity = group.capacityOf(server);
     Admission *admission = nullptr;
@@ -98,7 +114,7 @@
         admission = entry.get();
     }
     admission->setBounds(capacity, m_settings.current()->limits.queueLength);
-    return admission->acquire(statement, isResent);
+    return admission->acquire(statement);
 }
 
 SharedRetryBudget::SharedRetryBudget(const SettingsSource &settings)
--- a/src/serve/admission.h
+++ b/src/serve/admission.h
@@ -15,7 +15,7 @@
 
 // Blocks a statement's thread until an AdmissionQueue starts or refuses it.
 //
-//   Admission::Pass pass = admission.acquire(statement, false);
+//   Admission::Pass pass = admission.acquire(statement);
 //   reply = connection->execute(...);
 //   pass.setEnd(AdmissionEnd::Answered);
 class Admission
@@ -34,6 +34,9 @@
         ~Pass();
 
         void setEnd(AdmissionEnd end) { m_end = end; }
+        // Waits, after a busy refusal, until the statement is to be sent again. Throws
+        // StatementError with Overloaded, and the pass has ended then.
+        void resend();
 
     private:
         Admission *m_admission;
@@ -43,12 +46,15 @@
 
     void setBounds(const ServerCapacity &capacity, int queueLength);
     // Throws StatementError with Overloaded, which says when to come back.
-    Pass acquire(const Statement &statement, bool isResent);
+    Pass acquire(const Statement &statement);
 
 private:
     // These expect the mutex to be held.
     void take(const AdmissionActions &actions);
     void waitForChange(std::unique_lock<std::mutex> &lock);
+    // Throws StatementError when the statement is refused.
+    void waitForStart(AdmissionTicket ticket, std::unique_lock<std::mutex> &lock);
+    void resend(AdmissionTicket ticket);
     void finish(AdmissionTicket ticket, AdmissionEnd end);
 
     std::mutex m_mutex;
@@ -68,7 +74,7 @@
 
     // Throws StatementError.
     Admission::Pass acquire(const HomeGroup &group, const Statement &statement,
-                            const ServerId &server, bool isResent = false);
+                            const ServerId &server);
 
 private:
     using Key = std::pair<DatabaseName, ServerId>;
--- a/src/serve/homerunner.cpp
+++ b/src/serve/homerunner.cpp
@@ -94,10 +94,8 @@
 ExecuteReply HomeRunner::execute(HomeGroup &group, const Statement &statement,
                                  const ServerId &server)
 {
-    bool isResent = false;
+    Admission::Pass pass = m_admissions.acquire(group, statement, server);
     while (true) {
-        Admission::Pass pass = m_admissions.acquire(group, statement, server, isResent);
-        isResent = true;
         try {
             const auto wait = std::min(BorrowWait, timeLeft(statement.deadline));
             BackendPool::Lease connection = group.borrow(server, wait);
@@ -115,6 +113,8 @@
             if (!m_retries.takeRetry())
                 throw;
         }
+        pass.resend();
+        pass.setEnd(AdmissionEnd::Failed);
     }
 }
 
--- a/src/statement/admissionqueue.cpp
+++ b/src/statement/admissionqueue.cpp
@@ -48,8 +48,6 @@
 
 std::uint64_t AdmissionQueue::nextRound(const AdmissionRequest &request) const
 {
-    if (request.isResent)
-        return m_round;
     const auto last = m_lastRounds.find({request.session, request.kind});
     const std::uint64_t from = last == m_lastRounds.end() ? m_round
                                                           : std::max(m_round, last->second);
@@ -124,7 +122,7 @@
     AdmissionActions actions = expire(now);
     const bool isFree = m_waiting.empty() && mayStart(now);
     if (now + m_limit.slowServiceTime() > request.deadline || isStalled(now)
-        || (!isFree && !request.isResent && !hasPlace(request))) {
+        || (!isFree && !hasPlace(request))) {
         actions.push_back(refusal(request.ticket));
         return actions;
     }
@@ -139,13 +137,12 @@
                                      });
     const auto place = static_cast<std::size_t>(at - m_waiting.begin());
     m_waiting.insert(at, newcomer);
-    if (!request.isResent && !fitsInTime(place, now)) {
+    if (!fitsInTime(place, now)) {
         m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(place));
         actions.push_back(refusal(request.ticket));
         return actions;
     }
-    ++m_waitingOfClass[indexOf(request.kind)];
-    ++m_waitingOfSession[request.session];
+    count(request);
     m_lastRounds[{request.session, request.kind}] = newcomer.round;
     startNext(now, actions);
     return actions;
@@ -164,6 +161,12 @@
     return true;
 }
 
+void AdmissionQueue::count(const AdmissionRequest &request)
+{
+    ++m_waitingOfClass[indexOf(request.kind)];
+    ++m_waitingOfSession[request.session];
+}
+
 void AdmissionQueue::forget(const AdmissionRequest &request)
 {
     --m_waitingOfClass[indexOf(request.kind)];
@@ -176,7 +179,7 @@
 {
     if (m_running.empty())
         m_progressAt = now;
-    m_running[request.ticket] = now;
+    m_running[request.ticket] = {now, request};
     actions.push_back({AdmissionActionKind::Start, request.ticket, Duration::zero()});
 }
 
@@ -222,7 +225,7 @@
     if (found == m_running.end())
         return actions;
     if (end == AdmissionEnd::Answered)
-        observeAnswer(now - found->second, now);
+        observeAnswer(now - found->second.startedAt, now);
     if (end == AdmissionEnd::Busy)
         m_limit.observeBusy(now);
     m_running.erase(found);
@@ -233,6 +236,24 @@
     return expire(now);
 }
 
+AdmissionActions AdmissionQueue::resend(AdmissionTicket ticket, TimePoint now)
+{
+    const auto found = m_running.find(ticket);
+    if (found == m_running.end())
+        return {};
+    const AdmissionRequest request = found->second.request;
+    m_running.erase(found);
+    m_limit.observeBusy(now);
+    m_heldUntil = now + m_limit.serviceTime();
+    m_progressAt = now;
+    // No round is below the first one, so that nothing waits before it.
+    m_waiting.insert(m_waiting.begin(), Waiting {0, request});
+    // The session has had less than its turn, so its next ones count from now.
+    m_lastRounds[{request.session, request.kind}] = m_round;
+    count(request);
+    return expire(now);
+}
+
 Duration AdmissionQueue::stallTime() const
 {
     return std::max(LeastStall, StallFactor * m_limit.slowServiceTime());
