Let a busy statement wait 20 ms for the retry budget before it is refused

Home proxies whose limits grow together empty its 10 retries within a few milliseconds, and fresh statements fill it at one a millisecond. Ruled out: more retries held or a larger share (a weaker bound on retries); waiting without a bound (a caller would be held up to its deadline where fresh statements are few). Change: SharedRetryBudget::waitForRetry() waits for fresh statements, at most 20 ms and never past the deadline; the model asks each millisecond.

--- a/bench/overloadmodel.h
+++ b/bench/overloadmodel.h
@@ -252,7 +252,8 @@
     {
         const std::size_t server = m_jobs.at(ticket).home / std::size_t(m_scenario.homes);
         if (m_busySlots[server] >= Slots) {
-            schedule(m_scenario.deployment.oneWay, [this, ticket] { answerBusy(ticket); });
+            schedule(m_scenario.deployment.oneWay,
+                     [this, ticket] { answerBusy(ticket, m_now + RetryBudget::LongestWait); });
             return;
         }
         ++m_busySlots[server];
@@ -303,7 +304,7 @@
         admit(ticket);
     }
 
-    void answerBusy(AdmissionTicket ticket)
+    void answerBusy(AdmissionTicket ticket, TimePoint until)
     {
         const Job job = m_jobs.at(ticket);
         const bool isBudgeted = m_scenario.policy == Policy::Admission;
@@ -313,6 +314,10 @@
             sendAgain(ticket, job.home);
             return;
         }
+        if (m_now < until) {
+            schedule(1ms, [this, ticket, until] { answerBusy(ticket, until); });
+            return;
+        }
         refuse(ticket);
         endAtHome(ticket, job.home, AdmissionEnd::Busy);
     }
--- a/include/nutmegtide/statement/retrybudget.h
+++ b/include/nutmegtide/statement/retrybudget.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "nutmegtide/base/time.h"
+
 namespace nutmegtide {
 
 // Bounds retries to a share of fresh statements, so that a fault can't multiply
@@ -16,6 +18,9 @@
     // A process that has served little may still retry a few times.
     static constexpr double MostHeld = 10; // retries
 
+    // How long a retry whose turn has come may wait for fresh statements to allow it.
+    static constexpr Duration LongestWait = std::chrono::milliseconds(20);
+
     // The share is of fresh statements: 0.1 allows one retry for ten of them.
     explicit RetryBudget(double share)
         : m_share(share)
@@ -23,6 +28,8 @@
     { }
 
     void setShare(double share) { m_share = share; }
+    // Returns whether fresh statements allow more retries; it is useless to wait otherwise.
+    bool isRefilled() const { return m_share > 0; }
     void noteFresh();
     // Returns whether a retry may be sent, and counts it if so.
     bool takeRetry();
--- a/src/serve/admission.cpp
+++ b/src/serve/admission.cpp
@@ -125,9 +125,12 @@
 void SharedRetryBudget::noteFresh()
 {
     const double share = m_settings.current()->limits.retryShare;
-    const std::lock_guard lock(m_mutex);
-    m_budget.setShare(share);
-    m_budget.noteFresh();
+    {
+        const std::lock_guard lock(m_mutex);
+        m_budget.setShare(share);
+        m_budget.noteFresh();
+    }
+    m_refilled.notify_one();
 }
 
 bool SharedRetryBudget::takeRetry()
@@ -136,4 +139,13 @@
     return m_budget.takeRetry();
 }
 
+bool SharedRetryBudget::waitForRetry(TimePoint deadline)
+{
+    const TimePoint until = std::min(deadline, Clock::now() + RetryBudget::LongestWait);
+    std::unique_lock lock(m_mutex);
+    if (!m_budget.isRefilled())
+        return false;
+    return m_refilled.wait_until(lock, until, [this] { return m_budget.takeRetry(); });
+}
+
 } // namespace nutmegtide
--- a/src/serve/admission.h
+++ b/src/serve/admission.h
@@ -92,10 +92,13 @@
 
     void noteFresh();
     bool takeRetry();
+    // As takeRetry(), but waits a bounded time for fresh statements to allow it.
+    bool waitForRetry(TimePoint deadline);
 
 private:
     const SettingsSource &m_settings;
     std::mutex m_mutex;
+    std::condition_variable m_refilled;
     RetryBudget m_budget;
 };
 
--- a/src/serve/homerunner.cpp
+++ b/src/serve/homerunner.cpp
@@ -110,7 +110,7 @@
             if (refused.refusal().type != "busy")
                 throw;
             pass.setEnd(AdmissionEnd::Busy);
-            if (!m_retries.takeRetry())
+            if (!m_retries.waitForRetry(statement.deadline))
                 throw;
         }
         pass.resend();
