Give up a waiting statement only when its urgent turn can't save it either

Change: one that is late by its place is judged by the number of earlier deadlines; the test was seen failing first (refused 60 ms before its deadline with no earlier one waiting).

--- a/include/nutmegtide/statement/admissionqueue.h
+++ b/include/nutmegtide/statement/admissionqueue.h
@@ -119,8 +119,10 @@
     bool fitsInTime(std::size_t place, TimePoint now) const;
     // Returns the time until the statement with so many others before it starts.
     Duration waitOf(std::size_t rank) const;
-    // Returns what a waiting statement needs at least; it is given up without that.
-    Duration timeToFinish(std::size_t rank) const;
+    // Returns the moment after which the waiting statement at this place is given up.
+    TimePoint givenUpAt(std::size_t place, TimePoint now) const;
+    // Returns what a statement with so many others before it needs at least.
+    Duration timeToFinish(std::size_t ahead) const;
     // Returns the time between two answers while statements wait.
     Duration answerInterval() const;
     void observeAnswer(Duration service, TimePoint now);
--- a/src/statement/admissionqueue.cpp
+++ b/src/statement/admissionqueue.cpp
@@ -264,9 +264,22 @@
     return running() >= m_limit.value() && now - m_progressAt > stallTime();
 }
 
-Duration AdmissionQueue::timeToFinish(std::size_t rank) const
+TimePoint AdmissionQueue::givenUpAt(std::size_t place, TimePoint now) const
 {
-    return std::chrono::duration_cast<Duration>(GiveUpMargin * waitOf(rank))
+    const TimePoint deadline = m_waiting[place].request.deadline;
+    if (now + timeToFinish(place) <= deadline)
+        return deadline - timeToFinish(place);
+    // It is taken out of its turn before that, and then only earlier deadlines go first.
+    const auto earlier = std::count_if(m_waiting.begin(), m_waiting.end(),
+                                       [deadline](const Waiting &other) {
+                                           return other.request.deadline < deadline;
+                                       });
+    return deadline - timeToFinish(std::min(place, static_cast<std::size_t>(earlier)));
+}
+
+Duration AdmissionQueue::timeToFinish(std::size_t ahead) const
+{
+    return std::chrono::duration_cast<Duration>(GiveUpMargin * waitOf(ahead))
             + m_limit.slowServiceTime();
 }
 
@@ -274,17 +287,16 @@
 {
     AdmissionActions actions;
     const bool isOver = isStalled(now);
-    std::vector<Waiting> kept;
-    for (const Waiting &waiting : m_waiting) {
-        const Duration needed = timeToFinish(kept.size());
-        if (!isOver && now + needed <= waiting.request.deadline) {
-            kept.push_back(waiting);
+    for (std::size_t place = 0; place < m_waiting.size();) {
+        if (!isOver && now <= givenUpAt(place, now)) {
+            ++place;
             continue;
         }
-        forget(waiting.request);
-        actions.push_back(refusal(waiting.request.ticket));
+        const AdmissionRequest request = m_waiting[place].request;
+        m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(place));
+        forget(request);
+        actions.push_back(refusal(request.ticket));
     }
-    m_waiting = std::move(kept);
     startNext(now, actions);
     return actions;
 }
@@ -296,10 +308,8 @@
     TimePoint earliest = m_progressAt + stallTime();
     if (m_heldUntil > now)
         earliest = std::min(earliest, m_heldUntil);
-    for (std::size_t rank = 0; rank < m_waiting.size(); ++rank) {
-        const Duration needed = timeToFinish(rank);
-        earliest = std::min(earliest, m_waiting[rank].request.deadline - needed);
-    }
+    for (std::size_t place = 0; place < m_waiting.size(); ++place)
+        earliest = std::min(earliest, givenUpAt(place, now));
     // What is due at this very moment is given up just after it.
     return std::max(earliest, now) + 1ms;
 }
--- a/test/unit/statement/admissionqueue_test.cpp
+++ b/test/unit/statement/admissionqueue_test.cpp
@@ -243,3 +243,24 @@
     server.add(1, "a", AdmissionClass::Write, 25ms);
     CHECK(isRefused(server.queue.resend(1, server.now + 20ms), 1));
 }
+
+TEST_CASE("a statement is given up only when its urgent turn can't save it either")
+{
+    struct Row
+    {
+        Duration after;
+        bool isRefused;
+    };
+    for (const Row &row : {Row {290ms, false}, Row {340ms, true}}) {
+        CAPTURE(row.after.count());
+        BusyServer server;
+        for (AdmissionTicket ticket = 1; ticket <= 10; ++ticket)
+            server.add(ticket, "writer" + std::to_string(ticket));
+        REQUIRE(server.add(11, "reader", AdmissionClass::PlainRead, 350ms).empty());
+        server.now += row.after;
+        CHECK(isRefused(server.queue.expire(server.now), 11) == row.isRefused);
+        const AdmissionActions actions = server.queue.finish(BusyServer::RunningTicket,
+                                                             AdmissionEnd::Failed, server.now);
+        CHECK(actions.front().ticket == (row.isRefused ? 1 : 11));
+    }
+}
