Reckon with one more service time for a newcomer after a busy refusal

Change: for 32 service times after a busy refusal a newcomer must bear one service time more; the test was seen failing first (a timeout of 25 ms behind a busy statement of 10 ms).

--- a/include/nutmegtide/statement/admissionqueue.h
+++ b/include/nutmegtide/statement/admissionqueue.h
@@ -123,9 +123,13 @@
     TimePoint givenUpAt(std::size_t place, TimePoint now) const;
     // Returns what a statement with so many others before it needs at least.
     Duration timeToFinish(std::size_t ahead) const;
+    // Returns the time that a busy refusal may cost a newcomer: it is sent again after it,
+    // or its turn is taken by one that is. Without a recent one it is 0.
+    Duration busyReserve(TimePoint now) const;
     // Returns the time between two answers while statements wait.
     Duration answerInterval() const;
     void observeAnswer(Duration service, TimePoint now);
+    void observeBusy(TimePoint now);
     Duration retryAfter() const;
     bool isStalled(TimePoint now) const;
     Duration stallTime() const;
@@ -147,6 +151,7 @@
     std::map<AdmissionTicket, Running> m_running;
     std::map<Flow, std::uint64_t> m_lastRounds;
     std::uint64_t m_round = 0; // of the statement started last
+    std::optional<TimePoint> m_busyAt; // the last busy refusal
     TimePoint m_heldUntil; // nothing starts after a busy refusal
     TimePoint m_progressAt;
     std::optional<TimePoint> m_answeredAt; // the last answer, where statements waited since
--- a/src/statement/admissionqueue.cpp
+++ b/src/statement/admissionqueue.cpp
@@ -22,6 +22,7 @@
 constexpr double GiveUpMargin = 0.5;
 constexpr int UrgentServices = 12; // service times left beyond a slow one
 constexpr int IntervalSmoothing = 128; // answers
+constexpr int BusyMemory = 32; // service times for which a busy refusal is reckoned with
 constexpr Duration LeastStall = 1s; // slow statements on all slots are no fault yet
 constexpr int StallFactor = 8; // slow service times without any answer
 constexpr Duration LeastRetryAfter = 5ms;
@@ -89,6 +90,12 @@
     return answerInterval() * (ahead - limit + 1);
 }
 
+Duration AdmissionQueue::busyReserve(TimePoint now) const
+{
+    const bool isRecent = m_busyAt && now - *m_busyAt < BusyMemory * m_limit.serviceTime();
+    return isRecent ? m_limit.serviceTime() : Duration::zero();
+}
+
 Duration AdmissionQueue::answerInterval() const
 {
     // The bound lets an estimate of a slower time be forgotten when nothing waits.
@@ -107,6 +114,12 @@
     m_limit.observeServed(service, isSaturated, now);
 }
 
+void AdmissionQueue::observeBusy(TimePoint now)
+{
+    m_busyAt = now;
+    m_limit.observeBusy(now);
+}
+
 Duration AdmissionQueue::retryAfter() const
 {
     return std::clamp(waitOf(m_waiting.size()), LeastRetryAfter, MostRetryAfter);
@@ -155,7 +168,8 @@
         const double margin = rank == place ? NewcomerMargins[indexOf(request.kind)]
                                             : OvertakenMargin;
         const auto wait = std::chrono::duration_cast<Duration>(margin * waitOf(rank));
-        if (now + wait + m_limit.slowServiceTime() > request.deadline)
+        const Duration reserve = rank == place ? busyReserve(now) : Duration::zero();
+        if (now + wait + reserve + m_limit.slowServiceTime() > request.deadline)
             return false;
     }
     return true;
@@ -227,7 +241,7 @@
     if (end == AdmissionEnd::Answered)
         observeAnswer(now - found->second.startedAt, now);
     if (end == AdmissionEnd::Busy)
-        m_limit.observeBusy(now);
+        observeBusy(now);
     m_running.erase(found);
     // Until an answer comes the next one would be refused too; other home proxies
     // may free a slot within the time of a statement.
@@ -243,7 +257,7 @@
         return {};
     const AdmissionRequest request = found->second.request;
     m_running.erase(found);
-    m_limit.observeBusy(now);
+    observeBusy(now);
     m_heldUntil = now + m_limit.serviceTime();
     m_progressAt = now;
     // No round is below the first one, so that nothing waits before it.
--- a/test/unit/statement/admissionqueue_test.cpp
+++ b/test/unit/statement/admissionqueue_test.cpp
@@ -264,3 +264,23 @@
         CHECK(actions.front().ticket == (row.isRefused ? 1 : 11));
     }
 }
+
+TEST_CASE("a newcomer must bear one more service time after a busy refusal")
+{
+    struct Row
+    {
+        bool isBusySeen;
+        Duration timeout;
+        bool isRefused;
+    };
+    const Row rows[] = {{false, 25ms, false}, {true, 25ms, true}, {true, 35ms, false}};
+    for (const Row &row : rows) {
+        CAPTURE(row.isBusySeen);
+        CAPTURE(row.timeout.count());
+        BusyServer server;
+        if (row.isBusySeen)
+            server.queue.resend(BusyServer::RunningTicket, server.now);
+        const AdmissionActions actions = server.add(1, "a", AdmissionClass::Write, row.timeout);
+        CHECK(isRefused(actions, 1) == row.isRefused);
+    }
+}
