--- a/bench/overloadmodel.h
+++ b/bench/overloadmodel.h
@@ -183,10 +183,10 @@
             ++m_outcome.offered;
             ++m_outcome.byClass[job.kind].second;
         }
-        admit(ticket, false);
+        admit(ticket);
     }
 
-    void admit(AdmissionTicket ticket, bool isResent)
+    void admit(AdmissionTicket ticket)
     {
         const Job &job = m_jobs.at(ticket);
         Home &home = m_homes[job.home];
@@ -196,7 +196,7 @@
             return;
         }
         const AdmissionRequest request {ticket, SessionId(std::to_string(job.session)), job.kind,
-                                        job.deadline, isResent};
+                                        job.deadline};
         take(job.home, home.queue.add(request, m_now));
     }
 
@@ -252,7 +252,8 @@
     {
         const std::size_t server = m_jobs.at(ticket).home / std::size_t(m_scenario.homes);
         if (m_busySlots[server] >= Slots) {
-            schedule(m_scenario.deployment.oneWay, [this, ticket] { answerBusy(ticket); });
+            schedule(m_scenario.deployment.oneWay,
+                     [this, ticket] { answerBusy(ticket, m_now + RetryBudget::LongestWait); });
             return;
         }
         ++m_busySlots[server];
@@ -290,15 +291,31 @@
         endAtHome(ticket, job.home, AdmissionEnd::Answered);
     }
 
-    void answerBusy(AdmissionTicket ticket)
+    void sendAgain(AdmissionTicket ticket, std::size_t index)
+    {
+        Home &home = m_homes[index];
+        --home.inUse;
+        if (m_scenario.policy == Policy::Admission) {
+            take(index, home.queue.resend(ticket, m_now));
+            return;
+        }
+        --home.running;
+        startBaseline(index);
+        admit(ticket);
+    }
+
+    void answerBusy(AdmissionTicket ticket, TimePoint until)
     {
         const Job job = m_jobs.at(ticket);
         const bool isBudgeted = m_scenario.policy == Policy::Admission;
         const bool mayRetry = !isBudgeted || m_retries.takeRetry();
         if (mayRetry) {
             ++m_outcome.resent;
-            endAtHome(ticket, job.home, AdmissionEnd::Busy);
-            admit(ticket, true);
+            sendAgain(ticket, job.home);
+            return;
+        }
+        if (m_now < until) {
+            schedule(1ms, [this, ticket, until] { answerBusy(ticket, until); });
             return;
         }
         refuse(ticket);
--- a/src/statement/admissionqueue.cpp
+++ b/src/statement/admissionqueue.cpp
@@ -22,6 +22,7 @@
 constexpr double GiveUpMargin = 0.5;
 constexpr int UrgentServices = 12; // service times left beyond a slow one
 constexpr int IntervalSmoothing = 128; // answers
+constexpr int BusyMemory = 32; // service times for which a busy refusal is reckoned with
 constexpr Duration LeastStall = 1s; // slow statements on all slots are no fault yet
 constexpr int StallFactor = 8; // slow service times without any answer
 constexpr Duration LeastRetryAfter = 5ms;
@@ -48,8 +49,6 @@
 
 std::uint64_t AdmissionQueue::nextRound(const AdmissionRequest &request) const
 {
-    if (request.isResent)
-        return m_round;
     const auto last = m_lastRounds.find({request.session, request.kind});
     const std::uint64_t from = last == m_lastRounds.end() ? m_round
                                                           : std::max(m_round, last->second);
@@ -91,6 +90,12 @@
     return answerInterval() * (ahead - limit + 1);
 }
 
+Duration AdmissionQueue::busyReserve(TimePoint now) const
+{
+    const bool isRecent = m_busyAt && now - *m_busyAt < BusyMemory * m_limit.serviceTime();
+    return isRecent ? m_limit.serviceTime() : Duration::zero();
+}
+
 Duration AdmissionQueue::answerInterval() const
 {
     // The bound lets an estimate of a slower time be forgotten when nothing waits.
@@ -109,6 +114,12 @@
     m_limit.observeServed(service, isSaturated, now);
 }
 
+void AdmissionQueue::observeBusy(TimePoint now)
+{
+    m_busyAt = now;
+    m_limit.observeBusy(now);
+}
+
 Duration AdmissionQueue::retryAfter() const
 {
     return std::clamp(waitOf(m_waiting.size()), LeastRetryAfter, MostRetryAfter);
@@ -124,7 +135,7 @@
     AdmissionActions actions = expire(now);
     const bool isFree = m_waiting.empty() && mayStart(now);
     if (now + m_limit.slowServiceTime() > request.deadline || isStalled(now)
-        || (!isFree && !request.isResent && !hasPlace(request))) {
+        || (!isFree && !hasPlace(request))) {
         actions.push_back(refusal(request.ticket));
         return actions;
     }
@@ -139,13 +150,12 @@
                                      });
     const auto place = static_cast<std::size_t>(at - m_waiting.begin());
     m_waiting.insert(at, newcomer);
-    if (!request.isResent && !fitsInTime(place, now)) {
+    if (!fitsInTime(place, now)) {
         m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(place));
         actions.push_back(refusal(request.ticket));
         return actions;
     }
-    ++m_waitingOfClass[indexOf(request.kind)];
-    ++m_waitingOfSession[request.session];
+    count(request);
     m_lastRounds[{request.session, request.kind}] = newcomer.round;
     startNext(now, actions);
     return actions;
@@ -158,12 +168,19 @@
         const double margin = rank == place ? NewcomerMargins[indexOf(request.kind)]
                                             : OvertakenMargin;
         const auto wait = std::chrono::duration_cast<Duration>(margin * waitOf(rank));
-        if (now + wait + m_limit.slowServiceTime() > request.deadline)
+        const Duration reserve = rank == place ? busyReserve(now) : Duration::zero();
+        if (now + wait + reserve + m_limit.slowServiceTime() > request.deadline)
             return false;
     }
     return true;
 }
 
+void AdmissionQueue::count(const AdmissionRequest &request)
+{
+    ++m_waitingOfClass[indexOf(request.kind)];
+    ++m_waitingOfSession[request.session];
+}
+
 void AdmissionQueue::forget(const AdmissionRequest &request)
 {
     --m_waitingOfClass[indexOf(request.kind)];
@@ -176,7 +193,7 @@
 {
     if (m_running.empty())
         m_progressAt = now;
-    m_running[request.ticket] = now;
+    m_running[request.ticket] = {now, request};
     actions.push_back({AdmissionActionKind::Start, request.ticket, Duration::zero()});
 }
 
@@ -222,9 +239,9 @@
     if (found == m_running.end())
         return actions;
     if (end == AdmissionEnd::Answered)
-        observeAnswer(now - found->second, now);
+        observeAnswer(now - found->second.startedAt, now);
     if (end == AdmissionEnd::Busy)
-        m_limit.observeBusy(now);
+        observeBusy(now);
     m_running.erase(found);
     // Until an answer comes the next one would be refused too; other home proxies
     // may free a slot within the time of a statement.
@@ -233,6 +250,24 @@
     return expire(now);
 }
 
+AdmissionActions AdmissionQueue::resend(AdmissionTicket ticket, TimePoint now)
+{
+    const auto found = m_running.find(ticket);
+    if (found == m_running.end())
+        return {};
+    const AdmissionRequest request = found->second.request;
+    m_running.erase(found);
+    observeBusy(now);
+    m_heldUntil = now + m_limit.serviceTime();
+    m_progressAt = now;
+    // No round is below the first one, so that nothing waits before it.
+    m_waiting.insert(m_waiting.begin(), Waiting {0, request});
+    // The session has had less than its turn, so its next ones count from now.
+    m_lastRounds[{request.session, request.kind}] = m_round;
+    count(request);
+    return expire(now);
+}
+
 Duration AdmissionQueue::stallTime() const
 {
     return std::max(LeastStall, StallFactor * m_limit.slowServiceTime());
@@ -243,9 +278,22 @@
     return running() >= m_limit.value() && now - m_progressAt > stallTime();
 }
 
-Duration AdmissionQueue::timeToFinish(std::size_t rank) const
+TimePoint AdmissionQueue::givenUpAt(std::size_t place, TimePoint now) const
 {
-    return std::chrono::duration_cast<Duration>(GiveUpMargin * waitOf(rank))
+    const TimePoint deadline = m_waiting[place].request.deadline;
+    if (now + timeToFinish(place) <= deadline)
+        return deadline - timeToFinish(place);
+    // It is taken out of its turn before that, and then only earlier deadlines go first.
+    const auto earlier = std::count_if(m_waiting.begin(), m_waiting.end(),
+                                       [deadline](const Waiting &other) {
+                                           return other.request.deadline < deadline;
+                                       });
+    return deadline - timeToFinish(std::min(place, static_cast<std::size_t>(earlier)));
+}
+
+Duration AdmissionQueue::timeToFinish(std::size_t ahead) const
+{
+    return std::chrono::duration_cast<Duration>(GiveUpMargin * waitOf(ahead))
             + m_limit.slowServiceTime();
 }
 
@@ -253,17 +301,16 @@
 {
     AdmissionActions actions;
     const bool isOver = isStalled(now);
-    std::vector<Waiting> kept;
-    for (const Waiting &waiting : m_waiting) {
-        const Duration needed = timeToFinish(kept.size());
-        if (!isOver && now + needed <= waiting.request.deadline) {
-            kept.push_back(waiting);
+    for (std::size_t place = 0; place < m_waiting.size();) {
+        if (!isOver && now <= givenUpAt(place, now)) {
+            ++place;
             continue;
         }
-        forget(waiting.request);
-        actions.push_back(refusal(waiting.request.ticket));
+        const AdmissionRequest request = m_waiting[place].request;
+        m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(place));
+        forget(request);
+        actions.push_back(refusal(request.ticket));
     }
-    m_waiting = std::move(kept);
     startNext(now, actions);
     return actions;
 }
@@ -275,10 +322,8 @@
     TimePoint earliest = m_progressAt + stallTime();
     if (m_heldUntil > now)
         earliest = std::min(earliest, m_heldUntil);
-    for (std::size_t rank = 0; rank < m_waiting.size(); ++rank) {
-        const Duration needed = timeToFinish(rank);
-        earliest = std::min(earliest, m_waiting[rank].request.deadline - needed);
-    }
+    for (std::size_t place = 0; place < m_waiting.size(); ++place)
+        earliest = std::min(earliest, givenUpAt(place, now));
     // What is due at this very moment is given up just after it.
     return std::max(earliest, now) + 1ms;
 }
