--- a/include/nutmegtide/fleet/gossip.h
+++ b/include/nutmegtide/fleet/gossip.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegtide/base/time.h"
+#include "nutmegtide/fleet/helperchoice.h"
 #include "nutmegtide/fleet/member.h"
 
 #include <deque>
@@ -121,6 +122,7 @@
         Member member;
         TimePoint since; // of its state
         bool isClaimedDead = false; // by another, of this version, without own signs of it
+        bool isAskedDirectly = false; // since it was suspected
     };
     enum class CallKind {
         Direct,
@@ -133,6 +135,7 @@
         CallKind kind = CallKind::Direct;
         VmName target; // empty for a seed
         Endpoint to;
+        VmName helper; // of an indirect probe
     };
 
     void take(const Member &claim, TimePoint now, GossipActions &actions);
@@ -150,10 +153,14 @@
     void retryLost(GossipActions &actions);
     void askPage(const VmName &vm, const Endpoint &to, const VmName &after, GossipActions &actions);
     void askHelpers(const VmName &target, GossipActions &actions);
+    std::vector<VmName> helpersFor(const VmName &target, std::size_t most);
+    GossipCall helperCall(CallKind kind, const VmName &target, const VmName &helper);
     void finishIndirect(const VmName &target, bool isAlive, TimePoint now, GossipActions &actions);
     GossipCall call(CallKind kind, const VmName &target, const Endpoint &to, Duration timeout);
     // Asks the member itself what is true of a claim.
     void recheck(const Member &claim);
+    // Asks a helper to tell a suspected member of it; returns whether there is a helper.
+    bool recheckThroughHelper(const Member &suspected, GossipActions &actions);
 
     std::vector<Member> news(const VmName &receiver);
     std::vector<Member> page(const VmName &after, VmName &end) const;
@@ -170,6 +177,7 @@
     std::vector<VmName> m_round; // still to be probed in this round
     std::deque<Member> m_recheck; // doubtful claims
     std::map<GossipCallId, Pending> m_calls;
+    HelperChoice m_helpers;
     std::map<VmName, int> m_indirect; // helpers that have not answered yet
     GossipCallId m_nextCall = 1;
     std::uint64_t m_ticks = 0;
--- a/src/fleet/gossip.cpp
+++ b/src/fleet/gossip.cpp
@@ -8,16 +8,8 @@
 
 namespace {
 
-constexpr std::size_t MostSeedsAsked = 3; // in one interval
-constexpr std::size_t MostRechecks = 4096; // claims that wait to be settled
 constexpr std::size_t LeaveNotices = 5;
 
-template <typename Value>
-const Value &pick(const std::vector<Value> &values, std::mt19937_64 &generator)
-{
-    return values[generator() % values.size()];
-}
-
 } // namespace
 
 Gossip::Gossip(const GossipSettings &settings, Member self, std::vector<Endpoint> seeds,
@@ -80,7 +72,10 @@
 {
     std::erase_if(m_members, [&](const auto &entry) {
         const Known &known = entry.second;
-        return !known.member.isPresent() && now - known.since >= m_settings.forgetAfter;
+        const bool isOld = !known.member.isPresent() && now - known.since >= m_settings.forgetAfter;
+        if (isOld)
+            m_helpers.forget(entry.first);
+        return isOld;
     });
 }
 
@@ -88,6 +83,7 @@
 {
     known.member.state = state;
     known.since = now;
+    known.isAskedDirectly = false;
     spread(known.member.vm);
     static constexpr MemberChangeKind Kinds[] = {MemberChangeKind::Joined,
                                                  MemberChangeKind::Suspected,
@@ -106,140 +102,10 @@
         return;
     }
     become(found->second, MemberState::Suspect, now, actions);
+    found->second.isAskedDirectly = true;
     recheck(found->second.member);
 }
 
-std::vector<VmName> Gossip::withState(bool isPresent) const
-{
-    std::vector<VmName> names;
-    for (const auto &[vm, known] : m_members) {
-        if (known.member.isPresent() == isPresent && known.member.state != MemberState::Left)
-            names.push_back(vm);
-    }
-    return names;
-}
-
-void Gossip::probeNext(GossipActions &actions)
-{
-    if (m_round.empty()) {
-        m_round = withState(true);
-        std::shuffle(m_round.begin(), m_round.end(), m_generator);
-    }
-    while (!m_round.empty()) {
-        const VmName target = m_round.back();
-        m_round.pop_back();
-        const Member *member = find(target);
-        if (!member || !member->isPresent() || m_indirect.count(target) != 0)
-            continue;
-        actions.push_back(call(CallKind::Direct, target, member->peers, m_settings.directTimeout));
-        return;
-    }
-}
-
-// At most one further call an interval keeps the cost fixed.
-void Gossip::doExtra(GossipActions &actions)
-{
-    if (presentCount() == 0) {
-        askSeeds(actions);
-        return;
-    }
-    const auto retryEvery = static_cast<std::uint64_t>(m_settings.retryEvery);
-    const auto compareEvery = static_cast<std::uint64_t>(m_settings.compareEvery);
-    if (m_ticks % retryEvery == retryEvery / 2) {
-        retryLost(actions);
-        return;
-    }
-    if (m_ticks % compareEvery == 0) {
-        const std::vector<VmName> others = withState(true);
-        const VmName &vm = pick(others, m_generator);
-        const bool isFromStart = m_generator() % (others.size() + 1) == 0;
-        askPage(vm, find(vm)->peers, isFromStart ? VmName() : pick(others, m_generator), actions);
-        return;
-    }
-    while (!m_recheck.empty()) {
-        const Member claim = m_recheck.front();
-        m_recheck.pop_front();
-        const Member *member = find(claim.vm);
-        const bool isRefuted = member && member->state == MemberState::Alive
-                && claim.state == MemberState::Suspect;
-        if (!member || isRefuted || member->state == MemberState::Left)
-            continue;
-        const bool isAlive = member->state == MemberState::Alive;
-        const CallKind kind = isAlive ? CallKind::Direct : CallKind::Notice;
-        GossipCall asked = call(kind, claim.vm, member->peers, m_settings.directTimeout);
-        if (isAlive)
-            asked.message.updates.push_back(claim);
-        // Whoever suspects a member asks it again until it refutes that or is dead.
-        if (member->state == MemberState::Suspect)
-            recheck(*member);
-        actions.push_back(std::move(asked));
-        return;
-    }
-}
-
-void Gossip::askSeeds(GossipActions &actions)
-{
-    std::vector<Endpoint> seeds = m_seeds;
-    std::erase(seeds, m_self.peers);
-    std::shuffle(seeds.begin(), seeds.end(), m_generator);
-    seeds.resize(std::min(seeds.size(), MostSeedsAsked));
-    for (const Endpoint &seed : seeds)
-        askPage({}, seed, {}, actions);
-    if (seeds.empty())
-        retryLost(actions);
-}
-
-void Gossip::retryLost(GossipActions &actions)
-{
-    std::vector<Endpoint> lost;
-    for (const VmName &vm : withState(false))
-        lost.push_back(find(vm)->peers);
-    for (const Endpoint &seed : m_seeds) {
-        const bool isKnown = std::any_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
-            return entry.second.member.peers == seed;
-        });
-        if (!isKnown && seed != m_self.peers)
-            lost.push_back(seed);
-    }
-    if (lost.empty())
-        return;
-    const Endpoint &to = pick(lost, m_generator);
-    const auto found = std::find_if(m_members.begin(), m_members.end(), [&](const auto &entry) {
-        return entry.second.member.peers == to;
-    });
-    askPage(found == m_members.end() ? VmName() : found->first, to, {}, actions);
-}
-
-void Gossip::askPage(const VmName &vm, const Endpoint &to, const VmName &after,
-                     GossipActions &actions)
-{
-    GossipCall page = call(CallKind::Page, vm, to, m_settings.indirectTimeout);
-    page.message.wantsPage = true;
-    page.message.pageAfter = after;
-    page.message.digest = digest();
-    actions.push_back(std::move(page));
-}
-
-void Gossip::recheck(const Member &claim)
-{
-    const bool isQueued = std::any_of(m_recheck.begin(), m_recheck.end(),
-                                      [&](const Member &queued) { return queued.vm == claim.vm; });
-    if (!isQueued && m_recheck.size() < MostRechecks)
-        m_recheck.push_back(claim);
-}
-
-GossipCall Gossip::call(CallKind kind, const VmName &target, const Endpoint &to, Duration timeout)
-{
-    GossipCall made;
-    made.id = m_nextCall++;
-    made.to = to;
-    made.timeout = timeout;
-    made.message.sender = m_self;
-    made.message.updates = news(target);
-    m_calls[made.id] = {kind, target, to};
-    return made;
-}
-
 GossipActions Gossip::onReply(GossipCallId id, const GossipReply &reply, TimePoint now)
 {
     GossipActions actions;
@@ -258,6 +124,10 @@
         if (pending.kind == CallKind::Page && !wasNews)
             m_news.erase(claim.vm);
     }
+    if (!pending.helper.isEmpty() && reply.isAlive)
+        m_helpers.noteReached(pending.target, pending.helper);
+    else if (pending.kind == CallKind::Direct)
+        m_helpers.forget(pending.target);
     if (pending.kind == CallKind::Indirect)
         finishIndirect(pending.target, reply.isAlive, now, actions);
     if (pending.kind == CallKind::Page && !reply.pageEnd.isEmpty()) {
@@ -292,24 +162,6 @@
     return actions;
 }
 
-void Gossip::askHelpers(const VmName &target, GossipActions &actions)
-{
-    std::vector<VmName> helpers = withState(true);
-    std::erase_if(helpers, [&](const VmName &vm) {
-        return vm == target || find(vm)->state == MemberState::Suspect;
-    });
-    std::shuffle(helpers.begin(), helpers.end(), m_generator);
-    helpers.resize(std::min(helpers.size(), static_cast<std::size_t>(m_settings.helpers)));
-    for (const VmName &helper : helpers) {
-        GossipCall asked = call(CallKind::Indirect, target, find(helper)->peers,
-                                m_settings.indirectTimeout);
-        asked.message.probeTarget = target;
-        actions.push_back(std::move(asked));
-    }
-    if (!helpers.empty())
-        m_indirect[target] = static_cast<int>(helpers.size());
-}
-
 void Gossip::finishIndirect(const VmName &target, bool isAlive, TimePoint now,
                             GossipActions &actions)
 {
--- a/src/fleet/gossipnews.cpp
+++ b/src/fleet/gossipnews.cpp
@@ -58,6 +58,8 @@
         return;
     }
     become(known, claim.state, now, actions);
+    if (claim.state == MemberState::Suspect)
+        recheck(claim);
 }
 
 // A death that this member has no sign of is settled by asking: after a cut has
