Run the adapters and the processes under the thread sanitizer

Cause: the concurrent parts had never run under it. Figures: 55 unit cases of the adapters and 17 process cases; reports in 70 processes, all within libraries that aren't built with it: Thrift's worker queue, CivetWeb's date header (gmtime), and the time zone in glog. None in this code.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 INSTALL_STAMP := $(BUILD)/.packages
 
-.PHONY: all install build demo test lint format generate slopes sanitize
+.PHONY: all install build demo test lint format generate slopes sanitize races
 
 all: build
 
@@ -40,3 +40,12 @@
 
 sanitize:
 	$(MAKE) test BUILD=build-sanitize CMAKE_FLAGS="-DNUTMEGTIDE_SANITIZE=address,undefined"
+
+# The thread sanitizer over the adapters and the processes; a race ends a process with its exit code.
+RACES := TSAN_OPTIONS="suppressions=$(CURDIR)/.ci/thread-suppressions.txt log_path=$(CURDIR)/build-thread/race"
+races:
+	$(MAKE) build BUILD=build-thread CMAKE_FLAGS="-DNUTMEGTIDE_SANITIZE=thread"
+	rm -f build-thread/race.*
+	$(RACES) build-thread/unit_tests -sf="*/serve/*,*/standin/*,*/events/*"
+	$(RACES) build-thread/process_tests
+	@if ls build-thread/race.* > /dev/null 2>&1; then cat build-thread/race.*; false; fi
