Let a VM call a peer at another address than the one the fleet knows

Cause: a VM's peer address is also its listener, so nothing can stand between two VMs. Weighed: an advertised address of each VM would put one relay before its listener; that cuts the calls to it, but not its own calls, unless the relay before every other VM is cut as well. Change: [peer_routes] in the node's folder maps a peer's address to the one that is called. One relay for each ordered pair cuts a VM or a domain in either direction, and gossip stays as it is.

--- a/include/nutmegtide/settings/nodesettings.h
+++ b/include/nutmegtide/settings/nodesettings.h
@@ -4,6 +4,7 @@
 #include "nutmegtide/base/ids.h"
 
 #include <chrono>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -51,6 +52,8 @@
     int callerThreads = 64;
     ListenSettings listen;
     LogSettings log;
+    // [peer_routes]: where this VM calls a peer whose listener it can't reach at its own address.
+    std::map<Endpoint, Endpoint> peerRoutes;
 
     bool operator==(const NodeSettings &) const = default;
 };
--- a/src/serve/peerclient.cpp
+++ b/src/serve/peerclient.cpp
@@ -57,7 +57,13 @@
 std::unique_ptr<PeerConnection> PeerClients::open(const Endpoint &peer,
                                                   std::chrono::milliseconds timeout) const
 {
-    return std::make_unique<PeerConnection>(peer, std::min(timeout, ConnectTimeout));
+    return std::make_unique<PeerConnection>(routeTo(peer), std::min(timeout, ConnectTimeout));
+}
+
+const Endpoint &PeerClients::routeTo(const Endpoint &peer) const
+{
+    const auto route = m_routes.find(peer);
+    return route == m_routes.end() ? peer : route->second;
 }
 
 void PeerClients::giveBack(const Endpoint &peer, std::unique_ptr<PeerConnection> connection)
--- a/src/serve/peerclient.h
+++ b/src/serve/peerclient.h
@@ -63,8 +63,10 @@
 class PeerClients
 {
 public:
-    explicit PeerClients(HeaderSource headerSource)
+    // A peer whose address is in `routes` is called at the address that stands there.
+    explicit PeerClients(HeaderSource headerSource, std::map<Endpoint, Endpoint> routes = {})
         : m_headerSource(std::move(headerSource))
+        , m_routes(std::move(routes))
     { }
 
     wire::Header header() const { return m_headerSource(); }
@@ -80,7 +82,10 @@
                                          std::chrono::milliseconds timeout) const;
     void giveBack(const Endpoint &peer, std::unique_ptr<PeerConnection> connection);
 
+    const Endpoint &routeTo(const Endpoint &peer) const;
+
     HeaderSource m_headerSource;
+    const std::map<Endpoint, Endpoint> m_routes;
     std::mutex m_mutex;
     std::map<Endpoint, std::vector<std::unique_ptr<PeerConnection>>> m_idle;
 };
--- a/src/settings/nodeschema.cpp
+++ b/src/settings/nodeschema.cpp
@@ -33,7 +33,7 @@
         {"dir", &LogSettings::dir},
 };
 
-constexpr std::string_view NodeTables[] = {"node", "listen", "log"};
+constexpr std::string_view NodeTables[] = {"node", "listen", "log", "peer_routes"};
 
 // Port 0 stands for a port of the kernel's choice, so it never collides.
 void checkListeners(const ListenSettings &listen, SectionReader &reader)
@@ -47,6 +47,25 @@
         reader.report("listen.peers", "another listener has the same address");
 }
 
+void readPeerRoutes(const MergedTables &merged, SectionReader &reader, NodeSettings &settings)
+{
+    const std::string table = "peer_routes";
+    const toml::node *node = merged.tables.get(table);
+    const toml::table *routes = node == nullptr ? nullptr : reader.tableAt(*node, table);
+    if (routes == nullptr)
+        return;
+    for (auto &&[key, route] : *routes) {
+        const std::string peer(key.str());
+        try {
+            readValue(route, {}, settings.peerRoutes[parseEndpoint(peer)]);
+        } catch (const EndpointError &error) {
+            reader.reportAt(route, table + '.' + peer, error.what());
+        } catch (const ValueError &error) {
+            reader.reportAt(route, table + '.' + peer, error.what());
+        }
+    }
+}
+
 } // namespace
 
 NodeSettings readNodeTables(MergedTables &merged)
@@ -56,6 +75,7 @@
     reader.readTable<NodeSettings>("node", NodeRows, settings);
     reader.readTable<ListenSettings>("listen", ListenRows, settings.listen);
     reader.readTable<LogSettings>("log", LogRows, settings.log);
+    readPeerRoutes(merged, reader, settings);
     reader.checkUnknown(merged.tables, "", NodeTables);
     checkListeners(settings.listen, reader);
     return settings;
--- a/test/unit/settings/loader_test.cpp
+++ b/test/unit/settings/loader_test.cpp
@@ -107,6 +107,10 @@
              "/20.toml:2: node.platform: no numeric IP address in \"host:1\"\n"},
             {"no port", Kind::Node, GoodNode, "[node]\nseeds = [\"127.0.0.1\"]\n",
              "/20.toml:2: node.seeds: no port in \"127.0.0.1\"\n"},
+            {"routes without addresses", Kind::Node, GoodNode,
+             "[peer_routes]\nb1 = \"127.0.0.1:1\"\n\"127.0.0.1:2\" = \"b1:2\"\n",
+             "/20.toml:2: peer_routes.b1: no port in \"b1\"\n"
+             "/20.toml:3: peer_routes.127.0.0.1:2: no numeric IP address in \"b1:2\"\n"},
             {"no VM name", Kind::Node, GoodNode, "[node]\nname = \"\"\n",
              "/20.toml:2: node.name: \"\" is no name: expected 1 to 64 letters, digits, '-', '_' "
              "or '.'\n"},
@@ -235,7 +239,8 @@
     folder.write("20.toml",
                  "[node]\ndata_dir = \"d\"\ncontrol = [\"a\", \"b\"]\nseeds = [\"127.0.0.1:1\"]\n"
                  "platform = \"[::1]:2\"\nport_file = \"p\"\ndrain_timeout = \"2s\"\n"
-                 "caller_threads = 3\n[log]\nlevel = \"warning\"\ndir = \"l\"\n");
+                 "caller_threads = 3\n[log]\nlevel = \"warning\"\ndir = \"l\"\n"
+                 "[peer_routes]\n\"127.0.0.1:3\" = \"[::1]:4\"\n");
     const NodeSettings settings = loadNodeSettings(folder.path());
     NodeSettings expected;
     expected.name = VmName("entry-1");
@@ -250,6 +255,7 @@
     expected.callerThreads = 3;
     expected.listen = {{"127.0.0.1", 0}, {"127.0.0.1", 0}, {"127.0.0.1", 0}};
     expected.log = {LogLevel::Warning, "l"};
+    expected.peerRoutes = {{{"127.0.0.1", 3}, {"::1", 4}}};
     CHECK(settings == expected);
 }
 
