--- a/test/process/support/testfleet.cpp
+++ b/test/process/support/testfleet.cpp
@@ -37,11 +37,17 @@
 
 } // namespace
 
-TestFleet::TestFleet(const std::vector<NodeOptions> &nodes)
+TestFleet::TestFleet(const std::vector<NodeOptions> &nodes, PeerPaths paths)
     : m_folder(makeFolder())
 {
     for (const NodeOptions &node : nodes)
         m_peers[node.name];
+    if (paths == PeerPaths::Relayed) {
+        std::map<std::string, Endpoint> peers;
+        for (const auto &[name, port] : m_peers)
+            peers[name] = port.endpoint();
+        m_links = std::make_unique<PeerLinks>(peers);
+    }
     for (const NodeOptions &node : nodes) {
         writeSettings(node, nodes);
         m_commands[node.name] = {NUTMEGTIDE_BINARY, "serve", "--config",
@@ -137,11 +143,16 @@
     if (!node.platform.empty())
         file << "\nplatform = " << Json(node.platform);
     if (node.isControl)
-        file << "\ndata_dir = " << Json((m_folder / (node.name + ".data")).string());
+        file << "\ndata_dir = " << Json(dataFolder(node.name).string());
     file << "\n[listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\npeers = "
          << Json(toString(m_peers.at(node.name).endpoint()))
          << "\n[log]\nlevel = \"info\"\ndir = " << Json((m_folder / (node.name + ".log")).string())
          << '\n';
+    if (!m_links)
+        return;
+    file << "[peer_routes]\n";
+    for (const auto &[peer, relay] : m_links->routesOf(node.name))
+        file << Json(toString(peer)) << " = " << Json(toString(relay)) << '\n';
 }
 
 void TestFleet::start(const std::string &name)
@@ -183,6 +194,11 @@
     return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
 }
 
+std::filesystem::path TestFleet::dataFolder(const std::string &node) const
+{
+    return m_folder / (node + ".data");
+}
+
 std::filesystem::path TestFleet::portFile(const std::string &name) const
 {
     return m_folder / (name + ".ports.json");
--- a/test/process/support/testfleet.h
+++ b/test/process/support/testfleet.h
@@ -2,6 +2,7 @@
 
 #include "process/support/childprocess.h"
 #include "process/support/httpclient.h"
+#include "process/support/peerlinks.h"
 #include "process/support/sockets.h"
 
 #include <filesystem>
@@ -30,6 +31,12 @@
     std::vector<std::string> extra; // further words of its command line
 };
 
+// How nodes reach each other's peer listeners.
+enum class PeerPaths {
+    Direct,
+    Relayed, // through TestFleet::links(), which can be cut
+};
+
 // A fleet of real processes on loopback in a temporary folder. Nodes and
 // backend servers are addressed by name; all of them end with this object.
 //
@@ -41,7 +48,7 @@
 {
 public:
     // Starts the nodes and waits until each of them is healthy.
-    explicit TestFleet(const std::vector<NodeOptions> &nodes);
+    explicit TestFleet(const std::vector<NodeOptions> &nodes, PeerPaths paths = PeerPaths::Direct);
     ~TestFleet();
     TestFleet(const TestFleet &) = delete;
     TestFleet &operator=(const TestFleet &) = delete;
@@ -55,6 +62,11 @@
     Endpoint server(const std::string &id) const { return endpoint(id, "address"); }
     pid_t processId(const std::string &name) const { return m_processes.at(name)->id(); }
 
+    // Only for PeerPaths::Relayed.
+    PeerLinks &links() { return *m_links; }
+    // The folder of a control VM's data; it may be removed while the VM doesn't run.
+    std::filesystem::path dataFolder(const std::string &node) const;
+
     void sendSignal(const std::string &name, int signal);
     // SIGKILL, and waits for the end.
     void kill(const std::string &name);
@@ -74,6 +86,7 @@
 
     std::filesystem::path m_folder;
     std::map<std::string, ReservedPort> m_peers;
+    std::unique_ptr<PeerLinks> m_links; // null for PeerPaths::Direct
     std::map<std::string, std::vector<std::string>> m_commands; // program and its words
     std::map<std::string, Json> m_ports;
     std::map<std::string, std::unique_ptr<ChildProcess>> m_processes;
