Announce to the homes of both sides of a cut between proxies

Cause: a failure domain whose proxy was cut off from the other VMs could serve until the primary changed, and then refused every write (60 s without one in the new process case): a backend server announced to the homes of its latest answer only, so the cut-off home heard of the new primary by polls, which name no voters, and had no majority to confirm with. Ruled out: control (the home needs none), the position polls (they went on). Seen failing first: 'a failure domain that is cut off serves, and doesn't undo a change of primary' (process) and 'a server announces to the homes of both sides of a cut between proxies' (unit).

--- a/test/process/failover_test.cpp
+++ b/test/process/failover_test.cpp
@@ -20,11 +20,13 @@
 class Writers
 {
 public:
-    explicit Writers(TestFleet &fleet, const std::vector<std::string> &proxies)
+    explicit Writers(TestFleet &fleet, const std::vector<std::string> &proxies,
+                     const std::string &prefix = "w")
     {
         for (int i = 0; i < Callers; ++i) {
             const Endpoint proxy = fleet.callers(proxies[std::size_t(i) % proxies.size()]);
-            m_threads.emplace_back([this, i, proxy] { write("w" + std::to_string(i), proxy); });
+            const std::string name = prefix + std::to_string(i);
+            m_threads.emplace_back([this, name, proxy] { write(name, proxy); });
         }
     }
     ~Writers() { stop(); }
@@ -100,8 +102,9 @@
 {
     explicit Scene(const std::vector<NodeOptions> &nodes = {{"a1", "fd-a", true},
                                                             {"b1", "fd-b", true},
-                                                            {"c1", "fd-c", true}})
-        : fleet(nodes)
+                                                            {"c1", "fd-c", true}},
+                   PeerPaths paths = PeerPaths::Direct)
+        : fleet(nodes, paths)
     {
         const std::vector<std::string> voters {"s1", "s2", "s3"};
         fleet.addServer({"s1", "casks", "fd-a", voters, "", {}});
@@ -160,6 +163,34 @@
     }
 }
 
+// What a home takes for the group's primary.
+struct GroupView
+{
+    std::uint64_t term = 0;
+    std::string primary; // empty for none
+
+    bool operator==(const GroupView &) const = default;
+};
+
+GroupView viewOf(TestFleet &fleet, const std::string &node)
+{
+    const Json status = HttpClient(fleet.operators(node)).get("/v1/status").json();
+    const Json &group = status.at("groups").at("casks");
+    const Json &primary = group.at("primary");
+    return {group.at("term"), primary.is_null() ? "" : primary.get<std::string>()};
+}
+
+// Waits until a node sees this many members, itself counted.
+void waitForMembers(TestFleet &fleet, const std::string &node, std::size_t count)
+{
+    waitUntil(
+            [&] {
+                const Json status = HttpClient(fleet.operators(node)).get("/v1/status").json();
+                return status.at("members").size() == count;
+            },
+            "the members that " + node + " sees");
+}
+
 } // namespace
 
 TEST_CASE("a killed primary is replaced, and no acknowledged write is lost or doubled")
@@ -246,3 +277,46 @@
     CHECK(primary != second);
     checkLog(logOf(scene.fleet, primary), writers);
 }
+
+TEST_CASE("a failure domain that is cut off serves, and doesn't undo a change of primary")
+{
+    Scene scene({{"a1", "fd-a", true}, {"b1", "fd-b", true}, {"c1", "fd-c", true}},
+                PeerPaths::Relayed);
+    Writers inside(scene.fleet, {"a1"}, "inside");
+    Writers outside(scene.fleet, {"b1", "c1"}, "outside");
+    scene.fleet.links().cutOff("a1");
+    waitForMembers(scene.fleet, "a1", 1);
+    waitForMembers(scene.fleet, "b1", 2);
+    waitForMore(inside, "writes in the domain that is cut off");
+    CallerSession caller(scene.fleet.callers("a1"), "casks");
+    CHECK(caller.read("get", {{"key", "none"}}).status == 200);
+
+    scene.fleet.sendSignal("s1", SIGSTOP);
+    waitForMore(outside, "writes outside after the change");
+    waitForMore(inside, "writes in the domain that is cut off, after the change");
+    const GroupView changed = viewOf(scene.fleet, "b1");
+    CHECK(changed.primary != "s1");
+    scene.fleet.sendSignal("s1", SIGCONT);
+    waitForMore(inside, "writes beside the old primary");
+
+    scene.fleet.links().heal();
+    waitForMembers(scene.fleet, "a1", 3);
+    waitForMembers(scene.fleet, "b1", 3);
+    waitForMore(inside, "writes in the domain after the heal");
+    waitForMore(outside, "writes outside after the heal");
+    inside.stop();
+    outside.stop();
+    GroupView healed;
+    waitUntil(
+            [&] {
+                healed = viewOf(scene.fleet, "b1");
+                return !healed.primary.empty() && viewOf(scene.fleet, "a1") == healed;
+            },
+            "one view of the primary");
+    CHECK((healed == changed || healed.term > changed.term));
+    waitUntil([&] { return logOf(scene.fleet, "s1") == logOf(scene.fleet, healed.primary); },
+              "the log of the old primary is that of the new one");
+    const Json log = logOf(scene.fleet, healed.primary);
+    checkLog(log, inside);
+    checkLog(log, outside);
+}
--- a/test/standin/announcer.cpp
+++ b/test/standin/announcer.cpp
@@ -40,7 +40,11 @@
     m_thread.request_stop();
     curl_multi_wakeup(m_multi);
     m_thread.join();
-    setTargets({});
+    for (const auto &[endpoint, target] : m_targets) {
+        if (target.isBusy)
+            curl_multi_remove_handle(m_multi, target.easy);
+        curl_easy_cleanup(target.easy);
+    }
     curl_multi_cleanup(m_multi);
     curl_slist_free_all(m_headers);
 }
@@ -117,7 +121,6 @@
 void Announcer::finishDone(TimePoint now)
 {
     int rest = 0;
-    m_homes.clear();
     while (const CURLMsg *message = curl_multi_info_read(m_multi, &rest)) {
         if (message->msg != CURLMSG_DONE)
             continue;
@@ -129,13 +132,23 @@
         curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
         curl_multi_remove_handle(m_multi, easy);
         target->isBusy = false;
+        target->homes.clear();
         if (isAnswered && status == OkStatus)
             take(*target, now);
         if (std::exchange(target->isOutdated, false))
             target->nextDue = now;
     }
-    if (!m_homes.empty())
-        setTargets(m_homes);
+    const std::vector<Endpoint> homes = namedHomes();
+    if (!homes.empty())
+        setTargets(homes);
+}
+
+std::vector<Endpoint> Announcer::namedHomes() const
+{
+    std::vector<Endpoint> homes;
+    for (const auto &[endpoint, target] : m_targets)
+        homes.insert(homes.end(), target.homes.begin(), target.homes.end());
+    return homes;
 }
 
 void Announcer::take(Target &target, TimePoint now)
@@ -144,8 +157,7 @@
         const auto reply = parseMessage<AnnouncementReply>(target.answer);
         m_lastAnswer = now;
         target.nextDue = now + std::max(reply.nextDue, SmallestInterval);
-        if (!reply.homes.empty())
-            m_homes = reply.homes;
+        target.homes = reply.homes;
     } catch (const MessageError &fault) {
         LOG(WARNING) << "event=bad_announcement_reply fault=" << fault.what();
     }
@@ -154,10 +166,11 @@
 void Announcer::setTargets(const std::vector<Endpoint> &endpoints)
 {
     std::erase_if(m_targets, [&](auto &row) {
-        if (std::find(endpoints.begin(), endpoints.end(), row.first) != endpoints.end())
+        // A target whose answer is still to come may name homes, itself among them.
+        const bool isNamed = std::find(endpoints.begin(), endpoints.end(), row.first)
+                != endpoints.end();
+        if (isNamed || row.second.isBusy)
             return false;
-        if (row.second.isBusy)
-            curl_multi_remove_handle(m_multi, row.second.easy);
         curl_easy_cleanup(row.second.easy);
         return true;
     });
--- a/test/standin/announcer.h
+++ b/test/standin/announcer.h
@@ -32,6 +32,7 @@
         bool isBusy = false;
         bool isOutdated = false; // the state changed while the request was on its way
         TimePoint nextDue;
+        std::vector<Endpoint> homes; // of its latest answer; empty once a request failed
     };
 
     void run(const std::stop_token &stop);
@@ -39,6 +40,8 @@
     void start(Target &target, const Endpoint &endpoint, TimePoint now);
     void finishDone(TimePoint now);
     void take(Target &target, TimePoint now);
+    // The homes that any target names: proxies that can't reach each other name different ones.
+    std::vector<Endpoint> namedHomes() const;
     void setTargets(const std::vector<Endpoint> &endpoints);
     void addTarget(const Endpoint &endpoint);
     std::chrono::milliseconds untilNextDue(TimePoint now) const;
@@ -47,7 +50,6 @@
     Announcement m_identity;
     std::vector<Endpoint> m_configured;
     std::map<Endpoint, Target> m_targets;
-    std::vector<Endpoint> m_homes; // of the latest answer
     TimePoint m_lastAnswer;
     std::atomic<bool> m_isWoken = false;
     curl_slist *m_headers = nullptr;
--- a/test/unit/standin/announcer_test.cpp
+++ b/test/unit/standin/announcer_test.cpp
@@ -40,6 +40,11 @@
         std::unique_lock lock(m_mutex);
         return m_heard.wait_for(lock, Patience, [&] { return m_last.term == term; });
     }
+    bool hearsTimes(int times)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_heard.wait_for(lock, Patience, [&] { return m_times >= times; });
+    }
 
 private:
     static int answer(mg_connection *connection, void *self)
@@ -49,6 +54,7 @@
         body.resize(static_cast<std::size_t>(mg_read(connection, body.data(), body.size())));
         const std::lock_guard lock(proxy->m_mutex);
         proxy->m_last = parseMessage<Announcement>(body);
+        ++proxy->m_times;
         proxy->m_heard.notify_all();
         const std::string reply = Json(proxy->m_reply).dump();
         mg_send_http_ok(connection, "application/json", static_cast<long long>(reply.size()));
@@ -59,6 +65,7 @@
     std::mutex m_mutex;
     std::condition_variable m_heard;
     Announcement m_last;
+    int m_times = 0;
     AnnouncementReply m_reply;
     mg_context *m_context;
 };
@@ -91,3 +98,16 @@
     CHECK(home.hears(2));
     state.setChangeHook(nullptr);
 }
+
+TEST_CASE("a server announces to the homes of both sides of a cut between proxies")
+{
+    FakeProxy left;
+    FakeProxy right;
+    left.setReply({{left.address()}, 10ms});
+    right.setReply({{right.address()}, 10ms});
+    StandinState state(nullptr, {}, ServerState::Ready);
+    const Announcer announcer(state, identity(), {left.address(), right.address()});
+    constexpr int Often = 5;
+    CHECK(left.hearsTimes(Often));
+    CHECK(right.hearsTimes(Often));
+}
