Tell a revision as in force only once it is

Cause: GET /v1/config told the revision that the follower had decided on, before it was written and put in force. A VM killed in between came back with a lower revision than it had told (seen: 5 after 6 in a process case that kills control VMs in a stream of changes). Ruled out: the order of write and putting in force, which is as promised. Change: the answer names the revision of the settings in force. Seen failing first: 'a revision that is taken but not yet written isn't told as in force' (in_force 3 instead of 0); passes after.

--- a/src/serve/configrole.cpp
+++ b/src/serve/configrole.cpp
@@ -279,7 +279,8 @@
         json = {{"revision", latest.revision},
                 {"toml", latest.toml},
                 {"change_id", latest.changeId.text()},
-                {"in_force", m_follower.inForce()}};
+                // The follower decides before the revision is written and put in force.
+                {"in_force", m_inForce.revision()}};
     }
     HttpResponse response;
     response.body = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
