Tell a control VM with another data folder that it doesn't count

Cause: a control VM whose data folder was deleted ran on as if all were well: the others dropped its messages without a word, and only their status named its folder. Change: ControlLog::receive() refuses such a sender with OtherFolderError after the node has seen the message; the refusal crosses the wire as OTHER_FOLDER and stands in the sender's log line control_folder_refused and its /v1/control (folder_refused_by). Ruled out: a new message of the log, since it would add states to the walk and decides nothing. A failed try: an entry for each refusing VM, taken back by that VM only, stayed for good, since a follower talks to its leader alone.

--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -20,7 +20,8 @@
   RefusalKind::NOT_OWNER,
   RefusalKind::NOT_CONTROL,
   RefusalKind::BAD_MESSAGE,
-  RefusalKind::DRAINING
+  RefusalKind::DRAINING,
+  RefusalKind::OTHER_FOLDER
 };
 const char* _kRefusalKindNames[] = {
   "OTHER_FLEET",
@@ -29,9 +30,10 @@
   "NOT_OWNER",
   "NOT_CONTROL",
   "BAD_MESSAGE",
-  "DRAINING"
+  "DRAINING",
+  "OTHER_FOLDER"
 };
-const std::map<int, const char*> _RefusalKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(7, _kRefusalKindValues, _kRefusalKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _RefusalKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(8, _kRefusalKindValues, _kRefusalKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const RefusalKind::type& val) {
   std::map<int, const char*>::const_iterator it = _RefusalKind_VALUES_TO_NAMES.find(val);
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -29,7 +29,8 @@
     NOT_OWNER = 4,
     NOT_CONTROL = 5,
     BAD_MESSAGE = 6,
-    DRAINING = 7
+    DRAINING = 7,
+    OTHER_FOLDER = 8
   };
 };
 
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -19,6 +19,7 @@
   NOT_CONTROL = 5,
   BAD_MESSAGE = 6,
   DRAINING = 7,
+  OTHER_FOLDER = 8,
 }
 
 exception PeerRefusal {
--- a/include/nutmegtide/control/logstorage.h
+++ b/include/nutmegtide/control/logstorage.h
@@ -26,6 +26,14 @@
     using LogStorageError::LogStorageError;
 };
 
+// The control log names this VM with another data folder, as after the loss of the folder or
+// beside an old copy. Such a VM counts again only when it is removed and added with its folder.
+class OtherFolderError : public LogStorageError
+{
+public:
+    using LogStorageError::LogStorageError;
+};
+
 // What a control VM finds on its disk at start.
 struct StoredLog
 {
--- a/src/serve/controlapi.cpp
+++ b/src/serve/controlapi.cpp
@@ -36,10 +36,13 @@
     nlohmann::json refused = nlohmann::json::object();
     for (const auto &[vm, folder] : status.refusedFolders)
         refused[vm.text()] = folder;
+    nlohmann::json refusedBy = nlohmann::json::object();
+    for (const auto &[vm, reason] : m_log.folderRefusals())
+        refusedBy[vm.text()] = reason;
     return {{"leader", status.leader.text()},    {"term", status.term},
             {"last_index", status.last},         {"commit_index", status.commit},
             {"snapshot_index", status.snapshot}, {"members", members},
-            {"refused_folders", refused}};
+            {"refused_folders", refused},        {"folder_refused_by", refusedBy}};
 }
 
 HttpResponse ControlApi::changeMembers(const HttpRequest &request)
--- a/src/serve/controllog.cpp
+++ b/src/serve/controllog.cpp
@@ -99,6 +99,45 @@
     for (const wire::RaftMessage &message : messages) {
         post([this, taken = fromWire(message)] { perform(m_node->receive(taken, Clock::now())); });
     }
+    checkFolders(messages);
+}
+
+// The node drops what such a sender says; the refusal is for the operators of the sender.
+void ControlLog::checkFolders(const std::vector<wire::RaftMessage> &messages) const
+{
+    const std::lock_guard lock(m_mutex);
+    for (const wire::RaftMessage &message : messages) {
+        for (const ControlMember &member : m_status.members) {
+            const bool isOther = !member.folder.empty() && member.folder != message.identity;
+            if (member.vm.text() == message.sender && isOther)
+                throw OtherFolderError(message.sender + " is a control member with data folder "
+                                       + member.folder + ", not " + message.identity);
+        }
+    }
+}
+
+// One VM that takes this one's messages ends the refusal: the others may hear from it no more,
+// since a follower answers its leader only.
+void ControlLog::noteFolderAnswer(const VmName &peer, const std::optional<OtherFolderError> &refusal)
+{
+    bool isFirst = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        isFirst = refusal && m_folderRefusals.empty();
+        if (refusal)
+            m_folderRefusals[peer] = refusal->what();
+        else
+            m_folderRefusals.clear();
+    }
+    if (isFirst)
+        logEvent(LogLevel::Error, "control_folder_refused", {m_settings.name},
+                 {{"by", peer.text()}, {"reason", refusal->what()}});
+}
+
+std::map<VmName, std::string> ControlLog::folderRefusals() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_folderRefusals;
 }
 
 bool ControlLog::isLeader() const
@@ -242,7 +281,10 @@
     const VmName &peer = action.message.receiver;
     auto &sender = m_senders[peer];
     if (!sender)
-        sender = std::make_unique<RaftSender>(peer, m_directory, m_peers);
+        sender = std::make_unique<RaftSender>(peer, m_directory, m_peers,
+                                              [this](const VmName &vm, const auto &refusal) {
+                                                  noteFolderAnswer(vm, refusal);
+                                              });
     sender->send(action.message);
 }
 
--- a/src/serve/controllog.h
+++ b/src/serve/controllog.h
@@ -41,7 +41,8 @@
     // Throws LogStorageError; LogCorruptError for a log that was altered.
     void start();
     void stop();
-    // Takes the messages of other control VMs. Throws MessageError.
+    // Takes the messages of other control VMs. Throws MessageError, and OtherFolderError
+    // for a sender whose data folder isn't the member's.
     void receive(const std::vector<wire::RaftMessage> &messages);
 
     bool isLeader() const override;
@@ -52,6 +53,8 @@
     void addMember(const ControlMember &member);
     void removeMember(const VmName &vm);
     RaftStatus status() const;
+    // The VMs that refuse this one's data folder, each with the reason.
+    std::map<VmName, std::string> folderRefusals() const;
 
 private:
     struct Proposal
@@ -77,6 +80,8 @@
     void changeMembers(std::function<RaftActions()> change);
     void takeProposals(std::vector<Proposal> proposals);
     void publish();
+    void checkFolders(const std::vector<wire::RaftMessage> &messages) const;
+    void noteFolderAnswer(const VmName &peer, const std::optional<OtherFolderError> &refusal);
 
     // What is done for each action of RaftNode.
     void perform(const RaftActions &actions);
@@ -128,6 +133,7 @@
     std::vector<Input> m_inputs;
     std::vector<Proposal> m_proposals;
     RaftStatus m_status;
+    std::map<VmName, std::string> m_folderRefusals;
     bool m_isLeader = false;
     bool m_isStopping = false;
     bool m_isStopped = true;
--- a/src/serve/peerservice.cpp
+++ b/src/serve/peerservice.cpp
@@ -1,5 +1,6 @@
 #include "serve/peerservice.h"
 
+#include "nutmegtide/control/logstorage.h"
 #include "serve/wireconvert.h"
 
 namespace nutmegtide {
@@ -24,6 +25,8 @@
         return handler(arguments...);
     } catch (const MessageError &fault) {
         refuse(wire::RefusalKind::BAD_MESSAGE, fault.what());
+    } catch (const OtherFolderError &fault) {
+        refuse(wire::RefusalKind::OTHER_FOLDER, fault.what());
     } catch (const EndpointError &fault) {
         refuse(wire::RefusalKind::BAD_MESSAGE, fault.what());
     }
--- a/src/serve/raftsender.cpp
+++ b/src/serve/raftsender.cpp
@@ -20,10 +20,12 @@
 
 } // namespace
 
-RaftSender::RaftSender(VmName peer, const Directory &directory, PeerClients &peers)
+RaftSender::RaftSender(VmName peer, const Directory &directory, PeerClients &peers,
+                       FolderAnswer onAnswer)
     : m_peer(std::move(peer))
     , m_directory(directory)
     , m_peers(peers)
+    , m_onAnswer(std::move(onAnswer))
     , m_thread([this] { run(); })
 { }
 
@@ -84,10 +86,12 @@
     try {
         m_peers.call(record->peers, CallTimeout,
                      [&](wire::PeerClient &client) { client.raft(m_peers.header(), batch); });
+        m_onAnswer(m_peer, std::nullopt);
     } catch (const PeerError &) {
         return;
-    } catch (const wire::PeerRefusal &) {
-        return;
+    } catch (const wire::PeerRefusal &refusal) {
+        if (refusal.kind == wire::RefusalKind::OTHER_FOLDER)
+            m_onAnswer(m_peer, OtherFolderError(refusal.message));
     }
 }
 
--- a/test/process/controllog_test.cpp
+++ b/test/process/controllog_test.cpp
@@ -27,6 +27,8 @@
 // revision in force is watched at all of them, and must go back at none.
 class ControlScene
 {
+    static constexpr std::chrono::milliseconds OrderPause {200};
+
 public:
     explicit ControlScene(PeerPaths paths = PeerPaths::Direct)
         : m_fleet({{"a1", "fd-a", true}, {"b1", "fd-b", true}, {"c1", "fd-c", true}, {"d1", "fd-d"}},
@@ -43,6 +45,10 @@
     {
         return HttpClient(m_fleet.operators(vm)).get("/v1/control").json();
     }
+    Json configAt(const std::string &vm)
+    {
+        return HttpClient(m_fleet.operators(vm)).get("/v1/config").json();
+    }
     Lead leadAt(const std::string &vm)
     {
         const Json control = controlAt(vm);
@@ -79,16 +85,33 @@
         CHECK(m_changes.fault() == "");
     }
 
+    // Orders a change of the control members at the VM that leads, until it has this many. A
+    // newcomer is forgotten when the leader changes, so the order is given again.
+    void changeMembers(const Json &order, std::size_t count)
+    {
+        waitFor("the change of the members " + order.dump(), [&] {
+            const std::string leader = leaderItself();
+            if (leader.empty())
+                return false;
+            if (controlAt(leader).at("members").size() == count)
+                return true;
+            HttpClient(m_fleet.operators(leader)).post("/v1/control/members", order);
+            std::this_thread::sleep_for(OrderPause);
+            return false;
+        });
+    }
+
     // A VM that is frozen or killed isn't asked until it is back.
     void kill(const std::string &vm)
     {
         m_away.insert(vm);
         m_fleet.kill(vm);
     }
-    void restart(const std::string &vm)
+    void restart(const std::vector<std::string> &vms)
     {
-        m_fleet.restart(vm);
-        m_away.erase(vm);
+        m_fleet.restart(vms);
+        for (const std::string &vm : vms)
+            m_away.erase(vm);
     }
     void freeze(const std::string &vm)
     {
@@ -127,9 +150,14 @@
     }
 
 private:
-    Json configAt(const std::string &vm)
+    // The VM that names itself as the leader, empty for none.
+    std::string leaderItself()
     {
-        return HttpClient(m_fleet.operators(vm)).get("/v1/config").json();
+        for (const std::string &vm : ControlVms) {
+            if (m_away.count(vm) == 0 && leadAt(vm).vm == vm)
+                return vm;
+        }
+        return {};
     }
 
     void watchRevisions()
@@ -219,6 +247,23 @@
     }
 }
 
+TEST_CASE("a change that a cut-off control leader takes is not accepted")
+{
+    ControlScene scene(PeerPaths::Relayed);
+    const Lead before = scene.waitForLead(ControlVms);
+    scene.fleet().links().cutOff(before.vm);
+    const Json change {{"change_id", "taken-while-cut-off"},
+                       {"base_revision", scene.configAt(before.vm).at("revision")},
+                       {"toml", "[limits]\nqueue_length = 7\n"}};
+    HttpClient client(scene.fleet().operators(before.vm));
+    CHECK(client.post("/v1/config", change).json().at("outcome") == "unknown");
+    scene.waitForMore("changes that the others accept");
+    scene.fleet().links().heal();
+    scene.waitForMore("changes after the heal");
+    CHECK(client.post("/v1/config", change).json().at("outcome") == "conflict");
+    scene.checkEnd();
+}
+
 TEST_CASE("a control VM that is killed in a stream of changes loses none")
 {
     ControlScene scene;
@@ -226,7 +271,7 @@
         CAPTURE(vm);
         scene.kill(vm);
         scene.waitForMore("changes without it");
-        scene.restart(vm);
+        scene.restart({vm});
         scene.waitForMore("changes with it");
     }
     scene.checkEnd();
@@ -257,9 +302,44 @@
         CAPTURE(round);
         for (const std::string &vm : ControlVms)
             scene.kill(vm);
-        for (const std::string &vm : ControlVms)
-            scene.restart(vm);
+        scene.restart(ControlVms);
         scene.waitForMore("changes after the restart");
     }
     scene.checkEnd();
 }
+
+TEST_CASE(
+        "a control VM whose data folder was deleted is told so, and counts once it is added again")
+{
+    // Several elections, the longest of which takes 0.8 s, must bring no leader.
+    constexpr std::chrono::seconds ElectionsTime {4};
+    ControlScene scene;
+    const std::string emptied = scene.waitForLead(ControlVms).vm;
+    const std::string other = withoutVm(emptied).front();
+    const std::string last = withoutVm(emptied).back();
+    scene.kill(emptied);
+    scene.removeData(emptied);
+    scene.restart({emptied});
+    scene.waitFor("the refusal by the leader", [&] {
+        return !scene.controlAt(emptied).value("folder_refused_by", Json::object()).empty();
+    });
+    scene.waitForMore("changes without the vote of the emptied VM");
+
+    scene.kill(last);
+    scene.waitFor("the end of the lead", [&] { return scene.leadAt(other).vm.empty(); });
+    const std::uint64_t before = scene.accepted();
+    std::this_thread::sleep_for(ElectionsTime);
+    CHECK(scene.accepted() == before);
+    scene.restart({last});
+    scene.waitForMore("changes of the two that have their folders");
+
+    const Json folder = scene.controlAt(other).at("refused_folders").at(emptied);
+    scene.changeMembers({{"remove", emptied}}, 2);
+    scene.changeMembers({{"add", emptied}, {"folder", folder}}, 3);
+    scene.waitFor("no refusal any more",
+                  [&] { return scene.controlAt(emptied).at("folder_refused_by").empty(); });
+    scene.kill(last);
+    scene.waitForMore("changes with the vote of the VM that was added again");
+    scene.restart({last});
+    scene.checkEnd();
+}
--- a/test/process/support/testfleet.cpp
+++ b/test/process/support/testfleet.cpp
@@ -115,10 +115,12 @@
     return m_processes.at(name)->waitForExit();
 }
 
-void TestFleet::restart(const std::string &name)
+void TestFleet::restart(const std::vector<std::string> &names)
 {
-    start(name);
-    waitForPortFile(name);
+    for (const std::string &name : names)
+        start(name);
+    for (const std::string &name : names)
+        waitForPortFile(name);
 }
 
 void TestFleet::writeSettings(const NodeOptions &node, const std::vector<NodeOptions> &nodes) const
--- a/test/process/support/testfleet.h
+++ b/test/process/support/testfleet.h
@@ -73,7 +73,9 @@
     // SIGTERM, and waits for the end.
     ExitStatus stop(const std::string &name);
     // Starts a process again with the words of its first start; a node keeps its peers' port.
-    void restart(const std::string &name);
+    void restart(const std::string &name) { restart(std::vector<std::string> {name}); }
+    // Starts all of them before it waits for any.
+    void restart(const std::vector<std::string> &names);
 
 private:
     void writeSettings(const NodeOptions &node, const std::vector<NodeOptions> &nodes) const;
