Split the disk actions of the control log into LogWriter

No change of behaviour: the order of writes, the one sync for all that wait and the retry on a full disk are as before. Also weighed and left: founding a control log by a majority of the named VMs.

--- a/src/serve/controllog.cpp
+++ b/src/serve/controllog.cpp
@@ -15,7 +15,6 @@
 // A snapshot is stored this much later than it was taken, so that a follower
 // that is just behind gets entries and not the whole state.
 constexpr LogIndex SnapshotDelay = 64; // entries
-constexpr auto FullDiskRetryInterval = 500ms;
 
 std::string makeFolderId()
 {
@@ -53,6 +52,7 @@
 {
     m_disk = std::make_unique<PosixDisk>(m_settings.dataDir + "/control");
     m_store = std::make_unique<LogStore>(*m_disk, makeFolderId());
+    m_writer = std::make_unique<LogWriter>(m_settings.name, *m_store, m_recorder);
     StoredLog stored = m_store->load();
     EventFields fields;
     fields.term = stored.vote.term;
@@ -207,8 +207,7 @@
     try {
         std::unique_lock lock(m_mutex);
         while (!m_isStopping) {
-            const TimePoint due = m_writes.empty() ? m_node->deadline()
-                                                   : std::min(m_node->deadline(), m_writeAgainAt);
+            const TimePoint due = std::min(m_node->deadline(), m_writer->dueAt());
             m_changed.wait_until(lock, due, [this] {
                 return m_isStopping || !m_inputs.empty() || !m_proposals.empty();
             });
@@ -387,54 +386,10 @@
     m_recorder.record(EventKind::ChartTransition, fields);
 }
 
-// Carries out all writes that wait, and syncs once for all of them. On a full
-// disk the rest waits for room; nothing of it counts until then.
 void ControlLog::flushWrites()
 {
-    while (!m_writes.empty() && Clock::now() >= m_writeAgainAt) {
-        WriteNumber last = 0;
-        try {
-            while (!m_writes.empty()) {
-                last = write(m_writes.front());
-                m_writes.pop_front();
-            }
-            m_isDiskFull = false;
-        } catch (const DiskFullError &fault) {
-            if (!m_isDiskFull)
-                logEvent(LogLevel::Error, "control_disk_full", {m_settings.name},
-                         {{"reason", fault.what()}});
-            m_isDiskFull = true;
-            m_writeAgainAt = Clock::now() + FullDiskRetryInterval;
-        }
-        if (last == 0)
-            return;
-        m_store->sync();
+    while (const WriteNumber last = m_writer->flush())
         perform(m_node->synced(last));
-    }
-}
-
-WriteNumber ControlLog::write(const RaftAction &action)
-{
-    if (const auto *vote = std::get_if<PersistVote>(&action)) {
-        m_store->persistVote(vote->vote);
-        return vote->write;
-    }
-    if (const auto *entries = std::get_if<AppendEntries>(&action)) {
-        m_store->append(entries->entries);
-        return entries->write;
-    }
-    if (const auto *truncation = std::get_if<TruncateFrom>(&action)) {
-        m_store->truncateFrom(truncation->index);
-        return truncation->write;
-    }
-    const auto &install = std::get<InstallSnapshot>(action);
-    m_store->replace(install.snapshot, install.vote, install.tail);
-    EventFields fields;
-    fields.term = install.snapshot.term;
-    fields.details = {{"index", std::to_string(install.snapshot.index)},
-                      {"bytes", std::to_string(m_store->size())}};
-    m_recorder.record(EventKind::SnapshotTaken, fields);
-    return install.write;
 }
 
 void ControlLog::failAll(const std::string &reason)
--- a/src/serve/controllog.h
+++ b/src/serve/controllog.h
@@ -8,6 +8,7 @@
 #include "nutmegtide/events/recorder.h"
 #include "nutmegtide/settings/nodesettings.h"
 #include "serve/directory.h"
+#include "serve/logwriter.h"
 #include "serve/raftsender.h"
 
 #include <condition_variable>
@@ -85,10 +86,10 @@
 
     // What is done for each action of RaftNode.
     void perform(const RaftActions &actions);
-    void perform(const PersistVote &action) { m_writes.emplace_back(action); }
-    void perform(const AppendEntries &action) { m_writes.emplace_back(action); }
-    void perform(const TruncateFrom &action) { m_writes.emplace_back(action); }
-    void perform(const InstallSnapshot &action) { m_writes.emplace_back(action); }
+    void perform(const PersistVote &action) { m_writer->add(action); }
+    void perform(const AppendEntries &action) { m_writer->add(action); }
+    void perform(const TruncateFrom &action) { m_writer->add(action); }
+    void perform(const InstallSnapshot &action) { m_writer->add(action); }
     void perform(const SendMessage &action);
     void perform(const ApplyCommitted &action);
     void perform(const RestoreState &action);
@@ -97,7 +98,6 @@
     void perform(const RoleChanged &action);
 
     void flushWrites();
-    WriteNumber write(const RaftAction &action);
     void apply(const LogEntry &entry);
     void settleWaiter(const LogEntry &entry);
     void captureState();
@@ -118,10 +118,8 @@
     // Only the log's thread uses these after start().
     std::unique_ptr<PosixDisk> m_disk;
     std::unique_ptr<LogStore> m_store;
+    std::unique_ptr<LogWriter> m_writer;
     std::unique_ptr<RaftNode> m_node;
-    std::deque<RaftAction> m_writes; // not carried out yet
-    TimePoint m_writeAgainAt {}; // after a full disk
-    bool m_isDiskFull = false;
     LogIndex m_applied = 0;
     LogIndex m_lastCapture = 0;
     std::optional<CapturedState> m_captured;
--- a/test/process/controllog_test.cpp
+++ b/test/process/controllog_test.cpp
@@ -189,14 +189,14 @@
             }
         }
         CHECK(!leaders.empty());
-        for (const auto &[term, vms] : leaders) {
-            CAPTURE(term);
-            CHECK(vms.size() == 1);
+        for (const auto &lead : leaders) {
+            CAPTURE(lead.first);
+            CHECK(lead.second.size() == 1);
         }
         CHECK(!changes.empty());
-        for (const auto &[revision, ids] : changes) {
-            CAPTURE(revision);
-            CHECK(ids.size() == 1);
+        for (const auto &change : changes) {
+            CAPTURE(change.first);
+            CHECK(change.second.size() == 1);
         }
     }
 
