--- a/src/serve/controllog.h
+++ b/src/serve/controllog.h
@@ -8,6 +8,7 @@
 #include "nutmegtide/events/recorder.h"
 #include "nutmegtide/settings/nodesettings.h"
 #include "serve/directory.h"
+#include "serve/logwriter.h"
 #include "serve/raftsender.h"
 
 #include <condition_variable>
@@ -41,7 +42,8 @@
     // Throws LogStorageError; LogCorruptError for a log that was altered.
     void start();
     void stop();
-    // Takes the messages of other control VMs. Throws MessageError.
+    // Takes the messages of other control VMs. Throws MessageError, and OtherFolderError
+    // for a sender whose data folder isn't the member's.
     void receive(const std::vector<wire::RaftMessage> &messages);
 
     bool isLeader() const override;
@@ -52,6 +54,8 @@
     void addMember(const ControlMember &member);
     void removeMember(const VmName &vm);
     RaftStatus status() const;
+    // The VMs that refuse this one's data folder, each with the reason.
+    std::map<VmName, std::string> folderRefusals() const;
 
 private:
     struct Proposal
@@ -77,13 +81,15 @@
     void changeMembers(std::function<RaftActions()> change);
     void takeProposals(std::vector<Proposal> proposals);
     void publish();
+    void checkFolders(const std::vector<wire::RaftMessage> &messages) const;
+    void noteFolderAnswer(const VmName &peer, const std::optional<OtherFolderError> &refusal);
 
     // What is done for each action of RaftNode.
     void perform(const RaftActions &actions);
-    void perform(const PersistVote &action) { m_writes.emplace_back(action); }
-    void perform(const AppendEntries &action) { m_writes.emplace_back(action); }
-    void perform(const TruncateFrom &action) { m_writes.emplace_back(action); }
-    void perform(const InstallSnapshot &action) { m_writes.emplace_back(action); }
+    void perform(const PersistVote &action) { m_writer->add(action); }
+    void perform(const AppendEntries &action) { m_writer->add(action); }
+    void perform(const TruncateFrom &action) { m_writer->add(action); }
+    void perform(const InstallSnapshot &action) { m_writer->add(action); }
     void perform(const SendMessage &action);
     void perform(const ApplyCommitted &action);
     void perform(const RestoreState &action);
@@ -92,7 +98,6 @@
     void perform(const RoleChanged &action);
 
     void flushWrites();
-    WriteNumber write(const RaftAction &action);
     void apply(const LogEntry &entry);
     void settleWaiter(const LogEntry &entry);
     void captureState();
@@ -113,10 +118,8 @@
     // Only the log's thread uses these after start().
     std::unique_ptr<PosixDisk> m_disk;
     std::unique_ptr<LogStore> m_store;
+    std::unique_ptr<LogWriter> m_writer;
     std::unique_ptr<RaftNode> m_node;
-    std::deque<RaftAction> m_writes; // not carried out yet
-    TimePoint m_writeAgainAt {}; // after a full disk
-    bool m_isDiskFull = false;
     LogIndex m_applied = 0;
     LogIndex m_lastCapture = 0;
     std::optional<CapturedState> m_captured;
@@ -128,6 +131,7 @@
     std::vector<Input> m_inputs;
     std::vector<Proposal> m_proposals;
     RaftStatus m_status;
+    std::map<VmName, std::string> m_folderRefusals;
     bool m_isLeader = false;
     bool m_isStopping = false;
     bool m_isStopped = true;
