Report to the control leader only, on change, and wait instead of polling

Cause: a home sent whole reports of its groups to every control VM each second, and the reporter looked at all groups each 10 ms on two threads. Ruled out: the watchers of servers (0.1% together) and the configuration's 50 ms rounds (0.03%).

Change: ReportSchedule decides what goes to whom. A group is told when its sight changes, each 3 s whole, and a call each second says that the rest is as it was. HomeReports lets the leader renew the opinions of groups that a call leaves out; a leader that has begun anew answers with another number of groups and is sent all. The reporter waits for a signal or for the moment at which silence changes a sight. The change role's short rounds go on only while a change is open.

Tried and dropped: a new leader that always waits 1 s before it starts a change. It waits for the homes of the group now, at most 1 s.

--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -4293,6 +4293,10 @@
 void GroupReportReply::__set_records(const std::vector<GroupRecord> & val) {
   this->records = val;
 }
+
+void GroupReportReply::__set_knownGroups(const int32_t val) {
+  this->knownGroups = val;
+}
 std::ostream& operator<<(std::ostream& out, const GroupReportReply& obj)
 {
   obj.printTo(out);
@@ -4357,6 +4361,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->knownGroups);
+          this->__isset.knownGroups = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4394,6 +4406,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("knownGroups", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->knownGroups);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4404,6 +4420,7 @@
   swap(a.isLeader, b.isLeader);
   swap(a.leader, b.leader);
   swap(a.records, b.records);
+  swap(a.knownGroups, b.knownGroups);
   swap(a.__isset, b.__isset);
 }
 
@@ -4411,12 +4428,14 @@
   isLeader = other113.isLeader;
   leader = other113.leader;
   records = other113.records;
+  knownGroups = other113.knownGroups;
   __isset = other113.__isset;
 }
 GroupReportReply& GroupReportReply::operator=(const GroupReportReply& other114) {
   isLeader = other114.isLeader;
   leader = other114.leader;
   records = other114.records;
+  knownGroups = other114.knownGroups;
   __isset = other114.__isset;
   return *this;
 }
@@ -4426,6 +4445,7 @@
   out << "isLeader=" << to_string(isLeader);
   out << ", " << "leader=" << to_string(leader);
   out << ", " << "records=" << to_string(records);
+  out << ", " << "knownGroups=" << to_string(knownGroups);
   out << ")";
 }
 
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -1743,10 +1743,11 @@
 std::ostream& operator<<(std::ostream& out, const GroupReport& obj);
 
 typedef struct _GroupReportReply__isset {
-  _GroupReportReply__isset() : isLeader(false), leader(false), records(false) {}
+  _GroupReportReply__isset() : isLeader(false), leader(false), records(false), knownGroups(false) {}
   bool isLeader :1;
   bool leader :1;
   bool records :1;
+  bool knownGroups :1;
 } _GroupReportReply__isset;
 
 class GroupReportReply : public virtual ::apache::thrift::TBase {
@@ -1756,13 +1757,15 @@
   GroupReportReply& operator=(const GroupReportReply&);
   GroupReportReply() noexcept
                    : isLeader(0),
-                     leader() {
+                     leader(),
+                     knownGroups(0) {
   }
 
   virtual ~GroupReportReply() noexcept;
   bool isLeader;
   std::string leader;
   std::vector<GroupRecord>  records;
+  int32_t knownGroups;
 
   _GroupReportReply__isset __isset;
 
@@ -1772,6 +1775,8 @@
 
   void __set_records(const std::vector<GroupRecord> & val);
 
+  void __set_knownGroups(const int32_t val);
+
   bool operator == (const GroupReportReply & rhs) const
   {
     if (!(isLeader == rhs.isLeader))
@@ -1780,6 +1785,8 @@
       return false;
     if (!(records == rhs.records))
       return false;
+    if (!(knownGroups == rhs.knownGroups))
+      return false;
     return true;
   }
   bool operator != (const GroupReportReply &rhs) const {
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -225,7 +225,7 @@
   11: list<string> voters,
 }
 
-// What a home proxy sees of a group, sent to control with each suspicion and seldom without.
+// What a home proxy sees of a group, sent to the control leader when it changes and seldom else.
 struct GroupReport {
   1: string database,
   2: bool isPrimarySuspected,
@@ -233,10 +233,12 @@
   4: i32 queuedReads,
 }
 
+// A call without reports says that nothing has changed for this home.
 struct GroupReportReply {
   1: bool isLeader,
   2: string leader,
   3: list<GroupRecord> records,
+  4: i32 knownGroups, // groups that this home has reported to the leader, 0 elsewhere
 }
 
 // Time line.
--- a/include/nutmegtide/failover/primarysuspicion.h
+++ b/include/nutmegtide/failover/primarysuspicion.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace nutmegtide {
 
@@ -20,6 +21,8 @@
     std::chrono::milliseconds shortestBetweenChanges {5'000};
     std::chrono::milliseconds opinionKept {
             2'500}; // a home that is silent for longer is not reached
+    // A new leader waits for all homes of the group, at most for this. Each calls it once a second.
+    std::chrono::milliseconds gathering {1'000};
 };
 
 // Decides at the control leader when the primary of one database group is to be
@@ -41,11 +44,16 @@
 
     void setTimings(SuspicionTimings timings) { m_timings = timings; }
     void report(const VmName &home, HomeOpinion opinion, TimePoint now);
+    // The home says that its latest opinion stands.
+    void renew(const VmName &home, TimePoint now);
     // A change of this group was published.
     void noteChange(TimePoint now) { m_changedAt = now; }
 
     // `published` is the term in the control log.
     bool isChangeDue(Term published, TimePoint now) const;
+    // True once a leader has heard each of the group's homes since it leads, or has waited
+    // long enough. A few homes alone must not outvote those that are about to report.
+    bool isGathered(const std::vector<VmName> &homes, TimePoint leadingSince, TimePoint now) const;
     // True once most reachable homes can use the primary again.
     bool isRecovered(Term published, TimePoint now) const;
 
--- a/src/failover/primarysuspicion.cpp
+++ b/src/failover/primarysuspicion.cpp
@@ -1,5 +1,7 @@
 #include "nutmegtide/failover/primarysuspicion.h"
 
+#include <algorithm>
+
 namespace nutmegtide {
 
 void PrimarySuspicion::report(const VmName &home, HomeOpinion opinion, TimePoint now)
@@ -7,6 +9,13 @@
     m_heard[home] = {opinion, now};
 }
 
+void PrimarySuspicion::renew(const VmName &home, TimePoint now)
+{
+    const auto found = m_heard.find(home);
+    if (found != m_heard.end())
+        found->second.at = now;
+}
+
 PrimarySuspicion::Count PrimarySuspicion::count(Term published, TimePoint now) const
 {
     Count count;
@@ -29,6 +38,17 @@
     return 2 * counted.suspecting > counted.reached;
 }
 
+bool PrimarySuspicion::isGathered(const std::vector<VmName> &homes, TimePoint leadingSince,
+                                  TimePoint now) const
+{
+    if (now - leadingSince >= m_timings.gathering)
+        return true;
+    return std::all_of(homes.begin(), homes.end(), [&](const VmName &home) {
+        const auto heard = m_heard.find(home);
+        return heard != m_heard.end() && heard->second.at >= leadingSince;
+    });
+}
+
 bool PrimarySuspicion::isRecovered(Term published, TimePoint now) const
 {
     const Count counted = count(published, now);
--- a/src/serve/changerole.cpp
+++ b/src/serve/changerole.cpp
@@ -1,12 +1,15 @@
 #include "serve/changerole.h"
 
+#include "serve/announceapi.h"
+
 #include <algorithm>
 
 namespace nutmegtide {
 
 namespace {
 
-constexpr auto RoundInterval = 20ms; // the longest wait for a due decision
+constexpr auto RoundInterval = 20ms; // the longest wait for a due decision of an open change
+constexpr auto IdleInterval = 500ms; // without one, only reports bring decisions
 constexpr auto AnswerTime = 1s; // of one exchange with a backend server
 constexpr auto BarrierWait = 100ms; // of one long poll for the barrier
 constexpr auto ProposalTime = 3s;
@@ -51,9 +54,11 @@
 
 } // namespace
 
-ChangeRole::ChangeRole(const Identity &identity, const SettingsSource &settings, Recorder &recorder)
+ChangeRole::ChangeRole(const Identity &identity, const SettingsSource &settings,
+                       const Directory &directory, Recorder &recorder)
     : m_identity(identity)
     , m_settings(settings)
+    , m_directory(directory)
     , m_recorder(recorder)
 { }
 
@@ -96,17 +101,14 @@
 wire::GroupReportReply ChangeRole::report(const wire::Header &header,
                                           const std::vector<wire::GroupReport> &reports)
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        for (const wire::GroupReport &report : reports)
-            take(VmName(header.vm), report, Clock::now());
-        m_changed.notify_all();
-    }
     wire::GroupReportReply reply;
     if (const ReplicatedLog *log = m_log) {
         reply.isLeader = log->isLeader();
         reply.leader = log->leader().text();
     }
+    if (!reply.isLeader)
+        return reply;
+    reply.knownGroups = static_cast<std::int32_t>(takeCall(header, reports, Clock::now()));
     for (const wire::GroupReport &report : reports) {
         const DatabaseName database(report.database);
         if (const auto record = m_ledger.find(database))
@@ -115,6 +117,27 @@
     return reply;
 }
 
+std::size_t ChangeRole::takeCall(const wire::Header &header,
+                                 const std::vector<wire::GroupReport> &reports, TimePoint now)
+{
+    const VmName home(header.vm);
+    const std::lock_guard lock(m_mutex);
+    noteLeading(true, now);
+    std::set<DatabaseName> named;
+    for (const wire::GroupReport &report : reports) {
+        take(home, report, now);
+        named.emplace(report.database);
+    }
+    const auto incarnation = static_cast<Incarnation>(header.incarnation);
+    for (const DatabaseName &database : m_homeReports.take(home, incarnation, named)) {
+        Group &group = m_groups.at(database);
+        group.suspicion.renew(home, now);
+        group.isReported = true;
+    }
+    m_changed.notify_all();
+    return m_homeReports.countOf(home);
+}
+
 void ChangeRole::take(const VmName &home, const wire::GroupReport &report, TimePoint now)
 {
     const DatabaseName database(report.database);
@@ -162,6 +185,7 @@
     std::unique_lock lock(m_mutex);
     while (!m_isStopping) {
         const bool isLeader = m_log.load()->isLeader();
+        noteLeading(isLeader, Clock::now());
         for (auto &[database, group] : m_groups) {
             const bool isReported = std::exchange(group.isReported, false);
             if (!isLeader)
@@ -169,10 +193,24 @@
             else if (isReported || group.change)
                 step(database, group, Clock::now());
         }
-        m_changed.wait_for(lock, RoundInterval);
+        m_changed.wait_for(lock, isAnyChangeOpen() ? RoundInterval : IdleInterval);
     }
 }
 
+void ChangeRole::noteLeading(bool isLeader, TimePoint now)
+{
+    if (isLeader == m_leadingSince.has_value())
+        return;
+    m_homeReports.clear(); // another leader has heard what changed meanwhile
+    m_leadingSince = isLeader ? std::optional(now) : std::nullopt;
+}
+
+bool ChangeRole::isAnyChangeOpen() const
+{
+    return std::any_of(m_groups.begin(), m_groups.end(),
+                       [](const auto &entry) { return entry.second.change != nullptr; });
+}
+
 void ChangeRole::step(const DatabaseName &database, Group &group, TimePoint now)
 {
     const auto record = m_ledger.find(database);
@@ -186,7 +224,7 @@
     group.suspicion.setTimings(suspicionTimings());
     if (group.change)
         stepChange(database, group, *record, now);
-    else if (group.suspicion.isChangeDue(record->term, now))
+    else if (group.suspicion.isChangeDue(record->term, now) && isGathered(database, group, now))
         startChange(database, group, *record, record->primary, {}, now);
     else if (record->isChangePending() || !record->pendingVoters.empty())
         startChange(database, group, *record, std::nullopt, {}, now); // an earlier leader's
@@ -196,6 +234,12 @@
         careForFollowers(database, group, *record, now);
 }
 
+bool ChangeRole::isGathered(const DatabaseName &database, const Group &group, TimePoint now) const
+{
+    const auto homes = m_directory.homesOf(database, placementRule(*m_settings.current(), database));
+    return group.suspicion.isGathered(homes, *m_leadingSince, now);
+}
+
 void ChangeRole::stepChange(const DatabaseName &database, Group &group, const GroupRecord &record,
                             TimePoint now)
 {
--- a/src/serve/changerole.h
+++ b/src/serve/changerole.h
@@ -4,11 +4,13 @@
 #include "nutmegtide/control/replicatedlog.h"
 #include "nutmegtide/events/recorder.h"
 #include "nutmegtide/failover/followercare.h"
+#include "nutmegtide/failover/homereports.h"
 #include "nutmegtide/failover/primarychange.h"
 #include "nutmegtide/failover/primarysuspicion.h"
 #include "nutmegtide/failover/voterrepair.h"
 #include "nutmegtide/power/groupdemand.h"
 #include "peer_types.h"
+#include "serve/directory.h"
 #include "serve/identity.h"
 #include "serve/serverworkers.h"
 #include "serve/settingssource.h"
@@ -24,12 +26,13 @@
 
 namespace nutmegtide {
 
-// Changes of primary on a control VM. It takes the reports of the homes, and while
-// this VM leads control it starts the changes and carries out their actions.
+// Changes of primary on a control VM. While this VM leads control, it takes the reports
+// of the homes, starts the changes and carries out their actions.
 class ChangeRole
 {
 public:
-    ChangeRole(const Identity &identity, const SettingsSource &settings, Recorder &recorder);
+    ChangeRole(const Identity &identity, const SettingsSource &settings, const Directory &directory,
+               Recorder &recorder);
     ~ChangeRole();
     ChangeRole(const ChangeRole &) = delete;
     ChangeRole &operator=(const ChangeRole &) = delete;
@@ -40,7 +43,8 @@
     void start(ReplicatedLog &log);
     void stop();
 
-    // Takes what a home sees of its groups. Thread-safe.
+    // Takes what a home sees of its groups, as the leader; any other VM only names the
+    // leader. Groups that a call leaves out are as they were. Thread-safe.
     wire::GroupReportReply report(const wire::Header &header,
                                   const std::vector<wire::GroupReport> &reports);
 
@@ -48,7 +52,7 @@
     std::vector<GroupDemand> demands() const;
 
 private:
-    // What is known of one group from reports, also while another VM leads.
+    // What is known of one group from reports.
     struct Group
     {
         explicit Group(SuspicionTimings timings)
@@ -69,11 +73,18 @@
         bool isReported = false; // since the last decision; a group without news costs nothing
     };
 
+    // Returns how many groups of this home are known.
+    std::size_t takeCall(const wire::Header &header, const std::vector<wire::GroupReport> &reports,
+                         TimePoint now);
     void take(const VmName &home, const wire::GroupReport &report, TimePoint now);
     void run();
+    // Expect the lock to be held.
+    void noteLeading(bool isLeader, TimePoint now);
+    bool isAnyChangeOpen() const;
     void propose();
     // These expect the lock to be held.
     void step(const DatabaseName &database, Group &group, TimePoint now);
+    bool isGathered(const DatabaseName &database, const Group &group, TimePoint now) const;
     void startChange(const DatabaseName &database, Group &group, const GroupRecord &record,
                      std::optional<ServerId> suspect, const std::vector<ServerId> &voters,
                      TimePoint now);
@@ -100,6 +111,7 @@
 
     const Identity &m_identity;
     const SettingsSource &m_settings;
+    const Directory &m_directory;
     Recorder &m_recorder;
     const ChartLibrary m_charts = ChartLibrary::embedded();
     SharedLedger m_ledger;
@@ -109,6 +121,8 @@
     std::condition_variable m_changed;
     std::condition_variable m_proposed;
     std::map<DatabaseName, Group> m_groups;
+    HomeReports m_homeReports;
+    std::optional<TimePoint> m_leadingSince;
     std::deque<GroupCommand> m_proposals;
     std::uint64_t m_changes = 0;
     bool m_isStopping = false;
--- a/src/serve/groupreporter.cpp
+++ b/src/serve/groupreporter.cpp
@@ -1,14 +1,14 @@
 #include "serve/groupreporter.h"
 
+#include <algorithm>
+
 namespace nutmegtide {
 
 namespace {
 
-constexpr auto PollInterval = 10ms;
-constexpr auto ReportInterval = 1s;
-constexpr auto SuspectedInterval = 200ms; // while a primary is suspected
 constexpr auto AnswerTime = 500ms;
-constexpr auto LostTime = 3s; // silence after which a server is on the time line as lost
+constexpr auto LongestRest = 1s; // settings that change the sight come without a message
+constexpr auto SuspectedRest = 100ms; // a suspected primary that is heard again changes no message
 
 wire::Position toWire(const LogPosition &position)
 {
@@ -45,7 +45,7 @@
 {
     wire::GroupReport report;
     report.database = database.text();
-    report.isPrimarySuspected = group.isPrimarySuspected();
+    report.isPrimarySuspected = group.sight().isSuspected;
     for (const auto &[id, server] : group.servers())
         report.servers.push_back(reportOf(server, Clock::now()));
     return report;
@@ -53,8 +53,8 @@
 
 } // namespace
 
-GroupReporter::GroupReporter(const HomeGroups &groups, const Directory &directory,
-                             PeerClients &peers, Recorder &recorder)
+GroupReporter::GroupReporter(HomeGroups &groups, const Directory &directory, PeerClients &peers,
+                             Recorder &recorder)
     : m_groups(groups)
     , m_directory(directory)
     , m_peers(peers)
@@ -68,102 +68,124 @@
 
 void GroupReporter::start()
 {
-    m_thread = std::thread([this] { run(); });
+    m_watcher = std::thread([this] { watch(); });
+    m_sender = std::thread([this] { report(); });
 }
 
 void GroupReporter::stop()
 {
     m_isStopping = true;
-    if (m_thread.joinable())
-        m_thread.join();
-    for (auto &[control, sender] : m_senders) {
-        if (sender.joinable())
-            sender.join();
+    m_groups.sights().notify();
+    m_sightsChanged.notify();
+    for (std::thread *thread : {&m_watcher, &m_sender}) {
+        if (thread->joinable())
+            thread->join();
     }
 }
 
-void GroupReporter::run()
+// ---- watching ----
+
+void GroupReporter::watch()
 {
-    while (!m_isStopping) {
-        for (const VmRecord &record : m_directory.all()) {
-            if (record.isControl && m_senders.count(record.vm) == 0)
-                m_senders[record.vm] = std::thread([this, vm = record.vm] { reportTo(vm); });
-        }
-        recordChanges();
-        std::this_thread::sleep_for(PollInterval);
-    }
+    while (!m_isStopping)
+        m_groups.sights().restUntil(takeSights());
 }
 
-void GroupReporter::recordChanges()
+TimePoint GroupReporter::takeSights()
 {
+    const TimePoint now = Clock::now();
+    TimePoint due = now + LongestRest;
+    ReportSchedule::Sights sights;
     for (const DatabaseName &database : m_groups.names()) {
         const HomeGroup &group = *m_groups.find(database);
-        std::set<ServerId> &present = m_present[database];
-        for (const auto &[id, server] : group.servers()) {
-            const bool isLost = Clock::now() - server.heardAt > LostTime;
-            if (isLost != (present.count(id) != 0))
-                continue;
-            const EventFields fields {.database = database,
-                                      .term = server.said.term,
-                                      .details = {{"server", id.text()}}};
-            m_recorder.record(isLost ? EventKind::ServerLost : EventKind::ServerAnnounced, fields);
-            if (isLost)
-                present.erase(id);
-            else
-                present.insert(id);
-        }
-        const bool isSuspected = group.isPrimarySuspected();
-        if (isSuspected && !m_suspected[database]) {
-            m_recorder.record(EventKind::PrimarySuspected,
-                              {.database = database, .term = group.term()});
-        }
-        m_suspected[database] = isSuspected;
+        const GroupSight sight = group.sight();
+        due = std::min({due, group.sightDueAt(), sight.isSuspected ? now + SuspectedRest : due});
+        recordChanges(database, sight);
+        sights[database] = sight;
+    }
+    const std::lock_guard lock(m_mutex);
+    if (sights != m_sights)
+        m_sightsChanged.notify();
+    m_sights = std::move(sights);
+    return due;
+}
+
+void GroupReporter::recordChanges(const DatabaseName &database, const GroupSight &sight)
+{
+    std::set<ServerId> &present = m_present[database];
+    for (const auto &[id, server] : sight.servers) {
+        if (server.isLost != (present.count(id) != 0))
+            continue;
+        const EventFields fields {.database = database,
+                                  .term = server.term,
+                                  .details = {{"server", id.text()}}};
+        m_recorder.record(server.isLost ? EventKind::ServerLost : EventKind::ServerAnnounced,
+                          fields);
+        if (server.isLost)
+            present.erase(id);
+        else
+            present.insert(id);
     }
+    if (sight.isSuspected && !m_suspected[database])
+        m_recorder.record(EventKind::PrimarySuspected, {.database = database, .term = sight.term});
+    m_suspected[database] = sight.isSuspected;
 }
 
-void GroupReporter::reportTo(const VmName &control)
+// ---- reporting ----
+
+void GroupReporter::report()
 {
-    std::map<DatabaseName, Said> said;
+    ReportSchedule schedule;
     while (!m_isStopping) {
-        std::vector<wire::GroupReport> reports;
-        std::map<DatabaseName, Said> next;
-        const TimePoint now = Clock::now();
-        for (const DatabaseName &database : m_groups.names()) {
-            const HomeGroup &group = *m_groups.find(database);
-            const Said present {group.isPrimarySuspected(), group.term(), now};
-            const auto before = said.find(database);
-            const auto interval = present.isSuspected ? Duration(SuspectedInterval)
-                                                      : Duration(ReportInterval);
-            const bool isSame = before != said.end()
-                    && before->second.isSuspected == present.isSuspected
-                    && before->second.term == present.term;
-            if (isSame && now - before->second.at < interval)
-                continue;
-            reports.push_back(reportOf(database, group));
-            next[database] = present;
-        }
-        const auto record = m_directory.find(control);
-        if (!reports.empty() && record && send(record->peers, reports)) {
-            for (const auto &[database, present] : next)
-                said[database] = present;
+        const ReportSchedule::Sights sights = currentSights();
+        const auto call = schedule.next(controls(), sights, Clock::now());
+        if (!call) {
+            m_sightsChanged.restUntil(schedule.dueAt(Clock::now()));
+            continue;
         }
-        std::this_thread::sleep_for(PollInterval);
+        if (const auto answer = send(*call))
+            schedule.onAnswer(*call, sights, *answer, Clock::now());
+        else
+            schedule.onFailure(Clock::now());
+    }
+}
+
+ReportSchedule::Sights GroupReporter::currentSights() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_sights;
+}
+
+std::vector<VmName> GroupReporter::controls() const
+{
+    std::vector<VmName> controls;
+    for (const VmRecord &record : m_directory.all()) {
+        if (record.isControl)
+            controls.push_back(record.vm);
     }
+    return controls;
 }
 
-bool GroupReporter::send(const Endpoint &control, const std::vector<wire::GroupReport> &reports)
+std::optional<ReportAnswer> GroupReporter::send(const ReportCall &call)
 {
+    const auto control = m_directory.find(call.control);
+    if (!control)
+        return std::nullopt;
+    std::vector<wire::GroupReport> reports;
+    for (const DatabaseName &database : call.databases)
+        reports.push_back(reportOf(database, *m_groups.find(database)));
     try {
-        m_peers.call(control, AnswerTime, [&](wire::PeerClient &client) {
-            wire::GroupReportReply reply;
-            client.reportGroups(reply, m_peers.header(), reports);
-            return reply;
+        const auto reply = m_peers.call(control->peers, AnswerTime, [&](wire::PeerClient &client) {
+            wire::GroupReportReply answer;
+            client.reportGroups(answer, m_peers.header(), reports);
+            return answer;
         });
-        return true;
+        return ReportAnswer {reply.isLeader, VmName(reply.leader),
+                             static_cast<std::size_t>(reply.knownGroups)};
     } catch (const PeerError &) {
-        return false;
+        return std::nullopt;
     } catch (const wire::PeerRefusal &) {
-        return false;
+        return std::nullopt;
     }
 }
 
--- a/src/serve/groupreporter.h
+++ b/src/serve/groupreporter.h
@@ -1,25 +1,28 @@
 #pragma once
 
 #include "nutmegtide/events/recorder.h"
+#include "nutmegtide/failover/reportschedule.h"
 #include "serve/directory.h"
 #include "serve/homegroups.h"
 #include "serve/peerclient.h"
+#include "serve/signal.h"
 
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <thread>
 
 namespace nutmegtide {
 
-// Tells control what this home sees of its groups: at once when the suspicion of a
-// primary changes, and else at a fixed interval. Each control VM has a thread of its
-// own, so that a dead one delays no report to another.
+// Tells the control leader what this home sees of its groups, as ReportSchedule
+// decides, and puts what changes on the time line. One thread watches the groups and
+// one makes the calls, so that a call without an answer delays no event.
 class GroupReporter
 {
 public:
-    GroupReporter(const HomeGroups &groups, const Directory &directory, PeerClients &peers,
+    GroupReporter(HomeGroups &groups, const Directory &directory, PeerClients &peers,
                   Recorder &recorder);
     ~GroupReporter();
     GroupReporter(const GroupReporter &) = delete;
@@ -29,28 +32,28 @@
     void stop();
 
 private:
-    // What was last said of a group.
-    struct Said
-    {
-        bool isSuspected = false;
-        Term term = 0;
-        TimePoint at;
-    };
-
-    void run();
-    void reportTo(const VmName &control);
-    bool send(const Endpoint &control, const std::vector<wire::GroupReport> &reports);
-    void recordChanges();
-
-    const HomeGroups &m_groups;
+    void watch();
+    // Returns when the sights may change without a message.
+    TimePoint takeSights();
+    void recordChanges(const DatabaseName &database, const GroupSight &sight);
+    void report();
+    ReportSchedule::Sights currentSights() const;
+    std::vector<VmName> controls() const;
+    // Returns nothing where the call brought no answer.
+    std::optional<ReportAnswer> send(const ReportCall &call);
+
+    HomeGroups &m_groups;
     const Directory &m_directory;
     PeerClients &m_peers;
     Recorder &m_recorder;
     std::map<DatabaseName, std::set<ServerId>> m_present; // servers on the time line
     std::map<DatabaseName, bool> m_suspected;
+    mutable std::mutex m_mutex;
+    ReportSchedule::Sights m_sights;
+    Signal m_sightsChanged;
     std::atomic<bool> m_isStopping = false;
-    std::thread m_thread;
-    std::map<VmName, std::thread> m_senders;
+    std::thread m_watcher;
+    std::thread m_sender;
 };
 
 } // namespace nutmegtide
--- a/src/serve/homegroup.cpp
+++ b/src/serve/homegroup.cpp
@@ -11,10 +11,12 @@
 
 } // namespace
 
-HomeGroup::HomeGroup(DatabaseName database, FailureDomain ownDomain, const SettingsSource &settings)
+HomeGroup::HomeGroup(DatabaseName database, FailureDomain ownDomain, const SettingsSource &settings,
+                     std::function<void()> onSight)
     : m_database(std::move(database))
     , m_ownDomain(std::move(ownDomain))
     , m_settings(settings)
+    , m_onSight(std::move(onSight))
     , m_wantedAt(Clock::now() - ActiveTime)
 { }
 
@@ -35,7 +37,9 @@
     const std::lock_guard lock(m_mutex);
     const Term term = m_state.term();
     const auto primary = m_state.primary();
-    if (!m_state.observe(announcement, Clock::now()))
+    const bool isTaken = observeSight(announcement.server,
+                                      [&] { return m_state.observe(announcement, Clock::now()); });
+    if (!isTaken)
         return false;
     openLink(announcement);
     adoptTerm();
@@ -44,6 +48,20 @@
     return m_state.term() != term || m_state.primary() != primary;
 }
 
+bool HomeGroup::observeSight(const ServerId &server, const std::function<bool()> &take)
+{
+    const SightLimits limits = sightLimits(m_settings.current()->failover);
+    const auto sightNow = [&]() -> std::optional<ServerSight> {
+        const GroupServer *known = m_state.find(server);
+        return known ? std::optional(sightOf(*known, limits, Clock::now())) : std::nullopt;
+    };
+    const auto before = sightNow();
+    const bool isTaken = take();
+    if (sightNow() != before)
+        m_onSight();
+    return isTaken;
+}
+
 void HomeGroup::openLink(const Announcement &announcement)
 {
     const auto found = m_links.find(announcement.server);
@@ -80,7 +98,10 @@
 void HomeGroup::observeRefusal(const ServerId &server)
 {
     const std::lock_guard lock(m_mutex);
-    m_state.observeRefusal(server);
+    observeSight(server, [&] {
+        m_state.observeRefusal(server);
+        return true;
+    });
 }
 
 void HomeGroup::observeTerm(const ServerId &server, Term term)
@@ -90,14 +111,18 @@
     const std::lock_guard lock(m_mutex);
     const GroupServer *known = m_state.find(server);
     if (known && known->said.term < term)
-        m_state.observePosition(server, position, Clock::now());
+        observeSight(server,
+                     [&] { return m_state.observePosition(server, position, Clock::now()); });
     settle(m_quorum.observe(server, term, {}));
 }
 
 void HomeGroup::notePosition(const ServerId &server, const PositionReply &reply, TimePoint sentAt)
 {
     const std::lock_guard lock(m_mutex);
-    if (!m_state.observePosition(server, reply, Clock::now()))
+    const bool isTaken = observeSight(server, [&] {
+        return m_state.observePosition(server, reply, Clock::now());
+    });
+    if (!isTaken)
         return;
     adoptTerm();
     m_proof.confirm(server, reply.term, sentAt);
@@ -141,12 +166,18 @@
     return m_state.servers();
 }
 
-bool HomeGroup::isPrimarySuspected() const
+GroupSight HomeGroup::sight() const
 {
-    const Duration silence = m_settings.current()->failover.detectionTime;
+    const SightLimits limits = sightLimits(m_settings.current()->failover);
     const std::lock_guard lock(m_mutex);
-    const auto primary = m_state.primary();
-    return !primary || m_state.isSuspect(*primary, silence, Clock::now());
+    return sightOf(m_state, limits, Clock::now());
+}
+
+TimePoint HomeGroup::sightDueAt() const
+{
+    const SightLimits limits = sightLimits(m_settings.current()->failover);
+    const std::lock_guard lock(m_mutex);
+    return nutmegtide::sightDueAt(m_state, limits, Clock::now());
 }
 
 GroupSnapshot HomeGroup::snapshot() const
--- a/src/serve/homegroup.h
+++ b/src/serve/homegroup.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "nutmegtide/fleet/groupstate.h"
+#include "nutmegtide/fleet/groupsight.h"
 #include "nutmegtide/statement/leadershipproof.h"
 #include "nutmegtide/statement/readrouter.h"
 #include "nutmegtide/statement/replicaage.h"
@@ -32,7 +32,9 @@
 class HomeGroup
 {
 public:
-    HomeGroup(DatabaseName database, FailureDomain ownDomain, const SettingsSource &settings);
+    // `onSight` is called when a message has changed the sight; it must not call back.
+    HomeGroup(DatabaseName database, FailureDomain ownDomain, const SettingsSource &settings,
+              std::function<void()> onSight);
     ~HomeGroup();
     HomeGroup(const HomeGroup &) = delete;
     HomeGroup &operator=(const HomeGroup &) = delete;
@@ -54,7 +56,10 @@
     GroupSnapshot snapshot() const;
     // The group for status and for reports to control.
     std::map<ServerId, GroupServer> servers() const;
-    bool isPrimarySuspected() const;
+    // What control and the time line are told at once when it changes.
+    GroupSight sight() const;
+    // The moment at which silence alone changes the sight.
+    TimePoint sightDueAt() const;
 
     // Waits until a majority has confirmed the leadership within the detection
     // time, asking the voters at once where it is not known. Returns false after
@@ -113,6 +118,8 @@
                    std::unique_lock<std::mutex> &lock);
     void notePosition(const ServerId &server, const PositionReply &reply, TimePoint sentAt);
     // These expect the mutex to be held.
+    // Takes a message by `take` and says so when the sight of the server has changed.
+    bool observeSight(const ServerId &server, const std::function<bool()> &take);
     void adoptTerm();
     void settle(const WriteActions &actions);
     bool isActive(TimePoint now) const;
@@ -128,6 +135,7 @@
     const DatabaseName m_database;
     const FailureDomain m_ownDomain;
     const SettingsSource &m_settings;
+    const std::function<void()> m_onSight;
 
     mutable std::mutex m_mutex;
     std::condition_variable m_changed; // positions, terms or outcomes
--- a/src/serve/homegroups.cpp
+++ b/src/serve/homegroups.cpp
@@ -6,8 +6,10 @@
 {
     const std::lock_guard lock(m_mutex);
     std::unique_ptr<HomeGroup> &group = m_groups[database];
-    if (!group)
-        group = std::make_unique<HomeGroup>(database, m_ownDomain, m_settings);
+    if (!group) {
+        group = std::make_unique<HomeGroup>(database, m_ownDomain, m_settings,
+                                            [this] { m_sights.notify(); });
+    }
     return *group;
 }
 
--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -50,7 +50,7 @@
     , m_timelineRole(m_identity, m_recorder, m_directory, m_peers)
     , m_statusRole(m_identity, m_fleetSettings, m_directory, m_groups, m_transactions)
     , m_groupReporter(m_groups, m_directory, m_peers, m_recorder)
-    , m_changeRole(m_identity, m_fleetSettings, m_recorder)
+    , m_changeRole(m_identity, m_fleetSettings, m_directory, m_recorder)
 {
     attachEventFile();
     makeControlLog();
--- /dev/null
+++ b/test/unit/failover/homereports_test.cpp
@@ -0,0 +1,37 @@
+#include "nutmegtide/failover/homereports.h"
+
+#include <doctest/doctest.h>
+
+using namespace nutmegtide;
+
+namespace {
+
+using Databases = std::set<DatabaseName>;
+
+const VmName Home("a1");
+const DatabaseName Casks("casks");
+const DatabaseName Jars("jars");
+
+} // namespace
+
+TEST_CASE("a call speaks for the groups that earlier calls named")
+{
+    HomeReports reports;
+    CHECK(reports.take(Home, 1, {Casks, Jars}).empty());
+    CHECK(reports.take(Home, 1, {Jars}) == Databases {Casks});
+    CHECK(reports.take(Home, 1, {}) == Databases {Casks, Jars});
+    CHECK(reports.countOf(Home) == 2);
+    CHECK(reports.take(VmName("b1"), 1, {}).empty());
+}
+
+TEST_CASE("nothing is left of a home that has begun anew, or of a time of leading that is over")
+{
+    HomeReports reports;
+    reports.take(Home, 1, {Casks, Jars});
+    CHECK(reports.take(Home, 2, {}).empty());
+    CHECK(reports.countOf(Home) == 0);
+    reports.take(Home, 2, {Casks});
+    reports.clear();
+    CHECK(reports.take(Home, 2, {}).empty());
+    CHECK(reports.countOf(Home) == 0);
+}
--- a/test/unit/failover/primarysuspicion_test.cpp
+++ b/test/unit/failover/primarysuspicion_test.cpp
@@ -63,6 +63,44 @@
     CHECK(suspicion.isChangeDue(Published, TimePoint() + 2600ms));
 }
 
+TEST_CASE("an opinion that is renewed stands, one that was never given doesn't")
+{
+    PrimarySuspicion suspicion {SuspicionTimings()};
+    reportAll(suspicion, "S", TimePoint());
+    suspicion.renew(VmName("home-0"), TimePoint() + 2s);
+    suspicion.renew(VmName("home-1"), TimePoint() + 2s);
+    CHECK(suspicion.isChangeDue(Published, TimePoint() + 4s));
+    CHECK_FALSE(suspicion.isChangeDue(Published, TimePoint() + 4600ms));
+}
+
+TEST_CASE("a new leader hears all homes before it starts a change")
+{
+    struct Row
+    {
+        const char *name;
+        std::string before; // it leads
+        std::string since;
+        Duration wait;
+        bool isGathered;
+    };
+    const Row rows[] = {
+            {"none", "..", "..", 999ms, false},
+            {"one of them", "..", "S.", 999ms, false},
+            {"one of them in an earlier time of leading", ".w", "S.", 999ms, false},
+            {"all", "..", "Sw", 0ms, true},
+            {"one that can't be reached", "..", "S.", 1s, true},
+    };
+    const TimePoint leadingSince = TimePoint() + 1s;
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        PrimarySuspicion suspicion {SuspicionTimings()};
+        reportAll(suspicion, row.before, leadingSince - 1ms);
+        reportAll(suspicion, row.since, leadingSince);
+        const std::vector<VmName> homes {VmName("home-0"), VmName("home-1")};
+        CHECK(suspicion.isGathered(homes, leadingSince, leadingSince + row.wait) == row.isGathered);
+    }
+}
+
 TEST_CASE("soon after a change only the agreement of all homes starts another")
 {
     struct Row
