Close connections to peers that nobody uses for three minutes

Cause: PeerClients kept each connection until the peer closed it. At 3,100 VMs gossip reaches each peer once in the time of a round, about 50 min, so every VM would hold a connection to every other.

Change: the waiting connections are in IdlePool, a class of its own, which gives the latest used one first and closes those that wait for 3 min; it looks when a connection is given back, each 10 s at most. By the round of one peer a second, some 180 of 3,100 stay open; that is worked out and not measured.

--- a/src/serve/peerclient.cpp
+++ b/src/serve/peerclient.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-constexpr std::size_t MostIdlePerPeer = 64;
 constexpr auto ConnectTimeout = 1000ms;
+constexpr auto CloseInterval = 10s; // of looking for unused connections
 
 // An idle connection has nothing to read unless the peer closed it.
 bool isClosedByPeer(int socket)
@@ -44,14 +44,10 @@
 std::unique_ptr<PeerConnection> PeerClients::borrow(const Endpoint &peer)
 {
     const std::lock_guard lock(m_mutex);
-    auto &idle = m_idle[peer];
-    while (!idle.empty()) {
-        auto connection = std::move(idle.back());
-        idle.pop_back();
-        if (!connection->isClosed())
-            return connection;
-    }
-    return nullptr;
+    auto connection = m_idle.take(peer);
+    while (connection && connection->isClosed())
+        connection = m_idle.take(peer);
+    return connection;
 }
 
 std::unique_ptr<PeerConnection> PeerClients::open(const Endpoint &peer,
@@ -63,9 +59,13 @@
 void PeerClients::giveBack(const Endpoint &peer, std::unique_ptr<PeerConnection> connection)
 {
     const std::lock_guard lock(m_mutex);
-    auto &idle = m_idle[peer];
-    if (idle.size() < MostIdlePerPeer)
-        idle.push_back(std::move(connection));
+    const TimePoint now = Clock::now();
+    m_idle.put(peer, std::move(connection), now);
+    // Membership calls some peer each second, so no thread of its own is needed.
+    if (now - m_closedAt < CloseInterval)
+        return;
+    m_closedAt = now;
+    m_idle.closeUnused(now);
 }
 
 bool PeerConnection::isClosed() const
--- a/src/serve/peerclient.h
+++ b/src/serve/peerclient.h
@@ -4,14 +4,13 @@
 #include "nutmegtide/base/endpoint.h"
 #include "nutmegtide/base/errors.h"
 #include "nutmegtide/base/time.h"
+#include "serve/idlepool.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <mutex>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
-#include <vector>
 
 namespace nutmegtide {
 
@@ -53,7 +52,8 @@
 };
 
 // Connections to peers, borrowed for one call each. A connection whose call
-// failed or came late is closed and not lent again.
+// failed or came late is closed and not lent again; so is one that nobody uses for
+// some minutes.
 //
 //   const auto reply = peers.call(endpoint, 500ms, [&](wire::PeerClient &client) {
 //       wire::GossipReply reply;
@@ -82,7 +82,8 @@
 
     HeaderSource m_headerSource;
     std::mutex m_mutex;
-    std::map<Endpoint, std::vector<std::unique_ptr<PeerConnection>>> m_idle;
+    IdlePool<Endpoint, PeerConnection> m_idle;
+    TimePoint m_closedAt; // latest look for unused connections
 };
 
 template <typename Call>
