--- a/src/serve/changerole.h
+++ b/src/serve/changerole.h
@@ -131,4 +131,15 @@
     std::thread m_proposer;
 };
 
+template <typename Answer>
+void ChangeRole::feed(const DatabaseName &database, const Answer &answer)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_groups.find(database);
+    if (found == m_groups.end() || !found->second.change || m_isStopping)
+        return;
+    perform(database, answer(*found->second.change));
+    m_changed.notify_all();
+}
+
 } // namespace nutmegtide
