--- a/src/serve/changerole.cpp
+++ b/src/serve/changerole.cpp
@@ -1,24 +1,16 @@
 #include "serve/changerole.h"
 
+#include "serve/announceapi.h"
+
 #include <algorithm>
 
 namespace nutmegtide {
 
 namespace {
 
-constexpr auto RoundInterval = 20ms; // the longest wait for a due decision
-constexpr auto AnswerTime = 1s; // of one exchange with a backend server
-constexpr auto BarrierWait = 100ms; // of one long poll for the barrier
+constexpr auto RoundInterval = 20ms; // the longest wait for a due decision of an open change
+constexpr auto IdleInterval = 500ms; // without one, only reports bring decisions
 constexpr auto ProposalTime = 3s;
-constexpr std::size_t FollowSlot = std::variant_size_v<ChangeAction>; // beyond those of a change
-
-template <typename... Functions>
-struct Overloaded : Functions...
-{
-    using Functions::operator()...;
-};
-template <typename... Functions>
-Overloaded(Functions...) -> Overloaded<Functions...>;
 
 LogPosition fromWire(const wire::Position &position)
 {
@@ -51,9 +43,11 @@
 
 } // namespace
 
-ChangeRole::ChangeRole(const Identity &identity, const SettingsSource &settings, Recorder &recorder)
+ChangeRole::ChangeRole(const Identity &identity, const SettingsSource &settings,
+                       const Directory &directory, Recorder &recorder)
     : m_identity(identity)
     , m_settings(settings)
+    , m_directory(directory)
     , m_recorder(recorder)
 { }
 
@@ -96,17 +90,14 @@
 wire::GroupReportReply ChangeRole::report(const wire::Header &header,
                                           const std::vector<wire::GroupReport> &reports)
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        for (const wire::GroupReport &report : reports)
-            take(VmName(header.vm), report, Clock::now());
-        m_changed.notify_all();
-    }
     wire::GroupReportReply reply;
     if (const ReplicatedLog *log = m_log) {
         reply.isLeader = log->isLeader();
         reply.leader = log->leader().text();
     }
+    if (!reply.isLeader)
+        return reply;
+    reply.knownGroups = static_cast<std::int32_t>(takeCall(header, reports, Clock::now()));
     for (const wire::GroupReport &report : reports) {
         const DatabaseName database(report.database);
         if (const auto record = m_ledger.find(database))
@@ -115,6 +106,27 @@
     return reply;
 }
 
+std::size_t ChangeRole::takeCall(const wire::Header &header,
+                                 const std::vector<wire::GroupReport> &reports, TimePoint now)
+{
+    const VmName home(header.vm);
+    const std::lock_guard lock(m_mutex);
+    noteLeading(true, now);
+    std::set<DatabaseName> named;
+    for (const wire::GroupReport &report : reports) {
+        take(home, report, now);
+        named.emplace(report.database);
+    }
+    const auto incarnation = static_cast<Incarnation>(header.incarnation);
+    for (const DatabaseName &database : m_homeReports.take(home, incarnation, named)) {
+        Group &group = m_groups.at(database);
+        group.suspicion.renew(home, now);
+        group.isReported = true;
+    }
+    m_changed.notify_all();
+    return m_homeReports.countOf(home);
+}
+
 void ChangeRole::take(const VmName &home, const wire::GroupReport &report, TimePoint now)
 {
     const DatabaseName database(report.database);
@@ -162,6 +174,7 @@
     std::unique_lock lock(m_mutex);
     while (!m_isStopping) {
         const bool isLeader = m_log.load()->isLeader();
+        noteLeading(isLeader, Clock::now());
         for (auto &[database, group] : m_groups) {
             const bool isReported = std::exchange(group.isReported, false);
             if (!isLeader)
@@ -169,10 +182,24 @@
             else if (isReported || group.change)
                 step(database, group, Clock::now());
         }
-        m_changed.wait_for(lock, RoundInterval);
+        m_changed.wait_for(lock, isAnyChangeOpen() ? RoundInterval : IdleInterval);
     }
 }
 
+void ChangeRole::noteLeading(bool isLeader, TimePoint now)
+{
+    if (isLeader == m_leadingSince.has_value())
+        return;
+    m_homeReports.clear(); // another leader has heard what changed meanwhile
+    m_leadingSince = isLeader ? std::optional(now) : std::nullopt;
+}
+
+bool ChangeRole::isAnyChangeOpen() const
+{
+    return std::any_of(m_groups.begin(), m_groups.end(),
+                       [](const auto &entry) { return entry.second.change != nullptr; });
+}
+
 void ChangeRole::step(const DatabaseName &database, Group &group, TimePoint now)
 {
     const auto record = m_ledger.find(database);
@@ -186,7 +213,7 @@
     group.suspicion.setTimings(suspicionTimings());
     if (group.change)
         stepChange(database, group, *record, now);
-    else if (group.suspicion.isChangeDue(record->term, now))
+    else if (group.suspicion.isChangeDue(record->term, now) && isGathered(database, group, now))
         startChange(database, group, *record, record->primary, {}, now);
     else if (record->isChangePending() || !record->pendingVoters.empty())
         startChange(database, group, *record, std::nullopt, {}, now); // an earlier leader's
@@ -196,6 +223,12 @@
         careForFollowers(database, group, *record, now);
 }
 
+bool ChangeRole::isGathered(const DatabaseName &database, const Group &group, TimePoint now) const
+{
+    const auto homes = m_directory.homesOf(database, placementRule(*m_settings.current(), database));
+    return group.suspicion.isGathered(homes, *m_leadingSince, now);
+}
+
 void ChangeRole::stepChange(const DatabaseName &database, Group &group, const GroupRecord &record,
                             TimePoint now)
 {
@@ -246,143 +279,6 @@
     perform(database, group.change->start(now));
 }
 
-void ChangeRole::careForFollowers(const DatabaseName &database, Group &group,
-                                  const GroupRecord &record, TimePoint now)
-{
-    const auto primary = group.addresses.find(record.primary);
-    if (primary == group.addresses.end())
-        return;
-    std::vector<ServerSighting> sightings;
-    for (const auto &[server, sighting] : group.sightings)
-        sightings.push_back(sighting);
-    for (const ServerId &server : group.care.straying(record, sightings, now)) {
-        const FollowRequest request {record.term, primary->second, record.voters};
-        post(database, server, FollowSlot,
-             [request](BackendConnection &connection) { connection.follow(request, AnswerTime); });
-    }
-}
-
-// ---- actions ----
-
-void ChangeRole::perform(const DatabaseName &database, const ChangeActions &actions)
-{
-    for (const ChangeAction &action : actions)
-        performOne(database, action);
-}
-
-template <typename Answer>
-void ChangeRole::feed(const DatabaseName &database, const Answer &answer)
-{
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_groups.find(database);
-    if (found == m_groups.end() || !found->second.change || m_isStopping)
-        return;
-    perform(database, answer(*found->second.change));
-    m_changed.notify_all();
-}
-
-template <typename Exchange>
-ServerWorkers::Job ChangeRole::guarded(const DatabaseName &database, Term term, Exchange exchange)
-{
-    return [this, database, term, exchange](BackendConnection &connection) {
-        try {
-            exchange(connection);
-        } catch (const RefusedByServer &refused) {
-            const Term own = refused.refusal().term;
-            feed(database, [&](PrimaryChange &change) {
-                return change.onStaleTerm(term, own, Clock::now());
-            });
-        }
-    };
-}
-
-void ChangeRole::performOne(const DatabaseName &database, const ChangeAction &action)
-{
-    const std::size_t slot = action.index();
-    std::visit(Overloaded {
-                       [&](const ProbeServer &probe) {
-                           post(database, probe.server, slot,
-                                guarded(database, 0, [=, this](BackendConnection &connection) {
-                                    const auto reply = connection.position(0, {}, 0ms, AnswerTime);
-                                    feed(database, [&](PrimaryChange &change) {
-                                        return change.onProbed(probe.server, reply, Clock::now());
-                                    });
-                                }));
-                       },
-                       [&](const FenceServer &fence) {
-                           post(database, fence.server, slot,
-                                guarded(database, fence.term,
-                                        [=, this](BackendConnection &connection) {
-                                            const auto reply = connection.fence({fence.term},
-                                                                                AnswerTime);
-                                            feed(database, [&](PrimaryChange &change) {
-                                                return change.onFenced(fence.server, reply,
-                                                                       Clock::now());
-                                            });
-                                        }));
-                       },
-                       [&](const PromoteServer &promote) {
-                           post(database, promote.server, slot,
-                                guarded(database, promote.term,
-                                        [=, this](BackendConnection &connection) {
-                                            const auto reply = connection.promote({promote.term,
-                                                                                   promote.voters},
-                                                                                  AnswerTime);
-                                            feed(database, [&](PrimaryChange &change) {
-                                                return change.onPromoted(promote.server, reply,
-                                                                         Clock::now());
-                                            });
-                                        }));
-                       },
-                       [&](const FollowServer &follow) {
-                           const Endpoint primary = m_groups.at(database).addresses[follow.primary];
-                           const FollowRequest request {follow.term, primary, follow.voters};
-                           post(database, follow.server, slot,
-                                guarded(database, follow.term, [=](BackendConnection &connection) {
-                                    connection.follow(request, AnswerTime);
-                                }));
-                       },
-                       [&](const WatchBarrier &watch) {
-                           // A position is waited past, so the entry before the barrier is named.
-                           const LogPosition before {watch.barrier.term, watch.barrier.index - 1};
-                           post(database, watch.server, slot,
-                                guarded(database, 0, [=, this](BackendConnection &connection) {
-                                    const auto reply = connection.position(watch.term, before,
-                                                                           BarrierWait,
-                                                                           BarrierWait + AnswerTime);
-                                    feed(database, [&](PrimaryChange &change) {
-                                        return change.onPosition(watch.server, reply, Clock::now());
-                                    });
-                                }));
-                       },
-                       [&](const ProposeGroup &proposal) { enqueue(proposal.command); },
-                       [&](const RecordChange &event) { record(database, event); },
-               },
-               action);
-}
-
-void ChangeRole::post(const DatabaseName &database, const ServerId &server, std::size_t slot,
-                      const ServerWorkers::Job &job)
-{
-    const auto &addresses = m_groups.at(database).addresses;
-    const auto address = addresses.find(server);
-    if (address != addresses.end())
-        m_workers.post(server, address->second, slot, job);
-}
-
-void ChangeRole::record(const DatabaseName &database, const RecordChange &event)
-{
-    EventFields fields;
-    fields.database = database;
-    fields.term = event.term;
-    if (!event.server.isEmpty())
-        fields.details["server"] = event.server.text();
-    if (!event.why.empty())
-        fields.details["why"] = event.why;
-    EventId &cause = m_groups.at(database).cause;
-    cause = m_recorder.record(event.kind, fields, cause);
-}
-
 // ---- proposals ----
 
 void ChangeRole::enqueue(const GroupCommand &command)
