Put connection shares in force between homes and backend servers

Cause: each home took an equal static part of a server's connections, by its own view of membership, and kept its connections when it was no longer home. Ruled out: shares counted by reported connections only. A process that stands still keeps its sockets after its share has run out, so the server also charges what it still sees open; for that a connection names its home in a header. Also ruled out: the whole equal part as a first grant. A home that starts before it knows of others may take all; "a misplaced statement reaches its owner with every other proxy gone" failed once so, its transaction begun through a1 being another VM's. Change: an announcement carries the grant, its reply the request, which is answered at once. The pool lends nothing beyond the share or after its end, closes idle connections at once and lent ones when they come back; the watcher closes its own. A home without a share refuses at once, and the entry asks the next home without a retry. A VM that is no longer home asks no more, reports no group, and both changes are on the time line. Servers that grant nothing keep the equal part. CaskFleet waits for the shares of each VM, since its tests state which VM owns a transaction.

--- a/bench/slopes_measure.cpp
+++ b/bench/slopes_measure.cpp
@@ -66,7 +66,8 @@
                        {"base_revision", 0},
                        {"toml",
                         "[failover]\nprimary_announce_interval = \"2s\"\n"
-                        "replica_announce_interval = \"5s\"\ndetection_time = \"6s\"\n"}};
+                        "replica_announce_interval = \"5s\"\ndetection_time = \"6s\"\n"
+                        "[homes]\nshare_timeout = \"15s\"\n"}};
     HttpClient operators(fleet.operators("a1"));
     waitUntil([&] { return operators.post("/v1/config", change).status == 200; }, "acceptance");
 }
--- a/include/nutmegtide/backend/messages.h
+++ b/include/nutmegtide/backend/messages.h
@@ -2,6 +2,7 @@
 
 #include "nutmegtide/base/endpoint.h"
 #include "nutmegtide/base/ids.h"
+#include "nutmegtide/base/time.h"
 
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -31,6 +32,35 @@
     Write,
 };
 
+// One run of a home proxy: its VM and the incarnation of its process.
+using HomeRunId = Name<struct HomeRunIdTag>;
+// Numbers the requests of one home; it grows, and only the home understands it.
+using ShareStamp = std::uint64_t;
+
+// The header by which a connection for statements or positions says whose it is.
+constexpr const char *HomeHeader = "Nutmegtide-Home";
+
+// A home asks a backend server for its share of the server's connections.
+struct ShareRequest
+{
+    HomeRunId home;
+    ShareStamp stamp = 0;
+    int held = 0; // connections that the home may be holding at this moment
+    int homes = 1; // among how many the home would divide the budget
+    int most = 0; // connections that all homes together may hold, by the home's settings
+    Duration validity {}; // of the share, from the request on; whole milliseconds on the wire
+
+    bool operator==(const ShareRequest &) const = default;
+};
+
+struct ShareGrant
+{
+    ShareStamp stamp = 0; // of the request that is answered; 0 before the first one
+    int connections = 0;
+
+    bool operator==(const ShareGrant &) const = default;
+};
+
 // What a backend server says of itself: POST /v1/announce to a proxy.
 struct Announcement
 {
@@ -47,12 +77,14 @@
     int connections = 0; // connections it accepts from all proxies together
     ServerState state = ServerState::Joining;
     std::vector<ServerId> voters; // of its term, as named by the promotion
+    std::optional<ShareGrant> grant; // for this home's latest request; absent where it divides none
 };
 
 struct AnnouncementReply
 {
     std::vector<Endpoint> homes; // proxies to announce to from now on
     std::chrono::milliseconds nextDue = std::chrono::milliseconds::zero();
+    std::optional<ShareRequest> shareRequest; // answered by the next announcement, sent at once
 };
 
 // POST /v1/execute. A transaction is begun, committed and rolled back by the
@@ -144,6 +176,10 @@
     Term term = 0; // the server's own term
 };
 
+void to_json(Json &json, const ShareRequest &message);
+void from_json(const Json &json, ShareRequest &message);
+void to_json(Json &json, const ShareGrant &message);
+void from_json(const Json &json, ShareGrant &message);
 void to_json(Json &json, const Announcement &message);
 void from_json(const Json &json, Announcement &message);
 void to_json(Json &json, const AnnouncementReply &message);
--- a/include/nutmegtide/fleet/connectionbudget.h
+++ b/include/nutmegtide/fleet/connectionbudget.h
@@ -1,43 +1,18 @@
 #pragma once
 
-#include "nutmegtide/base/ids.h"
+#include "nutmegtide/backend/messages.h"
 #include "nutmegtide/base/time.h"
 
 #include <map>
-#include <string>
 
 namespace nutmegtide {
 
-// One run of a home proxy: its VM and the incarnation of its process.
-using HomeRunId = Name<struct HomeRunIdTag>;
-// Numbers the requests of one home; it grows, and only the home understands it.
-using ShareStamp = std::uint64_t;
-
-// A home asks a backend server for its share of the server's connections.
-struct ShareRequest
-{
-    HomeRunId home;
-    ShareStamp stamp = 0;
-    int held = 0; // connections that the home may be holding at this moment
-    int homes = 1; // among how many the home would divide the budget
-    int most = 0; // connections that all homes together may hold, by the home's settings
-    Duration validity {}; // of the share, from the request on
-
-    bool operator==(const ShareRequest &) const = default;
-};
-
-struct ShareGrant
-{
-    ShareStamp stamp = 0; // of the request that is answered
-    int connections = 0;
-
-    bool operator==(const ShareGrant &) const = default;
-};
-
 // The connections of one backend server, divided among the home proxies. The
 // server itself divides them, so homes that disagree about membership can't
 // together hold more than it accepts: a share is freed only once its holder has
-// reported less, or has let it expire.
+// reported less, or has let it expire. A connection that the server still sees
+// open stays charged to its holder for longer, such as that of a process that
+// stands still.
 //
 //   ConnectionBudget budget(20);
 //   const ShareGrant grant = budget.request(request, now);
@@ -49,6 +24,9 @@
     { }
 
     ShareGrant request(const ShareRequest &request, TimePoint now);
+    // Notes a connection that the server accepted from this home, and its end.
+    void noteOpened(const HomeRunId &home) { ++m_open[home]; }
+    void noteClosed(const HomeRunId &home);
     // Connections that may be held at this time.
     int charged(TimePoint now) const;
 
@@ -64,6 +42,7 @@
 
     const int m_connections;
     std::map<HomeRunId, Entry> m_entries;
+    std::map<HomeRunId, int> m_open; // connections by holder, none of them 0
 };
 
 // The share of a home in the connections of one run of a backend server. The
@@ -83,13 +62,21 @@
 
     // Open connections beyond the share are reported, so that they stay counted.
     ShareRequest request(int open, int homes, int most, Duration validity, TimePoint now);
+    // Whether it is time to ask again, or worth it, since fewer are held than was reported.
+    bool isRequestDue(int open, Duration validity, TimePoint now) const;
     // A grant for any request but the latest is ignored; returns whether it was taken.
     bool take(const ShareGrant &grant);
+    // Takes the part that the home works out itself where the server divides nothing.
+    void assume(int connections, Duration validity, TimePoint now);
     int current(TimePoint now) const;
+    // When current() falls to 0 unless a further grant is taken.
+    TimePoint voidAt() const { return m_voidAt; }
 
 private:
     HomeRunId m_home;
     ShareStamp m_latest = 0;
+    int m_latestHeld = 0;
+    TimePoint m_askedAt;
     TimePoint m_latestVoidAt;
     int m_connections = 0;
     TimePoint m_voidAt;
--- a/include/nutmegtide/fleet/groupstate.h
+++ b/include/nutmegtide/fleet/groupstate.h
@@ -36,6 +36,9 @@
     // Notes a refused connection. The next message of the server takes it back.
     void observeRefusal(const ServerId &server);
 
+    // Takes all servers as heard at this time, after a while without listening.
+    void resume(TimePoint now);
+
     // Forgets servers that were silent for longer than this.
     std::vector<ServerId> forgetSilent(Duration silence, TimePoint now);
 
--- a/src/backend/messages.cpp
+++ b/src/backend/messages.cpp
@@ -85,6 +85,37 @@
 
 } // namespace
 
+void to_json(Json &json, const ShareRequest &message)
+{
+    const auto validity = std::chrono::floor<std::chrono::milliseconds>(message.validity);
+    json = Json {{"home", message.home}, {"stamp", message.stamp},
+                 {"held", message.held}, {"homes", message.homes},
+                 {"most", message.most}, {"validity_ms", validity.count()}};
+}
+
+void from_json(const Json &json, ShareRequest &message)
+{
+    readInto(json, "home", message.home);
+    readInto(json, "stamp", message.stamp);
+    readInto(json, "held", message.held);
+    readInto(json, "homes", message.homes);
+    readInto(json, "most", message.most);
+    int milliseconds = 0;
+    readInto(json, "validity_ms", milliseconds);
+    message.validity = std::chrono::milliseconds(milliseconds);
+}
+
+void to_json(Json &json, const ShareGrant &message)
+{
+    json = Json {{"stamp", message.stamp}, {"connections", message.connections}};
+}
+
+void from_json(const Json &json, ShareGrant &message)
+{
+    readInto(json, "stamp", message.stamp);
+    readInto(json, "connections", message.connections);
+}
+
 void to_json(Json &json, const Announcement &message)
 {
     json = Json {{"server", message.server},
@@ -100,6 +131,8 @@
                  {"connections", message.connections},
                  {"state", message.state},
                  {"voters", message.voters}};
+    if (message.grant)
+        json["share_grant"] = *message.grant;
 }
 
 void from_json(const Json &json, Announcement &message)
@@ -117,11 +150,15 @@
     readInto(json, "connections", message.connections);
     readEnum(json, "state", message.state);
     readInto(json, "voters", message.voters);
+    if (json.contains("share_grant"))
+        message.grant = json.at("share_grant").get<ShareGrant>();
 }
 
 void to_json(Json &json, const AnnouncementReply &message)
 {
     json = Json {{"homes", message.homes}, {"next_due_ms", message.nextDue.count()}};
+    if (message.shareRequest)
+        json["share_request"] = *message.shareRequest;
 }
 
 void from_json(const Json &json, AnnouncementReply &message)
@@ -130,6 +167,8 @@
     std::uint64_t milliseconds = 0;
     readInto(json, "next_due_ms", milliseconds);
     message.nextDue = std::chrono::milliseconds(milliseconds);
+    if (json.contains("share_request"))
+        message.shareRequest = json.at("share_request").get<ShareRequest>();
 }
 
 void to_json(Json &json, const ExecuteRequest &message)
--- a/src/fleet/connectionbudget.cpp
+++ b/src/fleet/connectionbudget.cpp
@@ -8,9 +8,14 @@
 
 // One connection watches positions, and one more is needed to run statements.
 constexpr int SmallestShare = 2;
+// A home that has just started may not know of the others yet, so that its first
+// grant leaves room for them.
+constexpr int FirstGrantDivisor = 4;
 // A home gives up early, which covers clocks that run at unequal rates.
 constexpr int HolderPart = 4;
 constexpr int WholePart = 5;
+// A home asks again after this part of the validity, so that lost messages don't void its share.
+constexpr int RenewalDivisor = 5;
 
 } // namespace
 
@@ -24,7 +29,9 @@
     const int most = std::min(request.most, m_connections);
     const int fair = std::max(SmallestShare, most / std::max(1, request.homes));
     const int free = most - chargedToOthers(request.home, now);
-    const int granted = std::min(fair, free);
+    const int wanted = isKnown ? fair
+                               : std::min(fair, std::max(SmallestShare, most / FirstGrantDivisor));
+    const int granted = std::min(wanted, free);
     // What a home held before its entry expired is void by the home's own clock.
     const int held = isKnown ? std::min(request.held, known->second.charged) : 0;
     Entry entry;
@@ -40,16 +47,34 @@
 int ConnectionBudget::chargedToOthers(const HomeRunId &home, TimePoint now) const
 {
     int sum = 0;
+    const auto openOf = [this](const HomeRunId &id) {
+        const auto found = m_open.find(id);
+        return found == m_open.end() ? 0 : found->second;
+    };
     for (const auto &[id, entry] : m_entries) {
         if (id != home && entry.expiresAt > now)
-            sum += entry.charged;
+            sum += std::max(entry.charged, openOf(id));
+    }
+    for (const auto &[id, open] : m_open) {
+        const auto entry = m_entries.find(id);
+        const bool isExpired = entry == m_entries.end() || entry->second.expiresAt <= now;
+        if (id != home && isExpired)
+            sum += open;
     }
     return sum;
 }
 
+void ConnectionBudget::noteClosed(const HomeRunId &home)
+{
+    const auto found = m_open.find(home);
+    if (found != m_open.end() && --found->second == 0)
+        m_open.erase(found);
+}
+
 int ConnectionBudget::charged(TimePoint now) const
 {
-    return chargedToOthers({}, now);
+    const auto unnamed = m_open.find({});
+    return chargedToOthers({}, now) + (unnamed == m_open.end() ? 0 : unnamed->second);
 }
 
 ShareRequest ConnectionShare::request(int open, int homes, int most, Duration validity,
@@ -62,10 +87,19 @@
     request.homes = homes;
     request.most = most;
     request.validity = validity;
+    m_latestHeld = request.held;
+    m_askedAt = now;
     m_latestVoidAt = now + validity * HolderPart / WholePart;
     return request;
 }
 
+bool ConnectionShare::isRequestDue(int open, Duration validity, TimePoint now) const
+{
+    const bool isFirst = m_latest == 0;
+    const bool isLessHeld = std::max(open, current(now)) < m_latestHeld;
+    return isFirst || isLessHeld || now - m_askedAt >= validity / RenewalDivisor;
+}
+
 bool ConnectionShare::take(const ShareGrant &grant)
 {
     if (grant.stamp != m_latest || m_latest == 0)
@@ -75,6 +109,12 @@
     return true;
 }
 
+void ConnectionShare::assume(int connections, Duration validity, TimePoint now)
+{
+    m_connections = connections;
+    m_voidAt = now + validity;
+}
+
 int ConnectionShare::current(TimePoint now) const
 {
     return now < m_voidAt ? m_connections : 0;
--- a/src/fleet/groupstate.cpp
+++ b/src/fleet/groupstate.cpp
@@ -61,6 +61,14 @@
         found->second.isRefusing = true;
 }
 
+void GroupState::resume(TimePoint now)
+{
+    for (auto &[id, server] : m_servers) {
+        server.heardAt = now;
+        server.isRefusing = false;
+    }
+}
+
 std::vector<ServerId> GroupState::forgetSilent(Duration silence, TimePoint now)
 {
     std::vector<ServerId> forgotten;
--- a/src/serve/announceapi.cpp
+++ b/src/serve/announceapi.cpp
@@ -6,6 +6,12 @@
 
 namespace nutmegtide {
 
+namespace {
+
+constexpr int RenewalsPerShare = 3; // announcements within the time that a share lasts
+
+} // namespace
+
 PlacementRule placementRule(const FleetSettings &settings, const DatabaseName &database)
 {
     const auto found = settings.databases.find(database);
@@ -14,14 +20,6 @@
     return {perDomain, settings.homes.standbys};
 }
 
-int AnnounceApi::connectionsOfHome(const Announcement &announcement, std::size_t homes) const
-{
-    const double usable = announcement.connections * m_settings.current()->limits.connectionShare;
-    const int share = static_cast<int>(usable / static_cast<double>(homes));
-    // One connection of each share is the position watcher's.
-    return std::max(1, share - 1);
-}
-
 HttpResponse AnnounceApi::announce(const HttpRequest &request)
 {
     try {
@@ -32,13 +30,17 @@
                                                placementRule(*m_settings.current(),
                                                              announcement.database));
         const bool isHome = std::find(homes.begin(), homes.end(), m_identity.vm) != homes.end();
+        AnnouncementReply reply = replyTo(announcement, homes);
         if (isHome) {
             HomeGroup &group = m_groups.open(announcement.database);
             group.observe(announcement);
-            group.setShare(announcement.server, connectionsOfHome(announcement, homes.size()));
+            // Shares of a server that rarely announces itself would run out in between.
+            reply.nextDue = std::min(reply.nextDue,
+                                     m_settings.current()->homes.shareTimeout / RenewalsPerShare);
+            reply.shareRequest = group.renewShare(announcement, static_cast<int>(homes.size()));
         }
         HttpResponse response;
-        response.body = Json(replyTo(announcement, homes)).dump();
+        response.body = Json(reply).dump();
         return response;
     } catch (const MessageError &fault) {
         return errorResponse({StatementFailure::BadRequest, Ran::No, fault.what()}, {});
@@ -46,7 +48,7 @@
 }
 
 AnnouncementReply AnnounceApi::replyTo(const Announcement &announcement,
-                                       const std::vector<VmName> &homes)
+                                       const std::vector<VmName> &homes) const
 {
     const auto settings = m_settings.current();
     AnnouncementReply reply;
--- a/src/serve/announceapi.h
+++ b/src/serve/announceapi.h
@@ -23,10 +23,8 @@
     HttpResponse announce(const HttpRequest &request);
 
 private:
-    // The statements' connections that one home may hold to the server, so that
-    // all homes together stay within its limit while they agree on who is home.
-    int connectionsOfHome(const Announcement &announcement, std::size_t homes) const;
-    AnnouncementReply replyTo(const Announcement &announcement, const std::vector<VmName> &homes);
+    AnnouncementReply replyTo(const Announcement &announcement,
+                              const std::vector<VmName> &homes) const;
 
     const Identity &m_identity;
     const Directory &m_directory;
--- a/src/serve/backendclient.cpp
+++ b/src/serve/backendclient.cpp
@@ -21,12 +21,14 @@
 
 } // namespace
 
-BackendConnection::BackendConnection(Endpoint server)
+BackendConnection::BackendConnection(Endpoint server, HomeRunId home)
     : m_server(std::move(server))
+    , m_home(std::move(home))
 { }
 
 BackendConnection::BackendConnection(BackendConnection &&other) noexcept
     : m_server(std::move(other.m_server))
+    , m_home(std::move(other.m_home))
     , m_handle(std::exchange(other.m_handle, nullptr))
 { }
 
@@ -58,6 +60,10 @@
     curl_easy_setopt(m_handle, CURLOPT_WRITEFUNCTION, &appendToString);
     curl_easy_setopt(m_handle, CURLOPT_WRITEDATA, &answer);
     curl_slist *headers = curl_slist_append(nullptr, "Expect:");
+    if (!m_home.isEmpty()) {
+        const std::string home = std::string(HomeHeader) + ": " + m_home.text();
+        headers = curl_slist_append(headers, home.c_str());
+    }
     if (body) {
         headers = curl_slist_append(headers, "Content-Type: application/json");
         curl_easy_setopt(m_handle, CURLOPT_POSTFIELDSIZE, long(body->size()));
@@ -176,12 +182,12 @@
 BackendPool::Lease BackendPool::borrow(std::chrono::milliseconds wait)
 {
     std::unique_lock lock(m_mutex);
-    const bool isFree = m_freed.wait_for(lock, wait, [this] { return m_inUse < m_most; });
+    const bool isFree = m_freed.wait_for(lock, wait, [this] { return m_inUse < mostNow(); });
     if (!isFree)
         throw LinkError(LinkFault::NoConnectionFree, "no free connection to " + toString(m_server));
     ++m_inUse;
     if (m_idle.empty())
-        return Lease(*this, BackendConnection(m_server));
+        return Lease(*this, BackendConnection(m_server, m_home));
     BackendConnection connection = std::move(m_idle.back());
     m_idle.pop_back();
     return Lease(*this, std::move(connection));
@@ -192,16 +198,17 @@
     const std::lock_guard lock(m_mutex);
     --m_inUse;
     const bool isCurrent = connection.server() == m_server;
-    if (isCurrent && m_inUse + int(m_idle.size()) < m_most)
+    if (isCurrent && m_inUse + int(m_idle.size()) < mostNow())
         m_idle.push_back(std::move(connection));
     m_freed.notify_one();
 }
 
-void BackendPool::setMost(int most)
+void BackendPool::setMost(int most, TimePoint voidAt)
 {
     const std::lock_guard lock(m_mutex);
     m_most = most;
-    while (!m_idle.empty() && m_inUse + int(m_idle.size()) > m_most)
+    m_voidAt = voidAt;
+    while (!m_idle.empty() && m_inUse + int(m_idle.size()) > mostNow())
         m_idle.pop_back();
     m_freed.notify_all();
 }
@@ -209,7 +216,7 @@
 int BackendPool::most() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_most;
+    return mostNow();
 }
 
 void BackendPool::setServer(const Endpoint &server)
--- a/src/serve/backendclient.h
+++ b/src/serve/backendclient.h
@@ -65,7 +65,8 @@
 class BackendConnection
 {
 public:
-    explicit BackendConnection(Endpoint server);
+    // The home is named to the server; control, which holds no share, names none.
+    explicit BackendConnection(Endpoint server, HomeRunId home = {});
     ~BackendConnection();
     BackendConnection(BackendConnection &&other) noexcept;
     BackendConnection &operator=(BackendConnection &&) = delete;
@@ -93,6 +94,7 @@
     std::string escape(const std::string &text) const;
 
     Endpoint m_server;
+    HomeRunId m_home;
     CURL *m_handle = nullptr;
 };
 
@@ -120,14 +122,17 @@
         BackendConnection m_connection;
     };
 
-    BackendPool(Endpoint server, int most)
-        : m_server(std::move(server))
+    BackendPool(Endpoint server, int most, HomeRunId home = {})
+        : m_home(std::move(home))
+        , m_server(std::move(server))
         , m_most(most)
     { }
 
     // Waits for a free connection. Throws LinkError with NoConnectionFree after the wait.
     Lease borrow(std::chrono::milliseconds wait);
-    void setMost(int most);
+    // Closes idle connections beyond it; those that are lent close when they come back.
+    // Nothing is lent from the given time on, also if nobody calls this again.
+    void setMost(int most, TimePoint voidAt = TimePoint::max());
     int most() const;
     // A server that moved keeps its pool; idle connections to the old address are closed.
     void setServer(const Endpoint &server);
@@ -136,13 +141,17 @@
 
 private:
     void giveBack(BackendConnection connection);
+    // These expect the mutex to be held.
+    int mostNow() const { return Clock::now() < m_voidAt ? m_most : 0; }
 
+    const HomeRunId m_home;
     mutable std::mutex m_mutex;
     Endpoint m_server;
     std::condition_variable m_freed;
     std::vector<BackendConnection> m_idle;
     int m_inUse = 0;
     int m_most;
+    TimePoint m_voidAt = TimePoint::max();
 };
 
 } // namespace nutmegtide
--- a/src/serve/entryrunner.cpp
+++ b/src/serve/entryrunner.cpp
@@ -28,6 +28,14 @@
     }
 }
 
+// A home that has no share of the connections refuses before it does any work. A begin
+// fails in the same way once its connection broke.
+bool isRefusedForShare(const StatementError &error, const Statement &statement)
+{
+    return error.failure() == StatementFailure::NoConnection && error.ran() == Ran::No
+            && statement.step != TransactionStep::Begin;
+}
+
 // Once the statement may have run at one home, a refusal by another proves nothing.
 StatementError afterLostAnswer(const StatementError &error)
 {
@@ -70,22 +78,24 @@
     StatementError error(StatementFailure::NoConnection, Ran::No, "no home proxy can be reached",
                          RetryAfterNoPrimary);
     bool isMaybeRun = false;
-    std::vector<VmRecord> homes = homesByDistance(statement.database);
-    homes.resize(std::min(homes.size(), MostHomesTried));
-    bool wasSent = false;
-    for (const VmRecord &home : homes) {
-        // A refused connection costs nothing and isn't a retry.
-        if (wasSent && !m_retries.takeRetry())
+    std::size_t tried = 0;
+    Reach reach = Reach::Unsent;
+    for (const VmRecord &home : homesByDistance(statement.database)) {
+        // A refusal before any work costs next to nothing and isn't a retry.
+        const bool isRetry = reach == Reach::Sent;
+        if (tried == MostHomesTried || (isRetry && !m_retries.takeRetry()))
             break;
-        wasSent = false;
         try {
-            return runAt(home, statement, wasSent);
+            return runAt(home, statement, reach);
         } catch (const StatementError &fault) {
             error = fault;
             isMaybeRun = isMaybeRun || fault.ran() == Ran::Unknown;
             if (!isWorthAnotherHome(fault) && fault.failure() != StatementFailure::NoConnection)
                 break;
         }
+        // Any home may be the one that holds a share.
+        if (reach != Reach::Refused)
+            ++tried;
         if (timeLeft(statement.deadline) <= 0ms)
             break;
     }
@@ -119,11 +129,11 @@
     if (known == owner.incarnation && isSelf)
         return m_home.run(statement);
     if (known == owner.incarnation) {
-        bool wasSent = false;
+        Reach reach = Reach::Unsent;
         try {
-            return runAt(*record, statement, wasSent);
+            return runAt(*record, statement, reach);
         } catch (const StatementError &error) {
-            if (wasSent || error.failure() != StatementFailure::NoConnection)
+            if (reach != Reach::Unsent || error.failure() != StatementFailure::NoConnection)
                 throw;
         }
     }
@@ -134,11 +144,11 @@
                          "the transaction's owner " + owner.vm.text() + " is gone");
 }
 
-StatementResult EntryRunner::runAt(const VmRecord &vm, const Statement &statement, bool &wasSent)
+StatementResult EntryRunner::runAt(const VmRecord &vm, const Statement &statement, Reach &reach)
 {
-    wasSent = true;
+    reach = Reach::Sent;
     if (vm.vm == m_identity.vm)
-        return m_home.run(statement);
+        return runHere(statement, reach);
     const bool isSafeToResend = statement.access == Access::Read
             && statement.step != TransactionStep::Commit;
     try {
@@ -151,19 +161,31 @@
                 });
         if (reply.__isset.answer)
             return fromWire(reply.answer);
-        throw fromWire(reply.fault);
+        const StatementError fault = fromWire(reply.fault);
+        reach = isRefusedForShare(fault, statement) ? Reach::Refused : Reach::Sent;
+        throw fault;
     } catch (const wire::PeerRefusal &refusal) {
         throw StatementError(StatementFailure::NoConnection, Ran::No, refusal.message,
                              RetryAfterNoPrimary);
     } catch (const MessageError &fault) {
         throw StatementError(StatementFailure::OutcomeUnknown, Ran::Unknown, fault.what());
     } catch (const PeerError &fault) {
-        wasSent = fault.wasSent();
+        reach = fault.wasSent() ? Reach::Sent : Reach::Unsent;
         const Ran ran = fault.wasSent() && !isSafeToResend ? Ran::Unknown : Ran::No;
         throw StatementError(StatementFailure::NoConnection, ran, fault.what(), RetryAfterNoPrimary);
     }
 }
 
+StatementResult EntryRunner::runHere(const Statement &statement, Reach &reach)
+{
+    try {
+        return m_home.run(statement);
+    } catch (const StatementError &fault) {
+        reach = isRefusedForShare(fault, statement) ? Reach::Refused : Reach::Sent;
+        throw;
+    }
+}
+
 RequestRecord EntryRunner::find(const DatabaseName &database, const CallerId &caller,
                                 const RequestId &id)
 {
--- a/src/serve/entryrunner.h
+++ b/src/serve/entryrunner.h
@@ -27,10 +27,18 @@
                        const RequestId &id) override;
 
 private:
+    // How far a statement got on its way to one home.
+    enum class Reach {
+        Unsent,
+        Refused, // by a home that has no share of the connections
+        Sent,
+    };
+
     StatementResult runAtOwner(const Statement &statement, const TransactionOwner &owner);
     StatementResult runAtHome(const Statement &statement);
-    // Tells whether the statement may have left this process.
-    StatementResult runAt(const VmRecord &vm, const Statement &statement, bool &wasSent);
+    // Tells also of a failure how far the statement got.
+    StatementResult runAt(const VmRecord &vm, const Statement &statement, Reach &reach);
+    StatementResult runHere(const Statement &statement, Reach &reach);
     RequestRecord findAt(const VmRecord &vm, const DatabaseName &database, const CallerId &caller,
                          const RequestId &id);
     std::vector<VmRecord> homesByDistance(const DatabaseName &database) const;
--- a/src/serve/groupreporter.cpp
+++ b/src/serve/groupreporter.cpp
@@ -1,10 +1,15 @@
 #include "serve/groupreporter.h"
 
+#include "serve/announceapi.h"
+
+#include <algorithm>
+
 namespace nutmegtide {
 
 namespace {
 
 constexpr auto PollInterval = 10ms;
+constexpr auto HomeCheckInterval = 200ms; // between looks at whether this VM is still home
 constexpr auto ReportInterval = 1s;
 constexpr auto SuspectedInterval = 200ms; // while a primary is suspected
 constexpr auto AnswerTime = 500ms;
@@ -53,10 +58,13 @@
 
 } // namespace
 
-GroupReporter::GroupReporter(const HomeGroups &groups, const Directory &directory,
+GroupReporter::GroupReporter(const Identity &identity, const HomeGroups &groups,
+                             const Directory &directory, const SettingsSource &settings,
                              PeerClients &peers, Recorder &recorder)
-    : m_groups(groups)
+    : m_identity(identity)
+    , m_groups(groups)
     , m_directory(directory)
+    , m_settings(settings)
     , m_peers(peers)
     , m_recorder(recorder)
 { }
@@ -89,11 +97,34 @@
             if (record.isControl && m_senders.count(record.vm) == 0)
                 m_senders[record.vm] = std::thread([this, vm = record.vm] { reportTo(vm); });
         }
+        checkHomes();
         recordChanges();
         std::this_thread::sleep_for(PollInterval);
     }
 }
 
+void GroupReporter::checkHomes()
+{
+    const TimePoint now = Clock::now();
+    if (now - m_homesCheckedAt < HomeCheckInterval)
+        return;
+    m_homesCheckedAt = now;
+    for (const DatabaseName &database : m_groups.allNames()) {
+        HomeGroup &group = *m_groups.find(database);
+        const auto homes = m_directory.homesOf(database,
+                                               placementRule(*m_settings.current(), database));
+        if (std::find(homes.begin(), homes.end(), m_identity.vm) == homes.end())
+            group.leave();
+        const bool isHome = group.isHome();
+        if (std::exchange(m_isHome[database], isHome) == isHome)
+            continue;
+        m_recorder.record(EventKind::HomeChanged,
+                          {.database = database,
+                           .term = group.term(),
+                           .details = {{"home", isHome ? "yes" : "no"}}});
+    }
+}
+
 void GroupReporter::recordChanges()
 {
     for (const DatabaseName &database : m_groups.names()) {
--- a/src/serve/groupreporter.h
+++ b/src/serve/groupreporter.h
@@ -3,6 +3,7 @@
 #include "nutmegtide/events/recorder.h"
 #include "serve/directory.h"
 #include "serve/homegroups.h"
+#include "serve/identity.h"
 #include "serve/peerclient.h"
 
 #include <atomic>
@@ -19,8 +20,8 @@
 class GroupReporter
 {
 public:
-    GroupReporter(const HomeGroups &groups, const Directory &directory, PeerClients &peers,
-                  Recorder &recorder);
+    GroupReporter(const Identity &identity, const HomeGroups &groups, const Directory &directory,
+                  const SettingsSource &settings, PeerClients &peers, Recorder &recorder);
     ~GroupReporter();
     GroupReporter(const GroupReporter &) = delete;
     GroupReporter &operator=(const GroupReporter &) = delete;
@@ -41,13 +42,19 @@
     void reportTo(const VmName &control);
     bool send(const Endpoint &control, const std::vector<wire::GroupReport> &reports);
     void recordChanges();
+    // Leaves the groups that this VM is no longer home of, and records both ways.
+    void checkHomes();
 
+    const Identity &m_identity;
     const HomeGroups &m_groups;
     const Directory &m_directory;
+    const SettingsSource &m_settings;
     PeerClients &m_peers;
     Recorder &m_recorder;
     std::map<DatabaseName, std::set<ServerId>> m_present; // servers on the time line
     std::map<DatabaseName, bool> m_suspected;
+    std::map<DatabaseName, bool> m_isHome; // on the time line
+    TimePoint m_homesCheckedAt;
     std::atomic<bool> m_isStopping = false;
     std::thread m_thread;
     std::map<VmName, std::thread> m_senders;
--- a/src/serve/homegroup.cpp
+++ b/src/serve/homegroup.cpp
@@ -7,13 +7,11 @@
 namespace {
 
 constexpr auto FreshAge = 100ms; // of a replica that the first read after a pause takes
-constexpr int DefaultShare = 4; // connections a server, until a budget is set
 
 } // namespace
 
-HomeGroup::HomeGroup(DatabaseName database, FailureDomain ownDomain, const SettingsSource &settings)
-    : m_database(std::move(database))
-    , m_ownDomain(std::move(ownDomain))
+HomeGroup::HomeGroup(HomeRunId ownRun, const SettingsSource &settings)
+    : m_ownRun(std::move(ownRun))
     , m_settings(settings)
     , m_wantedAt(Clock::now() - ActiveTime)
 { }
@@ -51,8 +49,8 @@
         found->second.pool->setServer(announcement.address);
         return;
     }
-    Link &link = m_links[announcement.server];
-    link.pool = std::make_unique<BackendPool>(announcement.address, DefaultShare);
+    Link &link = m_links.try_emplace(announcement.server, m_ownRun).first->second;
+    link.pool = std::make_unique<BackendPool>(announcement.address, 0, m_ownRun);
     link.watcher = std::thread([this, server = announcement.server] { watch(server); });
 }
 
@@ -291,12 +289,4 @@
     return {known->said.slots, pool.most(), pool.inUse()};
 }
 
-void HomeGroup::setShare(const ServerId &server, int connections)
-{
-    const std::lock_guard lock(m_mutex);
-    const auto found = m_links.find(server);
-    if (found != m_links.end())
-        found->second.pool->setMost(connections);
-}
-
 } // namespace nutmegtide
--- a/src/serve/homegroup.h
+++ b/src/serve/homegroup.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "nutmegtide/fleet/connectionbudget.h"
 #include "nutmegtide/fleet/groupstate.h"
 #include "nutmegtide/statement/leadershipproof.h"
 #include "nutmegtide/statement/readrouter.h"
@@ -8,6 +9,7 @@
 #include "serve/backendclient.h"
 #include "serve/settingssource.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <map>
@@ -32,7 +34,7 @@
 class HomeGroup
 {
 public:
-    HomeGroup(DatabaseName database, FailureDomain ownDomain, const SettingsSource &settings);
+    HomeGroup(HomeRunId ownRun, const SettingsSource &settings);
     ~HomeGroup();
     HomeGroup(const HomeGroup &) = delete;
     HomeGroup &operator=(const HomeGroup &) = delete;
@@ -82,8 +84,19 @@
     BackendPool::Lease borrow(const ServerId &server, std::chrono::milliseconds wait);
     ServerCapacity capacityOf(const ServerId &server) const;
 
-    // Sets the connections that this home may hold to each server.
-    void setShare(const ServerId &server, int connections);
+    // Takes the grant of an announcement that observe() has seen, and returns the
+    // request for the next share where one is due. A server that sends no grants is
+    // shared in equal parts among the homes that this one knows.
+    std::optional<ShareRequest> renewShare(const Announcement &announcement, int homes);
+    // Whether connections to the server, or to any server, may be used now.
+    bool hasShare(const ServerId &server) const;
+    bool hasAnyShare() const;
+
+    // A group that this VM is no longer home of gets no further shares, so that its
+    // connections close when the last ones run out.
+    bool isHome() const { return m_isHome; }
+    void join();
+    void leave() { m_isHome = false; }
 
 private:
     // A group without statements for this long is watched at the idle interval.
@@ -93,7 +106,14 @@
     struct Link
     {
         std::unique_ptr<BackendPool> pool;
+        ConnectionShare share;
+        Incarnation incarnation = 0; // of the server's run that the share belongs to
+        bool isWatched = false; // the watcher has, or is opening, a connection
         std::thread watcher;
+
+        explicit Link(const HomeRunId &home)
+            : share(home)
+        { }
     };
 
     // How a server's watcher stands.
@@ -107,9 +127,12 @@
 
     void openLink(const Announcement &announcement);
     void watch(const ServerId &server);
+    // Closes what a void share leaves and waits for the next one.
+    void waitForShare(Link &link, std::unique_ptr<BackendConnection> &connection,
+                      std::unique_lock<std::mutex> &lock);
     // Expects the lock to be held and gives it up during the exchange.
     bool watchOnce(const ServerId &server, const Announcement &said, std::chrono::milliseconds wait,
-                   std::unique_ptr<BackendConnection> &connection,
+                   TimePoint voidAt, std::unique_ptr<BackendConnection> &connection,
                    std::unique_lock<std::mutex> &lock);
     void notePosition(const ServerId &server, const PositionReply &reply, TimePoint sentAt);
     // These expect the mutex to be held.
@@ -125,8 +148,7 @@
     bool waitUrgently(std::unique_lock<std::mutex> &lock, Duration wait,
                       const std::function<bool()> &condition);
 
-    const DatabaseName m_database;
-    const FailureDomain m_ownDomain;
+    const HomeRunId m_ownRun;
     const SettingsSource &m_settings;
 
     mutable std::mutex m_mutex;
@@ -142,6 +164,7 @@
     TimePoint m_wantedAt; // of the latest statement
     std::map<ServerId, TimePoint> m_answeredAt; // sending of the latest statement answered
     int m_waitingStatements = 0; // statements that wait for a proof or a position
+    std::atomic<bool> m_isHome = false;
     bool m_isStopping = false;
 };
 
--- a/src/serve/homegroups.cpp
+++ b/src/serve/homegroups.cpp
@@ -7,7 +7,8 @@
     const std::lock_guard lock(m_mutex);
     std::unique_ptr<HomeGroup> &group = m_groups[database];
     if (!group)
-        group = std::make_unique<HomeGroup>(database, m_ownDomain, m_settings);
+        group = std::make_unique<HomeGroup>(m_ownRun, m_settings);
+    group->join();
     return *group;
 }
 
@@ -19,6 +20,17 @@
 }
 
 std::vector<DatabaseName> HomeGroups::names() const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<DatabaseName> names;
+    for (const auto &[name, group] : m_groups) {
+        if (group->isHome())
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::vector<DatabaseName> HomeGroups::allNames() const
 {
     const std::lock_guard lock(m_mutex);
     std::vector<DatabaseName> names;
--- a/src/serve/homegroups.h
+++ b/src/serve/homegroups.h
@@ -8,19 +8,23 @@
 class HomeGroups
 {
 public:
-    HomeGroups(FailureDomain ownDomain, const SettingsSource &settings)
-        : m_ownDomain(std::move(ownDomain))
+    HomeGroups(HomeRunId ownRun, const SettingsSource &settings)
+        : m_ownRun(std::move(ownRun))
         , m_settings(settings)
     { }
 
-    // Returns the group, opened at the first announcement of one of its servers.
+    // Returns the group, opened at the first announcement of one of its servers. From
+    // then on this VM is its home.
     HomeGroup &open(const DatabaseName &database);
     // Returns nothing for a database that no server has announced here.
     HomeGroup *find(const DatabaseName &database) const;
+    // The databases that this VM is home of.
     std::vector<DatabaseName> names() const;
+    // Those, and the ones that it was home of before.
+    std::vector<DatabaseName> allNames() const;
 
 private:
-    const FailureDomain m_ownDomain;
+    const HomeRunId m_ownRun;
     const SettingsSource &m_settings;
     mutable std::mutex m_mutex;
     std::map<DatabaseName, std::unique_ptr<HomeGroup>> m_groups;
--- a/src/serve/homegroupwatch.cpp
+++ b/src/serve/homegroupwatch.cpp
@@ -55,7 +55,8 @@
 void HomeGroup::restUntilDue(const ServerId &server, Watch &watch,
                              std::unique_lock<std::mutex> &lock)
 {
-    while (!m_isStopping) {
+    const ConnectionShare &share = m_links.at(server).share;
+    while (!m_isStopping && share.current(Clock::now()) > 0) {
         const bool isNowActive = isActive(Clock::now());
         if (isNowActive && !watch.wasActive)
             watch.quickPolls = QuickPolls;
@@ -63,23 +64,39 @@
         const TimePoint due = pollDueAt(server, watch);
         if (due <= Clock::now())
             return;
-        m_wanted.wait_until(lock, due);
+        m_wanted.wait_until(lock, std::min(due, share.voidAt()));
     }
 }
 
+void HomeGroup::waitForShare(Link &link, std::unique_ptr<BackendConnection> &connection,
+                             std::unique_lock<std::mutex> &lock)
+{
+    connection.reset();
+    link.isWatched = false;
+    link.pool->setMost(0);
+    m_wanted.wait(lock, [&] { return m_isStopping || link.share.current(Clock::now()) > 0; });
+}
+
 void HomeGroup::watch(const ServerId &server)
 {
     std::unique_ptr<BackendConnection> connection;
     Watch watch;
     std::unique_lock lock(m_mutex);
+    Link &link = m_links.at(server);
     while (!m_isStopping) {
         restUntilDue(server, watch, lock);
+        if (link.share.current(Clock::now()) == 0) {
+            waitForShare(link, connection, lock);
+            watch = {};
+            continue;
+        }
+        link.isWatched = true;
         const GroupServer *known = m_state.find(server);
         const auto longPoll = m_waitingStatements > 0 ? WaitingPollWait : pollInterval();
         const auto wait = isPollUrgent() && watch.quickPolls == 0 ? longPoll : 0ms;
         watch.polledAt = Clock::now();
         watch.isAnswering = known && !m_isStopping
-                && watchOnce(server, known->said, wait, connection, lock);
+                && watchOnce(server, known->said, wait, link.share.voidAt(), connection, lock);
         watch.quickPolls = std::max(0, watch.quickPolls - 1);
         if (!watch.isAnswering)
             watch.quickPolls = QuickPolls;
@@ -87,7 +104,7 @@
 }
 
 bool HomeGroup::watchOnce(const ServerId &server, const Announcement &said,
-                          std::chrono::milliseconds wait,
+                          std::chrono::milliseconds wait, TimePoint voidAt,
                           std::unique_ptr<BackendConnection> &connection,
                           std::unique_lock<std::mutex> &lock)
 {
@@ -96,12 +113,15 @@
     const LogPosition next {said.durable.term, said.durable.index + 1};
     lock.unlock();
     if (!connection || connection->server() != address)
-        connection = std::make_unique<BackendConnection>(address);
+        connection = std::make_unique<BackendConnection>(address, m_ownRun);
     const TimePoint sentAt = Clock::now();
+    // A server that doesn't answer must not hold the connection beyond the share.
+    const auto untilVoid = std::chrono::floor<std::chrono::milliseconds>(voidAt - sentAt);
+    const auto timeout = std::clamp<std::chrono::milliseconds>(untilVoid, 1ms, wait + AnswerTime);
     std::optional<PositionReply> reply;
     bool isRefused = false;
     try {
-        reply = connection->position(term, next, wait, wait + AnswerTime);
+        reply = connection->position(term, next, wait, timeout);
     } catch (const LinkError &fault) {
         isRefused = fault.fault() == LinkFault::Refused;
     } catch (const RefusedByServer &) {
--- a/src/serve/homerunner.cpp
+++ b/src/serve/homerunner.cpp
@@ -17,6 +17,12 @@
     return {StatementFailure::NoPrimary, Ran::No, message, RetryAfterNoPrimary};
 }
 
+// The home can't use the server now; another home may.
+StatementError noShare(const std::string &message)
+{
+    return {StatementFailure::NoConnection, Ran::No, message, RetryAfterNoPrimary};
+}
+
 StatementError outcomeUnknown(const std::string &message)
 {
     return {StatementFailure::OutcomeUnknown, Ran::Unknown, message, RetryAfterNoPrimary};
@@ -60,10 +66,13 @@
     m_retries.noteFresh();
     if (timeLeft(statement.deadline) <= 0ms)
         throw StatementError(StatementFailure::DeadlinePassed, Ran::No, "the timeout is over");
+    // An open transaction keeps its connection until its end.
+    if (statement.step != TransactionStep::None && statement.step != TransactionStep::Begin)
+        return m_transactions.run(group, statement);
+    if (!group.hasAnyShare())
+        throw noShare("this home has no share of the group's connections");
     if (statement.step == TransactionStep::Begin)
         return begin(group, statement);
-    if (statement.step != TransactionStep::None)
-        return m_transactions.run(group, statement);
     return statement.access == Access::Write ? write(group, statement) : read(group, statement);
 }
 
@@ -159,6 +168,8 @@
     const auto primary = group.primary();
     if (!primary)
         throw noPrimary("the group has no primary");
+    if (!group.hasShare(*primary))
+        throw noShare("this home has no share of the connections of " + primary->text());
     return *primary;
 }
 
--- a/src/serve/identity.h
+++ b/src/serve/identity.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "nutmegtide/backend/messages.h"
 #include "nutmegtide/base/ids.h"
 
 namespace nutmegtide {
@@ -11,6 +12,9 @@
     VmName vm;
     FailureDomain failureDomain;
     Incarnation incarnation = 0; // start time in microseconds since 1970, so that it grows
+
+    // This run as a holder of connections to backend servers.
+    HomeRunId homeRun() const { return HomeRunId(vm.text() + '.' + std::to_string(incarnation)); }
 };
 
 } // namespace nutmegtide
--- a/src/serve/statusrole.cpp
+++ b/src/serve/statusrole.cpp
@@ -116,6 +116,8 @@
                                      {"proved_age_ms", toMilliseconds(server.provedAge)},
                                      {"in_flight", server.inFlight},
                                      {"slots", server.limit},
+                                     {"statement_connections",
+                                      group.capacityOf(server.id).connections},
                                      {"suspect", server.isSuspect}};
         if (server.isSuspect)
             problems.push_back(name + ": backend server " + server.id.text() + " is silent");
--- a/test/process/support/caskfleet.cpp
+++ b/test/process/support/caskfleet.cpp
@@ -4,6 +4,21 @@
 
 namespace nutmegtide::test {
 
+namespace {
+
+// Whether the VM is home and has a share of the connections of all three servers.
+bool hasAllShares(const Endpoint &operators)
+{
+    const Json status = HttpClient(operators).get("/v1/status").json();
+    const Json servers = status.value("/groups/casks/servers"_json_pointer, Json::object());
+    int shares = 0;
+    for (const Json &server : servers)
+        shares += server.value("statement_connections", 0) > 0 ? 1 : 0;
+    return shares == 3;
+}
+
+} // namespace
+
 CaskFleet::CaskFleet()
     : m_fleet({{"a1", "fd-a", false}, {"b1", "fd-b", false}, {"c1", "fd-c", false}})
 {
@@ -18,6 +33,7 @@
             return caller.write("put", parameters, "start-" + proxy).status == 200;
         };
         waitUntil(isAcknowledged, "the first write through " + proxy);
+        waitUntil([&] { return hasAllShares(m_fleet.operators(proxy)); }, "shares of " + proxy);
     }
 }
 
--- a/test/standin/options.cpp
+++ b/test/standin/options.cpp
@@ -24,6 +24,7 @@
     int ship = 0;
     int slots = 3;
     int connections = 20;
+    int isUndivided = 0;
     char *state = nullptr;
 };
 
@@ -70,6 +71,7 @@
     options.ship = std::chrono::milliseconds(words.ship);
     options.slots = words.slots;
     options.connections = words.connections;
+    options.isDividing = words.isUndivided == 0;
     const std::optional<ServerState> state = serverStateFromString(words.state ? words.state
                                                                                : "ready");
     if (!state)
@@ -111,6 +113,8 @@
              {"ship-ms", 0, POPT_ARG_INT, &words.ship, 0, "from fetch to receipt", "MS"},
              {"slots", 0, POPT_ARG_INT, &words.slots, 0, "concurrent statements", "N"},
              {"connections", 0, POPT_ARG_INT, &words.connections, 0, "connections accepted", "N"},
+             {"undivided", 0, POPT_ARG_NONE, &words.isUndivided, 0, "grants no connection shares",
+              nullptr},
              {"state", 0, POPT_ARG_STRING, &words.state, 0, "ready, joining or leaving", "STATE"},
              POPT_AUTOHELP POPT_TABLEEND};
     const poptContext context = poptGetContext("nutmegtide-standin", argc, argv, table, 0);
--- a/test/standin/options.h
+++ b/test/standin/options.h
@@ -24,6 +24,7 @@
     std::chrono::milliseconds ship = std::chrono::milliseconds::zero();
     int slots = 3;
     int connections = 20;
+    bool isDividing = true; // divides its connections among the homes
     ServerState state = ServerState::Ready;
 };
 
--- a/test/unit/fleet/groupstate_test.cpp
+++ b/test/unit/fleet/groupstate_test.cpp
@@ -98,3 +98,16 @@
     CHECK(group.forgetSilent(5s, now + 6s).size() == 3);
     CHECK(group.servers().empty());
 }
+
+TEST_CASE("a home that listens again suspects no server for the time it didn't listen")
+{
+    const TimePoint now;
+    GroupState group = healthyGroup(now);
+    group.observeRefusal(A);
+    CHECK(group.isSuspect(A, 1s, now));
+    CHECK(group.isSuspect(B, 1s, now + 2s));
+    group.resume(now + 2s);
+    CHECK_FALSE(group.isSuspect(A, 1s, now + 2s));
+    CHECK_FALSE(group.isSuspect(B, 1s, now + 2s));
+    CHECK(group.isSuspect(B, 1s, now + 4s));
+}
--- a/test/unit/serve/backendclient_test.cpp
+++ b/test/unit/serve/backendclient_test.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <doctest/doctest.h>
 #include <functional>
+#include <optional>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -184,6 +185,29 @@
     CHECK(server.connections() == 1);
 }
 
+TEST_CASE(
+        "a smaller or void share closes idle connections at once and lent ones when they come back")
+{
+    FakeServer server(
+            [](int, const std::string &id) { return FakeServer::Answer {whole(answerTo(id))}; });
+    BackendPool pool(server.endpoint(), 4);
+    std::optional<BackendPool::Lease> first(pool.borrow(0ms));
+    std::optional<BackendPool::Lease> second(pool.borrow(0ms));
+    pool.borrow(0ms);
+    CHECK(pool.open() == 3);
+    pool.setMost(1);
+    CHECK(pool.open() == 2);
+    CHECK_THROWS_AS(pool.borrow(0ms), LinkError);
+    first.reset();
+    CHECK(pool.open() == 1);
+    second.reset();
+    CHECK(pool.open() == 1);
+    pool.setMost(4, Clock::now());
+    CHECK(pool.open() == 0);
+    CHECK(pool.most() == 0);
+    CHECK_THROWS_AS(pool.borrow(0ms), LinkError);
+}
+
 TEST_CASE("a bytes surplus after an answer isn't taken for the next one")
 {
     FakeServer server([](int number, const std::string &id) {
