--- a/src/serve/homegroupshare.cpp
+++ b/src/serve/homegroupshare.cpp
@@ -34,7 +34,8 @@
         link.share.take(*announcement.grant);
     else
         link.share.assume(std::max(SmallestShare, usable / std::max(1, homes)), validity, now);
-    link.pool->setMost(link.share.current(now) - 1, link.share.voidAt());
+    // One connection of the share is the watcher's.
+    link.pool->setMost(std::max(0, link.share.current(now) - 1), link.share.voidAt());
     m_wanted.notify_all();
     const int open = link.pool->open() + (link.isWatched ? 1 : 0);
     if (!announcement.grant || !link.share.isRequestDue(open, validity, now))
@@ -46,15 +47,16 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_links.find(server);
-    return found != m_links.end() && found->second.share.current(Clock::now()) > 0;
+    return found != m_links.end() && found->second.share.current(Clock::now()) >= SmallestShare;
 }
 
 bool HomeGroup::hasAnyShare() const
 {
     const TimePoint now = Clock::now();
     const std::lock_guard lock(m_mutex);
-    return std::any_of(m_links.begin(), m_links.end(),
-                       [now](const auto &link) { return link.second.share.current(now) > 0; });
+    return std::any_of(m_links.begin(), m_links.end(), [now](const auto &link) {
+        return link.second.share.current(now) >= SmallestShare;
+    });
 }
 
 void HomeGroup::join()
