--- a/src/serve/groupreporter.cpp
+++ b/src/serve/groupreporter.cpp
@@ -1,5 +1,7 @@
 #include "serve/groupreporter.h"
 
+#include "serve/announceapi.h"
+
 #include <algorithm>
 
 namespace nutmegtide {
@@ -7,6 +9,7 @@
 namespace {
 
 constexpr auto AnswerTime = 500ms;
+constexpr auto HomeCheckInterval = 1s; // between looks at whether this VM is still home
 constexpr auto LongestRest = 1s; // settings that change the sight come without a message
 constexpr auto SuspectedRest = 100ms; // a suspected primary that is heard again changes no message
 
@@ -53,10 +56,13 @@
 
 } // namespace
 
-GroupReporter::GroupReporter(HomeGroups &groups, const Directory &directory, PeerClients &peers,
-                             Recorder &recorder)
-    : m_groups(groups)
+GroupReporter::GroupReporter(const Identity &identity, HomeGroups &groups,
+                             const Directory &directory, const SettingsSource &settings,
+                             PeerClients &peers, Recorder &recorder)
+    : m_identity(identity)
+    , m_groups(groups)
     , m_directory(directory)
+    , m_settings(settings)
     , m_peers(peers)
     , m_recorder(recorder)
 { }
@@ -87,8 +93,32 @@
 
 void GroupReporter::watch()
 {
-    while (!m_isStopping)
+    while (!m_isStopping) {
+        checkHomes();
         m_groups.sights().restUntil(takeSights());
+    }
+}
+
+void GroupReporter::checkHomes()
+{
+    const TimePoint now = Clock::now();
+    if (now - m_homesCheckedAt < HomeCheckInterval)
+        return;
+    m_homesCheckedAt = now;
+    for (const DatabaseName &database : m_groups.allNames()) {
+        HomeGroup &group = *m_groups.find(database);
+        const auto homes = m_directory.homesOf(database,
+                                               placementRule(*m_settings.current(), database));
+        if (std::find(homes.begin(), homes.end(), m_identity.vm) == homes.end())
+            group.leave();
+        const bool isHome = group.isHome();
+        if (std::exchange(m_isHome[database], isHome) == isHome)
+            continue;
+        m_recorder.record(EventKind::HomeChanged,
+                          {.database = database,
+                           .term = group.term(),
+                           .details = {{"home", isHome ? "yes" : "no"}}});
+    }
 }
 
 TimePoint GroupReporter::takeSights()
--- a/src/serve/groupreporter.h
+++ b/src/serve/groupreporter.h
@@ -4,6 +4,7 @@
 #include "nutmegtide/failover/reportschedule.h"
 #include "serve/directory.h"
 #include "serve/homegroups.h"
+#include "serve/identity.h"
 #include "serve/peerclient.h"
 #include "serve/signal.h"
 
@@ -22,8 +23,8 @@
 class GroupReporter
 {
 public:
-    GroupReporter(HomeGroups &groups, const Directory &directory, PeerClients &peers,
-                  Recorder &recorder);
+    GroupReporter(const Identity &identity, HomeGroups &groups, const Directory &directory,
+                  const SettingsSource &settings, PeerClients &peers, Recorder &recorder);
     ~GroupReporter();
     GroupReporter(const GroupReporter &) = delete;
     GroupReporter &operator=(const GroupReporter &) = delete;
@@ -42,12 +43,19 @@
     // Returns nothing where the call brought no answer.
     std::optional<ReportAnswer> send(const ReportCall &call);
 
+    // Leaves the groups that this VM is no longer home of, and records both ways.
+    void checkHomes();
+
+    const Identity &m_identity;
     HomeGroups &m_groups;
     const Directory &m_directory;
+    const SettingsSource &m_settings;
     PeerClients &m_peers;
     Recorder &m_recorder;
     std::map<DatabaseName, std::set<ServerId>> m_present; // servers on the time line
     std::map<DatabaseName, bool> m_suspected;
+    std::map<DatabaseName, bool> m_isHome; // on the time line
+    TimePoint m_homesCheckedAt;
     mutable std::mutex m_mutex;
     ReportSchedule::Sights m_sights;
     Signal m_sightsChanged;
