Share the places in time among sessions, not only those of the queue's length

Cause (seen first): one session that sends ten times as much as each of 20 others had 4,123 of 6,000 statements served with timeouts of 200 ms, and the others got as few as 26 of 285. Short timeouts fill the queue at 15 statements, where a session's part of 64 places bounds nothing. Change: a session has at most 1/n of the places that let the newcomer finish in time, counting its own waiting statements of the same or a preferred class. The test on 20 and one sessions was seen failing first, in the row of 200 ms.

--- a/include/nutmegtide/statement/admissionqueue.h
+++ b/include/nutmegtide/statement/admissionqueue.h
@@ -111,10 +111,14 @@
         AdmissionRequest request;
     };
     using Flow = std::pair<SessionId, AdmissionClass>;
+    using ClassCounts = std::array<int, AdmissionClassCount>;
 
     std::uint64_t nextRound(const AdmissionRequest &request) const;
-    bool hasPlace(const AdmissionRequest &request) const;
-    int mostOfSession() const;
+    bool hasPlace(const AdmissionRequest &request, TimePoint now) const;
+    // Returns how many may wait before the newcomer so that it finishes in time.
+    std::size_t placesInTime(const AdmissionRequest &request, TimePoint now) const;
+    // Returns the newcomer's session's share of these places.
+    int mostOfSession(const AdmissionRequest &request, TimePoint now) const;
     // Returns whether the newcomer at this place and all behind it can finish in time.
     bool fitsInTime(std::size_t place, TimePoint now) const;
     // Returns the time until the statement with so many others before it starts.
@@ -147,7 +151,7 @@
     std::size_t m_queueLength = 0;
     std::vector<Waiting> m_waiting; // in the order of their turns
     std::array<std::size_t, AdmissionClassCount> m_waitingOfClass {};
-    std::map<SessionId, int> m_waitingOfSession;
+    std::map<SessionId, ClassCounts> m_waitingOfSession; // those that have any
     std::map<AdmissionTicket, Running> m_running;
     std::map<Flow, std::uint64_t> m_lastRounds;
     std::uint64_t m_round = 0; // of the statement started last
--- a/src/statement/admissionqueue.cpp
+++ b/src/statement/admissionqueue.cpp
@@ -1,6 +1,7 @@
 #include "nutmegtide/statement/admissionqueue.h"
 
 #include <algorithm>
+#include <numeric>
 #include <tuple>
 
 namespace nutmegtide {
@@ -55,20 +56,35 @@
     return from + RoundsBetween[indexOf(request.kind)];
 }
 
-int AdmissionQueue::mostOfSession() const
+std::size_t AdmissionQueue::placesInTime(const AdmissionRequest &request, TimePoint now) const
 {
+    const Duration left = request.deadline - now - m_limit.slowServiceTime();
+    const double each = NewcomerMargins[indexOf(request.kind)] * double(answerInterval().count());
+    const double places = each > 0 ? double(left.count()) / each : double(m_queueLength);
+    return static_cast<std::size_t>(std::clamp(places, 0.0, double(m_queueLength)));
+}
+
+int AdmissionQueue::mostOfSession(const AdmissionRequest &request, TimePoint now) const
+{
+    const std::size_t sessions = std::max<std::size_t>(1, m_waitingOfSession.size());
     // There is always room for one session more than those that wait.
-    const std::size_t shares = m_waitingOfSession.size() + 1;
-    return static_cast<int>(std::max<std::size_t>(1, m_queueLength / shares));
+    const std::size_t most = std::min(m_queueLength / (sessions + 1),
+                                      placesInTime(request, now) / sessions);
+    return static_cast<int>(std::max<std::size_t>(1, most));
 }
 
-bool AdmissionQueue::hasPlace(const AdmissionRequest &request) const
+bool AdmissionQueue::hasPlace(const AdmissionRequest &request, TimePoint now) const
 {
     if (m_waiting.size() >= m_queueLength)
         return false;
     const auto own = m_waitingOfSession.find(request.session);
-    if (own != m_waitingOfSession.end() && own->second >= mostOfSession())
-        return false;
+    if (own != m_waitingOfSession.end()) {
+        // What the session itself would rather have done later takes no place from this one.
+        const auto last = own->second.begin() + static_cast<std::ptrdiff_t>(indexOf(request.kind))
+                + 1;
+        if (std::accumulate(own->second.begin(), last, 0) >= mostOfSession(request, now))
+            return false;
+    }
     const std::size_t kept = m_queueLength / Eighths;
     const std::size_t kind = indexOf(request.kind);
     if (m_waitingOfClass[kind] < kept)
@@ -135,7 +151,7 @@
     AdmissionActions actions = expire(now);
     const bool isFree = m_waiting.empty() && mayStart(now);
     if (now + m_limit.slowServiceTime() > request.deadline || isStalled(now)
-        || (!isFree && !hasPlace(request))) {
+        || (!isFree && !hasPlace(request, now))) {
         actions.push_back(refusal(request.ticket));
         return actions;
     }
@@ -178,14 +194,15 @@
 void AdmissionQueue::count(const AdmissionRequest &request)
 {
     ++m_waitingOfClass[indexOf(request.kind)];
-    ++m_waitingOfSession[request.session];
+    ++m_waitingOfSession[request.session][indexOf(request.kind)];
 }
 
 void AdmissionQueue::forget(const AdmissionRequest &request)
 {
     --m_waitingOfClass[indexOf(request.kind)];
     const auto own = m_waitingOfSession.find(request.session);
-    if (--own->second == 0)
+    --own->second[indexOf(request.kind)];
+    if (own->second == ClassCounts {})
         m_waitingOfSession.erase(own);
 }
 
--- a/test/unit/statement/admissionqueue_test.cpp
+++ b/test/unit/statement/admissionqueue_test.cpp
@@ -284,3 +284,111 @@
         CHECK(isRefused(actions, 1) == row.isRefused);
     }
 }
+
+namespace {
+
+constexpr Duration RunTime = 60s;
+
+// One slot, 20 modest sessions and one that sends ten times as much as each of them.
+class UnequalSessions
+{
+public:
+    static constexpr int Modest = 20;
+    static constexpr int Greedy = Modest; // the last one
+    static constexpr double FairShare = RunTime / Service / double(Modest + 1); // statements
+
+    // The load of a modest session is in fair shares.
+    UnequalSessions(AdmissionClass kind, double load, Duration timeout)
+        : m_kind(kind)
+        , m_timeout(timeout)
+        , m_gap(std::chrono::duration_cast<Duration>((Modest + 1) / load * Service))
+    {
+        for (int session = 0; session < Modest; ++session)
+            m_due[session] = server.now + session * m_gap / Modest;
+        m_due[Greedy] = server.now;
+    }
+
+    void run()
+    {
+        const TimePoint end = server.now + RunTime;
+        TimePoint answeredAt = server.now + Service;
+        while (server.now < end) {
+            const auto next = std::min_element(m_due.begin(), m_due.end(),
+                                               [](const auto &left, const auto &right) {
+                                                   return left.second < right.second;
+                                               });
+            if (next->second < answeredAt) {
+                server.now = next->second;
+                send(next->first);
+                next->second += next->first == Greedy ? m_gap / 10 : m_gap;
+                continue;
+            }
+            server.now = answeredAt;
+            answeredAt += Service;
+            const AdmissionTicket running = m_running;
+            ++served[m_sessionOf[running]];
+            m_running = 0;
+            take(server.queue.finish(running, AdmissionEnd::Answered, server.now));
+        }
+    }
+
+    BusyServer server;
+    std::map<int, int> served;
+    std::map<int, int> sent;
+
+private:
+    void send(int session)
+    {
+        const AdmissionTicket ticket = m_next++;
+        m_sessionOf[ticket] = session;
+        ++sent[session];
+        take(server.add(ticket, "session" + std::to_string(session), m_kind, m_timeout));
+    }
+
+    void take(const AdmissionActions &actions)
+    {
+        for (const AdmissionAction &action : actions) {
+            if (action.kind == AdmissionActionKind::Start)
+                m_running = action.ticket;
+        }
+    }
+
+    const AdmissionClass m_kind;
+    const Duration m_timeout;
+    const Duration m_gap;
+    std::map<int, TimePoint> m_due;
+    std::map<AdmissionTicket, int> m_sessionOf {{BusyServer::RunningTicket, Greedy}};
+    AdmissionTicket m_running = BusyServer::RunningTicket;
+    AdmissionTicket m_next = 10'000;
+};
+
+} // namespace
+
+TEST_CASE("a session that sends ten times as much leaves the others their fair share")
+{
+    struct Row
+    {
+        AdmissionClass kind;
+        double load;
+        Duration timeout;
+    };
+    const Row rows[] = {
+            {AdmissionClass::Write, 0.5, 1s},    {AdmissionClass::Write, 1, 1s},
+            {AdmissionClass::Write, 2, 1s},      {AdmissionClass::AgedRead, 2, 1s},
+            {AdmissionClass::PlainRead, 2, 1s},  {AdmissionClass::Write, 2, 200ms},
+            {AdmissionClass::AgedRead, 0.5, 1s},
+    };
+    for (const Row &row : rows) {
+        UnequalSessions sessions(row.kind, row.load, row.timeout);
+        sessions.run();
+        CAPTURE(int(row.kind));
+        CAPTURE(row.load);
+        CAPTURE(row.timeout.count());
+        // What still waits at the end isn't served yet.
+        const double endedShare = 1 - double(row.timeout.count()) / double(RunTime.count());
+        for (int session = 0; session < UnequalSessions::Modest; ++session) {
+            const double due = std::min<double>(sessions.sent[session], UnequalSessions::FairShare);
+            CHECK(sessions.served[session] >= endedShare * due);
+        }
+    }
+}
