Tell a request as unsent only if no byte of it was sent

Cause: when a kept connection to a backend server closes before an answer, curl connects anew by itself. If the server has died meanwhile, that connect is refused, and the exchange was taken for one that never sent anything, so a write that the dead server had taken, and a replica holds, could be answered "not run". That fits what the failover test showed once: one write in the log that was answered so. Ruled out by reading: the entry proxy, which tells an earlier lost answer as unknown.

Change: the bytes sent decide. Such an exchange is LostAndRefused: the server is taken for dead at once, as before, and the write is asked for again under its id.

Not covered: a server that is back at the same address before curl connects anew, and that refuses the second sending after it has run the first.

--- a/src/serve/backendclient.cpp
+++ b/src/serve/backendclient.cpp
@@ -14,9 +14,15 @@
     return size * count;
 }
 
-bool isNothingSent(CURLcode code)
+LinkFault faultOf(CURL *handle, CURLcode code)
 {
-    return code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST;
+    if (code != CURLE_COULDNT_CONNECT && code != CURLE_COULDNT_RESOLVE_HOST)
+        return LinkFault::Lost;
+    // When a kept connection closes without an answer, curl connects anew by itself. The
+    // request may have run before, though the last thing that failed is a connect.
+    long sentBytes = 0;
+    curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &sentBytes);
+    return sentBytes > 0 ? LinkFault::LostAndRefused : LinkFault::Refused;
 }
 
 } // namespace
@@ -74,9 +80,9 @@
     long status = 0;
     curl_easy_getinfo(m_handle, CURLINFO_RESPONSE_CODE, &status);
     if (code != CURLE_OK) {
+        const LinkFault fault = faultOf(m_handle, code);
         close();
-        const std::string message = toString(m_server) + ": " + curl_easy_strerror(code);
-        throw LinkError(isNothingSent(code) ? LinkFault::Refused : LinkFault::Lost, message);
+        throw LinkError(fault, toString(m_server) + ": " + curl_easy_strerror(code));
     }
     if (status == 200)
         return answer;
--- a/src/serve/backendclient.h
+++ b/src/serve/backendclient.h
@@ -17,6 +17,7 @@
 // How far an exchange with a backend server got before it failed.
 enum class LinkFault {
     Refused, // no connection: nothing was sent
+    LostAndRefused, // sent, then the connection was closed, and the server refuses a new one
     NoConnectionFree, // the budget is used up: nothing was sent
     Lost, // sent, and no whole answer came
     BadAnswer, // the answer is short, malformed or belongs to another request
@@ -32,6 +33,11 @@
     { }
 
     LinkFault fault() const { return m_fault; }
+    // The server takes no connections, so it is taken for dead at once.
+    bool isRefusing() const
+    {
+        return m_fault == LinkFault::Refused || m_fault == LinkFault::LostAndRefused;
+    }
     bool isUnsent() const
     {
         return m_fault == LinkFault::Refused || m_fault == LinkFault::NoConnectionFree;
--- a/src/serve/homegroupwatch.cpp
+++ b/src/serve/homegroupwatch.cpp
@@ -103,7 +103,7 @@
     try {
         reply = connection->position(term, next, wait, wait + AnswerTime);
     } catch (const LinkError &fault) {
-        isRefused = fault.fault() == LinkFault::Refused;
+        isRefused = fault.isRefusing();
     } catch (const RefusedByServer &) {
         reply.reset();
     }
--- a/src/serve/homerunner.cpp
+++ b/src/serve/homerunner.cpp
@@ -174,6 +174,8 @@
     } catch (const LinkError &fault) {
         if (fault.isUnsent())
             throw errorOfUnsent(group, server, fault);
+        if (fault.isRefusing())
+            group.observeRefusal(server);
         reply = resend(group, statement);
     }
     confirmWrite(group, reply, std::min(statement.deadline, Clock::now() + ackTimeout));
@@ -251,7 +253,7 @@
         // Its queue is full, and another server may have room.
         return std::nullopt;
     } catch (const LinkError &fault) {
-        if (fault.fault() == LinkFault::Refused)
+        if (fault.isRefusing())
             group.observeRefusal(server);
     }
     return std::nullopt;
@@ -273,6 +275,8 @@
     } catch (const LinkError &fault) {
         if (fault.isUnsent())
             throw errorOfUnsent(group, server, fault);
+        if (fault.isRefusing())
+            group.observeRefusal(server);
         // A read changes nothing, so a lost answer leaves nothing unknown behind.
         throw noPrimary(fault.what());
     }
--- a/test/unit/serve/backendclient_test.cpp
+++ b/test/unit/serve/backendclient_test.cpp
@@ -41,6 +41,7 @@
         std::string bytes;
         std::chrono::milliseconds delay {0};
         bool closes = false;
+        bool ends = false; // takes no new connection either
     };
     // The number counts requests from 0; the id is that of the request.
     using Script = std::function<Answer(int number, const std::string &id)>;
@@ -103,6 +104,8 @@
             received.clear();
             const Answer answer = m_script(m_requests++, request.value("request_id", ""));
             std::this_thread::sleep_for(answer.delay);
+            if (answer.ends)
+                shutdown(m_listener, SHUT_RDWR);
             send(connection, answer.bytes.data(), answer.bytes.size(), MSG_NOSIGNAL);
             if (answer.closes)
                 return;
@@ -172,6 +175,24 @@
     }
 }
 
+TEST_CASE("a request that a server took before it died isn't told as unsent")
+{
+    FakeServer server([](int number, const std::string &id) {
+        return number == 0 ? FakeServer::Answer {whole(answerTo(id))}
+                           : FakeServer::Answer {"", 0ms, true, true};
+    });
+    BackendPool pool(server.endpoint(), 1);
+    pool.borrow(1s)->execute(request("first"), 60s);
+    try {
+        pool.borrow(1s)->execute(request("second"), 60s);
+        FAIL("a server that has died answered");
+    } catch (const LinkError &fault) {
+        CHECK(int(fault.fault()) == int(LinkFault::LostAndRefused));
+        CHECK(fault.isRefusing());
+        CHECK_FALSE(fault.isUnsent());
+    }
+}
+
 TEST_CASE("good answers keep the connection")
 {
     FakeServer server(
