Record that a VM became and ceased to be home, also within one look

Cause: the reporter looks each second whether a VM is still home; one that was home for less was taken out without either event, so "a VM that is no longer home says so ..." waited 60 s for it. Change: the state is recorded before the look as well as after it.

--- a/src/serve/groupreporter.cpp
+++ b/src/serve/groupreporter.cpp
@@ -109,18 +109,25 @@
         HomeGroup &group = *m_groups.find(database);
         const auto homes = m_directory.homesOf(database,
                                                placementRule(*m_settings.current(), database));
+        // A VM that became home and ceased to be it since the last look is on the time line with both.
+        recordHome(database, group);
         if (std::find(homes.begin(), homes.end(), m_identity.vm) == homes.end())
             group.leave();
-        const bool isHome = group.isHome();
-        if (std::exchange(m_isHome[database], isHome) == isHome)
-            continue;
-        m_recorder.record(EventKind::HomeChanged,
-                          {.database = database,
-                           .term = group.term(),
-                           .details = {{"home", isHome ? "yes" : "no"}}});
+        recordHome(database, group);
     }
 }
 
+void GroupReporter::recordHome(const DatabaseName &database, const HomeGroup &group)
+{
+    const bool isHome = group.isHome();
+    if (std::exchange(m_isHome[database], isHome) == isHome)
+        return;
+    m_recorder.record(EventKind::HomeChanged,
+                      {.database = database,
+                       .term = group.term(),
+                       .details = {{"home", isHome ? "yes" : "no"}}});
+}
+
 TimePoint GroupReporter::takeSights()
 {
     const TimePoint now = Clock::now();
--- a/src/serve/groupreporter.h
+++ b/src/serve/groupreporter.h
@@ -45,6 +45,7 @@
 
     // Leaves the groups that this VM is no longer home of, and records both ways.
     void checkHomes();
+    void recordHome(const DatabaseName &database, const HomeGroup &group);
 
     const Identity &m_identity;
     HomeGroups &m_groups;
