--- a/src/serve/homegroup.cpp
+++ b/src/serve/homegroup.cpp
@@ -10,8 +10,7 @@
 
 } // namespace
 
-HomeGroup::HomeGroup(HomeRunId ownRun, const SettingsSource &settings,
-                     std::function<void()> onSight)
+HomeGroup::HomeGroup(HomeRunId ownRun, const SettingsSource &settings, std::function<void()> onSight)
     : m_ownRun(std::move(ownRun))
     , m_settings(settings)
     , m_onSight(std::move(onSight))
