Let a replica leave a silent primary at once, not at the end of its pull

Cause: with the demo's primary frozen, the write was answered after 1,714 ms: the new primary was promoted after some 0.35 s and published 1.34 s later. The barrier's majority waited for the other replica, whose pull from the frozen primary went on until its timeout of 2 s. Ruled out: the order of the calls of a change (each server has a worker of its own); detection (0.35 s). The new case ran into its limit without the change and passes with it.

--- a/test/standin/httpclient.h
+++ b/test/standin/httpclient.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <curl/curl.h>
+#include <functional>
 #include <string>
 
 namespace nutmegtide::standin {
@@ -31,12 +32,15 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    // Throws HttpError.
+    // Throws HttpError, also once the answer is no longer wanted.
     HttpAnswer get(const Endpoint &server, const std::string &path,
-                   std::chrono::milliseconds timeout);
+                   std::chrono::milliseconds timeout, const std::function<bool()> &isGivenUp = {});
 
 private:
+    CURLcode perform(const std::function<bool()> &isGivenUp);
+
     CURL *m_curl;
+    CURLM *m_multi; // holds the open connection
 };
 
 } // namespace nutmegtide::standin
--- a/test/standin/replicator.cpp
+++ b/test/standin/replicator.cpp
@@ -7,13 +7,13 @@
 namespace {
 
 constexpr std::chrono::milliseconds PollWait = 500ms;
-constexpr std::chrono::milliseconds PullTimeout = 2s;
 constexpr std::chrono::milliseconds RetryPause = 20ms;
 
 } // namespace
 
-Replicator::Replicator(StandinState &state)
+Replicator::Replicator(StandinState &state, std::chrono::milliseconds pullTimeout)
     : m_state(state)
+    , m_pullTimeout(pullTimeout)
     , m_thread([this](const std::stop_token &stop) { run(stop); })
 { }
 
@@ -33,7 +33,8 @@
     const std::string path = "/v1/log?after=" + std::to_string(probe.index)
             + "&wait_ms=" + std::to_string(wait.count());
     try {
-        const HttpAnswer answer = m_client.get(source.primary, path, PullTimeout);
+        const HttpAnswer answer = m_client.get(source.primary, path, m_pullTimeout,
+                                               [&] { return m_state.source() != source; });
         constexpr long OkStatus = 200;
         if (answer.status != OkStatus)
             return false;
--- a/test/unit/standin/httpserver_test.cpp
+++ b/test/unit/standin/httpserver_test.cpp
@@ -3,7 +3,9 @@
 #include "standin/httpclient.h"
 #include "standin/replicator.h"
 
+#include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <unistd.h>
 
 using namespace nutmegtide;
 using namespace nutmegtide::standin;
@@ -35,6 +37,40 @@
     HttpServer http = HttpServer(state, smallOptions(), budget);
 };
 
+// Takes connections and never answers, as a frozen process does.
+class SilentServer
+{
+public:
+    SilentServer()
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto *generic = reinterpret_cast<sockaddr *>(&address);
+        socklen_t size = sizeof(address);
+        REQUIRE(bind(m_socket, generic, size) == 0);
+        REQUIRE(listen(m_socket, 4) == 0);
+        REQUIRE(getsockname(m_socket, generic, &size) == 0);
+        m_endpoint = {"127.0.0.1", ntohs(address.sin_port)};
+    }
+    ~SilentServer()
+    {
+        close(m_caller);
+        close(m_socket);
+    }
+    SilentServer(const SilentServer &) = delete;
+    SilentServer &operator=(const SilentServer &) = delete;
+
+    const Endpoint &endpoint() const { return m_endpoint; }
+    void waitForCaller() { m_caller = accept(m_socket, nullptr, nullptr); }
+
+private:
+    int m_socket;
+    int m_caller = -1;
+    Endpoint m_endpoint;
+};
+
 } // namespace
 
 TEST_CASE("a connection over the limit is refused and counted")
@@ -133,3 +169,17 @@
     replica.stop();
     server.state.stop();
 }
+
+TEST_CASE("a replica of a silent primary pulls from the next one at once")
+{
+    SilentServer silent;
+    Server next;
+    StandinState replica(nullptr, {}, ServerState::Joining);
+    const Replicator replicator(replica, std::chrono::hours(1));
+    replica.startAsReplica(silent.endpoint());
+    silent.waitForCaller();
+    replica.follow({1, next.http.address(), {}}, Clock::now());
+    CHECK(replica.awaitPosition(1, {0, 0}, Timeout).durable == LogPosition {1, 1});
+    replica.stop();
+    next.state.stop();
+}
