--- a/samples/demo.sh
+++ b/samples/demo.sh
@@ -2,6 +2,9 @@
 # Runs a small fleet on loopback: four VMs in four failure domains and one database
 # of three backend servers. Writes, roams, reads from a replica, ends the primary,
 # sees the new term and the merged time line, then stops by itself.
+#
+#   samples/demo.sh BUILD          the whole demo
+#   samples/demo.sh BUILD --keep   starts the fleet, says how to break it, and runs until Ctrl-C
 set -euo pipefail
 build=$(cd "$1" && pwd)
 work=$(mktemp -d)
@@ -65,6 +68,17 @@
 }
 until_answered() { for _ in $(seq 400); do statement "$@" > /dev/null && cat "$work/answer" && echo && return; sleep 0.05; done; cat "$work/answer"; exit 1; }
 
+# Prints what to type to break the fleet and to see what it did.
+explain() {
+    local write='{"statement":"put","parameters":{"key":"cask-7","value":1},"access":"write"}'
+    printf '\n'
+    printf 'kill -STOP %s   # freeze the primary s1; -CONT thaws it, -9 kills it\n' "$primary_pid"
+    printf 'kill -9 %s      # kill VM vm-d\n' "${started[3]}"
+    printf "curl http://%s/v1/databases/casks/statements -d '%s'\n" "$callers_b" "$write"
+    printf '%s/nutmegtide status --at %s\n' "$build" "${operators%%,*}"
+    printf '%s/nutmegtide timeline --at %s --html out/timeline.html\n' "$build" "$operators"
+}
+
 say "four VMs, three backend servers"
 for domain in "${domains[@]}"; do start_vm "$domain"; done
 callers_a=$(field "$work/vm-a.ports" callers)
@@ -85,6 +99,12 @@
 say "a read that accepts data of one second's age is served by a replica"
 statement "$callers_d" '{"statement":"get","parameters":{"key":"cask-7"},"access":"read","max_age_ms":1000}'
 
+if [ "${2:-}" = --keep ]; then
+    say "the fleet runs until Ctrl-C; in another terminal:"
+    explain
+    wait
+fi
+
 say "the primary s1 is killed; the next write goes to a new term"
 kill -9 "$primary_pid"
 begin=$(date +%s%N)
