Move the HTTP client of the commands beside the other adapters

Cause: the power role used a client that stood among the commands. Change: OperatorClient is PlainHttpClient in src/serve; behaviour as it was.

--- a/src/cli/applycommand.cpp
+++ b/src/cli/applycommand.cpp
@@ -1,7 +1,7 @@
 #include "cli/commandline.h"
 #include "cli/commands.h"
-#include "cli/operatorclient.h"
 #include "nutmegtide/settings/loader.h"
+#include "serve/plainhttpclient.h"
 
 #include <array>
 #include <cstdio>
@@ -37,7 +37,7 @@
     return toml;
 }
 
-Revision currentRevision(const OperatorClient &client)
+Revision currentRevision(const PlainHttpClient &client)
 {
     const Json json = jsonOf(client.get(ConfigPath));
     if (!json.is_object() || !json.contains("revision") || !json["revision"].is_number_unsigned())
@@ -72,7 +72,7 @@
     std::printf("\n");
 }
 
-int exitOf(const OperatorAnswer &answer)
+int exitOf(const PlainHttpAnswer &answer)
 {
     const Json json = Json::parse(answer.body, nullptr, false);
     const std::string outcome = json.is_object() ? textMember(json, "outcome") : "";
@@ -92,7 +92,7 @@
 int runApply(const ApplyOptions &options)
 {
     const std::string toml = mergedFleet(options.config);
-    const OperatorClient client(options.at);
+    const PlainHttpClient client(options.at);
     const Revision base = options.base ? *options.base : currentRevision(client);
     const ChangeId changeId = options.changeId.isEmpty() ? newChangeId() : options.changeId;
     // Printed before the request is sent, so that it is known whatever becomes of the answer.
--- a/src/cli/draincommand.cpp
+++ b/src/cli/draincommand.cpp
@@ -1,12 +1,12 @@
 #include "cli/commandline.h"
 #include "cli/commands.h"
-#include "cli/operatorclient.h"
+#include "serve/plainhttpclient.h"
 
 namespace nutmegtide {
 
 int runDrain(const DrainOptions &options)
 {
-    checkSuccess(OperatorClient(options.at).post("/v1/drain", "{}"));
+    checkSuccess(PlainHttpClient(options.at).post("/v1/drain", "{}"));
     return ExitOk;
 }
 
--- a/src/cli/statuscommand.cpp
+++ b/src/cli/statuscommand.cpp
@@ -1,6 +1,6 @@
 #include "cli/commandline.h"
 #include "cli/commands.h"
-#include "cli/operatorclient.h"
+#include "serve/plainhttpclient.h"
 
 #include <cstdio>
 
@@ -93,7 +93,7 @@
 
 int runStatus(const StatusOptions &options)
 {
-    const OperatorAnswer answer = OperatorClient(options.at).get("/v1/status");
+    const PlainHttpAnswer answer = PlainHttpClient(options.at).get("/v1/status");
     const nlohmann::json json = jsonOf(answer);
     if (options.json) {
         std::printf("%s\n", answer.body.c_str());
--- a/src/cli/timelinecommand.cpp
+++ b/src/cli/timelinecommand.cpp
@@ -1,7 +1,7 @@
 #include "cli/commandline.h"
 #include "cli/commands.h"
-#include "cli/operatorclient.h"
 #include "nutmegtide/events/timeline.h"
+#include "serve/plainhttpclient.h"
 
 #include <cstdio>
 #include <fstream>
@@ -31,7 +31,7 @@
 void collectFrom(const Endpoint &at, Collected &collected)
 {
     try {
-        const nlohmann::json json = jsonOf(OperatorClient(at).get("/v1/timeline"));
+        const nlohmann::json json = jsonOf(PlainHttpClient(at).get("/v1/timeline"));
         for (const nlohmann::json &entry : json.at("parts")) {
             TimelinePart part = readPart(entry);
             collected.parts[part.vm] = std::move(part);
--- a/src/cli/operatorclient.cpp
+++ b/src/serve/plainhttpclient.cpp
@@ -1,4 +1,4 @@
-#include "cli/operatorclient.h"
+#include "serve/plainhttpclient.h"
 
 #include <curl/curl.h>
 #include <memory>
@@ -38,22 +38,22 @@
 
 } // namespace
 
-OperatorClient::OperatorClient(Endpoint at, std::chrono::milliseconds timeout)
+PlainHttpClient::PlainHttpClient(Endpoint at, std::chrono::milliseconds timeout)
     : m_at(std::move(at))
     , m_timeout(timeout)
 { }
 
-OperatorAnswer OperatorClient::get(const std::string &path) const
+PlainHttpAnswer PlainHttpClient::get(const std::string &path) const
 {
     return perform(path, nullptr);
 }
 
-OperatorAnswer OperatorClient::post(const std::string &path, const std::string &body) const
+PlainHttpAnswer PlainHttpClient::post(const std::string &path, const std::string &body) const
 {
     return perform(path, &body);
 }
 
-OperatorAnswer OperatorClient::perform(const std::string &path, const std::string *body) const
+PlainHttpAnswer PlainHttpClient::perform(const std::string &path, const std::string *body) const
 {
     const CurlHandle handle(curl_easy_init(), &curl_easy_cleanup);
     if (!handle)
@@ -61,7 +61,7 @@
     const std::string url = "http://" + toString(m_at) + path;
     const CurlHeaders headers(curl_slist_append(nullptr, "Content-Type: application/json"),
                               &curl_slist_free_all);
-    OperatorAnswer answer;
+    PlainHttpAnswer answer;
     curl_easy_setopt(handle.get(), CURLOPT_URL, url.c_str());
     curl_easy_setopt(handle.get(), CURLOPT_PROXY, "");
     curl_easy_setopt(handle.get(), CURLOPT_NOSIGNAL, 1L);
@@ -81,13 +81,13 @@
     return answer;
 }
 
-void checkSuccess(const OperatorAnswer &answer)
+void checkSuccess(const PlainHttpAnswer &answer)
 {
     if (answer.status < FirstSuccess || answer.status > LastSuccess)
         throw RefusedError("HTTP status " + std::to_string(answer.status) + ": " + answer.body);
 }
 
-nlohmann::json jsonOf(const OperatorAnswer &answer)
+nlohmann::json jsonOf(const PlainHttpAnswer &answer)
 {
     checkSuccess(answer);
     nlohmann::json json = nlohmann::json::parse(answer.body, nullptr, false);
--- a/src/cli/operatorclient.h
+++ b/src/serve/plainhttpclient.h
@@ -30,38 +30,39 @@
     using Error::Error;
 };
 
-struct OperatorAnswer
+struct PlainHttpAnswer
 {
     long status = 0; // of HTTP
     std::string body;
 };
 
-// Talks to the operators' listener of one process, one connection a request.
+// Makes HTTP requests to one listener, one connection a request. The commands use it
+// towards an operators' listener, the power role towards the platform.
 // Throws UnreachableError or NoAnswerError.
 //
-//   OperatorClient client(options.at);
+//   PlainHttpClient client(options.at);
 //   const nlohmann::json status = jsonOf(client.get("/v1/status"));
-class OperatorClient
+class PlainHttpClient
 {
 public:
-    explicit OperatorClient(Endpoint at,
-                            std::chrono::milliseconds timeout = std::chrono::seconds(30));
+    explicit PlainHttpClient(Endpoint at,
+                             std::chrono::milliseconds timeout = std::chrono::seconds(30));
 
-    OperatorAnswer get(const std::string &path) const;
-    OperatorAnswer post(const std::string &path, const std::string &body) const;
+    PlainHttpAnswer get(const std::string &path) const;
+    PlainHttpAnswer post(const std::string &path, const std::string &body) const;
 
 private:
-    OperatorAnswer perform(const std::string &path, const std::string *body) const;
+    PlainHttpAnswer perform(const std::string &path, const std::string *body) const;
 
     Endpoint m_at;
     std::chrono::milliseconds m_timeout;
 };
 
 // Throws RefusedError for a status that is no success.
-void checkSuccess(const OperatorAnswer &answer);
+void checkSuccess(const PlainHttpAnswer &answer);
 
 // Returns the body of a success. Throws RefusedError for any other status and
 // MessageError when the body is no JSON.
-nlohmann::json jsonOf(const OperatorAnswer &answer);
+nlohmann::json jsonOf(const PlainHttpAnswer &answer);
 
 } // namespace nutmegtide
--- a/src/serve/platformclient.cpp
+++ b/src/serve/platformclient.cpp
@@ -1,6 +1,6 @@
 #include "serve/platformclient.h"
 
-#include "cli/operatorclient.h"
+#include "serve/plainhttpclient.h"
 
 namespace nutmegtide {
 
@@ -10,9 +10,9 @@
     constexpr long FirstRefusal = 400;
     constexpr long FirstFailure = 500;
     const nlohmann::json body {{"on", isOn}, {"order", order.text()}};
-    OperatorAnswer answer;
+    PlainHttpAnswer answer;
     try {
-        answer = OperatorClient(m_platform, timeout)
+        answer = PlainHttpClient(m_platform, timeout)
                          .post("/v1/vms/" + vm.text() + "/power", body.dump());
     } catch (const Error &fault) {
         throw PlatformError(fault.what());
