Load the log module by the binary's own folder

Change: the whole path is named, from the binary's folder. Figures: the sanitized case of log levels and two process cases failed before and pass after. Also right for a binary that is started through a link.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <atomic>
 #include <dlfcn.h>
+#include <filesystem>
 #include <unistd.h>
 
 namespace nutmegtide {
@@ -67,9 +68,14 @@
     decltype(&nutmegtideLogWrite) write = nullptr;
 };
 
+// The module stands beside the binary. Its whole path is named, since a sanitizer's own dlopen
+// searches the sanitizer's folders instead of those that the binary names.
 LogSink loadLogSink()
 {
-    void *module = dlopen("libnutmegtide_log.so", RTLD_NOW | RTLD_LOCAL);
+    std::error_code fault;
+    const auto binary = std::filesystem::read_symlink("/proc/self/exe", fault);
+    const std::string path = binary.parent_path() / "libnutmegtide_log.so";
+    void *module = dlopen(path.c_str(), RTLD_NOW | RTLD_LOCAL);
     if (!module)
         throw LogError(std::string("cannot load the log module: ") + dlerror());
     LogSink sink;
