Give the models in virtual time one event queue

Cause: a queue of timed events with the same order and loop stood in six models of the benches and tests. Change: test::EventQueue (test/support); the models call it. Benches also see the folder test.

--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -3,6 +3,7 @@
 // --check it exits 1 when a bound of docs/design/configuration.md is passed.
 
 #include "nutmegtide/fleet/configfollower.h"
+#include "support/eventqueue.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -10,7 +11,6 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <queue>
 #include <unordered_map>
 
 using namespace nutmegtide;
@@ -184,21 +184,9 @@
     }
 
 private:
-    struct Delivery
-    {
-        TimePoint at;
-        long order = 0;
-        std::function<void()> effect;
-
-        bool operator<(const Delivery &other) const
-        {
-            return std::tie(other.at, other.order) < std::tie(at, order);
-        }
-    };
-
     void schedule(std::chrono::milliseconds delay, std::function<void()> effect)
     {
-        m_queue.push({m_now + delay, m_order++, std::move(effect)});
+        m_queue.add(m_now + delay, std::move(effect));
     }
 
     std::chrono::milliseconds oneWay(int from, int to) const
@@ -270,12 +258,8 @@
     void advance()
     {
         const TimePoint end = m_now + TickInterval;
-        while (!m_queue.empty() && m_queue.top().at <= end) {
-            const Delivery delivery = m_queue.top();
-            m_queue.pop();
-            m_now = delivery.at;
-            delivery.effect();
-        }
+        while (!m_queue.isEmpty() && m_queue.nextAt() <= end)
+            m_queue.runNext(m_now);
         m_now = end;
         for (int i = 0; i < int(m_peers.size()); ++i) {
             if (!m_isDown[std::size_t(i)])
@@ -322,8 +306,7 @@
     std::vector<TimePoint> m_inForceAt;
     std::vector<long> m_pushesOf;
     TimePoint m_now {1h};
-    std::priority_queue<Delivery> m_queue;
-    long m_order = 0;
+    test::EventQueue m_queue;
     Traffic m_traffic;
 };
 
--- a/bench/costmodel.h
+++ b/bench/costmodel.h
@@ -9,10 +9,10 @@
 #include "nutmegtide/statement/writequorum.h"
 #include "serve/exchange.h"
 #include "serve/wireconvert.h"
+#include "support/eventqueue.h"
 
 #include <cstdio>
 #include <functional>
-#include <queue>
 #include <set>
 #include <thrift/protocol/TBinaryProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -91,26 +91,12 @@
         for (int session = 0; session < m_sessions; ++session)
             schedule(session * 100us, [this, session] { send(session); });
         schedule(SyncInterval, [this] { sync(); });
-        while (!m_events.empty()) {
-            const Event event = m_events.top();
-            m_events.pop();
-            m_now = event.at;
-            event.action();
-        }
+        while (!m_events.isEmpty())
+            m_events.runNext(m_now);
         return m_outcome;
     }
 
 private:
-    struct Event
-    {
-        TimePoint at;
-        std::uint64_t number = 0;
-        std::function<void()> action;
-        bool operator<(const Event &other) const
-        {
-            return std::tie(other.at, other.number) < std::tie(at, number);
-        }
-    };
     struct Job
     {
         int session = 0;
@@ -130,7 +116,7 @@
 
     void schedule(Duration after, std::function<void()> action)
     {
-        m_events.push({m_now + after, m_nextEvent++, std::move(action)});
+        m_events.add(m_now + after, std::move(action));
     }
 
     // Passes a message of the peer protocol through its codec.
@@ -315,8 +301,7 @@
     WriteQuorum m_quorum;
     Server m_servers[ServerCount];
     std::map<AdmissionTicket, Job> m_jobs;
-    std::priority_queue<Event> m_events;
-    std::uint64_t m_nextEvent = 0;
+    test::EventQueue m_events;
     std::uint64_t m_written = 0;
     AdmissionTicket m_nextTicket = 1;
     TimePoint m_now;
--- a/bench/failovergapmodel.h
+++ b/bench/failovergapmodel.h
@@ -48,12 +48,8 @@
             if (m_scenario.fault == Fault::Refused)
                 loseConnections();
         });
-        while (!m_events.empty() && m_now < TimePoint() + Longest && !isEveryoneServed()) {
-            auto next = m_events.top();
-            m_events.pop();
-            m_now = next.at;
-            next.run();
-        }
+        while (!m_events.isEmpty() && m_now < TimePoint() + Longest && !isEveryoneServed())
+            m_events.runNext(m_now);
         judge(outcome);
     }
 
--- a/bench/failovergapworld.h
+++ b/bench/failovergapworld.h
@@ -7,12 +7,12 @@
 #include "nutmegtide/settings/fleetsettings.h"
 #include "nutmegtide/statement/leadershipproof.h"
 #include "nutmegtide/statement/writequorum.h"
+#include "support/eventqueue.h"
 
 #include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 #include <tuple>
@@ -54,16 +54,6 @@
         , m_generator(seed)
     { }
 
-    struct Event
-    {
-        TimePoint at;
-        std::uint64_t number;
-        std::function<void()> run;
-        bool operator<(const Event &other) const
-        {
-            return std::tie(other.at, other.number) < std::tie(at, number);
-        }
-    };
     struct Entry
     {
         Term term;
@@ -110,7 +100,7 @@
     enum class Result { Acknowledged, NotRun, Unknown };
     void at(Duration delay, std::function<void()> run)
     {
-        m_events.push({m_now + delay, ++m_number, std::move(run)});
+        m_events.add(m_now + delay, std::move(run));
     }
     Duration oneWay(int from, int to) const
     {
@@ -442,8 +432,7 @@
     const Scenario m_scenario;
     std::mt19937 m_generator;
     TimePoint m_now;
-    std::priority_queue<Event> m_events;
-    std::uint64_t m_number = 0;
+    test::EventQueue m_events;
 
     const DatabaseName m_database {"casks"};
     std::vector<Server> m_servers;
--- a/bench/gossip_bench.cpp
+++ b/bench/gossip_bench.cpp
@@ -1,4 +1,4 @@
-#include "../test/unit/fleet/gossipnetwork.h"
+#include "unit/fleet/gossipnetwork.h"
 
 #include <cstdio>
 #include <cstring>
--- a/bench/overloadmodel.h
+++ b/bench/overloadmodel.h
@@ -8,12 +8,12 @@
 
 #include "nutmegtide/statement/admissionqueue.h"
 #include "nutmegtide/statement/retrybudget.h"
+#include "support/eventqueue.h"
 
 #include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 #include <string>
 #include <vector>
@@ -104,12 +104,8 @@
     Outcome run()
     {
         scheduleArrival();
-        while (!m_events.empty() && m_events.top().at < TimePoint() + RunTime) {
-            const Event event = m_events.top();
-            m_events.pop();
-            m_now = event.at;
-            event.action();
-        }
+        while (!m_events.isEmpty() && m_events.nextAt() < TimePoint() + RunTime)
+            m_events.runNext(m_now);
         return m_outcome;
     }
 
@@ -131,23 +127,13 @@
         int opened = 0;
         int inUse = 0;
     };
-    struct Event
-    {
-        TimePoint at;
-        std::uint64_t number = 0;
-        std::function<void()> action;
-        bool operator<(const Event &other) const
-        {
-            return std::tie(other.at, other.number) < std::tie(at, number);
-        }
-    };
 
     bool isCounted(const Job &job) const { return job.arrivedAt >= TimePoint() + WarmUp; }
     double random() { return std::uniform_real_distribution<double>(0, 1)(m_generator); }
 
     void schedule(Duration after, std::function<void()> action)
     {
-        m_events.push({m_now + after, m_nextEvent++, std::move(action)});
+        m_events.add(m_now + after, std::move(action));
     }
 
     void scheduleArrival()
@@ -326,8 +312,7 @@
     std::mt19937_64 m_generator;
     RetryBudget m_retries;
     std::vector<Home> m_homes; // by server, then by home
-    std::priority_queue<Event> m_events;
-    std::uint64_t m_nextEvent = 0;
+    test::EventQueue m_events;
     AdmissionTicket m_nextTicket = 1;
     std::map<AdmissionTicket, Job> m_jobs;
     int m_busySlots[ServerCount] = {};
--- a/bench/replicasharemodel.h
+++ b/bench/replicasharemodel.h
@@ -10,12 +10,12 @@
 #include "nutmegtide/statement/leadershipproof.h"
 #include "nutmegtide/statement/readrouter.h"
 #include "nutmegtide/statement/replicaage.h"
+#include "support/eventqueue.h"
 
 #include <algorithm>
 #include <array>
 #include <cmath>
 #include <functional>
-#include <queue>
 #include <string>
 
 namespace nutmegtide::replicashare {
@@ -143,27 +143,12 @@
         }
         at(TimePoint(), [this] { replicate(); });
         at(TimePoint(), [this] { poll(); });
-        while (!m_events.empty() && m_events.top().at < TimePoint(RunTime)) {
-            const Event event = m_events.top();
-            m_events.pop();
-            m_now = event.at;
-            event.run();
-        }
+        while (!m_events.isEmpty() && m_events.nextAt() < TimePoint(RunTime))
+            m_events.runNext(m_now);
         return std::move(m_outcome);
     }
 
 private:
-    struct Event
-    {
-        TimePoint at;
-        long number = 0;
-        std::function<void()> run;
-        bool operator<(const Event &other) const
-        {
-            return at != other.at ? at > other.at : number > other.number;
-        }
-    };
-
     static FailureDomain domain(std::size_t i) { return FailureDomain("fd" + std::to_string(i)); }
 
     static std::unique_ptr<WaitPolicy> waitPolicy(const Policy &policy)
@@ -173,10 +158,7 @@
         return std::make_unique<NoWait>();
     }
 
-    void at(TimePoint time, std::function<void()> run)
-    {
-        m_events.push({time, m_eventCount++, std::move(run)});
-    }
+    void at(TimePoint time, std::function<void()> run) { m_events.add(time, std::move(run)); }
 
     Duration uniform(Duration range)
     {
@@ -377,8 +359,7 @@
     std::mt19937_64 m_lagGenerator; // of its own, so that every policy meets the same lags
     ReadRouter m_router;
     TimePoint m_now;
-    long m_eventCount = 0;
-    std::priority_queue<Event> m_events;
+    test::EventQueue m_events;
     std::vector<Server> m_servers;
     std::vector<Proxy> m_proxies;
     std::vector<Session> m_sessions;
--- a/test/unit/fleet/gossipnetwork.h
+++ b/test/unit/fleet/gossipnetwork.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "nutmegtide/fleet/gossip.h"
+#include "support/eventqueue.h"
 
 #include <algorithm>
 #include <functional>
 #include <memory>
-#include <queue>
 
 namespace nutmegtide::test {
 
@@ -76,8 +76,8 @@
     void run(Duration time)
     {
         const TimePoint end = m_now + time;
-        while (!m_events.empty() && m_events.top().at <= end)
-            step();
+        while (!m_events.isEmpty() && m_events.nextAt() <= end)
+            m_events.runNext(m_now);
         m_now = end;
     }
 
@@ -143,29 +143,9 @@
         bool isRunning = false;
         int life = 0;
     };
-    struct Event
-    {
-        TimePoint at;
-        std::uint64_t order;
-        std::function<void()> run;
-
-        bool operator<(const Event &other) const
-        {
-            return at != other.at ? at > other.at : order > other.order;
-        }
-    };
-
     void schedule(Duration after, std::function<void()> run)
     {
-        m_events.push({m_now + after, m_order++, std::move(run)});
-    }
-
-    void step()
-    {
-        const Event event = m_events.top();
-        m_events.pop();
-        m_now = event.at;
-        event.run();
+        m_events.add(m_now + after, std::move(run));
     }
 
     void tick(const VmName &vm, int life)
@@ -254,9 +234,8 @@
     std::map<VmName, Node> m_nodes;
     std::map<Endpoint, VmName> m_names;
     std::vector<Endpoint> m_seeds;
-    std::priority_queue<Event> m_events;
+    EventQueue m_events;
     TimePoint m_now {};
-    std::uint64_t m_order = 0;
 };
 
 } // namespace nutmegtide::test
