Let the stand-in's client and the product's share one way to wait for an answer

Cause: the loop that polls a transfer and asks whether it is still wanted stood in BackendConnection and in the stand-in's HttpClient. Change: performTransfer (src/serve/transfer.h). The sanitized tests were not run on it.

--- a/src/serve/backendclient.cpp
+++ b/src/serve/backendclient.cpp
@@ -7,8 +7,6 @@
 namespace {
 
 constexpr auto ConnectTimeout = 1000ms;
-constexpr auto GiveUpInterval = 20ms; // between two checks whether an answer is still wanted
-constexpr auto LongestPoll = 1000ms;
 
 std::size_t appendToString(char *data, std::size_t size, std::size_t count, void *target)
 {
@@ -64,28 +62,6 @@
     m_transfer = curl_multi_init();
 }
 
-int BackendConnection::perform(const GiveUpCheck &isGivenUp)
-{
-    const int pollTime = static_cast<int>((isGivenUp ? GiveUpInterval : LongestPoll).count());
-    int code = CURLE_ABORTED_BY_CALLBACK;
-    curl_multi_add_handle(m_transfer, m_handle);
-    while (true) {
-        int running = 0;
-        curl_multi_perform(m_transfer, &running);
-        int left = 0;
-        if (const CURLMsg *message = curl_multi_info_read(m_transfer, &left)) {
-            code = message->data.result;
-            break;
-        }
-        int events = 0;
-        curl_multi_poll(m_transfer, nullptr, 0, pollTime, &events);
-        if (events == 0 && isGivenUp && isGivenUp())
-            break;
-    }
-    curl_multi_remove_handle(m_transfer, m_handle);
-    return code;
-}
-
 std::string BackendConnection::exchange(const std::string &path, const std::string *body,
                                         std::chrono::milliseconds timeout,
                                         const GiveUpCheck &isGivenUp)
@@ -114,7 +90,7 @@
         curl_easy_setopt(m_handle, CURLOPT_HTTPGET, 1L);
     }
     curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, headers);
-    const auto code = static_cast<CURLcode>(perform(isGivenUp));
+    const auto code = performTransfer(m_transfer, m_handle, isGivenUp);
     curl_slist_free_all(headers);
     curl_easy_setopt(m_handle, CURLOPT_HTTPHEADER, nullptr);
     long status = 0;
--- a/src/serve/backendclient.h
+++ b/src/serve/backendclient.h
@@ -3,17 +3,14 @@
 #include "nutmegtide/backend/messages.h"
 #include "nutmegtide/base/errors.h"
 #include "nutmegtide/base/time.h"
+#include "serve/transfer.h"
 
 #include <condition_variable>
-#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
 #include <vector>
 
-typedef void CURL;
-typedef void CURLM;
-
 namespace nutmegtide {
 
 // How far an exchange with a backend server got before it failed.
@@ -67,9 +64,6 @@
     int m_status;
 };
 
-// Asked now and then while an answer is waited for; true ends the wait with LinkFault::Lost.
-using GiveUpCheck = std::function<bool()>;
-
 // One connection to a backend server: an easy handle of libcurl that keeps its
 // connection open between exchanges. After a fault the connection is closed,
 // so a late answer can't be taken for that of another request.
@@ -100,8 +94,6 @@
 
 private:
     void open();
-    // Returns libcurl's code of the exchange.
-    int perform(const GiveUpCheck &isGivenUp);
     std::string exchange(const std::string &path, const std::string *body,
                          std::chrono::milliseconds timeout, const GiveUpCheck &isGivenUp);
     template <typename Reply>
--- a/test/standin/httpclient.cpp
+++ b/test/standin/httpclient.cpp
@@ -4,8 +4,6 @@
 
 namespace {
 
-constexpr int GiveUpPollMilliseconds = 10;
-
 std::size_t appendBody(const char *data, std::size_t size, std::size_t count, void *target)
 {
     static_cast<std::string *>(target)->append(data, size * count);
@@ -25,26 +23,8 @@
     curl_multi_cleanup(m_multi);
 }
 
-CURLcode HttpClient::perform(const std::function<bool()> &isGivenUp)
-{
-    CURLcode code = CURLE_ABORTED_BY_CALLBACK;
-    curl_multi_add_handle(m_multi, m_curl);
-    while (!isGivenUp || !isGivenUp()) {
-        int count = 0;
-        curl_multi_perform(m_multi, &count);
-        if (const CURLMsg *message = curl_multi_info_read(m_multi, &count)) {
-            code = message->data.result;
-            break;
-        }
-        curl_multi_poll(m_multi, nullptr, 0, GiveUpPollMilliseconds, nullptr);
-    }
-    curl_multi_remove_handle(m_multi, m_curl);
-    return code;
-}
-
 HttpAnswer HttpClient::get(const Endpoint &server, const std::string &path,
-                           std::chrono::milliseconds timeout,
-                           const std::function<bool()> &isGivenUp)
+                           std::chrono::milliseconds timeout, const GiveUpCheck &isGivenUp)
 {
     HttpAnswer answer;
     const std::string url = "http://" + toString(server) + path;
@@ -54,7 +34,7 @@
     curl_easy_setopt(m_curl, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout.count()));
     curl_easy_setopt(m_curl, CURLOPT_WRITEFUNCTION, appendBody);
     curl_easy_setopt(m_curl, CURLOPT_WRITEDATA, &answer.body);
-    const CURLcode code = perform(isGivenUp);
+    const CURLcode code = performTransfer(m_multi, m_curl, isGivenUp);
     if (code != CURLE_OK)
         throw HttpError(toString(server) + ": " + curl_easy_strerror(code));
     curl_easy_getinfo(m_curl, CURLINFO_RESPONSE_CODE, &answer.status);
--- a/test/standin/httpclient.h
+++ b/test/standin/httpclient.h
@@ -2,10 +2,9 @@
 
 #include "nutmegtide/base/endpoint.h"
 #include "nutmegtide/base/errors.h"
+#include "serve/transfer.h"
 
 #include <chrono>
-#include <curl/curl.h>
-#include <functional>
 #include <string>
 
 namespace nutmegtide::standin {
@@ -34,11 +33,9 @@
 
     // Throws HttpError, also once the answer is no longer wanted.
     HttpAnswer get(const Endpoint &server, const std::string &path,
-                   std::chrono::milliseconds timeout, const std::function<bool()> &isGivenUp = {});
+                   std::chrono::milliseconds timeout, const GiveUpCheck &isGivenUp = {});
 
 private:
-    CURLcode perform(const std::function<bool()> &isGivenUp);
-
     CURL *m_curl;
     CURLM *m_multi; // holds the open connection
 };
