--- a/include/nutmegtide/proxy/homequeue.h
+++ b/include/nutmegtide/proxy/homequeue.h
@@ -3,7 +3,6 @@
 #include "nutmegtide/base/time.h"
 
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 namespace nutmegtide {
@@ -23,8 +22,9 @@
 //
 //   if (!queue.add(ticket, urgency, pace, now))
 //       refuse(ticket);
-//   while (hasSlot())
-//       run(queue.takeFirst(...));
+//   for (const HomeQueue::Item &item : queue.items())
+//       if (mayRun(item.ticket))
+//           run(item.ticket);
 class HomeQueue
 {
 public:
--- a/include/nutmegtide/proxy/positionproofs.h
+++ b/include/nutmegtide/proxy/positionproofs.h
@@ -34,8 +34,8 @@
     // Takes a position that a proved primary gave. Proofs that come out of order are taken in
     // where they belong.
     void add(TimePoint askedAt, const LogPosition &position);
-    // Returns the lowest position that covers every commit acknowledged before the moment;
-    // nothing where no proof was asked for at or after it.
+    // Returns the proof with the lowest position that covers every commit acknowledged before the
+    // moment; nothing where no proof was asked for at or after it.
     std::optional<Proof> coveringSince(TimePoint moment) const;
     // The moment of the youngest proof.
     std::optional<TimePoint> latest() const;
--- a/include/nutmegtide/proxy/replicalag.h
+++ b/include/nutmegtide/proxy/replicalag.h
@@ -3,8 +3,6 @@
 #include "nutmegtide/base/ids.h"
 #include "nutmegtide/base/time.h"
 
-#include <optional>
-
 namespace nutmegtide {
 
 // What a read needs of a server's log.
--- a/include/nutmegtide/proxy/serverhome.h
+++ b/include/nutmegtide/proxy/serverhome.h
@@ -21,13 +21,6 @@
     auto operator<=>(const LaneKey &) const = default;
 };
 
-// What a home found out about a server.
-enum class ServerEvidence {
-    Refuses, // nobody listens at its address
-    Silent, // it doesn't answer there, on connections that stood or at opening one
-    Elsewhere, // another server answers at its address
-};
-
 // What the home wants done. Nothing comes back from inside these calls.
 class HomeOutlet
 {
--- a/include/nutmegtide/proxy/serverpool.h
+++ b/include/nutmegtide/proxy/serverpool.h
@@ -59,6 +59,13 @@
     PathLost, // the home that it went through is gone, which says nothing of the server
 };
 
+// What a home found out about a server.
+enum class ServerEvidence {
+    Refuses, // nobody listens at its address
+    Silent, // it doesn't answer there, on connections that stood or at opening one
+    Elsewhere, // another server answers at its address
+};
+
 // What is known of one backend server from working with it.
 struct PooledServer
 {
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "nutmegtide/proxy/homequeue.h"
 #include "nutmegtide/proxy/positionproofs.h"
 #include "nutmegtide/proxy/routetable.h"
-#include "nutmegtide/proxy/serverhome.h"
 #include "nutmegtide/proxy/serverpool.h"
 #include "nutmegtide/session/sessionstatement.h"
 
--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -138,22 +138,18 @@
         m_outlet.close(key);
         return lost(key, Loss::Closed, now);
     }
-    Server &heard = m_servers.at(connection.server);
-    heard.heardAt = now;
-    heard.silentSince.reset();
-    if (heard.unanswered > 0)
-        heard.silentSince = now;
+    Server &server = m_servers.at(connection.server);
+    server.heardAt = now;
     if (connection.restoring > 0) {
         --connection.restoring;
+        server.silentSince = now;
         return;
     }
     const LaneKey laneKey = connection.lane;
     Lane &lane = m_lanes.at(laneKey);
-    Server &server = m_servers.at(lane.server);
     const bool ranInSlot = lane.takesSlot;
     noteUnanswered(lane);
-    if (server.unanswered == 0)
-        server.silentSince.reset();
+    server.silentSince = server.unanswered > 0 ? std::optional(now) : std::nullopt;
     if (ranInSlot)
         server.usualTime.note(now - lane.sentAt);
     if (reply.fault == StatementFault::UnknownStatement)
--- a/src/proxy/sessionproxy.cpp
+++ b/src/proxy/sessionproxy.cpp
@@ -9,7 +9,6 @@
 
 constexpr auto PoolInterval = 100ms; // of looking for unused connections
 constexpr std::size_t MostQueued = 256; // statements that a caller sends ahead of their answers
-constexpr auto ComplaintAge = 30s; // after which a failure without a newer one is no complaint
 constexpr int ObjectiveParts = 4; // a statement that can't be sent waits this part of the objective
 
 } // namespace
@@ -361,43 +360,4 @@
     route(key, now);
 }
 
-std::vector<PrimaryComplaint> SessionProxy::complaints(TimePoint now) const
-{
-    std::vector<PrimaryComplaint> complaints;
-    for (const auto &[server, state] : m_pool.servers()) {
-        std::optional<TimePoint> failedAt = state.failingSince;
-        if (!failedAt || (state.stuckSince && *state.stuckSince < *failedAt))
-            failedAt = state.stuckSince;
-        if (!state.record.said.isPrimary || !failedAt || now - *failedAt >= ComplaintAge)
-            continue;
-        const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - *failedAt);
-        complaints.push_back({state.record.said.service, server, since});
-    }
-    return complaints;
-}
-
-void SessionProxy::note(SessionKey key, const Work &work, std::string_view step,
-                        std::string_view reason, TimePoint now)
-{
-    RequestDecision decision;
-    decision.request = work.statement.request;
-    decision.session = key;
-    decision.database = work.route.database;
-    decision.kind = work.statement.kind;
-    decision.step = step;
-    decision.reason = reason;
-    decision.server = work.server;
-    const PooledServer *server = m_pool.find(work.server);
-    decision.isPrimary = server != nullptr && server->record.said.isPrimary;
-    decision.fault = work.lastFault;
-    decision.consistency = work.route.consistency;
-    if (work.need) {
-        decision.needed = work.need->position;
-        decision.neededAge = now - work.need->reachedAt;
-    }
-    decision.waited = m_sessions.at(key).usedAt - work.arrivedAt;
-    decision.revision = work.revision;
-    m_outlet.decided(decision);
-}
-
 } // namespace nutmegtide
--- /dev/null
+++ b/src/proxy/sessionreports.cpp
@@ -0,0 +1,51 @@
+// What SessionProxy tells of its work: complaints for control, decisions for the log.
+#include "nutmegtide/proxy/sessionproxy.h"
+
+namespace nutmegtide {
+
+namespace {
+
+constexpr auto ComplaintAge = 30s; // after which a failure without a newer one is no complaint
+
+} // namespace
+
+std::vector<PrimaryComplaint> SessionProxy::complaints(TimePoint now) const
+{
+    std::vector<PrimaryComplaint> complaints;
+    for (const auto &[server, state] : m_pool.servers()) {
+        std::optional<TimePoint> failedAt = state.failingSince;
+        if (!failedAt || (state.stuckSince && *state.stuckSince < *failedAt))
+            failedAt = state.stuckSince;
+        if (!state.record.said.isPrimary || !failedAt || now - *failedAt >= ComplaintAge)
+            continue;
+        const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - *failedAt);
+        complaints.push_back({state.record.said.service, server, since});
+    }
+    return complaints;
+}
+
+void SessionProxy::note(SessionKey key, const Work &work, std::string_view step,
+                        std::string_view reason, TimePoint now)
+{
+    RequestDecision decision;
+    decision.request = work.statement.request;
+    decision.session = key;
+    decision.database = work.route.database;
+    decision.kind = work.statement.kind;
+    decision.step = step;
+    decision.reason = reason;
+    decision.server = work.server;
+    const PooledServer *server = m_pool.find(work.server);
+    decision.isPrimary = server != nullptr && server->record.said.isPrimary;
+    decision.fault = work.lastFault;
+    decision.consistency = work.route.consistency;
+    if (work.need) {
+        decision.needed = work.need->position;
+        decision.neededAge = now - work.need->reachedAt;
+    }
+    decision.waited = m_sessions.at(key).usedAt - work.arrivedAt;
+    decision.revision = work.revision;
+    m_outlet.decided(decision);
+}
+
+} // namespace nutmegtide
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -171,7 +171,7 @@
 
 void EntryNode::updateReadiness()
 {
-    if (m_isDraining || m_isReady || m_isIsolated || m_revision == 0 || !m_proxy.knowsServers())
+    if (m_isDraining || m_isReady || m_isolatedSince || m_revision == 0 || !m_proxy.knowsServers())
         return;
     m_isReady = true;
     m_follower.setEager(false);
@@ -186,10 +186,11 @@
     const bool isControlUnreachable = m_controlLostAt
             && now - std::max(*m_controlLostAt, m_follower.heardOtherDomainAt()) > IsolationTime;
     const bool isIsolated = isControlUnreachable && m_proxy.isCutOff(now);
-    if (isIsolated == m_isIsolated)
+    if (isIsolated == m_isolatedSince.has_value())
         return;
-    m_isIsolated = isIsolated;
-    m_isolatedAt = now;
+    m_isolatedSince.reset();
+    if (isIsolated)
+        m_isolatedSince = now;
     m_isTurningAway = false;
     logLine(LogLevel::Warning, isIsolated ? "node_isolated" : "node_reconnected", {});
     if (!isIsolated) {
@@ -204,7 +205,7 @@
 // Until the balancer looks elsewhere, callers who are sent away come back to this failure domain.
 void EntryNode::turnAwayIfDue(TimePoint now)
 {
-    if (!m_isIsolated || m_isTurningAway || now - m_isolatedAt < BalancerGrace)
+    if (!m_isolatedSince || m_isTurningAway || now - *m_isolatedSince < BalancerGrace)
         return;
     m_isTurningAway = true;
     logLine(LogLevel::Warning, "callers_turned_away",
@@ -219,7 +220,7 @@
     turnAwayIfDue(now);
     // Cut off, it can't tell a lost primary from itself.
     std::vector<PrimaryComplaint> complaints;
-    if (!m_isIsolated)
+    if (!m_isolatedSince)
         complaints = m_proxy.complaints(now);
     if (!complaints.empty() || !m_complaints.empty()) {
         m_complaints = complaints;
@@ -232,7 +233,7 @@
         m_home->flush();
         wake = std::min(wake, m_home->wakeAt());
     }
-    if (m_isDraining || m_isIsolated)
+    if (m_isDraining || m_isolatedSince)
         wake = std::min(wake, now + 100ms);
     m_loop.wakeAt(wake);
 }
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -86,8 +86,7 @@
     ServerRegistry m_registry;
     bool m_hasServers = false;
     std::optional<TimePoint> m_controlLostAt;
-    bool m_isIsolated = false;
-    TimePoint m_isolatedAt {};
+    std::optional<TimePoint> m_isolatedSince;
     bool m_isTurningAway = false;
     std::vector<PrimaryComplaint> m_complaints;
     std::atomic<bool> m_isReady = false;
--- a/src/site/lanelinks.cpp
+++ b/src/site/lanelinks.cpp
@@ -11,7 +11,6 @@
 constexpr auto ReconnectTime = 500ms; // between connections to one home
 constexpr auto SilentPause = 3s; // before a home that was silent is tried again; it may be slow
 constexpr auto DoubtTime = 2s; // that a server is asked directly after its home didn't help
-constexpr std::string_view SilentReason = "silent";
 constexpr std::size_t MostConnectedAhead = 256; // homes that are connected before they are needed
 
 } // namespace
@@ -45,11 +44,11 @@
 {
     const TimePoint now = EventLoop::now();
     const auto named = m_homeOf.find(server.server);
-    if (named != m_homeOf.end() && m_homes[named->second].socket == nullptr)
+    if (named != m_homeOf.end())
         connect(named->second, now);
     if (!mayUse(server.server, now))
         return m_direct->open(connection, server);
-    m_lanes[connection] = {named->second, server.server, false, 0};
+    m_lanes[connection] = {named->second, server.server, 0};
     m_homes.at(named->second).lanes.insert(connection);
     // A lane begins with its first command, so it is there at once.
     m_loop.post([this, connection] {
@@ -66,9 +65,7 @@
         return m_direct->send(connection, commands);
     wire::LaneRequest request;
     request.lane = static_cast<std::int64_t>(connection);
-    if (!lane->second.isBegun)
-        request.server = lane->second.server.text();
-    lane->second.isBegun = true;
+    request.server = std::exchange(lane->second.untold, {}).text();
     for (const ServerCommand &command : commands)
         request.commands.push_back(toWire(command));
     request.rank = urgency.rank;
@@ -113,12 +110,11 @@
     Home &home = m_homes[at];
     if (home.socket != nullptr || now < home.connectAt)
         return;
-    home = {};
     home.connectAt = now + ReconnectTime;
     StreamSocket::Handlers handlers;
     handlers.received = [this, at](std::string_view bytes) { return read(at, bytes); };
     handlers.ended = [this, at](StreamSocket::End end) {
-        lose(at, end == StreamSocket::End::Unreachable ? "refused" : "closed", EventLoop::now());
+        lose(at, end == StreamSocket::End::Unreachable ? "refused" : "closed", ReconnectTime);
     };
     home.socket = std::make_unique<StreamSocket>(m_loop.base(), at, std::move(handlers));
     ask(at, home, now);
@@ -148,7 +144,7 @@
                 return false;
         }
     } catch (const MessageError &fault) {
-        lose(at, fault.what(), EventLoop::now());
+        lose(at, fault.what(), ReconnectTime);
         return false;
     }
     return true;
@@ -187,7 +183,7 @@
     m_events.replyCame(key, fromWire(told));
 }
 
-void LaneLinks::lose(const Endpoint &at, const std::string &why, TimePoint now)
+void LaneLinks::lose(const Endpoint &at, const std::string &why, Duration pause)
 {
     Home &home = m_homes.at(at);
     if (home.socket == nullptr)
@@ -196,7 +192,7 @@
     const std::set<ConnectionKey> lanes = std::move(home.lanes);
     const bool wasThere = home.isThere;
     home = {};
-    home.connectAt = now + (why == SilentReason ? Duration(SilentPause) : Duration(ReconnectTime));
+    home.connectAt = EventLoop::now() + pause;
     for (const ConnectionKey key : lanes)
         m_lanes.erase(key);
     if (wasThere)
@@ -220,21 +216,25 @@
         for (const Endpoint &at : named)
             connect(at, now);
     }
-    std::map<Endpoint, std::string> lost;
+    std::vector<Endpoint> unwanted;
+    std::vector<Endpoint> silent;
     for (auto &[at, home] : m_homes) {
         if (home.socket == nullptr)
             continue;
         if (hasStalled)
             home.askedAt = home.heardAt = now;
         if (named.count(at) == 0 && home.lanes.empty())
-            lost[at] = "no longer a home";
+            unwanted.push_back(at);
         else if (home.isAsked && now - home.askedAt > AnswerTime)
-            lost[at] = SilentReason;
+            silent.push_back(at);
         else if (!home.isAsked && home.unanswered > 0 && now - home.heardAt > QuietTime)
             ask(at, home, now);
     }
-    for (const auto &[at, why] : lost)
-        lose(at, why, now);
+    for (const Endpoint &at : unwanted)
+        lose(at, "no longer a home", ReconnectTime);
+    for (const Endpoint &at : silent)
+        lose(at, "silent", SilentPause);
+    std::erase_if(m_directUntil, [now](const auto &item) { return item.second <= now; });
     std::erase_if(m_homes, [&named](const auto &item) {
         return item.second.socket == nullptr && named.count(item.first) == 0;
     });
--- a/src/site/lanelinks.h
+++ b/src/site/lanelinks.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "nutmegtide/base/endpoint.h"
-#include "nutmegtide/proxy/serverhome.h"
+#include "nutmegtide/proxy/homequeue.h"
 #include "nutmegtide/site/adapters.h"
 #include "site/eventloop.h"
 #include "site/lanewire.h"
@@ -12,6 +12,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace nutmegtide {
 
@@ -51,8 +52,7 @@
     struct Lane
     {
         Endpoint home;
-        ServerId server;
-        bool isBegun = false; // the home knows it
+        ServerId untold; // the lane's server, until the home knows it
         int unanswered = 0; // commands
     };
     struct Home
@@ -78,8 +78,8 @@
     bool read(const Endpoint &at, std::string_view bytes);
     void obey(const Endpoint &at, const wire::LaneFrame &frame);
     void take(const wire::LaneReply &reply);
-    // Ends the connection to a home and all lanes there.
-    void lose(const Endpoint &at, const std::string &why, TimePoint now);
+    // Ends the connection to a home and all lanes there, and makes no other one for the pause.
+    void lose(const Endpoint &at, const std::string &why, Duration pause);
     wire::LaneFrame &outgoing(const Endpoint &at);
 
     EventLoop &m_loop;
--- a/src/site/lanewire.h
+++ b/src/site/lanewire.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "nutmegtide/base/errors.h"
-#include "nutmegtide/proxy/serverhome.h"
+#include "nutmegtide/proxy/serverpool.h"
 #include "peer_types.h"
 
 #include <optional>
