--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -7159,6 +7159,10 @@
 void LaneRequest::__set_isClosed(const bool val) {
   this->isClosed = val;
 }
+
+void LaneRequest::__set_workMicroseconds(const int64_t val) {
+  this->workMicroseconds = val;
+}
 std::ostream& operator<<(std::ostream& out, const LaneRequest& obj)
 {
   obj.printTo(out);
@@ -7247,6 +7251,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->workMicroseconds);
+          this->__isset.workMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7296,6 +7308,10 @@
   xfer += oprot->writeBool(this->isClosed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("workMicroseconds", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->workMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7309,6 +7325,7 @@
   swap(a.rank, b.rank);
   swap(a.patienceMicroseconds, b.patienceMicroseconds);
   swap(a.isClosed, b.isClosed);
+  swap(a.workMicroseconds, b.workMicroseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -7319,6 +7336,7 @@
   rank = other217.rank;
   patienceMicroseconds = other217.patienceMicroseconds;
   isClosed = other217.isClosed;
+  workMicroseconds = other217.workMicroseconds;
   __isset = other217.__isset;
 }
 LaneRequest& LaneRequest::operator=(const LaneRequest& other218) {
@@ -7328,6 +7346,7 @@
   rank = other218.rank;
   patienceMicroseconds = other218.patienceMicroseconds;
   isClosed = other218.isClosed;
+  workMicroseconds = other218.workMicroseconds;
   __isset = other218.__isset;
   return *this;
 }
@@ -7340,6 +7359,7 @@
   out << ", " << "rank=" << to_string(rank);
   out << ", " << "patienceMicroseconds=" << to_string(patienceMicroseconds);
   out << ", " << "isClosed=" << to_string(isClosed);
+  out << ", " << "workMicroseconds=" << to_string(workMicroseconds);
   out << ")";
 }
 
@@ -7376,6 +7396,10 @@
 void LaneReply::__set_isLost(const bool val) {
   this->isLost = val;
 }
+
+void LaneReply::__set_ranMicroseconds(const int64_t val) {
+  this->ranMicroseconds = val;
+}
 std::ostream& operator<<(std::ostream& out, const LaneReply& obj)
 {
   obj.printTo(out);
@@ -7472,6 +7496,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ranMicroseconds);
+          this->__isset.ranMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7526,6 +7558,10 @@
   xfer += oprot->writeBool(this->isLost);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("ranMicroseconds", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->ranMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7540,6 +7576,7 @@
   swap(a.state, b.state);
   swap(a.position, b.position);
   swap(a.isLost, b.isLost);
+  swap(a.ranMicroseconds, b.ranMicroseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -7551,6 +7588,7 @@
   state = other225.state;
   position = other225.position;
   isLost = other225.isLost;
+  ranMicroseconds = other225.ranMicroseconds;
   __isset = other225.__isset;
 }
 LaneReply& LaneReply::operator=(const LaneReply& other226) {
@@ -7561,6 +7599,7 @@
   state = other226.state;
   position = other226.position;
   isLost = other226.isLost;
+  ranMicroseconds = other226.ranMicroseconds;
   __isset = other226.__isset;
   return *this;
 }
@@ -7574,6 +7613,7 @@
   out << ", " << "state=" << to_string(state);
   out << ", " << "position="; (__isset.position ? (out << to_string(position)) : (out << "<null>"));
   out << ", " << "isLost=" << to_string(isLost);
+  out << ", " << "ranMicroseconds=" << to_string(ranMicroseconds);
   out << ")";
 }
 
@@ -7717,6 +7757,14 @@
 void LaneFrame::__set_isLeaving(const bool val) {
   this->isLeaving = val;
 }
+
+void LaneFrame::__set_failureDomain(const std::string& val) {
+  this->failureDomain = val;
+}
+
+void LaneFrame::__set_isReachDoubted(const bool val) {
+  this->isReachDoubted = val;
+}
 std::ostream& operator<<(std::ostream& out, const LaneFrame& obj)
 {
   obj.printTo(out);
@@ -7829,6 +7877,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failureDomain);
+          this->__isset.failureDomain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isReachDoubted);
+          this->__isset.isReachDoubted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7894,6 +7958,14 @@
   xfer += oprot->writeBool(this->isLeaving);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("failureDomain", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->failureDomain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isReachDoubted", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->isReachDoubted);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7907,6 +7979,8 @@
   swap(a.isQuestion, b.isQuestion);
   swap(a.isAnswer, b.isAnswer);
   swap(a.isLeaving, b.isLeaving);
+  swap(a.failureDomain, b.failureDomain);
+  swap(a.isReachDoubted, b.isReachDoubted);
   swap(a.__isset, b.__isset);
 }
 
@@ -7917,6 +7991,8 @@
   isQuestion = other247.isQuestion;
   isAnswer = other247.isAnswer;
   isLeaving = other247.isLeaving;
+  failureDomain = other247.failureDomain;
+  isReachDoubted = other247.isReachDoubted;
   __isset = other247.__isset;
 }
 LaneFrame& LaneFrame::operator=(const LaneFrame& other248) {
@@ -7926,6 +8002,8 @@
   isQuestion = other248.isQuestion;
   isAnswer = other248.isAnswer;
   isLeaving = other248.isLeaving;
+  failureDomain = other248.failureDomain;
+  isReachDoubted = other248.isReachDoubted;
   __isset = other248.__isset;
   return *this;
 }
@@ -7938,6 +8016,8 @@
   out << ", " << "isQuestion=" << to_string(isQuestion);
   out << ", " << "isAnswer=" << to_string(isAnswer);
   out << ", " << "isLeaving=" << to_string(isLeaving);
+  out << ", " << "failureDomain=" << to_string(failureDomain);
+  out << ", " << "isReachDoubted=" << to_string(isReachDoubted);
   out << ")";
 }
 
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -2839,13 +2839,14 @@
 std::ostream& operator<<(std::ostream& out, const LaneCommand& obj);
 
 typedef struct _LaneRequest__isset {
-  _LaneRequest__isset() : lane(false), server(false), commands(false), rank(false), patienceMicroseconds(false), isClosed(false) {}
+  _LaneRequest__isset() : lane(false), server(false), commands(false), rank(false), patienceMicroseconds(false), isClosed(false), workMicroseconds(false) {}
   bool lane :1;
   bool server :1;
   bool commands :1;
   bool rank :1;
   bool patienceMicroseconds :1;
   bool isClosed :1;
+  bool workMicroseconds :1;
 } _LaneRequest__isset;
 
 class LaneRequest : public virtual ::apache::thrift::TBase {
@@ -2858,7 +2859,8 @@
                 server(),
                 rank(0),
                 patienceMicroseconds(0),
-                isClosed(0) {
+                isClosed(0),
+                workMicroseconds(0) {
   }
 
   virtual ~LaneRequest() noexcept;
@@ -2868,6 +2870,7 @@
   int32_t rank;
   int64_t patienceMicroseconds;
   bool isClosed;
+  int64_t workMicroseconds;
 
   _LaneRequest__isset __isset;
 
@@ -2883,6 +2886,8 @@
 
   void __set_isClosed(const bool val);
 
+  void __set_workMicroseconds(const int64_t val);
+
   bool operator == (const LaneRequest & rhs) const
   {
     if (!(lane == rhs.lane))
@@ -2897,6 +2902,8 @@
       return false;
     if (!(isClosed == rhs.isClosed))
       return false;
+    if (!(workMicroseconds == rhs.workMicroseconds))
+      return false;
     return true;
   }
   bool operator != (const LaneRequest &rhs) const {
@@ -2916,7 +2923,7 @@
 std::ostream& operator<<(std::ostream& out, const LaneRequest& obj);
 
 typedef struct _LaneReply__isset {
-  _LaneReply__isset() : lane(false), rows(false), fault(false), detail(false), state(false), position(false), isLost(false) {}
+  _LaneReply__isset() : lane(false), rows(false), fault(false), detail(false), state(false), position(false), isLost(false), ranMicroseconds(false) {}
   bool lane :1;
   bool rows :1;
   bool fault :1;
@@ -2924,6 +2931,7 @@
   bool state :1;
   bool position :1;
   bool isLost :1;
+  bool ranMicroseconds :1;
 } _LaneReply__isset;
 
 class LaneReply : public virtual ::apache::thrift::TBase {
@@ -2936,7 +2944,8 @@
               fault(0),
               detail(),
               state(0),
-              isLost(0) {
+              isLost(0),
+              ranMicroseconds(0) {
   }
 
   virtual ~LaneReply() noexcept;
@@ -2947,6 +2956,7 @@
   int32_t state;
   Position position;
   bool isLost;
+  int64_t ranMicroseconds;
 
   _LaneReply__isset __isset;
 
@@ -2964,6 +2974,8 @@
 
   void __set_isLost(const bool val);
 
+  void __set_ranMicroseconds(const int64_t val);
+
   bool operator == (const LaneReply & rhs) const
   {
     if (!(lane == rhs.lane))
@@ -2982,6 +2994,8 @@
       return false;
     if (!(isLost == rhs.isLost))
       return false;
+    if (!(ranMicroseconds == rhs.ranMicroseconds))
+      return false;
     return true;
   }
   bool operator != (const LaneReply &rhs) const {
@@ -3051,13 +3065,15 @@
 std::ostream& operator<<(std::ostream& out, const LaneEvidence& obj);
 
 typedef struct _LaneFrame__isset {
-  _LaneFrame__isset() : requests(false), replies(false), evidence(false), isQuestion(false), isAnswer(false), isLeaving(false) {}
+  _LaneFrame__isset() : requests(false), replies(false), evidence(false), isQuestion(false), isAnswer(false), isLeaving(false), failureDomain(false), isReachDoubted(false) {}
   bool requests :1;
   bool replies :1;
   bool evidence :1;
   bool isQuestion :1;
   bool isAnswer :1;
   bool isLeaving :1;
+  bool failureDomain :1;
+  bool isReachDoubted :1;
 } _LaneFrame__isset;
 
 class LaneFrame : public virtual ::apache::thrift::TBase {
@@ -3068,7 +3084,9 @@
   LaneFrame() noexcept
             : isQuestion(0),
               isAnswer(0),
-              isLeaving(0) {
+              isLeaving(0),
+              failureDomain(),
+              isReachDoubted(0) {
   }
 
   virtual ~LaneFrame() noexcept;
@@ -3078,6 +3096,8 @@
   bool isQuestion;
   bool isAnswer;
   bool isLeaving;
+  std::string failureDomain;
+  bool isReachDoubted;
 
   _LaneFrame__isset __isset;
 
@@ -3093,6 +3113,10 @@
 
   void __set_isLeaving(const bool val);
 
+  void __set_failureDomain(const std::string& val);
+
+  void __set_isReachDoubted(const bool val);
+
   bool operator == (const LaneFrame & rhs) const
   {
     if (!(requests == rhs.requests))
@@ -3107,6 +3131,10 @@
       return false;
     if (!(isLeaving == rhs.isLeaving))
       return false;
+    if (!(failureDomain == rhs.failureDomain))
+      return false;
+    if (!(isReachDoubted == rhs.isReachDoubted))
+      return false;
     return true;
   }
   bool operator != (const LaneFrame &rhs) const {
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -378,6 +378,7 @@
   4: i32 rank,                          // Urgency
   5: i64 patienceMicroseconds,
   6: bool isClosed,                     // the lane ends
+  7: i64 workMicroseconds,              // Urgency
 }
 
 // A server's answer to one command.
@@ -389,6 +390,7 @@
   5: i32 state,                         // TransactionState
   6: optional Position position,
   7: bool isLost,                       // the lane ended with its connection to the server
+  8: i64 ranMicroseconds,               // that a statement took at the server, 0 for none
 }
 
 // What the home found out about a backend server.
@@ -404,6 +406,8 @@
   4: bool isQuestion,                   // the other side answers with isAnswer at once
   5: bool isAnswer,
   6: bool isLeaving,                    // the home stops soon and takes no further lanes
+  7: string failureDomain,              // of the entry VM, in its first frame
+  8: bool isReachDoubted,               // nothing is heard from other failure domains
 }
 
 service Peer {
--- a/include/nutmegtide/fleet/placement.h
+++ b/include/nutmegtide/fleet/placement.h
@@ -31,7 +31,8 @@
                                 const std::vector<PlacementCandidate> &candidates,
                                 const PlacementRule &rule);
 
-// Chooses the one home of a backend server in the same way. There must be a candidate.
-VmName chooseHome(const ServerId &server, const std::vector<PlacementCandidate> &candidates);
+// All candidates in the order in which something of that name prefers them, by the same weights.
+std::vector<VmName> preferenceOf(const std::string &name,
+                                 const std::vector<PlacementCandidate> &candidates);
 
 } // namespace nutmegtide
--- a/include/nutmegtide/proxy/homequeue.h
+++ b/include/nutmegtide/proxy/homequeue.h
@@ -12,13 +12,17 @@
 {
     int rank = 0; // a lower one goes first
     Duration patience {}; // that it may wait, from its arrival at the queue
+    Duration work {}; // that it usually takes at a server
 };
 
 // Statements that wait for one backend server, where all of the fleet's work for it meets.
 //
-// Lower ranks go first, since a transaction that is open holds a connection and locks. Within a rank
-// the one that can wait least goes first, so that a burst of patient reads doesn't make the others
-// late. What can't be served in its patience by the pace of the server is refused when it comes.
+// Lower ranks go first, since a transaction that is open holds a connection and locks. Within a
+// rank the one that can wait least goes first, so that a burst of patient reads doesn't make the
+// others late, and long statements let shorter ones pass that come a few of their own times later:
+// where not everything fits, more callers are served so. Of each few statements one takes its turn
+// by its patience alone, so that long ones are never starved. What can't be served in its patience
+// by the pace of the server is refused when it comes.
 //
 //   if (!queue.add(ticket, urgency, pace, now))
 //       refuse(ticket);
@@ -34,6 +38,7 @@
     {
         Ticket ticket = 0;
         int rank = 0;
+        TimePoint turnAt; // an earlier one goes first within a rank
         TimePoint dueAt;
     };
 
@@ -48,7 +53,10 @@
     bool isEmpty() const { return m_items.empty(); }
 
 private:
+    TimePoint turnOf(const Urgency &urgency, TimePoint now);
+
     std::vector<Item> m_items;
+    int m_added = 0; // statements since the latest fair turn
 };
 
 } // namespace nutmegtide
--- a/include/nutmegtide/proxy/serverhome.h
+++ b/include/nutmegtide/proxy/serverhome.h
@@ -58,6 +58,8 @@
     { }
 
     void setServers(const std::vector<ServerRecord> &records, TimePoint now);
+    // How many homes share a server, this one among them; one where nothing is said.
+    void setHomeCounts(std::map<ServerId, int> counts) { m_homeCounts = std::move(counts); }
 
     // Events of lanes. A lane begins with its first commands; a server that isn't known is Busy.
     void take(const LaneKey &lane, const ServerId &server,
@@ -121,7 +123,9 @@
         TimePoint heardAt {}; // its latest answer on a connection that stands
     };
 
-    static int mostRunning(const Server &server);
+    int homeCount(const ServerId &server) const;
+    int mostRunning(const Server &server) const;
+    static bool isProof(const Lane &lane);
     void advance(const LaneKey &key, TimePoint now);
     bool answerHere(const LaneKey &key, Lane &lane);
     void wait(const LaneKey &key, Lane &lane, TimePoint now);
@@ -148,6 +152,7 @@
 
     HomeOutlet &m_outlet;
     std::map<ServerId, Server> m_servers;
+    std::map<ServerId, int> m_homeCounts;
     std::map<LaneKey, Lane> m_lanes;
     std::map<ConnectionKey, Connection> m_connections;
     ConnectionKey m_lastConnection = 0;
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -251,6 +251,7 @@
     void onRefusal(SessionKey key, const ServerReply &reply, TimePoint now);
     void onSilence(SessionKey key, TimePoint now);
     void onLoss(SessionKey key, TimePoint now);
+    void noteWork(SessionKey key, const ServerReply &reply);
     void learn(Session &session, const Work &work, const ServerReply &reply, TimePoint now);
     void noteHeld(const Work &work, const ServerReply &reply);
     const PreparedStatement *preparedOf(const Session &session, const SessionStatement &s) const;
@@ -267,6 +268,7 @@
     ServerPool m_pool;
     std::map<SessionKey, Session> m_sessions;
     std::map<ServiceName, ProofState> m_proofs;
+    std::map<DatabaseName, UsualTime> m_workOf; // of a statement, by its route
     std::set<std::pair<TimePoint, SessionKey>> m_timers;
     TimePoint m_poolDueAt;
     bool m_isDraining = false;
--- a/include/nutmegtide/session/sessionstatement.h
+++ b/include/nutmegtide/session/sessionstatement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegtide/base/ids.h"
+#include "nutmegtide/base/time.h"
 #include "nutmegtide/session/statementfault.h"
 
 #include <optional>
@@ -99,6 +100,7 @@
     std::string detail; // the proof of a success, else the server's text
     TransactionState state = TransactionState::Idle;
     std::optional<LogPosition> position; // of the server's log
+    Duration ran {}; // that the statement took at the server, where its home measured it
 
     bool operator==(const ServerReply &) const = default;
 };
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -60,9 +60,13 @@
     return homes;
 }
 
-VmName chooseHome(const ServerId &server, const std::vector<PlacementCandidate> &candidates)
+std::vector<VmName> preferenceOf(const std::string &name,
+                                 const std::vector<PlacementCandidate> &candidates)
 {
-    return orderByWeight(server.text(), candidates).front().candidate->vm;
+    std::vector<VmName> order;
+    for (const Weighted &entry : orderByWeight(name, candidates))
+        order.push_back(entry.candidate->vm);
+    return order;
 }
 
 } // namespace nutmegtide
--- a/src/proxy/homequeue.cpp
+++ b/src/proxy/homequeue.cpp
@@ -7,16 +7,26 @@
 
 namespace {
 
+constexpr int OvertakenTimes = 5; // of its own, for which a statement lets shorter ones go first
+constexpr int FairTurn = 5; // of so many statements, one goes by its patience alone
+
 bool goesBefore(const HomeQueue::Item &left, const HomeQueue::Item &right)
 {
-    return std::tie(left.rank, left.dueAt) < std::tie(right.rank, right.dueAt);
+    return std::tie(left.rank, left.turnAt) < std::tie(right.rank, right.turnAt);
 }
 
 } // namespace
 
+TimePoint HomeQueue::turnOf(const Urgency &urgency, TimePoint now)
+{
+    m_added = (m_added + 1) % FairTurn;
+    const bool isFairTurn = m_added == 0;
+    return now + urgency.patience + (isFairTurn ? Duration() : urgency.work * OvertakenTimes);
+}
+
 bool HomeQueue::add(Ticket ticket, const Urgency &urgency, Duration perStatement, TimePoint now)
 {
-    const Item item {ticket, urgency.rank, now + urgency.patience};
+    const Item item {ticket, urgency.rank, turnOf(urgency, now), now + urgency.patience};
     const auto place = std::upper_bound(m_items.begin(), m_items.end(), item, goesBefore);
     const auto ahead = static_cast<int>(place - m_items.begin());
     if (urgency.rank > 0 && perStatement * ahead > urgency.patience)
--- a/src/proxy/serverhome.cpp
+++ b/src/proxy/serverhome.cpp
@@ -28,10 +28,25 @@
 
 } // namespace
 
-// How many statements the server gets at once.
-int ServerHome::mostRunning(const Server &server)
+// An empty transaction, which takes a connection for one exchange and no slot.
+bool ServerHome::isProof(const Lane &lane)
 {
-    return std::max(1, server.said.slots) + Overlap;
+    return lane.pending.size() == 2 && lane.pending[0].kind == ServerCommandKind::Begin
+            && lane.pending[1].kind == ServerCommandKind::Rollback;
+}
+
+int ServerHome::homeCount(const ServerId &server) const
+{
+    const auto known = m_homeCounts.find(server);
+    return known == m_homeCounts.end() ? 1 : std::max(1, known->second);
+}
+
+// How many statements the server gets at once from this home. Each home rounds its share up, since
+// the others may have nothing to send.
+int ServerHome::mostRunning(const Server &server) const
+{
+    const int homes = homeCount(server.said.server);
+    return (std::max(1, server.said.slots) + Overlap + homes - 1) / homes;
 }
 
 void ServerHome::setServers(const std::vector<ServerRecord> &records, TimePoint now)
@@ -139,7 +154,8 @@
     if (isHopeless)
         return refuseNext(key, lane, now);
     Server &server = found->second;
-    const Duration perStatement = server.usualTime.value() / std::max(1, server.said.slots);
+    const Duration perStatement = server.usualTime.value() * homeCount(lane.server)
+            / std::max(1, server.said.slots);
     Urgency urgency = lane.urgency;
     if (lane.connection != 0)
         urgency.rank = 0;
@@ -163,12 +179,14 @@
     if (found == m_servers.end())
         return false;
     Server &server = found->second;
-    if (server.running >= mostRunning(server))
-        return false;
+    const bool isFull = server.running >= mostRunning(server);
     for (const HomeQueue::Item &item : server.queue.items()) {
+        // What needs no slot stands at the front.
+        if (isFull && item.rank > 0)
+            break;
         const LaneKey key = server.waiting.at(item.ticket);
         Lane &lane = m_lanes.at(key);
-        if (lane.connection == 0 && server.idle.empty())
+        if ((isFull && !isProof(lane)) || (lane.connection == 0 && server.idle.empty()))
             continue;
         leaveQueue(lane);
         if (lane.connection == 0) {
--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -19,11 +19,16 @@
 void ServerHome::openAnother(const ServerId &id, TimePoint now)
 {
     Server &server = m_servers.at(id);
-    const auto waiting = std::count_if(server.waiting.begin(), server.waiting.end(),
-                                       [this](const auto &item) {
-                                           return m_lanes.at(item.second).connection == 0;
-                                       });
-    const int wanted = std::min(static_cast<int>(waiting), mostRunning(server) - server.running);
+    int statements = 0;
+    int proofs = 0;
+    for (const auto &[ticket, key] : server.waiting) {
+        const Lane &lane = m_lanes.at(key);
+        if (lane.connection == 0)
+            ++(isProof(lane) ? proofs : statements);
+    }
+    // Proofs follow each other quickly on one connection.
+    const int wanted = std::min(statements, mostRunning(server) - server.running)
+            + std::min(proofs, 1);
     if (!server.isKnown || server.opening >= wanted || server.fullUntil > now)
         return;
     openConnection(id, now);
@@ -155,7 +160,9 @@
     if (reply.fault == StatementFault::UnknownStatement)
         connection.image.forgetPrepared();
     lane.state = reply.state;
-    m_outlet.reply(laneKey, reply);
+    ServerReply measured = reply;
+    measured.ran = ranInSlot ? now - lane.sentAt : Duration();
+    m_outlet.reply(laneKey, measured);
     const ServerId id = lane.server;
     advance(laneKey, now);
     serve(id, now);
--- a/src/proxy/sessionproxy.cpp
+++ b/src/proxy/sessionproxy.cpp
@@ -22,6 +22,8 @@
 void SessionProxy::setRoutes(std::shared_ptr<const RouteTable> routes)
 {
     m_routes = std::move(routes);
+    std::erase_if(m_workOf,
+                  [this](const auto &item) { return m_routes->find(item.first) == nullptr; });
 }
 
 void SessionProxy::setServers(const std::vector<ServerRecord> &records, TimePoint now)
--- a/src/proxy/sessionreplies.cpp
+++ b/src/proxy/sessionreplies.cpp
@@ -196,9 +196,10 @@
         --m_pool.find(connection->server)->running;
         m_pool.noteAnswer(connection->server, now - connection->sentAt);
         m_pool.noteWritten(connection->server);
-        if (borrower)
-            onStatement(borrower->session, reply, now);
-        return;
+        if (!borrower)
+            return;
+        noteWork(borrower->session, reply);
+        return onStatement(borrower->session, reply, now);
     case Expectation::Rollback:
         if (borrower)
             return; // the end of a proof
@@ -281,6 +282,13 @@
     finish(key, {reply.rows, reply.fault, reply.detail, session.state, session.seen}, now);
 }
 
+// The statements of one route take about the same time, wherever they run.
+void SessionProxy::noteWork(SessionKey key, const ServerReply &reply)
+{
+    if (!reply.fault && reply.ran > Duration())
+        m_workOf[m_sessions.at(key).work->route.database].note(reply.ran);
+}
+
 // Takes in what a success proves.
 void SessionProxy::learn(Session &session, const Work &work, const ServerReply &reply, TimePoint now)
 {
--- a/src/proxy/sessionrouting.cpp
+++ b/src/proxy/sessionrouting.cpp
@@ -246,6 +246,9 @@
     urgency.rank = isUnderWay ? 0 : 1 + work.route.priority;
     urgency.patience = std::clamp(work.giveUpAt - now, Duration(LeastPatience),
                                   Duration(MostPatience));
+    const auto usual = m_workOf.find(work.route.database);
+    if (usual != m_workOf.end())
+        urgency.work = usual->second.value();
     return urgency;
 }
 
--- a/src/site/controlfollower.h
+++ b/src/site/controlfollower.h
@@ -27,7 +27,7 @@
     std::optional<Endpoint> leader; // peers' listener
     int entryCount = 0; // entry VMs of the site, as far as is known
     std::vector<AgedProof> proofs;
-    std::optional<std::map<ServerId, Endpoint>> homes; // by server, where they changed
+    std::optional<ServerHomes> homes; // where they changed
     TimePoint askedAt; // when this was asked for; the ages of proofs count from here
 };
 
@@ -63,6 +63,8 @@
     void setLanes(const std::string &lanes);
     // Asks more often while something must be learned before this VM can serve.
     void setEager(bool isEager);
+    // Asks without waiting for the next turn.
+    void askNow() { m_signal.notify(); }
     // Asks nobody while another way tells what changed.
     void setPaused(bool isPaused);
     // The id of this VM's data folder, where it stands by as a control VM.
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -47,7 +47,7 @@
     , m_lines(LinesPerSecond)
     , m_proxy(*this, settings.failureDomain)
     , m_links(
-              m_loop, settings.name.text(), *this,
+              m_loop, settings.name.text(), settings.failureDomain, *this,
               [this](const ServerId &server, ServerEvidence evidence) {
                   m_proxy.takeEvidence(server, evidence, EventLoop::now());
               },
@@ -151,7 +151,7 @@
     for (const AgedProof &proof : view.proofs)
         m_proxy.takeProof(proof.service, view.askedAt - proof.age, proof.position, now);
     if (view.homes)
-        m_links.setHomes(*view.homes);
+        takeHomes(*view.homes);
     if (view.servers) {
         bool isNews = !m_hasServers;
         for (const ServerRecord &record : *view.servers)
@@ -160,6 +160,7 @@
         if (isNews) {
             const std::vector<ServerRecord> present = m_registry.present();
             m_proxy.setServers(present, now);
+            m_links.setServers(present);
             if (m_home)
                 m_home->setServers(present);
             logLine(LogLevel::Info, "servers_known",
@@ -169,6 +170,15 @@
     updateReadiness();
 }
 
+void EntryNode::takeHomes(ServerHomes homes)
+{
+    if (m_home)
+        m_home->setHomes(homes, m_settings.listen.lanes);
+    for (auto &[server, lanes] : homes)
+        lanes = inOrderOf(m_identity.vm, std::move(lanes));
+    m_links.setHomes(std::move(homes));
+}
+
 void EntryNode::updateReadiness()
 {
     if (m_isDraining || m_isReady || m_isolatedSince || m_revision == 0 || !m_proxy.knowsServers())
@@ -216,6 +226,7 @@
 void EntryNode::afterEvents()
 {
     const TimePoint now = EventLoop::now();
+    checkSuspicion(now);
     checkIsolation(now);
     turnAwayIfDue(now);
     // Cut off, it can't tell a lost primary from itself.
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -60,7 +60,9 @@
     void takeView(const ControlView &view);
     void afterEvents();
     void onMoment();
+    void takeHomes(ServerHomes homes);
     void updateReadiness();
+    void checkSuspicion(TimePoint now);
     void checkIsolation(TimePoint now);
     void turnAwayIfDue(TimePoint now);
     HttpResponse answerHealth() const;
--- a/src/site/homedirectory.cpp
+++ b/src/site/homedirectory.cpp
@@ -2,33 +2,96 @@
 
 #include "nutmegtide/fleet/placement.h"
 
+#include <algorithm>
+#include <set>
 #include <xxhash.h>
 
 namespace nutmegtide {
 
+namespace {
+
+// Each further home of a server splits its queue once more.
+constexpr std::size_t MostHomes = 3;
+
+std::uint64_t weightOf(const VmName &entry, const Endpoint &home)
+{
+    const std::string key = entry.text() + '\0' + toString(home);
+    return XXH3_64bits(key.data(), key.size());
+}
+
+std::int64_t versionOf(const ServerHomes &homes)
+{
+    std::string content;
+    for (const auto &[server, lanes] : homes) {
+        content += server.text();
+        for (const Endpoint &home : lanes)
+            content += '=' + toString(home);
+        content += '\n';
+    }
+    if (content.empty())
+        return 0;
+    return static_cast<std::int64_t>(XXH3_64bits(content.data(), content.size()));
+}
+
+} // namespace
+
 void HomeDirectory::assign(const std::vector<ServerRecord> &servers,
                            const std::vector<HomeCandidate> &candidates)
 {
-    std::map<FailureDomain, std::vector<PlacementCandidate>> byDomain;
-    std::map<VmName, Endpoint> lanes;
+    std::map<FailureDomain, std::vector<HomeCandidate>> candidatesOf;
+    std::set<VmName> named;
     for (const HomeCandidate &candidate : candidates) {
-        if (!lanes.emplace(candidate.vm, candidate.lanes).second)
-            continue; // it has just changed its control VM
-        byDomain[candidate.failureDomain].push_back({candidate.vm, candidate.failureDomain, false});
+        // It is named twice where it has just changed its control VM.
+        if (named.insert(candidate.vm).second)
+            candidatesOf[candidate.failureDomain].push_back(candidate);
     }
+    std::map<FailureDomain, std::vector<ServerId>> serversOf;
+    for (const ServerRecord &record : servers)
+        serversOf[record.said.failureDomain].push_back(record.said.server);
     m_homes.clear();
-    std::string content;
-    for (const ServerRecord &record : servers) {
-        const auto domain = byDomain.find(record.said.failureDomain);
-        if (domain == byDomain.end())
-            continue;
-        m_homes[record.said.server] = lanes.at(chooseHome(record.said.server, domain->second));
+    for (auto &[domain, own] : serversOf) {
+        std::sort(own.begin(), own.end());
+        if (candidatesOf.count(domain) != 0)
+            assignDomain(own, candidatesOf.at(domain));
     }
-    for (const auto &[server, home] : m_homes)
-        content += server.text() + '=' + toString(home) + '\n';
-    m_version = content.empty()
-            ? 0
-            : static_cast<std::int64_t>(XXH3_64bits(content.data(), content.size()));
+    m_version = versionOf(m_homes);
+}
+
+// The servers choose in turn, a home each, until each has its number of homes.
+void HomeDirectory::assignDomain(const std::vector<ServerId> &servers,
+                                 const std::vector<HomeCandidate> &candidates)
+{
+    std::map<VmName, Endpoint> lanes;
+    std::vector<PlacementCandidate> vms;
+    for (const HomeCandidate &candidate : candidates) {
+        lanes[candidate.vm] = candidate.lanes;
+        vms.push_back({candidate.vm, candidate.failureDomain, false});
+    }
+    const std::size_t perServer = std::clamp<std::size_t>(vms.size() / servers.size(), 1, MostHomes);
+    const std::size_t most = (servers.size() * perServer + vms.size() - 1) / vms.size();
+    std::map<VmName, std::size_t> taken;
+    for (std::size_t round = 0; round < perServer; ++round) {
+        for (const ServerId &server : servers) {
+            std::vector<Endpoint> &homes = m_homes[server];
+            for (const VmName &vm : preferenceOf(server.text(), vms)) {
+                const Endpoint &home = lanes.at(vm);
+                const bool isItsOwn = std::find(homes.begin(), homes.end(), home) != homes.end();
+                if (isItsOwn || taken[vm] >= most)
+                    continue;
+                ++taken[vm];
+                homes.push_back(home);
+                break;
+            }
+        }
+    }
+}
+
+std::vector<Endpoint> inOrderOf(const VmName &entry, std::vector<Endpoint> homes)
+{
+    std::sort(homes.begin(), homes.end(), [&entry](const Endpoint &left, const Endpoint &right) {
+        return weightOf(entry, left) > weightOf(entry, right);
+    });
+    return homes;
 }
 
 } // namespace nutmegtide
--- a/src/site/homeport.cpp
+++ b/src/site/homeport.cpp
@@ -1,11 +1,14 @@
 #include "site/homeport.h"
 
+#include <algorithm>
+
 namespace nutmegtide {
 
 namespace {
 
 // LaneLinks gives a home up no sooner than this after its last answer.
 constexpr auto LongestStall = 300ms;
+constexpr auto DoubtInterval = 100ms; // between warnings that are passed on
 
 } // namespace
 
@@ -82,6 +85,10 @@
     const TimePoint now = EventLoop::now();
     if (frame.isQuestion)
         outgoing(link)->isAnswer = true;
+    if (!frame.failureDomain.empty())
+        m_links.at(link).failureDomain = FailureDomain(frame.failureDomain);
+    if (frame.isReachDoubted)
+        passOnDoubt(link, now);
     for (const wire::LaneRequest &request : frame.requests) {
         const LaneKey lane {link, static_cast<std::uint64_t>(request.lane)};
         std::vector<ServerCommand> commands;
@@ -89,13 +96,26 @@
             commands.push_back(fromWire(command));
         if (!commands.empty())
             m_home.take(lane, ServerId(request.server), commands,
-                        {request.rank, std::chrono::microseconds(request.patienceMicroseconds)},
+                        {request.rank, std::chrono::microseconds(request.patienceMicroseconds),
+                         std::chrono::microseconds(request.workMicroseconds)},
                         now);
         if (request.isClosed)
             m_home.closeLane(lane, now);
     }
 }
 
+// The others of the entry VM's failure domain look for themselves.
+void HomePort::passOnDoubt(std::uint64_t from, TimePoint now)
+{
+    const FailureDomain domain = m_links.at(from).failureDomain;
+    if (domain.isEmpty() || now - std::exchange(m_doubtedAt, now) < DoubtInterval)
+        return;
+    for (const auto &[key, link] : m_links) {
+        if (key != from && link.failureDomain == domain)
+            outgoing(key)->isReachDoubted = true;
+    }
+}
+
 void HomePort::end(std::uint64_t link)
 {
     const auto found = m_links.find(link);
@@ -113,6 +133,16 @@
         outgoing(key)->isLeaving = true;
 }
 
+void HomePort::setHomes(const ServerHomes &homes, const Endpoint &own)
+{
+    std::map<ServerId, int> counts;
+    for (const auto &[server, lanes] : homes) {
+        if (std::find(lanes.begin(), lanes.end(), own) != lanes.end())
+            counts[server] = static_cast<int>(lanes.size());
+    }
+    m_home.setHomeCounts(std::move(counts));
+}
+
 void HomePort::tick(TimePoint now)
 {
     m_home.tick(now);
--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -4,6 +4,7 @@
 #include "nutmegtide/proxy/serverhome.h"
 #include "nutmegtide/site/adapters.h"
 #include "site/eventloop.h"
+#include "site/homedirectory.h"
 #include "site/lanewire.h"
 #include "site/streamlistener.h"
 #include "site/streamsocket.h"
@@ -38,6 +39,8 @@
     }
     // Tells the other VMs to take their work elsewhere; what runs goes on.
     void leave();
+    // Which servers this home, which takes lanes there, shares with others.
+    void setHomes(const ServerHomes &homes, const Endpoint &own);
     void tick(TimePoint now);
     TimePoint wakeAt() const { return m_home.wakeAt(); }
     // Sends what the events since the last call brought. To be called before each wait for events,
@@ -51,6 +54,7 @@
         std::unique_ptr<StreamSocket> socket;
         FrameBuffer frames;
         wire::LaneFrame outgoing;
+        FailureDomain failureDomain; // of the entry VM, empty until it told
     };
 
     void take(int socket);
@@ -59,6 +63,7 @@
     bool hasStoodStill() const;
     void endAll();
     void obey(std::uint64_t link, const wire::LaneFrame &frame);
+    void passOnDoubt(std::uint64_t from, TimePoint now);
     void end(std::uint64_t link);
     // The frame that goes out next to the link, null where it is gone.
     wire::LaneFrame *outgoing(std::uint64_t link);
@@ -84,6 +89,7 @@
     std::set<std::uint64_t> m_unsent; // links with an outgoing frame
     std::uint64_t m_lastLink = 0;
     TimePoint m_flushedAt = EventLoop::now();
+    TimePoint m_doubtedAt {}; // the latest warning that was passed on
     bool m_isLeaving = false;
 };
 
--- a/src/site/lanelinks.cpp
+++ b/src/site/lanelinks.cpp
@@ -1,5 +1,7 @@
 #include "site/lanelinks.h"
 
+#include <algorithm>
+
 namespace nutmegtide {
 
 namespace {
@@ -7,49 +9,151 @@
 constexpr auto TickInterval = 50ms;
 constexpr auto QuietTime = 100ms; // of a home that owes an answer, before it is asked
 constexpr auto AnswerTime = 250ms; // of a home that was asked, before it counts as lost
-constexpr auto OwnStall = 150ms; // since the last tick, in which answers may wait here unread
+constexpr auto OwnStall = 150ms; // since the last tick, after which silence proves nothing
 constexpr auto ReconnectTime = 500ms; // between connections to one home
 constexpr auto SilentPause = 3s; // before a home that was silent is tried again; it may be slow
 constexpr auto DoubtTime = 2s; // that a server is asked directly after its home didn't help
-constexpr std::size_t MostConnectedAhead = 256; // homes that are connected before they are needed
+constexpr std::size_t FewHomes = 4; // of other failure domains, that a doubt is put to first
+constexpr std::size_t WarnedHomes = 2; // of the own failure domain, which pass a warning on
+constexpr std::size_t MostConnectedAhead = 256; // servers whose homes are connected before need
 
 } // namespace
 
-LaneLinks::LaneLinks(EventLoop &loop, const std::string &self, ServerEvents &events,
-                     OnEvidence onEvidence, OnHome onHome)
+LaneLinks::LaneLinks(EventLoop &loop, const std::string &self, FailureDomain own,
+                     ServerEvents &events, OnEvidence onEvidence, OnHome onHome)
     : m_loop(loop)
+    , m_own(std::move(own))
     , m_events(events)
     , m_onEvidence(std::move(onEvidence))
     , m_onHome(std::move(onHome))
     , m_direct(makeServerLinks(loop, self, events))
 { }
 
-void LaneLinks::setHomes(std::map<ServerId, Endpoint> homes)
+void LaneLinks::setHomes(ServerHomes homes)
 {
-    m_homeOf = std::move(homes);
+    m_homesOf = std::move(homes);
     m_dueAt = EventLoop::now();
+    findElsewhere();
 }
 
-bool LaneLinks::mayUse(const ServerId &server, TimePoint now) const
+void LaneLinks::setServers(const std::vector<ServerRecord> &records)
 {
-    const auto named = m_homeOf.find(server);
-    const auto doubted = m_directUntil.find(server);
-    if (named == m_homeOf.end() || (doubted != m_directUntil.end() && doubted->second > now))
-        return false;
-    const auto home = m_homes.find(named->second);
+    m_domainOf.clear();
+    for (const ServerRecord &record : records)
+        m_domainOf[record.said.server] = record.said.failureDomain;
+    findElsewhere();
+}
+
+// A home stands in the failure domain of its servers.
+void LaneLinks::findElsewhere()
+{
+    m_elsewhere.clear();
+    for (const auto &[server, homes] : m_homesOf) {
+        const auto domain = m_domainOf.find(server);
+        if (domain != m_domainOf.end() && domain->second != m_own)
+            m_elsewhere.insert(homes.begin(), homes.end());
+    }
+}
+
+// After a cut nothing speaks against the homes that were silent in it.
+void LaneLinks::trustReach(TimePoint now)
+{
+    m_reach.heard(now);
+    for (const Endpoint &at : m_elsewhere) {
+        const auto home = m_homes.find(at);
+        if (home != m_homes.end())
+            home->second.connectAt = std::min(home->second.connectAt, now);
+    }
+    m_dueAt = now;
+}
+
+void LaneLinks::checkReach(TimePoint now)
+{
+    const DomainReach::Questions questions = m_reach.due(now);
+    if (questions != DomainReach::Questions::None) {
+        m_reach.questioned(questions, question(questions, now), now);
+        if (questions == DomainReach::Questions::All)
+            warnOwnDomain();
+    }
+    if (const auto wakeAt = m_reach.wakeAt(); wakeAt && *wakeAt > now)
+        m_dueAt = std::min(m_dueAt, *wakeAt);
+}
+
+// Returns how many homes of other failure domains owe an answer now.
+std::size_t LaneLinks::question(DomainReach::Questions questions, TimePoint now)
+{
+    const std::size_t most = questions == DomainReach::Questions::Few ? FewHomes
+                                                                      : m_elsewhere.size();
+    std::size_t count = 0;
+    for (const Endpoint &at : m_elsewhere) {
+        const auto home = m_homes.find(at);
+        if (count == most || home == m_homes.end() || !home->second.isThere)
+            continue;
+        ++count;
+        if (!home->second.isAsked)
+            ask(at, home->second, now);
+    }
+    return count;
+}
+
+// Homes of the own failure domain pass the warning on to the entry VMs there.
+void LaneLinks::warnOwnDomain()
+{
+    std::size_t count = 0;
+    for (const auto &[at, home] : m_homes) {
+        if (count == WarnedHomes || !home.isThere || m_elsewhere.count(at) != 0)
+            continue;
+        ++count;
+        outgoing(at).isReachDoubted = true;
+    }
+}
+
+bool LaneLinks::isUsable(const Endpoint &at) const
+{
+    const auto home = m_homes.find(at);
     return home != m_homes.end() && home->second.isThere && !home->second.isLeaving;
 }
 
+std::optional<Endpoint> LaneLinks::usableHome(const ServerId &server, TimePoint now) const
+{
+    const auto named = m_homesOf.find(server);
+    const auto doubted = m_directUntil.find(server);
+    if (named == m_homesOf.end() || (doubted != m_directUntil.end() && doubted->second > now))
+        return std::nullopt;
+    const auto first = std::find_if(named->second.begin(), named->second.end(),
+                                    [this](const Endpoint &at) { return isUsable(at); });
+    return first == named->second.end() ? std::nullopt : std::optional(*first);
+}
+
+// The first home, and the next one while that one can't be used.
+void LaneLinks::connectTo(const std::vector<Endpoint> &homes, TimePoint now)
+{
+    for (const Endpoint &at : homes) {
+        connect(at, now);
+        if (isUsable(at))
+            return;
+    }
+}
+
+void LaneLinks::connectAhead(TimePoint now)
+{
+    if (m_homesOf.size() > MostConnectedAhead)
+        return;
+    for (const auto &[server, homes] : m_homesOf)
+        connectTo(homes, now);
+}
+
 void LaneLinks::open(ConnectionKey connection, const ServerAnnouncement &server)
 {
     const TimePoint now = EventLoop::now();
-    const auto named = m_homeOf.find(server.server);
-    if (named != m_homeOf.end())
-        connect(named->second, now);
-    if (!mayUse(server.server, now))
+    const auto named = m_homesOf.find(server.server);
+    if (named != m_homesOf.end())
+        connectTo(named->second, now);
+    const std::optional<Endpoint> home = usableHome(server.server, now);
+    if (!home)
         return m_direct->open(connection, server);
-    m_lanes[connection] = {named->second, server.server, 0};
-    m_homes.at(named->second).lanes.insert(connection);
+    m_lanes[connection] = {*home, server.server, 0};
+    m_homes.at(*home).lanes.insert(connection);
     // A lane begins with its first command, so it is there at once.
     m_loop.post([this, connection] {
         if (m_lanes.count(connection) != 0)
@@ -71,6 +175,8 @@
     request.rank = urgency.rank;
     request.patienceMicroseconds =
             std::chrono::duration_cast<std::chrono::microseconds>(urgency.patience).count();
+    request.workMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(urgency.work)
+                                       .count();
     Home &home = m_homes.at(lane->second.home);
     if (home.unanswered == 0)
         home.heardAt = EventLoop::now();
@@ -117,6 +223,7 @@
         lose(at, end == StreamSocket::End::Unreachable ? "refused" : "closed", ReconnectTime);
     };
     home.socket = std::make_unique<StreamSocket>(m_loop.base(), at, std::move(handlers));
+    outgoing(at).failureDomain = m_own.text();
     ask(at, home, now);
 }
 
@@ -132,6 +239,8 @@
     Home &home = m_homes.at(at);
     home.heardAt = EventLoop::now();
     home.isAsked = false;
+    if (m_elsewhere.count(at) != 0)
+        m_reach.heard(home.heardAt);
     if (!home.isThere) {
         home.isThere = true;
         m_onHome(at, true, "it answers");
@@ -154,6 +263,10 @@
 {
     if (frame.isLeaving)
         m_homes.at(at).isLeaving = true;
+    if (frame.isReachDoubted) {
+        m_reach.warn(EventLoop::now());
+        m_dueAt = EventLoop::now();
+    }
     for (const wire::LaneEvidence &told : frame.evidence) {
         const ServerEvidence evidence = evidenceOf(told);
         // A server that is silent there may answer here.
@@ -208,33 +321,48 @@
     if (now < m_dueAt)
         return;
     m_dueAt = now + TickInterval;
-    const bool hasStalled = now - std::exchange(m_tickedAt, now) > OwnStall;
+    if (now - std::exchange(m_tickedAt, now) > OwnStall)
+        forgiveSilence(now);
+    connectAhead(now);
+    checkHomes(now);
+    checkReach(now);
+    std::erase_if(m_directUntil, [now](const auto &item) { return item.second <= now; });
+}
+
+// This process stood still, so that answers may wait here unread.
+void LaneLinks::forgiveSilence(TimePoint now)
+{
+    m_reach.forgive(now);
+    for (auto &[at, home] : m_homes)
+        home.askedAt = home.heardAt = now;
+}
+
+// Gives up homes that are silent or named no longer, and asks those whose answers are overdue.
+void LaneLinks::checkHomes(TimePoint now)
+{
     std::set<Endpoint> named;
-    for (const auto &[server, at] : m_homeOf)
-        named.insert(at);
-    if (named.size() <= MostConnectedAhead) {
-        for (const Endpoint &at : named)
-            connect(at, now);
-    }
+    for (const auto &[server, homes] : m_homesOf)
+        named.insert(homes.begin(), homes.end());
     std::vector<Endpoint> unwanted;
     std::vector<Endpoint> silent;
     for (auto &[at, home] : m_homes) {
-        if (home.socket == nullptr)
+        const bool isOwed = home.unanswered > 0;
+        if (home.socket == nullptr) {
             continue;
-        if (hasStalled)
-            home.askedAt = home.heardAt = now;
-        if (named.count(at) == 0 && home.lanes.empty())
+        } else if (named.count(at) == 0 && home.lanes.empty()) {
             unwanted.push_back(at);
-        else if (home.isAsked && now - home.askedAt > AnswerTime)
+        } else if (home.isAsked && now - home.askedAt > AnswerTime && (isOwed || !home.isThere)) {
             silent.push_back(at);
-        else if (!home.isAsked && home.unanswered > 0 && now - home.heardAt > QuietTime)
+        } else if (!home.isAsked && isOwed && now - home.heardAt > QuietTime) {
             ask(at, home, now);
+            if (m_elsewhere.count(at) != 0)
+                m_reach.doubt(now);
+        }
     }
     for (const Endpoint &at : unwanted)
         lose(at, "no longer a home", ReconnectTime);
     for (const Endpoint &at : silent)
         lose(at, "silent", SilentPause);
-    std::erase_if(m_directUntil, [now](const auto &item) { return item.second <= now; });
     std::erase_if(m_homes, [&named](const auto &item) {
         return item.second.socket == nullptr && named.count(item.first) == 0;
     });
--- a/src/site/lanelinks.h
+++ b/src/site/lanelinks.h
@@ -1,15 +1,18 @@
 #pragma once
 
 #include "nutmegtide/base/endpoint.h"
+#include "nutmegtide/fleet/domainreach.h"
 #include "nutmegtide/proxy/homequeue.h"
 #include "nutmegtide/site/adapters.h"
 #include "site/eventloop.h"
+#include "site/homedirectory.h"
 #include "site/lanewire.h"
 #include "site/streamsocket.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,7 +23,8 @@
 // known and answers, else connections of its own. Lives on the thread of the event loop.
 //
 // A home that owes an answer is asked whether it still is there, so that a frozen one is left
-// within a few tenths of a second; until it has answered again its servers are reached directly.
+// within a few tenths of a second; until it has answered again its servers are reached through
+// their other homes, or directly. The silence of all homes of other failure domains is a cut.
 //
 //   links.setHomes(homes);
 //   links.open(connection, server);
@@ -33,16 +37,23 @@
     // A home was lost or is there again.
     using OnHome = std::function<void(const Endpoint &home, bool isThere, const std::string &why)>;
 
-    LaneLinks(EventLoop &loop, const std::string &self, ServerEvents &events, OnEvidence onEvidence,
-              OnHome onHome);
+    LaneLinks(EventLoop &loop, const std::string &self, FailureDomain own, ServerEvents &events,
+              OnEvidence onEvidence, OnHome onHome);
 
-    void setHomes(std::map<ServerId, Endpoint> homes);
+    // The homes of each server, the one that is to be used first.
+    void setHomes(ServerHomes homes);
+    void setServers(const std::vector<ServerRecord> &records);
 
     void open(ConnectionKey connection, const ServerAnnouncement &server);
     void send(ConnectionKey connection, const std::vector<ServerCommand> &commands,
               const Urgency &urgency);
     void close(ConnectionKey connection);
     bool isLane(ConnectionKey connection) const { return m_lanes.count(connection) != 0; }
+    // Something else than a home is out of reach in another failure domain, or within reach.
+    void doubtReach(TimePoint now) { m_reach.doubt(now); }
+    void trustReach(TimePoint now);
+    // Whether all homes of other failure domains leave questions unanswered.
+    bool isCutOff(TimePoint now) const { return m_reach.isCutOff(now); }
     void tick(TimePoint now);
     TimePoint wakeAt() const { return m_dueAt; }
     // Sends what was asked for since the last call.
@@ -72,7 +83,12 @@
 
     // The server didn't answer at its home; for a while it is asked directly.
     void doubtHome(const ServerId &server);
-    bool mayUse(const ServerId &server, TimePoint now) const;
+    // The first home of the server that answers; nothing where it is to be asked directly.
+    std::optional<Endpoint> usableHome(const ServerId &server, TimePoint now) const;
+    bool isUsable(const Endpoint &at) const;
+    // Connects to the homes that will be needed next.
+    void connectAhead(TimePoint now);
+    void connectTo(const std::vector<Endpoint> &homes, TimePoint now);
     void connect(const Endpoint &at, TimePoint now);
     void ask(const Endpoint &at, Home &home, TimePoint now);
     bool read(const Endpoint &at, std::string_view bytes);
@@ -81,13 +97,23 @@
     // Ends the connection to a home and all lanes there, and makes no other one for the pause.
     void lose(const Endpoint &at, const std::string &why, Duration pause);
     wire::LaneFrame &outgoing(const Endpoint &at);
+    void forgiveSilence(TimePoint now);
+    void checkHomes(TimePoint now);
+    void findElsewhere();
+    void checkReach(TimePoint now);
+    std::size_t question(DomainReach::Questions questions, TimePoint now);
+    void warnOwnDomain();
 
     EventLoop &m_loop;
+    const FailureDomain m_own;
     ServerEvents &m_events;
     const OnEvidence m_onEvidence;
     const OnHome m_onHome;
     std::unique_ptr<ServerLinks> m_direct;
-    std::map<ServerId, Endpoint> m_homeOf;
+    ServerHomes m_homesOf; // the one that is used first stands first
+    std::map<ServerId, FailureDomain> m_domainOf;
+    std::set<Endpoint> m_elsewhere; // homes of other failure domains
+    DomainReach m_reach;
     std::map<Endpoint, Home> m_homes;
     std::map<ConnectionKey, Lane> m_lanes;
     std::map<ServerId, TimePoint> m_directUntil;
--- a/src/site/lanewire.cpp
+++ b/src/site/lanewire.cpp
@@ -105,6 +105,7 @@
     result.state = static_cast<std::int32_t>(reply.state);
     if (reply.position)
         result.__set_position(toWire(*reply.position));
+    result.ranMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(reply.ran).count();
     return result;
 }
 
@@ -118,6 +119,7 @@
     result.state = checked(reply.state, LastState, "state");
     if (reply.__isset.position)
         result.position = fromWire(reply.position);
+    result.ran = std::chrono::microseconds(reply.ranMicroseconds);
     return result;
 }
 
--- a/src/site/sitewire.cpp
+++ b/src/site/sitewire.cpp
@@ -89,23 +89,25 @@
     return result;
 }
 
-std::vector<wire::ServerHome> toWire(const std::map<ServerId, Endpoint> &homes)
+std::vector<wire::ServerHome> toWire(const ServerHomes &homes)
 {
     std::vector<wire::ServerHome> result;
     for (const auto &[server, lanes] : homes) {
-        wire::ServerHome told;
-        told.server = server.text();
-        told.lanes = toString(lanes);
-        result.push_back(told);
+        for (const Endpoint &home : lanes) {
+            wire::ServerHome told;
+            told.server = server.text();
+            told.lanes = toString(home);
+            result.push_back(told);
+        }
     }
     return result;
 }
 
-std::map<ServerId, Endpoint> fromWire(const std::vector<wire::ServerHome> &homes)
+ServerHomes fromWire(const std::vector<wire::ServerHome> &homes)
 {
-    std::map<ServerId, Endpoint> result;
+    ServerHomes result;
     for (const wire::ServerHome &told : homes)
-        result[ServerId(told.server)] = parseEndpoint(told.lanes);
+        result[ServerId(told.server)].push_back(parseEndpoint(told.lanes));
     return result;
 }
 
--- a/src/site/sitewire.h
+++ b/src/site/sitewire.h
@@ -19,8 +19,8 @@
 std::vector<wire::HomeVm> toWire(const std::vector<HomeCandidate> &candidates);
 std::vector<HomeCandidate> fromWire(const std::vector<wire::HomeVm> &candidates);
 
-std::vector<wire::ServerHome> toWire(const std::map<ServerId, Endpoint> &homes);
-std::map<ServerId, Endpoint> fromWire(const std::vector<wire::ServerHome> &homes);
+std::vector<wire::ServerHome> toWire(const ServerHomes &homes);
+ServerHomes fromWire(const std::vector<wire::ServerHome> &homes);
 
 wire::ServerRecord toWire(const ServerRecord &record);
 ServerRecord fromWire(const wire::ServerRecord &record);
--- /dev/null
+++ b/test/unit/fleet/domaincutmodel.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "nutmegtide/fleet/domainreach.h"
+
+#include <algorithm>
+#include <optional>
+#include <random>
+#include <utility>
+#include <vector>
+
+namespace nutmegtide::test {
+
+// A failure domain's entry VMs before a balancer, in virtual time of 10 ms steps.
+//
+// Each VM sends statements to VMs of other failure domains, which answer within 40 ms; an answer is
+// overdue after 100 ms. A VM that warns the others of its domain is heard by them one step later.
+// The balancer asks each VM once a second, at a moment of the VM's own, and
+// takes one out after two refusals in a row. It looks for other failure domains once none is left.
+//
+//   DomainCutModel model({33, 5.0}, seed);
+//   model.cutFrom(10s, 15s);
+//   const auto leftAt = model.run(20s);
+class DomainCutModel
+{
+public:
+    struct Size
+    {
+        int entries = 0;
+        double statementsPerSecond = 0; // of each entry, to other failure domains
+        int peers = 20; // VMs of other failure domains that each entry is connected to
+    };
+
+    DomainCutModel(const Size &size, unsigned seed)
+        : m_size(size)
+        , m_generator(seed)
+    {
+        for (int i = 0; i < size.entries; ++i) {
+            Entry entry;
+            entry.checkPhase = Duration(std::chrono::milliseconds(uniform(0, 99) * 10));
+            m_entries.push_back(entry);
+        }
+    }
+
+    void cutFrom(Duration from, Duration until) { m_cut = {from, until}; }
+    // This part of the other domains' VMs stands still for the span.
+    void freezePeers(double share, Duration from, Duration until)
+    {
+        m_frozenShare = share;
+        m_frozen = {from, until};
+    }
+    // This part of all questions and answers is lost, and comes a retransmission later.
+    void loseMessages(double share) { m_lossShare = share; }
+
+    // Returns when the balancer found no entry VM of the domain left, nothing where it always did.
+    std::optional<Duration> run(Duration length)
+    {
+        for (m_now = Step; m_now < length; m_now += Step) {
+            const bool isWarned = std::exchange(m_isWarned, false);
+            for (Entry &entry : m_entries)
+                step(entry, isWarned);
+            const bool isAnyIn = std::any_of(m_entries.begin(), m_entries.end(),
+                                             [](const Entry &entry) { return entry.misses < 2; });
+            if (!isAnyIn)
+                return m_now;
+        }
+        return std::nullopt;
+    }
+
+    // That all entry VMs sent in run().
+    long questions() const { return m_questions; }
+
+private:
+    static constexpr Duration Step = 10ms;
+    static constexpr int Few = 4; // VMs that are asked first
+    static constexpr Duration Overdue = 100ms;
+    static constexpr Duration Retransmission = 200ms;
+
+    struct Span
+    {
+        Duration from {};
+        Duration until {};
+        bool holds(Duration moment) const { return moment >= from && moment < until; }
+    };
+    struct Entry
+    {
+        DomainReach reach;
+        Duration checkPhase {};
+        int misses = 0;
+        std::vector<Duration> answersAt; // of what is under way
+        std::vector<Duration> overdueAt; // of what is never answered, or late
+    };
+
+    int uniform(int low, int high)
+    {
+        return std::uniform_int_distribution<int>(low, high)(m_generator);
+    }
+    bool happens(double share) { return std::bernoulli_distribution(share)(m_generator); }
+
+    // One question to one VM elsewhere.
+    void ask(Entry &entry)
+    {
+        const bool isLost = m_cut.holds(m_now) || (m_frozen.holds(m_now) && happens(m_frozenShare));
+        if (isLost) {
+            entry.overdueAt.push_back(m_now + Overdue);
+            return;
+        }
+        const Duration extra = happens(m_lossShare) ? Retransmission : Duration();
+        entry.answersAt.push_back(m_now + std::chrono::milliseconds(uniform(1, 4) * 10) + extra);
+        if (extra > Overdue)
+            entry.overdueAt.push_back(m_now + Overdue);
+    }
+
+    void question(Entry &entry, DomainReach::Questions questions, TimePoint now)
+    {
+        const bool isAll = questions == DomainReach::Questions::All;
+        const int count = isAll ? m_size.peers : std::min(Few, m_size.peers);
+        for (int i = 0; i < count; ++i)
+            ask(entry);
+        m_isWarned = m_isWarned || isAll;
+        m_questions += count;
+        entry.reach.questioned(questions, static_cast<std::size_t>(count), now);
+    }
+
+    void step(Entry &entry, bool isWarned)
+    {
+        const TimePoint now = TimePoint(100s) + m_now;
+        if (happens(m_size.statementsPerSecond * std::chrono::duration<double>(Step).count()))
+            ask(entry);
+        const auto isDue = [this](Duration moment) { return moment <= m_now; };
+        if (std::erase_if(entry.answersAt, isDue) > 0 && !m_cut.holds(m_now))
+            entry.reach.heard(now);
+        if (std::erase_if(entry.overdueAt, isDue) > 0)
+            entry.reach.doubt(now);
+        if (isWarned)
+            entry.reach.warn(now);
+        const DomainReach::Questions questions = entry.reach.due(now);
+        if (questions != DomainReach::Questions::None)
+            question(entry, questions, now);
+        const bool isChecked = (m_now - entry.checkPhase) % Duration(1s) == Duration();
+        if (isChecked)
+            entry.misses = entry.reach.isCutOff(now) ? entry.misses + 1 : 0;
+    }
+
+    const Size m_size;
+    std::mt19937 m_generator;
+    std::vector<Entry> m_entries;
+    Span m_cut;
+    Span m_frozen;
+    double m_frozenShare = 0;
+    double m_lossShare = 0;
+    Duration m_now {};
+    bool m_isWarned = false;
+    long m_questions = 0;
+};
+
+} // namespace nutmegtide::test
--- a/test/unit/proxy/homequeue_test.cpp
+++ b/test/unit/proxy/homequeue_test.cpp
@@ -56,6 +56,51 @@
     }
 }
 
+TEST_CASE("skewed services: at a server that can't do all, short statements pass long ones")
+{
+    struct Row
+    {
+        const char *what;
+        Urgency later; // comes after a statement of rank 3 and 30 ms of work
+        Duration after;
+        bool passes;
+    };
+    const Row rows[] = {
+            {"a shorter one", {3, 100ms, 18ms}, 40ms, true},
+            {"a shorter one that comes much later", {3, 100ms, 18ms}, 100ms, false},
+            {"one as long", {3, 125ms, 30ms}, 1ms, false},
+            {"a short one of less priority", {4, 100ms, 6ms}, 1ms, false},
+            {"a long one of more priority", {2, 100ms, 60ms}, 1ms, true},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        HomeQueue queue;
+        queue.add(1, {3, 125ms, 30ms}, PerStatement, Start);
+        queue.add(2, row.later, PerStatement, Start + row.after);
+        CHECK((orderOf(queue).front() == 2) == row.passes);
+    }
+}
+
+TEST_CASE("skewed services: long statements are passed, and not starved")
+{
+    // More short statements come than the server can run, and as many long ones.
+    HomeQueue queue;
+    HomeQueue::Ticket last = 0;
+    int longRun = 0;
+    int shortRun = 0;
+    for (int i = 0; i < 400; ++i) {
+        const TimePoint now = Start + i * PerStatement;
+        queue.takeOverdue(now);
+        queue.add(++last * 2, {3, 100ms, 18ms}, PerStatement, now);
+        queue.add(last * 2 + 1, {3, 125ms, 30ms}, PerStatement, now);
+        const HomeQueue::Ticket next = queue.items().front().ticket;
+        ++(next % 2 == 0 ? shortRun : longRun);
+        queue.remove(next);
+    }
+    CHECK(shortRun > 2 * longRun);
+    CHECK(longRun > 400 / 20);
+}
+
 TEST_CASE("what has waited for its whole patience is given up")
 {
     HomeQueue queue;
--- a/test/unit/proxy/proxyrig.h
+++ b/test/unit/proxy/proxyrig.h
@@ -20,6 +20,7 @@
     bool provesAnswers = true;
     std::optional<StatementFault> refusal; // of every statement
     LogPosition applied {1, 0};
+    Duration ran {}; // that its home measures for a statement
     int statements = 0; // that it ran
 };
 
@@ -206,6 +207,7 @@
             if (isStatement && server.provesAnswers)
                 reply.detail = "proof";
             server.statements += isStatement ? 1 : 0;
+            reply.ran = isStatement ? server.ran : Duration();
             const bool isCommit = (kind == Kind::Write && state == TransactionState::Idle)
                     || (kind == Kind::Commit && m_wrote.count(sent.connection) != 0);
             if (kind == Kind::Write && state == TransactionState::Open)
--- a/test/unit/proxy/serverhome_test.cpp
+++ b/test/unit/proxy/serverhome_test.cpp
@@ -40,6 +40,26 @@
     CHECK((rig.replies.back().reply.fault == StatementFault::Busy));
 }
 
+TEST_CASE("busy servers behind thin links: homes that share a server share its slots")
+{
+    struct Row
+    {
+        int homes;
+        std::size_t sent;
+    };
+    const Row rows[] = {{1, 4}, {2, 2}, {3, 2}}; // of three slots, and one on its way
+    for (const Row &row : rows) {
+        CAPTURE(row.homes);
+        HomeRig rig;
+        rig.home.setHomeCounts({{HomeRig::Server, row.homes}});
+        for (std::uint64_t lane = 1; lane <= 8; ++lane) {
+            rig.ask(lane, HomeRig::read("q" + std::to_string(lane)), {1, 500ms});
+            rig.openAll();
+        }
+        CHECK(rig.unanswered.size() == row.sent);
+    }
+}
+
 TEST_CASE("a transaction keeps one connection to its end, and nobody else uses it")
 {
     HomeRig rig;
@@ -183,6 +203,44 @@
     CHECK((rig.replies[1].reply.state == TransactionState::Idle));
 }
 
+TEST_CASE("a saturated primary: a proof needs no slot, so it waits for none")
+{
+    HomeRig rig;
+    for (std::uint64_t lane = 1; lane <= 12; ++lane) {
+        rig.ask(lane, HomeRig::read("q" + std::to_string(lane)), {2, 150ms});
+        rig.openAll();
+    }
+    REQUIRE(rig.unanswered.size() == 4); // all slots, and one on its way
+    rig.home.take({2, 1}, HomeRig::Server,
+                  {HomeRig::command(ServerCommandKind::Begin, "b"),
+                   HomeRig::command(ServerCommandKind::Rollback, "r")},
+                  {0, 100ms}, rig.now);
+    rig.openAll();
+    REQUIRE(rig.wasSent("b"));
+    rig.answer("b", TransactionState::Open);
+    rig.answer("r");
+    CHECK(rig.unanswered.size() == 4); // what waits for a slot still does
+    // The next one finds the connection that this one leaves.
+    rig.home.take({3, 1}, HomeRig::Server,
+                  {HomeRig::command(ServerCommandKind::Begin, "b2"),
+                   HomeRig::command(ServerCommandKind::Rollback, "r2")},
+                  {0, 100ms}, rig.now);
+    CHECK(rig.opening.empty());
+    CHECK(rig.wasSent("b2"));
+}
+
+TEST_CASE("a saturated primary: a transaction waits for a slot before it begins")
+{
+    HomeRig rig;
+    for (std::uint64_t lane = 1; lane <= 12; ++lane) {
+        rig.ask(lane, HomeRig::read("q" + std::to_string(lane)), {2, 150ms});
+        rig.openAll();
+    }
+    rig.ask(20, HomeRig::command(ServerCommandKind::Begin, "b"), {2, 50ms});
+    rig.openAll();
+    CHECK_FALSE(rig.wasSent("b"));
+}
+
 TEST_CASE("connections that no lane needs are given back")
 {
     HomeRig rig;
--- a/test/unit/proxy/sessionrouting_test.cpp
+++ b/test/unit/proxy/sessionrouting_test.cpp
@@ -210,3 +210,21 @@
     // Each replica shows once that it is behind, and again when that may have changed.
     CHECK(inVain <= 10);
 }
+
+TEST_CASE("skewed services: homes hear how long the statements of a route usually take")
+{
+    ProxyRig rig;
+    rig.hasHomes = true;
+    rig.server("p").ran = rig.server("r1").ran = rig.server("r2").ran = 30ms;
+    rig.session(1, "aged");
+    rig.session(2, "own");
+    rig.ask(1, StatementKind::Read, "q1", "x");
+    rig.serve();
+    CHECK(rig.sendingsOf("q1").front().urgency.work == Duration()); // nothing is known yet
+    rig.ask(1, StatementKind::Read, "q2", "x");
+    rig.serve();
+    CHECK(rig.sendingsOf("q2").front().urgency.work == Duration(30ms));
+    rig.ask(2, StatementKind::Read, "q3", "x");
+    rig.serve();
+    CHECK(rig.sendingsOf("q3").front().urgency.work == Duration()); // another route
+}
--- a/test/unit/site/lanewire_test.cpp
+++ b/test/unit/site/lanewire_test.cpp
@@ -24,6 +24,7 @@
     reply.fault = StatementFault::Lagging;
     reply.state = TransactionState::Failed;
     reply.position = LogPosition {3, 1208};
+    reply.ran = 18ms;
     wire::LaneFrame frame;
     frame.requests.push_back(request);
     frame.replies.push_back(toWire(7, reply));
@@ -51,6 +52,7 @@
                 CHECK((reply.fault == StatementFault::Lagging));
                 CHECK((reply.state == TransactionState::Failed));
                 CHECK(reply.rows == std::vector<std::string> {"row"});
+                CHECK(reply.ran == Duration(18ms));
             }
         }
         CHECK(frames == 2);
