Let a failure domain's entry VMs find out together that they are cut off

Cause: each entry judged by its own statements, of which it has too few.

An answer from elsewhere that is overdue is a reason to question a few homes there; their silence one to question all and to warn the own failure domain, which does the same at once. Silence of all fails the balancer's checks; with control out of touch as well it is certain. Ruled out: each entry's own questions alone (model of the balancer: 2.81 s until 60 entries are gone, 2.6 s allowed; test failed before the warning); the control VM's word (entries ask it each 300 ms, and it needs 400 to 800 ms to miss its leader).

--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -88,10 +88,12 @@
     ServerRegistry m_registry;
     bool m_hasServers = false;
     std::optional<TimePoint> m_controlLostAt;
-    std::optional<TimePoint> m_isolatedSince;
+    std::optional<TimePoint> m_suspectedSince; // that this failure domain is cut off
+    std::optional<TimePoint> m_isolatedSince; // the same, for certain
     bool m_isTurningAway = false;
     std::vector<PrimaryComplaint> m_complaints;
     std::atomic<bool> m_isReady = false;
+    std::atomic<bool> m_isSuspected = false;
     std::atomic<bool> m_isDraining = false;
     TimePoint m_drainStartedAt {};
 };
