Pack frames that leave a failure domain

One state serves all links. Ruled out: a stream a link with history, for its memory; packing within a failure domain, where bytes cost nothing.

--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -103,6 +103,7 @@
     if (lanes.address.empty())
         return;
     m_home = std::make_unique<HomePort>(m_loop, lanes, m_settings.name.text(),
+                                        m_settings.failureDomain,
                                         [this](const std::string &event, const std::string &reason) {
                                             logLine(LogLevel::Warning, event, {{"reason", reason}});
                                         });
--- /dev/null
+++ b/src/site/framecompression.cpp
@@ -0,0 +1,85 @@
+#include "site/framecompression.h"
+
+#include <algorithm>
+#include <new>
+#include <zlib.h>
+
+namespace nutmegtide {
+
+namespace {
+
+constexpr int WindowBits = -9; // the smallest window, without zlib's header
+constexpr int MemoryLevel = 6;
+constexpr std::size_t LeastBody = 64; // bytes, as a first guess
+constexpr std::size_t FirstGrowth = 4; // of a packed body, as a first guess
+
+Bytef *bytesOf(std::string_view text)
+{
+    return const_cast<Bytef *>(reinterpret_cast<const Bytef *>(text.data()));
+}
+
+} // namespace
+
+FrameCompressor::FrameCompressor()
+    : m_stream(std::make_unique<z_stream_s>())
+{
+    if (deflateInit2(m_stream.get(), Z_BEST_SPEED, Z_DEFLATED, WindowBits, MemoryLevel,
+                     Z_HUFFMAN_ONLY)
+        != Z_OK)
+        throw std::bad_alloc();
+}
+
+FrameCompressor::~FrameCompressor()
+{
+    deflateEnd(m_stream.get());
+}
+
+std::string FrameCompressor::pack(std::string_view body)
+{
+    deflateReset(m_stream.get());
+    std::string packed(deflateBound(m_stream.get(), body.size()), '\0');
+    m_stream->next_in = bytesOf(body);
+    m_stream->avail_in = static_cast<uInt>(body.size());
+    m_stream->next_out = bytesOf(packed);
+    m_stream->avail_out = static_cast<uInt>(packed.size());
+    deflate(m_stream.get(), Z_FINISH);
+    packed.resize(m_stream->total_out);
+    return packed;
+}
+
+FrameExpander::FrameExpander()
+    : m_stream(std::make_unique<z_stream_s>())
+{
+    if (inflateInit2(m_stream.get(), WindowBits) != Z_OK)
+        throw std::bad_alloc();
+}
+
+FrameExpander::~FrameExpander()
+{
+    inflateEnd(m_stream.get());
+}
+
+std::string FrameExpander::unpack(std::string_view packed, std::size_t longest)
+{
+    inflateReset(m_stream.get());
+    m_stream->next_in = bytesOf(packed);
+    m_stream->avail_in = static_cast<uInt>(packed.size());
+    std::string body(std::min(longest, LeastBody + packed.size() * FirstGrowth), '\0');
+    while (true) {
+        m_stream->next_out = bytesOf(body) + m_stream->total_out;
+        m_stream->avail_out = static_cast<uInt>(body.size() - m_stream->total_out);
+        const int result = inflate(m_stream.get(), Z_NO_FLUSH);
+        if (result == Z_STREAM_END)
+            break;
+        const bool isFull = m_stream->avail_out == 0 && body.size() < longest;
+        if ((result != Z_OK && result != Z_BUF_ERROR) || !isFull)
+            throw MessageError("a body that can't be unpacked");
+        body.resize(std::min(longest, body.size() * 2));
+    }
+    if (m_stream->avail_in != 0)
+        throw MessageError("bytes after a packed body");
+    body.resize(m_stream->total_out);
+    return body;
+}
+
+} // namespace nutmegtide
--- a/src/site/homeport.cpp
+++ b/src/site/homeport.cpp
@@ -12,8 +12,10 @@
 
 } // namespace
 
-HomePort::HomePort(EventLoop &loop, const Endpoint &at, const std::string &self, OnFault onFault)
+HomePort::HomePort(EventLoop &loop, const Endpoint &at, const std::string &self, FailureDomain own,
+                   OnFault onFault)
     : m_loop(loop)
+    , m_own(std::move(own))
     , m_onFault(std::move(onFault))
     , m_servers(makeServerLinks(loop, self, *this))
     , m_listener(loop.base(), at, [this](int socket) { take(socket); })
@@ -52,7 +54,7 @@
     }
     try {
         from->second.frames.append(bytes);
-        while (const auto frame = from->second.frames.next())
+        while (const auto frame = from->second.frames.next(m_expander))
             obey(link, *frame);
     } catch (const MessageError &fault) {
         m_onFault("lane_frame_refused", fault.what());
@@ -159,7 +161,10 @@
         const auto link = m_links.find(key);
         if (link == m_links.end())
             continue;
-        link->second.socket->send(encodeFrame(std::exchange(link->second.outgoing, {})));
+        const FailureDomain &domain = link->second.failureDomain;
+        const auto way = domain.isEmpty() || domain == m_own ? FrameWriter::Way::StaysInDomain
+                                                             : FrameWriter::Way::LeavesDomain;
+        link->second.socket->send(m_writer.write(std::exchange(link->second.outgoing, {}), way));
         if (link->second.socket->isNotRead())
             stuck.push_back(key);
     }
--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -29,7 +29,8 @@
     using OnFault = std::function<void(const std::string &event, const std::string &reason)>;
 
     // Throws ListenError.
-    HomePort(EventLoop &loop, const Endpoint &at, const std::string &self, OnFault onFault);
+    HomePort(EventLoop &loop, const Endpoint &at, const std::string &self, FailureDomain own,
+             OnFault onFault);
     HomePort(const HomePort &) = delete;
     HomePort &operator=(const HomePort &) = delete;
 
@@ -81,11 +82,14 @@
     void connectionLost(ConnectionKey connection, Loss loss) override;
 
     EventLoop &m_loop;
+    const FailureDomain m_own;
     const OnFault m_onFault;
     ServerHome m_home {*this};
     std::unique_ptr<ServerLinks> m_servers;
     StreamListener m_listener;
     std::map<std::uint64_t, Link> m_links;
+    FrameWriter m_writer;
+    FrameExpander m_expander;
     std::set<std::uint64_t> m_unsent; // links with an outgoing frame
     std::uint64_t m_lastLink = 0;
     TimePoint m_flushedAt = EventLoop::now();
--- a/src/site/lanelinks.cpp
+++ b/src/site/lanelinks.cpp
@@ -247,7 +247,7 @@
     }
     try {
         home.frames.append(bytes);
-        while (const auto frame = home.frames.next()) {
+        while (const auto frame = home.frames.next(m_expander)) {
             obey(at, *frame);
             if (home.socket == nullptr)
                 return false;
@@ -372,8 +372,11 @@
 {
     for (const Endpoint &at : std::exchange(m_unsent, {})) {
         const auto home = m_homes.find(at);
-        if (home != m_homes.end() && home->second.socket != nullptr)
-            home->second.socket->send(encodeFrame(std::exchange(home->second.outgoing, {})));
+        if (home == m_homes.end() || home->second.socket == nullptr)
+            continue;
+        const auto way = m_elsewhere.count(at) != 0 ? FrameWriter::Way::LeavesDomain
+                                                    : FrameWriter::Way::StaysInDomain;
+        home->second.socket->send(m_writer.write(std::exchange(home->second.outgoing, {}), way));
     }
 }
 
--- a/src/site/lanelinks.h
+++ b/src/site/lanelinks.h
@@ -115,6 +115,8 @@
     std::set<Endpoint> m_elsewhere; // homes of other failure domains
     DomainReach m_reach;
     std::map<Endpoint, Home> m_homes;
+    FrameWriter m_writer;
+    FrameExpander m_expander;
     std::map<ConnectionKey, Lane> m_lanes;
     std::map<ServerId, TimePoint> m_directUntil;
     std::set<Endpoint> m_unsent; // homes with an outgoing frame
--- a/src/site/lanewire.cpp
+++ b/src/site/lanewire.cpp
@@ -19,6 +19,24 @@
 constexpr auto LastState = TransactionState::Failed;
 constexpr auto LastEvidence = ServerEvidence::Elsewhere;
 
+constexpr std::size_t PackedMark = 0x80000000; // in the length: the body is packed
+constexpr std::size_t LeastPacked = 128; // bytes of a body; a shorter one gains nothing
+
+wire::LaneFrame readFrame(const std::string &body)
+{
+    const auto memory = std::make_shared<TMemoryBuffer>();
+    memory->write(reinterpret_cast<const std::uint8_t *>(body.data()),
+                  static_cast<std::uint32_t>(body.size()));
+    TCompactProtocol protocol(memory);
+    wire::LaneFrame frame;
+    try {
+        frame.read(&protocol);
+    } catch (const apache::thrift::TException &fault) {
+        throw MessageError(std::string("an unreadable frame: ") + fault.what());
+    }
+    return frame;
+}
+
 template <typename Enum>
 Enum checked(std::int32_t value, Enum last, const char *what)
 {
@@ -29,25 +47,35 @@
 
 } // namespace
 
-std::string encodeFrame(const wire::LaneFrame &frame)
+std::string FrameWriter::write(const wire::LaneFrame &frame, Way way)
 {
     const auto memory = std::make_shared<TMemoryBuffer>();
     TCompactProtocol protocol(memory);
     frame.write(&protocol);
-    const std::string body = memory->getBufferAsString();
+    std::string body = memory->getBufferAsString();
+    std::size_t head = 0;
+    if (way == Way::LeavesDomain && body.size() >= LeastPacked) {
+        std::string packed = m_compressor.pack(body);
+        if (packed.size() < body.size()) {
+            body = std::move(packed);
+            head = PackedMark;
+        }
+    }
+    head |= body.size();
     std::string bytes;
     bytes.reserve(body.size() + LengthSize);
     for (std::size_t i = LengthSize; i-- > 0;)
-        bytes.push_back(static_cast<char>(body.size() >> (i * BitsPerByte)));
+        bytes.push_back(static_cast<char>(head >> (i * BitsPerByte)));
     return bytes + body;
 }
 
-std::optional<wire::LaneFrame> FrameBuffer::next()
+std::optional<wire::LaneFrame> FrameBuffer::next(FrameExpander &expander)
 {
-    std::size_t length = 0;
+    std::size_t head = 0;
     const std::size_t size = m_bytes.size() - m_start;
     for (std::size_t i = 0; i < LengthSize && size >= LengthSize; ++i)
-        length = (length << BitsPerByte) | static_cast<unsigned char>(m_bytes[m_start + i]);
+        head = (head << BitsPerByte) | static_cast<unsigned char>(m_bytes[m_start + i]);
+    const std::size_t length = head & ~PackedMark;
     if (length > LongestFrame)
         throw MessageError("a frame of " + std::to_string(length) + " bytes");
     if (size < LengthSize || size < LengthSize + length) {
@@ -55,18 +83,11 @@
         m_start = 0;
         return std::nullopt;
     }
-    const auto memory = std::make_shared<TMemoryBuffer>();
-    memory->write(reinterpret_cast<const std::uint8_t *>(m_bytes.data()) + m_start + LengthSize,
-                  static_cast<std::uint32_t>(length));
+    std::string body = m_bytes.substr(m_start + LengthSize, length);
     m_start += LengthSize + length;
-    TCompactProtocol protocol(memory);
-    wire::LaneFrame frame;
-    try {
-        frame.read(&protocol);
-    } catch (const apache::thrift::TException &fault) {
-        throw MessageError(std::string("an unreadable frame: ") + fault.what());
-    }
-    return frame;
+    if ((head & PackedMark) != 0)
+        body = expander.unpack(body, LongestFrame);
+    return readFrame(body);
 }
 
 wire::LaneCommand toWire(const ServerCommand &command)
--- a/src/site/lanewire.h
+++ b/src/site/lanewire.h
@@ -3,6 +3,7 @@
 #include "nutmegtide/base/errors.h"
 #include "nutmegtide/proxy/serverpool.h"
 #include "peer_types.h"
+#include "site/framecompression.h"
 
 #include <optional>
 #include <string>
@@ -10,13 +11,25 @@
 
 namespace nutmegtide {
 
-// Writes a frame with its length before it.
-std::string encodeFrame(const wire::LaneFrame &frame);
+// Writes frames with their lengths before them. Those that leave the failure domain, where bytes
+// are dear, are packed if that makes them shorter.
+//
+//   socket.send(writer.write(frame, FrameWriter::Way::LeavesDomain));
+class FrameWriter
+{
+public:
+    enum class Way { StaysInDomain, LeavesDomain };
+
+    std::string write(const wire::LaneFrame &frame, Way way);
+
+private:
+    FrameCompressor m_compressor;
+};
 
 // Cuts the frames out of the bytes of one connection, whatever the pieces they come in.
 //
 //   buffer.append(bytes);
-//   while (const auto frame = buffer.next())
+//   while (const auto frame = buffer.next(expander))
 //       handle(*frame);
 class FrameBuffer
 {
@@ -25,7 +38,7 @@
 
     void append(std::string_view bytes) { m_bytes.append(bytes); }
     // Returns the next whole frame. Throws MessageError.
-    std::optional<wire::LaneFrame> next();
+    std::optional<wire::LaneFrame> next(FrameExpander &expander);
 
 private:
     std::string m_bytes;
--- a/test/unit/site/lanewire_test.cpp
+++ b/test/unit/site/lanewire_test.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+using Way = FrameWriter::Way;
+
 wire::LaneFrame sampleFrame()
 {
     ServerCommand command;
@@ -31,18 +33,81 @@
     return frame;
 }
 
+// An answer of about a kilobyte, as callers read it: small letters without a pattern.
+wire::LaneFrame largeFrame()
+{
+    constexpr int RowSize = 1000; // bytes
+    std::mt19937 random(2016);
+    ServerReply reply;
+    reply.rows.emplace_back();
+    for (int i = 0; i < RowSize; ++i)
+        reply.rows.back().push_back(static_cast<char>('a' + random() % 26));
+    reply.detail = "7.1f3.c.2b.90e1c4d2a7b3f655";
+    reply.position = LogPosition {3, 1208};
+    wire::LaneFrame frame;
+    frame.replies.push_back(toWire(7, reply));
+    return frame;
+}
+
 } // namespace
 
+TEST_CASE("dear bytes between failure domains: a large answer is packed there, and comes out whole")
+{
+    FrameWriter writer;
+    FrameExpander expander;
+    const std::string plain = writer.write(largeFrame(), Way::StaysInDomain);
+    const std::string packed = writer.write(largeFrame(), Way::LeavesDomain);
+    CHECK(packed.size() * 10 < plain.size() * 7);
+    for (const std::string &bytes : {plain, packed}) {
+        FrameBuffer buffer;
+        buffer.append(bytes);
+        const auto frame = buffer.next(expander);
+        REQUIRE(frame);
+        CHECK(*frame == largeFrame());
+    }
+}
+
+TEST_CASE("a packed body is refused where it lies or grows too large")
+{
+    FrameCompressor compressor;
+    FrameExpander expander;
+    const std::string body(100'000, 'x');
+    const std::string packed = compressor.pack(body);
+    CHECK(expander.unpack(packed, body.size()) == body);
+    struct Row
+    {
+        const char *what;
+        std::string packed;
+        std::size_t longest;
+    };
+    const Row rows[] = {
+            {"longer than allowed", packed, body.size() - 1},
+            {"cut off", packed.substr(0, packed.size() / 2), body.size()},
+            {"bytes after its end", packed + "x", body.size()},
+            {"nothing", "", body.size()},
+            {"not packed", "no packed body at all", body.size()},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        CHECK_THROWS_AS(expander.unpack(row.packed, row.longest), MessageError);
+        // The next one is read all the same.
+        CHECK(expander.unpack(packed, body.size()) == body);
+    }
+}
+
 TEST_CASE("frames come through in whatever pieces they arrive")
 {
-    const std::string bytes = encodeFrame(sampleFrame()) + encodeFrame(sampleFrame());
+    FrameWriter writer;
+    FrameExpander expander;
+    const std::string bytes = writer.write(sampleFrame(), Way::StaysInDomain)
+            + writer.write(sampleFrame(), Way::LeavesDomain);
     for (const std::size_t piece : {std::size_t {1}, std::size_t {7}, bytes.size()}) {
         CAPTURE(piece);
         FrameBuffer buffer;
         int frames = 0;
         for (std::size_t at = 0; at < bytes.size(); at += piece) {
             buffer.append(std::string_view(bytes).substr(at, piece));
-            while (const auto frame = buffer.next()) {
+            while (const auto frame = buffer.next(expander)) {
                 ++frames;
                 REQUIRE(frame->requests.size() == 1);
                 const ServerCommand command = fromWire(frame->requests.front().commands.front());
@@ -61,9 +126,10 @@
 
 TEST_CASE("bytes that are no frame are refused with a typed error")
 {
+    FrameExpander expander;
     FrameBuffer overlong;
     overlong.append("\xff\xff\xff\xff");
-    CHECK_THROWS_AS(overlong.next(), MessageError);
+    CHECK_THROWS_AS(overlong.next(expander), MessageError);
     wire::LaneCommand command;
     command.kind = 99;
     CHECK_THROWS_AS(fromWire(command), MessageError);
@@ -85,15 +151,18 @@
 {
     constexpr int Rounds = 20'000;
     std::mt19937 random(2016);
-    const std::string sample = encodeFrame(sampleFrame());
+    FrameWriter writer;
+    FrameExpander expander;
+    const std::string samples[] = {writer.write(sampleFrame(), Way::StaysInDomain),
+                                   writer.write(largeFrame(), Way::LeavesDomain)};
     for (int round = 0; round < Rounds; ++round) {
-        std::string bytes = sample;
+        std::string bytes = samples[round % 2];
         for (int change = 0; change < 3; ++change)
             bytes[4 + random() % (bytes.size() - 4)] = static_cast<char>(random());
         FrameBuffer buffer;
         buffer.append(bytes);
         try {
-            while (const auto frame = buffer.next()) {
+            while (const auto frame = buffer.next(expander)) {
                 for (const wire::LaneReply &reply : frame->replies)
                     fromWire(reply);
             }
