End lanes before their home's planned stop cuts them off

A home that stops told its peers so, which opened no further lanes there, but went on using those that they had; the home ended at a moment at which nothing was open, took what came for another 0.35 s while its threads ended, and never answered it.

Lanes of a home that stops now retire: one that rests ends at once, one in use goes on to the end of its transaction, and who waits gets another. The home closes its listener with its loop. Ruled out: lost answers of servers (servers answered), a home that stood still (no home_stood_still).

Tests: retire() is new; without its flag in release() both fail.

--- a/include/nutmegtide/proxy/serverpool.h
+++ b/include/nutmegtide/proxy/serverpool.h
@@ -44,6 +44,7 @@
     ServerId server;
     bool isOpen = false; // the server has accepted it
     bool isLane = false; // it goes through the server's home
+    bool isRetired = false; // it ends once nobody uses it
     std::deque<Expectation> expected;
     std::optional<Borrower> borrower;
     ConnectionImage image;
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -112,6 +112,8 @@
     void takeEvidence(const ServerId &server, ServerEvidence evidence, TimePoint now);
     void replied(ConnectionKey key, const ServerReply &reply, TimePoint now);
     void lost(ConnectionKey key, Loss loss, TimePoint now);
+    // The connection's way stops soon: what uses the connection goes on, and nothing else begins.
+    void retire(ConnectionKey key, TimePoint now);
 
     void tick(TimePoint now);
     TimePoint wakeAt() const;
@@ -231,6 +233,7 @@
     bool isPrimaryCutOff(const ServiceName &service, TimePoint now) const;
     bool goesToPrimary(const Session &session, const Work &work) const;
     void acquire(const Borrower &borrower, const ServerId &server, TimePoint now);
+    void openIfWanted(const ServerId &server, TimePoint now);
     void hand(ConnectionKey connection, const Borrower &borrower, TimePoint now);
     void dispatch(SessionKey key, ConnectionKey connection, TimePoint now);
     void sendStatement(SessionKey key, TimePoint now);
--- a/include/nutmegtide/site/adapters.h
+++ b/include/nutmegtide/site/adapters.h
@@ -52,6 +52,8 @@
     virtual void connectionRefused(ConnectionKey connection, StatementFault fault) = 0;
     virtual void replyCame(ConnectionKey connection, const ServerReply &reply) = 0;
     virtual void connectionLost(ConnectionKey connection, Loss loss) = 0;
+    // Its way stops soon; nothing new should begin on it. Only lanes end so.
+    virtual void connectionRetires(ConnectionKey /*connection*/) { }
 };
 
 // Connections to backend servers.
--- a/src/proxy/sessionrouting.cpp
+++ b/src/proxy/sessionrouting.cpp
@@ -148,6 +148,13 @@
     state.waiting.push_back(borrower);
     if (session != nullptr)
         setTimer(borrower.session, session->work->giveUpAt);
+    openIfWanted(server, now);
+}
+
+// Opens a connection where more wait for one than are being opened.
+void SessionProxy::openIfWanted(const ServerId &server, TimePoint now)
+{
+    const PooledServer &state = *m_pool.find(server);
     const bool isEnough = state.opening >= static_cast<int>(state.waiting.size());
     if (isEnough || !m_pool.mayOpen(server, now))
         return;
@@ -264,6 +271,11 @@
 {
     ServerConnection &connection = *m_pool.connection(key);
     connection.borrower.reset();
+    if (connection.isRetired) {
+        const ServerId server = connection.server;
+        drop(key);
+        return openIfWanted(server, now);
+    }
     PooledServer &state = *m_pool.find(connection.server);
     if (state.waiting.empty())
         return m_pool.putIdle(key, now);
@@ -286,6 +298,17 @@
     m_pool.remove(key);
 }
 
+void SessionProxy::retire(ConnectionKey key, TimePoint now)
+{
+    ServerConnection *connection = m_pool.connection(key);
+    if (connection == nullptr)
+        return;
+    connection->isRetired = true;
+    const bool isIdle = connection->isOpen && !connection->borrower && connection->expected.empty();
+    if (isIdle)
+        release(key, now);
+}
+
 void SessionProxy::leaveQueue(const Borrower &borrower, const ServerId &server)
 {
     PooledServer *state = m_pool.find(server);
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -113,7 +113,9 @@
 void EntryNode::run()
 {
     m_loop.run();
-    m_callers.reset(); // no caller may send to a process that answers no more
+    // Nobody may send to a process that answers no more.
+    m_callers.reset();
+    m_home.reset();
     logLine(LogLevel::Info, "node_stopped", {{"sessions", std::to_string(m_proxy.sessionCount())}});
 }
 
@@ -366,6 +368,11 @@
     m_proxy.lost(connection, loss, EventLoop::now());
 }
 
+void EntryNode::connectionRetires(ConnectionKey connection)
+{
+    m_proxy.retire(connection, EventLoop::now());
+}
+
 void EntryNode::accept(SessionKey session)
 {
     m_callers->accept(session);
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -45,6 +45,7 @@
     void connectionRefused(ConnectionKey connection, StatementFault fault) override;
     void replyCame(ConnectionKey connection, const ServerReply &reply) override;
     void connectionLost(ConnectionKey connection, Loss loss) override;
+    void connectionRetires(ConnectionKey connection) override;
 
     void accept(SessionKey session) override;
     void answer(SessionKey session, const RequestId &request, const SessionAnswer &answer) override;
--- a/src/site/lanelinks.cpp
+++ b/src/site/lanelinks.cpp
@@ -262,7 +262,7 @@
 void LaneLinks::obey(const Endpoint &at, const wire::LaneFrame &frame)
 {
     if (frame.isLeaving)
-        m_homes.at(at).isLeaving = true;
+        retireLanes(at);
     if (frame.isReachDoubted) {
         m_reach.warn(EventLoop::now());
         m_dueAt = EventLoop::now();
@@ -278,6 +278,17 @@
         take(reply);
 }
 
+// What runs there goes on, but whatever began on these lanes now could be cut off by the home's end.
+void LaneLinks::retireLanes(const Endpoint &at)
+{
+    Home &home = m_homes.at(at);
+    home.isLeaving = true;
+    m_loop.post([this, lanes = home.lanes] {
+        for (const ConnectionKey key : lanes)
+            m_events.connectionRetires(key);
+    });
+}
+
 void LaneLinks::take(const wire::LaneReply &told)
 {
     const auto key = static_cast<ConnectionKey>(told.lane);
--- a/src/site/lanelinks.h
+++ b/src/site/lanelinks.h
@@ -93,6 +93,7 @@
     void ask(const Endpoint &at, Home &home, TimePoint now);
     bool read(const Endpoint &at, std::string_view bytes);
     void obey(const Endpoint &at, const wire::LaneFrame &frame);
+    void retireLanes(const Endpoint &at);
     void take(const wire::LaneReply &reply);
     // Ends the connection to a home and all lanes there, and makes no other one for the pause.
     void lose(const Endpoint &at, const std::string &why, Duration pause);
--- a/test/unit/proxy/sessionrouting_test.cpp
+++ b/test/unit/proxy/sessionrouting_test.cpp
@@ -228,3 +228,57 @@
     rig.serve();
     CHECK(rig.sendingsOf("q3").front().urgency.work == Duration()); // another route
 }
+
+TEST_CASE(
+        "a planned stop of a home: nothing new begins on its lanes, and what is under way goes on")
+{
+    struct Row
+    {
+        const char *what;
+        bool isBusy; // a transaction is open on the lane
+    };
+    const Row rows[] = {{"a lane that rests", false}, {"a lane with a transaction", true}};
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        ProxyRig rig;
+        rig.hasHomes = true;
+        rig.session(1, "casks");
+        rig.session(2, "casks");
+        if (row.isBusy)
+            rig.ask(1, StatementKind::Begin, "b");
+        rig.ask(1, StatementKind::Write, "w1", "x 1");
+        rig.serve();
+        const ConnectionKey lane = rig.sendingsOf("w1").back().connection;
+        rig.proxy.retire(lane, rig.now);
+        CHECK(rig.isClosed(lane) == !row.isBusy);
+        rig.ask(2, StatementKind::Write, "w2", "x 2");
+        rig.serve();
+        CHECK(rig.sendingsOf("w2").back().connection != lane);
+        CHECK_FALSE(rig.answerTo("w2")->fault);
+        if (!row.isBusy)
+            continue;
+        rig.ask(1, StatementKind::Commit, "c");
+        rig.serve();
+        CHECK_FALSE(rig.answerTo("c")->fault);
+        CHECK(rig.isClosed(lane));
+    }
+}
+
+TEST_CASE("a planned stop of a home: who waits for a lane that ends gets another one")
+{
+    ProxyRig rig;
+    rig.hasHomes = true;
+    rig.session(1, "casks");
+    rig.session(2, "casks");
+    rig.ask(1, StatementKind::Write, "w1", "x 1");
+    rig.serve();
+    const ConnectionKey lane = rig.sendingsOf("w1").back().connection;
+    rig.ask(1, StatementKind::Write, "w3", "x 3"); // runs on the lane
+    rig.proxy.retire(lane, rig.now);
+    rig.ask(2, StatementKind::Write, "w2", "x 2");
+    rig.serve();
+    CHECK(rig.sendingsOf("w3").back().connection == lane);
+    CHECK(rig.isClosed(lane));
+    REQUIRE(rig.answerTo("w2") != nullptr);
+    CHECK_FALSE(rig.answerTo("w2")->fault);
+}
