--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 INSTALL_STAMP := $(BUILD)/.packages
 
-.PHONY: all install build demo test soak lint format generate slopes sanitize races
+.PHONY: all install build demo test soak regression lint format generate slopes sanitize races
 
 all: build
 
@@ -30,6 +30,14 @@
 soak: build
 	$(BUILD)/site_soak $(SOAK)
 
+# The sites that regressions are looked for on; docs/design/limits.md names them and says why.
+# FLEETBENCH is the platform's bench, SITES the folder of its site files.
+REGRESSION_SITES := further/umurage-kigali further-grown/umurage-kigali-grown large/orosi-casks-large
+regression:
+	@for site in $(REGRESSION_SITES); do \
+	    $(FLEETBENCH) score $(SITES)/$$site.toml --jobs 3 --why "regression run" || exit 1; \
+	done
+
 lint: build
 	.ci/lint $(BUILD)
 
--- a/src/site/homeport.cpp
+++ b/src/site/homeport.cpp
@@ -110,8 +110,9 @@
 void HomePort::passOnDoubt(std::uint64_t from, TimePoint now)
 {
     const FailureDomain domain = m_links.at(from).failureDomain;
-    if (domain.isEmpty() || now - std::exchange(m_doubtedAt, now) < DoubtInterval)
+    if (domain.isEmpty() || now - m_doubtedAt < DoubtInterval)
         return;
+    m_doubtedAt = now;
     for (const auto &[key, link] : m_links) {
         if (key != from && link.failureDomain == domain)
             outgoing(key)->isReachDoubted = true;
--- a/src/site/lanelinks.h
+++ b/src/site/lanelinks.h
@@ -49,7 +49,7 @@
               const Urgency &urgency);
     void close(ConnectionKey connection);
     bool isLane(ConnectionKey connection) const { return m_lanes.count(connection) != 0; }
-    // Something else than a home is out of reach in another failure domain, or within reach.
+    // Other means tell that other failure domains may be out of reach, or that they are within it.
     void doubtReach(TimePoint now) { m_reach.doubt(now); }
     void trustReach(TimePoint now);
     // Whether all homes of other failure domains leave questions unanswered.
