Open a further connection of a home only where a waiting statement lacks one

A home whose slots were all taken, or whose waiting statements had idle connections, looked at opening another one after each round all the same. Statements' times are measured once.

--- a/src/proxy/serverhome.cpp
+++ b/src/proxy/serverhome.cpp
@@ -180,14 +180,19 @@
         return false;
     Server &server = found->second;
     const bool isFull = server.running >= mostRunning(server);
+    bool isConnectionWanted = !isFull;
     for (const HomeQueue::Item &item : server.queue.items()) {
         // What needs no slot stands at the front.
         if (isFull && item.rank > 0)
             break;
         const LaneKey key = server.waiting.at(item.ticket);
         Lane &lane = m_lanes.at(key);
-        if ((isFull && !isProof(lane)) || (lane.connection == 0 && server.idle.empty()))
+        if (isFull && !isProof(lane))
             continue;
+        if (lane.connection == 0 && server.idle.empty()) {
+            isConnectionWanted = true;
+            continue;
+        }
         leaveQueue(lane);
         if (lane.connection == 0) {
             const ConnectionKey connection = server.idle.back();
@@ -197,7 +202,8 @@
         sendNext(lane, now);
         return true;
     }
-    openAnother(id, now);
+    if (isConnectionWanted)
+        openAnother(id, now);
     return false;
 }
 
--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -155,13 +155,14 @@
     const bool ranInSlot = lane.takesSlot;
     noteUnanswered(lane);
     server.silentSince = server.unanswered > 0 ? std::optional(now) : std::nullopt;
-    if (ranInSlot)
-        server.usualTime.note(now - lane.sentAt);
+    ServerReply measured = reply;
+    if (ranInSlot) {
+        measured.ran = now - lane.sentAt;
+        server.usualTime.note(measured.ran);
+    }
     if (reply.fault == StatementFault::UnknownStatement)
         connection.image.forgetPrepared();
     lane.state = reply.state;
-    ServerReply measured = reply;
-    measured.ran = ranInSlot ? now - lane.sentAt : Duration();
     m_outlet.reply(laneKey, measured);
     const ServerId id = lane.server;
     advance(laneKey, now);
--- a/test/unit/proxy/homerig.h
+++ b/test/unit/proxy/homerig.h
@@ -53,6 +53,14 @@
     {
         home.take({1, lane}, Server, {command}, urgency, now);
     }
+    // A read on each of so many lanes, "q1" and on, each with the connection that it leads to.
+    void askReads(std::uint64_t lanes, const Urgency &urgency)
+    {
+        for (std::uint64_t lane = 1; lane <= lanes; ++lane) {
+            ask(lane, read("q" + std::to_string(lane)), urgency);
+            openAll();
+        }
+    }
     // Accepts all connections that are being opened, also those that this leads to.
     void openAll()
     {
--- a/test/unit/proxy/serverhome_test.cpp
+++ b/test/unit/proxy/serverhome_test.cpp
@@ -25,10 +25,7 @@
 TEST_CASE("a server gets no more statements than it runs, and the rest waits or is refused")
 {
     HomeRig rig;
-    for (std::uint64_t lane = 1; lane <= 6; ++lane) {
-        rig.ask(lane, HomeRig::read("q" + std::to_string(lane)), {1, 30ms});
-        rig.openAll();
-    }
+    rig.askReads(6, {1, 30ms});
     CHECK(rig.unanswered.size() == 4); // three slots, and one on its way
     rig.answer("q1");
     CHECK(rig.wasSent("q5"));
@@ -52,10 +49,7 @@
         CAPTURE(row.homes);
         HomeRig rig;
         rig.home.setHomeCounts({{HomeRig::Server, row.homes}});
-        for (std::uint64_t lane = 1; lane <= 8; ++lane) {
-            rig.ask(lane, HomeRig::read("q" + std::to_string(lane)), {1, 500ms});
-            rig.openAll();
-        }
+        rig.askReads(8, {1, 500ms});
         CHECK(rig.unanswered.size() == row.sent);
     }
 }
@@ -206,10 +200,7 @@
 TEST_CASE("a saturated primary: a proof needs no slot, so it waits for none")
 {
     HomeRig rig;
-    for (std::uint64_t lane = 1; lane <= 12; ++lane) {
-        rig.ask(lane, HomeRig::read("q" + std::to_string(lane)), {2, 150ms});
-        rig.openAll();
-    }
+    rig.askReads(12, {2, 150ms});
     REQUIRE(rig.unanswered.size() == 4); // all slots, and one on its way
     rig.home.take({2, 1}, HomeRig::Server,
                   {HomeRig::command(ServerCommandKind::Begin, "b"),
@@ -232,10 +223,7 @@
 TEST_CASE("a saturated primary: a transaction waits for a slot before it begins")
 {
     HomeRig rig;
-    for (std::uint64_t lane = 1; lane <= 12; ++lane) {
-        rig.ask(lane, HomeRig::read("q" + std::to_string(lane)), {2, 150ms});
-        rig.openAll();
-    }
+    rig.askReads(12, {2, 150ms});
     rig.ask(20, HomeRig::command(ServerCommandKind::Begin, "b"), {2, 50ms});
     rig.openAll();
     CHECK_FALSE(rig.wasSent("b"));
