--- a/include/nutmegtide/fleet/placement.h
+++ b/include/nutmegtide/fleet/placement.h
@@ -2,6 +2,8 @@
 
 #include "nutmegtide/base/ids.h"
 
+#include <cstdint>
+#include <string>
 #include <vector>
 
 namespace nutmegtide {
@@ -21,6 +23,9 @@
     int standbys = 1; // further ones over the whole fleet
 };
 
+// How much something of that name prefers a candidate; the highest weight goes first.
+std::uint64_t placementWeight(const std::string &name, const std::string &candidate);
+
 // Chooses the home proxies of a database by rendezvous hashing: every process
 // that knows the same VMs names the same homes, and a lost VM moves only the
 // databases that it was home of.
--- a/src/fleet/placement.cpp
+++ b/src/fleet/placement.cpp
@@ -14,12 +14,6 @@
     std::uint64_t weight;
 };
 
-std::uint64_t weightOf(const std::string &name, const VmName &vm)
-{
-    const std::string key = name + '\0' + vm.text();
-    return XXH3_64bits(key.data(), key.size());
-}
-
 std::vector<Weighted> orderByWeight(const std::string &name,
                                     const std::vector<PlacementCandidate> &candidates)
 {
@@ -31,7 +25,7 @@
     for (const PlacementCandidate &candidate : candidates) {
         if (isAnyServing && candidate.isDraining)
             continue;
-        order.push_back({&candidate, weightOf(name, candidate.vm)});
+        order.push_back({&candidate, placementWeight(name, candidate.vm.text())});
     }
     std::sort(order.begin(), order.end(), [](const Weighted &left, const Weighted &right) {
         return left.weight != right.weight ? left.weight > right.weight
@@ -42,6 +36,12 @@
 
 } // namespace
 
+std::uint64_t placementWeight(const std::string &name, const std::string &candidate)
+{
+    const std::string key = name + '\0' + candidate;
+    return XXH3_64bits(key.data(), key.size());
+}
+
 std::vector<VmName> chooseHomes(const DatabaseName &database,
                                 const std::vector<PlacementCandidate> &candidates,
                                 const PlacementRule &rule)
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -9,16 +9,9 @@
 
 constexpr std::size_t EventRingSize = 500; // events
 constexpr int LinesPerSecond = 40; // of each kind of log line
-constexpr auto IsolationTime = 400ms; // without control, before this VM may be isolated
 constexpr int HealthThreads = 2;
 constexpr std::uint64_t LargestHealthBody = 1024; // bytes
 constexpr std::chrono::milliseconds RequestTimeout {2000};
-// The balancer needs this long to see a failing health check and to look elsewhere.
-constexpr auto BalancerGrace = 2500ms;
-// The same where all VMs of a failure domain fail their checks together: two checks a second apart.
-constexpr auto DomainGrace = 2100ms;
-// A suspicion that control's word speaks against ends after this long.
-constexpr auto LongestSuspicion = 1500ms;
 // Before the drain timeout, so that the process ends by itself.
 constexpr auto LastMoment = 900ms;
 constexpr auto FlushTime = 600ms; // the same, once the last answers have left
@@ -197,70 +190,6 @@
     logLine(LogLevel::Info, "node_ready", {{"revision", std::to_string(m_revision)}});
 }
 
-// While no VM of another failure domain answers, the balancer is told to look elsewhere: it takes two
-// failed checks, so that one that was failed in error costs nothing. Sessions end only on proof.
-void EntryNode::checkSuspicion(TimePoint now)
-{
-    const bool isDenied = m_suspectedSince && !m_controlLostAt
-            && now - *m_suspectedSince > LongestSuspicion;
-    if (isDenied)
-        m_links.trustReach(now);
-    const bool isSuspected = m_links.isCutOff(now);
-    if (isSuspected == m_suspectedSince.has_value())
-        return;
-    m_suspectedSince.reset();
-    if (isSuspected)
-        m_suspectedSince = now;
-    m_isSuspected = isSuspected;
-    logLine(LogLevel::Warning, isSuspected ? "cut_suspected" : "cut_denied",
-            {{"reason",
-              isSuspected ? "no home of another failure domain answers"
-                          : (isDenied ? "control is in touch" : "one answers")}});
-    if (isSuspected)
-        m_follower.askNow();
-}
-
-// A VM that reaches neither control VMs nor servers of other failure domains is cut off itself:
-// the balancer sends callers elsewhere, and those who have nothing open are asked to come back.
-void EntryNode::checkIsolation(TimePoint now)
-{
-    // Control that has no leader answers all the same, and isn't out of reach.
-    const bool isControlUnreachable = m_controlLostAt
-            && now - std::max(*m_controlLostAt, m_follower.heardOtherDomainAt()) > IsolationTime;
-    const bool isSilentElsewhere = m_controlLostAt && m_suspectedSince;
-    const bool isIsolated = isSilentElsewhere || (isControlUnreachable && m_proxy.isCutOff(now));
-    if (isIsolated == m_isolatedSince.has_value())
-        return;
-    m_isolatedSince.reset();
-    if (isIsolated)
-        m_isolatedSince = now;
-    m_isTurningAway = false;
-    logLine(LogLevel::Warning, isIsolated ? "node_isolated" : "node_reconnected", {});
-    if (!isIsolated) {
-        m_links.trustReach(now);
-        if (!m_isDraining)
-            m_proxy.welcome();
-        return updateReadiness();
-    }
-    m_isReady = false;
-    m_proxy.isolate();
-}
-
-// Until the balancer looks elsewhere, callers who are sent away come back to this failure domain.
-void EntryNode::turnAwayIfDue(TimePoint now)
-{
-    if (!m_isolatedSince || m_isTurningAway)
-        return;
-    const bool isDue = now - *m_isolatedSince >= BalancerGrace
-            || (m_suspectedSince && now - *m_suspectedSince >= DomainGrace);
-    if (!isDue)
-        return;
-    m_isTurningAway = true;
-    logLine(LogLevel::Warning, "callers_turned_away",
-            {{"sessions", std::to_string(m_proxy.sessionCount())}});
-    m_proxy.turnAway(now);
-}
-
 void EntryNode::afterEvents()
 {
     const TimePoint now = EventLoop::now();
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -37,6 +37,9 @@
     void reload(const NodeSettings &settings);
 
 private:
+    // The balancer needs this long to see a failing health check and to look elsewhere.
+    static constexpr Duration BalancerGrace = 2500ms;
+
     void sessionOpened(SessionKey session, const DatabaseName &database) override;
     void statementCame(SessionKey session, const SessionStatement &statement) override;
     void sessionClosed(SessionKey session, const std::string &reason) override;
--- a/src/site/framecompression.cpp
+++ b/src/site/framecompression.cpp
@@ -18,10 +18,20 @@
     return const_cast<Bytef *>(reinterpret_cast<const Bytef *>(text.data()));
 }
 
+// `end` is deflateEnd or inflateEnd, which take a state that was never begun as well.
+template <int (*end)(z_stream_s *)>
+PackingState makeState()
+{
+    return {new z_stream_s(), [](z_stream_s *stream) {
+                end(stream);
+                delete stream;
+            }};
+}
+
 } // namespace
 
 FrameCompressor::FrameCompressor()
-    : m_stream(std::make_unique<z_stream_s>())
+    : m_stream(makeState<deflateEnd>())
 {
     if (deflateInit2(m_stream.get(), Z_BEST_SPEED, Z_DEFLATED, WindowBits, MemoryLevel,
                      Z_HUFFMAN_ONLY)
@@ -29,11 +39,6 @@
         throw std::bad_alloc();
 }
 
-FrameCompressor::~FrameCompressor()
-{
-    deflateEnd(m_stream.get());
-}
-
 std::string FrameCompressor::pack(std::string_view body)
 {
     deflateReset(m_stream.get());
@@ -48,17 +53,12 @@
 }
 
 FrameExpander::FrameExpander()
-    : m_stream(std::make_unique<z_stream_s>())
+    : m_stream(makeState<inflateEnd>())
 {
     if (inflateInit2(m_stream.get(), WindowBits) != Z_OK)
         throw std::bad_alloc();
 }
 
-FrameExpander::~FrameExpander()
-{
-    inflateEnd(m_stream.get());
-}
-
 std::string FrameExpander::unpack(std::string_view packed, std::size_t longest)
 {
     inflateReset(m_stream.get());
--- a/src/site/framecompression.h
+++ b/src/site/framecompression.h
@@ -10,6 +10,9 @@
 
 namespace nutmegtide {
 
+// A state of zlib with the function that ends it.
+using PackingState = std::unique_ptr<z_stream_s, void (*)(z_stream_s *)>;
+
 // Compresses the bodies of frames, each for itself, with one state that is used again: a state for
 // each connection would take a VM's memory, and making one for each frame its processor time.
 //
@@ -24,29 +27,23 @@
 {
 public:
     FrameCompressor();
-    ~FrameCompressor();
-    FrameCompressor(const FrameCompressor &) = delete;
-    FrameCompressor &operator=(const FrameCompressor &) = delete;
 
     std::string pack(std::string_view body);
 
 private:
-    std::unique_ptr<z_stream_s> m_stream;
+    PackingState m_stream;
 };
 
 class FrameExpander
 {
 public:
     FrameExpander();
-    ~FrameExpander();
-    FrameExpander(const FrameExpander &) = delete;
-    FrameExpander &operator=(const FrameExpander &) = delete;
 
     // Throws MessageError for bytes that are no packed body, or one longer than that.
     std::string unpack(std::string_view packed, std::size_t longest);
 
 private:
-    std::unique_ptr<z_stream_s> m_stream;
+    PackingState m_stream;
 };
 
 } // namespace nutmegtide
--- a/src/site/homedirectory.cpp
+++ b/src/site/homedirectory.cpp
@@ -13,12 +13,6 @@
 // Each further home of a server splits its queue once more.
 constexpr std::size_t MostHomes = 3;
 
-std::uint64_t weightOf(const VmName &entry, const Endpoint &home)
-{
-    const std::string key = entry.text() + '\0' + toString(home);
-    return XXH3_64bits(key.data(), key.size());
-}
-
 std::int64_t versionOf(const ServerHomes &homes)
 {
     std::string content;
@@ -70,18 +64,19 @@
     const std::size_t perServer = std::clamp<std::size_t>(vms.size() / servers.size(), 1, MostHomes);
     const std::size_t most = (servers.size() * perServer + vms.size() - 1) / vms.size();
     std::map<VmName, std::size_t> taken;
+    std::map<ServerId, std::vector<VmName>> choices; // that are left, in order of preference
+    for (const ServerId &server : servers)
+        choices[server] = preferenceOf(server.text(), vms);
     for (std::size_t round = 0; round < perServer; ++round) {
         for (const ServerId &server : servers) {
-            std::vector<Endpoint> &homes = m_homes[server];
-            for (const VmName &vm : preferenceOf(server.text(), vms)) {
-                const Endpoint &home = lanes.at(vm);
-                const bool isItsOwn = std::find(homes.begin(), homes.end(), home) != homes.end();
-                if (isItsOwn || taken[vm] >= most)
-                    continue;
-                ++taken[vm];
-                homes.push_back(home);
-                break;
-            }
+            std::vector<VmName> &left = choices.at(server);
+            const auto choice = std::find_if(left.begin(), left.end(),
+                                             [&](const VmName &vm) { return taken[vm] < most; });
+            if (choice == left.end())
+                continue;
+            ++taken[*choice];
+            m_homes[server].push_back(lanes.at(*choice));
+            left.erase(left.begin(), std::next(choice));
         }
     }
 }
@@ -89,7 +84,8 @@
 std::vector<Endpoint> inOrderOf(const VmName &entry, std::vector<Endpoint> homes)
 {
     std::sort(homes.begin(), homes.end(), [&entry](const Endpoint &left, const Endpoint &right) {
-        return weightOf(entry, left) > weightOf(entry, right);
+        return placementWeight(entry.text(), toString(left))
+                > placementWeight(entry.text(), toString(right));
     });
     return homes;
 }
--- a/src/site/lanelinks.cpp
+++ b/src/site/lanelinks.cpp
@@ -32,6 +32,9 @@
 void LaneLinks::setHomes(ServerHomes homes)
 {
     m_homesOf = std::move(homes);
+    m_named.clear();
+    for (const auto &[server, lanes] : m_homesOf)
+        m_named.insert(lanes.begin(), lanes.end());
     m_dueAt = EventLoop::now();
     findElsewhere();
 }
@@ -114,25 +117,22 @@
     return home != m_homes.end() && home->second.isThere && !home->second.isLeaving;
 }
 
-std::optional<Endpoint> LaneLinks::usableHome(const ServerId &server, TimePoint now) const
+bool LaneLinks::isAskedDirectly(const ServerId &server, TimePoint now) const
 {
-    const auto named = m_homesOf.find(server);
     const auto doubted = m_directUntil.find(server);
-    if (named == m_homesOf.end() || (doubted != m_directUntil.end() && doubted->second > now))
-        return std::nullopt;
-    const auto first = std::find_if(named->second.begin(), named->second.end(),
-                                    [this](const Endpoint &at) { return isUsable(at); });
-    return first == named->second.end() ? std::nullopt : std::optional(*first);
+    return doubted != m_directUntil.end() && doubted->second > now;
 }
 
-// The first home, and the next one while that one can't be used.
-void LaneLinks::connectTo(const std::vector<Endpoint> &homes, TimePoint now)
+// Connects to the first home, and to the next one while that one can't be used. Returns the one
+// that can be used.
+std::optional<Endpoint> LaneLinks::reach(const std::vector<Endpoint> &homes, TimePoint now)
 {
     for (const Endpoint &at : homes) {
         connect(at, now);
         if (isUsable(at))
-            return;
+            return at;
     }
+    return std::nullopt;
 }
 
 void LaneLinks::connectAhead(TimePoint now)
@@ -140,17 +140,17 @@
     if (m_homesOf.size() > MostConnectedAhead)
         return;
     for (const auto &[server, homes] : m_homesOf)
-        connectTo(homes, now);
+        reach(homes, now);
 }
 
 void LaneLinks::open(ConnectionKey connection, const ServerAnnouncement &server)
 {
     const TimePoint now = EventLoop::now();
     const auto named = m_homesOf.find(server.server);
+    std::optional<Endpoint> home;
     if (named != m_homesOf.end())
-        connectTo(named->second, now);
-    const std::optional<Endpoint> home = usableHome(server.server, now);
-    if (!home)
+        home = reach(named->second, now);
+    if (!home || isAskedDirectly(server.server, now))
         return m_direct->open(connection, server);
     m_lanes[connection] = {*home, server.server, 0};
     m_homes.at(*home).lanes.insert(connection);
@@ -351,16 +351,13 @@
 // Gives up homes that are silent or named no longer, and asks those whose answers are overdue.
 void LaneLinks::checkHomes(TimePoint now)
 {
-    std::set<Endpoint> named;
-    for (const auto &[server, homes] : m_homesOf)
-        named.insert(homes.begin(), homes.end());
     std::vector<Endpoint> unwanted;
     std::vector<Endpoint> silent;
     for (auto &[at, home] : m_homes) {
         const bool isOwed = home.unanswered > 0;
         if (home.socket == nullptr) {
             continue;
-        } else if (named.count(at) == 0 && home.lanes.empty()) {
+        } else if (m_named.count(at) == 0 && home.lanes.empty()) {
             unwanted.push_back(at);
         } else if (home.isAsked && now - home.askedAt > AnswerTime && (isOwed || !home.isThere)) {
             silent.push_back(at);
@@ -374,8 +371,8 @@
         lose(at, "no longer a home", ReconnectTime);
     for (const Endpoint &at : silent)
         lose(at, "silent", SilentPause);
-    std::erase_if(m_homes, [&named](const auto &item) {
-        return item.second.socket == nullptr && named.count(item.first) == 0;
+    std::erase_if(m_homes, [this](const auto &item) {
+        return item.second.socket == nullptr && m_named.count(item.first) == 0;
     });
 }
 
--- a/src/site/lanelinks.h
+++ b/src/site/lanelinks.h
@@ -83,12 +83,11 @@
 
     // The server didn't answer at its home; for a while it is asked directly.
     void doubtHome(const ServerId &server);
-    // The first home of the server that answers; nothing where it is to be asked directly.
-    std::optional<Endpoint> usableHome(const ServerId &server, TimePoint now) const;
+    bool isAskedDirectly(const ServerId &server, TimePoint now) const;
     bool isUsable(const Endpoint &at) const;
     // Connects to the homes that will be needed next.
     void connectAhead(TimePoint now);
-    void connectTo(const std::vector<Endpoint> &homes, TimePoint now);
+    std::optional<Endpoint> reach(const std::vector<Endpoint> &homes, TimePoint now);
     void connect(const Endpoint &at, TimePoint now);
     void ask(const Endpoint &at, Home &home, TimePoint now);
     bool read(const Endpoint &at, std::string_view bytes);
@@ -112,6 +111,7 @@
     const OnHome m_onHome;
     std::unique_ptr<ServerLinks> m_direct;
     ServerHomes m_homesOf; // the one that is used first stands first
+    std::set<Endpoint> m_named; // all of them
     std::map<ServerId, FailureDomain> m_domainOf;
     std::set<Endpoint> m_elsewhere; // homes of other failure domains
     DomainReach m_reach;
--- a/src/site/lanewire.cpp
+++ b/src/site/lanewire.cpp
@@ -22,7 +22,7 @@
 constexpr std::size_t PackedMark = 0x80000000; // in the length: the body is packed
 constexpr std::size_t LeastPacked = 128; // bytes of a body; a shorter one gains nothing
 
-wire::LaneFrame readFrame(const std::string &body)
+wire::LaneFrame readFrame(std::string_view body)
 {
     const auto memory = std::make_shared<TMemoryBuffer>();
     memory->write(reinterpret_cast<const std::uint8_t *>(body.data()),
@@ -83,10 +83,10 @@
         m_start = 0;
         return std::nullopt;
     }
-    std::string body = m_bytes.substr(m_start + LengthSize, length);
+    const std::string_view body(m_bytes.data() + m_start + LengthSize, length);
     m_start += LengthSize + length;
     if ((head & PackedMark) != 0)
-        body = expander.unpack(body, LongestFrame);
+        return readFrame(expander.unpack(body, LongestFrame));
     return readFrame(body);
 }
 
