--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -5059,6 +5059,11 @@
 void ServerRecord::__set_confirmedTerm(const int64_t val) {
   this->confirmedTerm = val;
 }
+
+void ServerRecord::__set_leavingMilliseconds(const int64_t val) {
+  this->leavingMilliseconds = val;
+__isset.leavingMilliseconds = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServerRecord& obj)
 {
   obj.printTo(out);
@@ -5175,6 +5180,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leavingMilliseconds);
+          this->__isset.leavingMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5236,6 +5249,11 @@
   xfer += oprot->writeI64(this->confirmedTerm);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.leavingMilliseconds) {
+    xfer += oprot->writeFieldBegin("leavingMilliseconds", ::apache::thrift::protocol::T_I64, 12);
+    xfer += oprot->writeI64(this->leavingMilliseconds);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5254,6 +5272,7 @@
   swap(a.sequence, b.sequence);
   swap(a.isGone, b.isGone);
   swap(a.confirmedTerm, b.confirmedTerm);
+  swap(a.leavingMilliseconds, b.leavingMilliseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -5269,6 +5288,7 @@
   sequence = other135.sequence;
   isGone = other135.isGone;
   confirmedTerm = other135.confirmedTerm;
+  leavingMilliseconds = other135.leavingMilliseconds;
   __isset = other135.__isset;
 }
 ServerRecord& ServerRecord::operator=(const ServerRecord& other136) {
@@ -5283,6 +5303,7 @@
   sequence = other136.sequence;
   isGone = other136.isGone;
   confirmedTerm = other136.confirmedTerm;
+  leavingMilliseconds = other136.leavingMilliseconds;
   __isset = other136.__isset;
   return *this;
 }
@@ -5300,6 +5321,7 @@
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "isGone=" << to_string(isGone);
   out << ", " << "confirmedTerm=" << to_string(confirmedTerm);
+  out << ", " << "leavingMilliseconds="; (__isset.leavingMilliseconds ? (out << to_string(leavingMilliseconds)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -2048,7 +2048,7 @@
 std::ostream& operator<<(std::ostream& out, const NodeStatusReply& obj);
 
 typedef struct _ServerRecord__isset {
-  _ServerRecord__isset() : server(false), serviceName(false), address(false), failureDomain(false), slots(false), isLeaving(false), isPrimary(false), lifetime(false), sequence(false), isGone(false), confirmedTerm(false) {}
+  _ServerRecord__isset() : server(false), serviceName(false), address(false), failureDomain(false), slots(false), isLeaving(false), isPrimary(false), lifetime(false), sequence(false), isGone(false), confirmedTerm(false), leavingMilliseconds(false) {}
   bool server :1;
   bool serviceName :1;
   bool address :1;
@@ -2060,6 +2060,7 @@
   bool sequence :1;
   bool isGone :1;
   bool confirmedTerm :1;
+  bool leavingMilliseconds :1;
 } _ServerRecord__isset;
 
 class ServerRecord : public virtual ::apache::thrift::TBase {
@@ -2078,7 +2079,8 @@
                  lifetime(0),
                  sequence(0),
                  isGone(0),
-                 confirmedTerm(0) {
+                 confirmedTerm(0),
+                 leavingMilliseconds(0) {
   }
 
   virtual ~ServerRecord() noexcept;
@@ -2093,6 +2095,7 @@
   int64_t sequence;
   bool isGone;
   int64_t confirmedTerm;
+  int64_t leavingMilliseconds;
 
   _ServerRecord__isset __isset;
 
@@ -2118,6 +2121,8 @@
 
   void __set_confirmedTerm(const int64_t val);
 
+  void __set_leavingMilliseconds(const int64_t val);
+
   bool operator == (const ServerRecord & rhs) const
   {
     if (!(server == rhs.server))
@@ -2142,6 +2147,10 @@
       return false;
     if (!(confirmedTerm == rhs.confirmedTerm))
       return false;
+    if (__isset.leavingMilliseconds != rhs.__isset.leavingMilliseconds)
+      return false;
+    else if (__isset.leavingMilliseconds && !(leavingMilliseconds == rhs.leavingMilliseconds))
+      return false;
     return true;
   }
   bool operator != (const ServerRecord &rhs) const {
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -282,6 +282,7 @@
   9: i64 sequence,
   10: bool isGone,
   11: i64 confirmedTerm,                // in which control made sure who leads
+  12: optional i64 leavingMilliseconds, // for which it has been leaving when this was sent
 }
 
 // An accepted configuration in the operator's own form.
--- a/include/nutmegtide/failover/changetrigger.h
+++ b/include/nutmegtide/failover/changetrigger.h
@@ -29,9 +29,16 @@
     std::string why; // for the log
 };
 
+// What the control log keeps of a service.
+struct RosterView
+{
+    std::set<ServerId> servers; // that it is known to have, also where none was heard of lately
+    bool hasOpenOrders = false; // promotions that may still be carried out
+};
+
 // Decides when the primary of a service is to be changed: it leaves, nobody says that it leads,
-// entry VMs complain of it, or this VM has just begun to lead control and must look for changes
-// that its predecessor left half done.
+// entry VMs complain of it, this VM has just begun to lead control and must look for changes
+// that its predecessor left half done, or an unanswered order is to be closed by a later one.
 //
 //   trigger.complain(complaint, now);
 //   if (const auto wish = trigger.wish(service, servers, now))
@@ -45,11 +52,10 @@
     void complain(const EntryComplaint &complaint, TimePoint now);
     // How many entry VMs there are, of which some may always have lost an answer.
     void setEntryCount(int count) { m_entryCount = count; }
-    // `servers` are those of the service that are not gone; `roster` names those that it is known
-    // to have, also where none was heard of lately.
+    // `servers` are those of the service that are not gone.
     std::optional<ChangeWish> wish(const ServiceName &service,
                                    const std::vector<ServerRecord> &servers,
-                                   const std::set<ServerId> &roster, TimePoint now);
+                                   const RosterView &roster, TimePoint now);
     // A change that was wished is over; `primary` leads, or nobody as far as is known.
     void ended(const ServiceName &service, const ServerId &primary, TimePoint now);
 
--- a/include/nutmegtide/failover/syncedchange.h
+++ b/include/nutmegtide/failover/syncedchange.h
@@ -87,6 +87,8 @@
 // An order without an answer may be carried out later. So nothing is resumed before a later
 // token has been used: also a change that is called off orders the present primary's promotion.
 // And no other server is chosen than the one of an open order until that order would have come.
+// The chosen server's own word tells sooner than the platform that an order was carried out, and
+// where neither says so in time the promotion is ordered again with a higher token.
 //
 //   SyncedChange change(ChangeReason::Lost, servers);
 //   perform(change.start(now));
@@ -99,8 +101,8 @@
     SyncedChange(ChangeReason reason, std::vector<ChangeServer> servers, ServerId from = {});
 
     // Earlier changes ordered the promotion of these servers, maybe in vain, and the platform may
-    // still carry that out. Before start().
-    void setOpenOrders(std::set<ServerId> servers, TimePoint now);
+    // still carry that out. The last of them was made by `orderedBy`. Before start().
+    void setOpenOrders(std::set<ServerId> servers, TimePoint orderedBy);
     // Whether an order may still be carried out now that the change is over.
     bool hasOpenOrders() const { return !m_openOrders.empty(); }
 
@@ -115,7 +117,8 @@
     SyncedChangeActions onGone(const ServerId &server, TimePoint now);
     SyncedChangeActions onToken(std::uint64_t token, TimePoint now);
     SyncedChangeActions onTokenFailed(TimePoint now);
-    SyncedChangeActions onOrdered(PromotionOutcome outcome, TimePoint now);
+    // The answer to OrderPromotion. One to another token than the latest changes nothing.
+    SyncedChangeActions onOrdered(std::uint64_t token, PromotionOutcome outcome, TimePoint now);
     SyncedChangeActions tick(TimePoint now);
 
     TimePoint wakeAt() const { return m_wakeAt; }
@@ -157,10 +160,16 @@
     void holdForLost(TimePoint now);
     void holdForMove(TimePoint now);
     void judgeHolds(TimePoint now);
+    bool isPreferred(const ServerId &server, const ServerId &other) const;
     void judgeCatchingUp(TimePoint now);
+    bool mayMoveGently(const ServerId &primary, bool isAnyHeld) const;
     bool waitsForOrders(const ServerId &chosen, TimePoint now) const;
     void reserve(TimePoint now);
+    void order(TimePoint now);
     void confirm(TimePoint now);
+    void askChosen(TimePoint now);
+    void concludeLed();
+    bool isOnlyOpenOrder(const ServerId &server) const;
     void retryLater(const std::string &why, TimePoint now);
     void finish(const std::string &why);
     void askAll(TimePoint now);
@@ -184,6 +193,7 @@
     LogPosition m_target; // that the chosen server must have received
     std::uint64_t m_token = 0;
     bool m_isGentle = false;
+    bool m_chosenLed = false; // before it was ordered, so its own word tells nothing of the order
     std::set<ServerId> m_openOrders; // servers that may still be promoted
     TimePoint m_orderedAt {}; // the latest of these
     TimePoint m_deadline {}; // of the step
--- a/include/nutmegtide/proxy/serverhome.h
+++ b/include/nutmegtide/proxy/serverhome.h
@@ -61,6 +61,9 @@
     // How many homes share a server, this one among them; one where nothing is said.
     void setHomeCounts(std::map<ServerId, int> counts) { m_homeCounts = std::move(counts); }
 
+    // A server that has been leaving for so long gets no new work; open transactions go on there.
+    void setLeaveTime(Duration time) { m_leaveTime = time; }
+
     // Events of lanes. A lane begins with its first commands; a server that isn't known is Busy.
     void take(const LaneKey &lane, const ServerId &server,
               const std::vector<ServerCommand> &commands, const Urgency &urgency, TimePoint now);
@@ -106,7 +109,7 @@
     };
     struct Server
     {
-        ServerAnnouncement said;
+        ServerRecord record;
         bool isKnown = false;
         HomeQueue queue;
         std::map<HomeQueue::Ticket, LaneKey> waiting;
@@ -151,6 +154,7 @@
     const PreparedStatement *preparedOf(const Lane &lane, const ServerCommand &command) const;
 
     HomeOutlet &m_outlet;
+    Duration m_leaveTime = Duration::max();
     std::map<ServerId, Server> m_servers;
     std::map<ServerId, int> m_homeCounts;
     std::map<LaneKey, Lane> m_lanes;
--- a/include/nutmegtide/proxy/serverpool.h
+++ b/include/nutmegtide/proxy/serverpool.h
@@ -84,6 +84,7 @@
     std::optional<TimePoint> failingSince; // no answer came since then
     std::optional<TimePoint> stuckSince; // a write has had no answer since then
     TimePoint primarySince {}; // when it first said so, as seen here
+    bool isLeftNoted = false; // that its time to leave is over
     bool isElsewhere = false; // another server answers at its address
     bool refusesWrites = false; // it said that it doesn't lead, after its announcement
 };
@@ -103,6 +104,11 @@
     // Takes the servers over. Returns the connections to servers that are gone.
     std::vector<ConnectionKey> setServers(const std::vector<ServerRecord> &records, TimePoint now);
 
+    // A server that has been leaving for so long gets no new work.
+    void setLeaveTime(Duration time) { m_leaveTime = time; }
+    bool hasLeft(const ServerId &server, TimePoint now) const;
+    // Servers of which that has become so since the last call.
+    std::vector<ServerId> takeLeft(TimePoint now);
     // The server that leads the service, as far as is known.
     std::optional<ServerId> primary(const ServiceName &service, TimePoint now) const;
     // The server for a read, out of those that weren't tried.
@@ -167,6 +173,7 @@
     double costOf(const PooledServer &state, const ReadNeed &need, TimePoint now) const;
 
     const FailureDomain m_own;
+    Duration m_leaveTime = Duration::max();
     std::map<ServerId, PooledServer> m_servers;
     std::map<ConnectionKey, ServerConnection> m_connections;
     ConnectionKey m_lastKey = 0;
--- a/include/nutmegtide/proxy/serverregistry.h
+++ b/include/nutmegtide/proxy/serverregistry.h
@@ -36,8 +36,20 @@
     // The term of the service in which control last made sure who leads; said.isPrimary is from
     // then or later. 0 for never.
     Term confirmedTerm = 0;
+    // When it began to leave, on this process's clock; nothing while it doesn't leave.
+    std::optional<TimePoint> leavingSince {};
 
-    bool operator==(const ServerRecord &) const = default;
+    // Whether its time to leave is over, so that it gets no new work, whatever else is under way.
+    bool hasLeft(Duration leaveTime, TimePoint now) const
+    {
+        return leavingSince && now - *leavingSince >= leaveTime;
+    }
+    // Processes that tell each other of a server reckon its leavingSince anew, so a difference in
+    // it is no news.
+    bool operator==(const ServerRecord &other) const
+    {
+        return said == other.said && isGone == other.isGone && confirmedTerm == other.confirmedTerm;
+    }
 };
 
 // All backend servers, by their announcements. An announcement that is older than the one known
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -35,7 +35,7 @@
 {
     ServerId server;
     ServiceName service;
-    std::string_view belief; // "unreachable", "silent", "not_primary", "full", "answers"
+    std::string_view belief; // "unreachable", "silent", "not_primary", "left", ...
     std::string_view reason;
 };
 
@@ -92,6 +92,8 @@
 
     void setRoutes(std::shared_ptr<const RouteTable> routes);
     void setServers(const std::vector<ServerRecord> &records, TimePoint now);
+    // A server that has been leaving for so long gets no new work; open transactions go on there.
+    void setLeaveTime(Duration time) { m_pool.setLeaveTime(time); }
     // Takes in a position that another process got of a proved primary.
     void takeProof(const ServiceName &service, TimePoint askedAt, const LogPosition &position,
                    TimePoint now);
--- a/include/nutmegtide/settings/nodesettings.h
+++ b/include/nutmegtide/settings/nodesettings.h
@@ -65,6 +65,8 @@
     std::string portFile; // the bound ports are written here; empty: nowhere
     std::chrono::milliseconds drainTimeout {30'000};
     double drainSeconds = 0; // sets drainTimeout where it is above 0, with parts of a second
+    // In which a backend server that said that it leaves may still get work; 0 sets no bound.
+    std::chrono::milliseconds serverLeaveTime {0};
     int callerThreads = 64;
     ListenSettings listen;
     LogSettings log;
--- a/src/failover/changetrigger.cpp
+++ b/src/failover/changetrigger.cpp
@@ -57,10 +57,10 @@
 
 std::optional<ChangeWish> ChangeTrigger::wish(const ServiceName &service,
                                               const std::vector<ServerRecord> &servers,
-                                              const std::set<ServerId> &roster, TimePoint now)
+                                              const RosterView &roster, TimePoint now)
 {
     // A server that wasn't heard of yet would be left out of the fence.
-    if (now - m_listensSince < (roster.empty() ? ListeningTime : KnownListeningTime))
+    if (now - m_listensSince < (roster.servers.empty() ? ListeningTime : KnownListeningTime))
         return std::nullopt;
     Standing &standing = m_standings[service];
     if (now - standing.endedAt < RestTime || servers.empty())
@@ -76,7 +76,7 @@
         if (!record.said.isPrimary && !record.said.isLeaving)
             isReplacementThere = true;
     }
-    for (const ServerId &server : roster) {
+    for (const ServerId &server : roster.servers) {
         const bool isNamed = std::any_of(wish.servers.begin(), wish.servers.end(),
                                          [&server](const ChangeServer &named) {
                                              return named.server == server;
@@ -116,6 +116,10 @@
         wish.why = "an entry VM can't use the primary";
         return wish;
     }
+    if (roster.hasOpenOrders) {
+        wish.why = "an earlier order may still be carried out";
+        return wish;
+    }
     return std::nullopt;
 }
 
--- a/src/failover/syncedchange.cpp
+++ b/src/failover/syncedchange.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr auto AskInterval = 60ms; // while an answer is waited for
-constexpr auto OrderTime = 6s; // for the answer of the platform
+constexpr auto OrderTime = 2s; // for the answer of the platform, before the order is repeated
 constexpr auto ConfirmTime = 4s; // from the order to the primary's own word
 constexpr auto RetryTime = 150ms;
 
@@ -20,10 +20,10 @@
     , m_from(std::move(from))
 { }
 
-void SyncedChange::setOpenOrders(std::set<ServerId> servers, TimePoint now)
+void SyncedChange::setOpenOrders(std::set<ServerId> servers, TimePoint orderedBy)
 {
     m_openOrders = std::move(servers);
-    m_orderedAt = now;
+    m_orderedAt = orderedBy;
 }
 
 std::string_view SyncedChange::stepName() const
@@ -87,11 +87,19 @@
     if (m_step != Step::Reserving)
         return {};
     m_token = token;
+    order(now);
+    return take();
+}
+
+void SyncedChange::order(TimePoint now)
+{
     m_openOrders.insert(m_chosen);
     m_orderedAt = now;
+    m_chosenLed = m_seen[m_chosen].standing.isPrimary;
     enter(Step::Ordering, now, OrderTime);
     m_actions.emplace_back(OrderPromotion {m_chosen, m_token});
-    return take();
+    if (!m_chosenLed)
+        m_wakeAt = now + AskInterval;
 }
 
 SyncedChangeActions SyncedChange::onTokenFailed(TimePoint now)
@@ -101,22 +109,30 @@
     return take();
 }
 
-SyncedChangeActions SyncedChange::onOrdered(PromotionOutcome outcome, TimePoint now)
+SyncedChangeActions SyncedChange::onOrdered(std::uint64_t token, PromotionOutcome outcome,
+                                            TimePoint now)
 {
-    if (m_step != Step::Ordering)
+    if (m_step != Step::Ordering || token != m_token)
         return {};
-    if (outcome == PromotionOutcome::OutOfDate) {
-        retryLater("the platform refuses the token or the server", now);
-    } else if (outcome == PromotionOutcome::Refused) {
-        retryLater("the platform takes no order now", now);
-    } else if (outcome == PromotionOutcome::Unknown && m_seen[m_chosen].standing.isPrimary) {
-        // It led before, so its own word doesn't tell that the token was used.
-        retryLater("the platform didn't answer", now);
-    } else {
+    switch (outcome) {
+    case PromotionOutcome::Accepted:
         // All earlier tokens are refused from now on.
-        if (outcome == PromotionOutcome::Accepted)
-            m_openOrders.clear();
+        m_openOrders.clear();
         confirm(now);
+        break;
+    case PromotionOutcome::OutOfDate:
+        retryLater("the platform refuses the token or the server", now);
+        break;
+    case PromotionOutcome::Refused:
+        retryLater("the platform takes no order now", now);
+        break;
+    case PromotionOutcome::Unknown:
+        // A server that led before goes on leading. Whoever decides on changes tries again.
+        if (m_chosenLed)
+            finish("the primary answers, but the platform doesn't");
+        else
+            retryLater("the platform didn't answer", now);
+        break;
     }
     return take();
 }
@@ -124,9 +140,31 @@
 void SyncedChange::confirm(TimePoint now)
 {
     enter(Step::Confirming, now, ConfirmTime);
+    askChosen(now);
+}
+
+void SyncedChange::askChosen(TimePoint now)
+{
     m_seen[m_chosen].isAnswered = false;
     m_actions.emplace_back(AskStanding {m_chosen});
-    m_wakeAt = now + AskInterval;
+    m_wakeAt = std::min(m_deadline, now + AskInterval);
+}
+
+bool SyncedChange::isOnlyOpenOrder(const ServerId &server) const
+{
+    return std::all_of(m_openOrders.begin(), m_openOrders.end(),
+                       [&server](const ServerId &ordered) { return ordered == server; });
+}
+
+// The chosen server leads by its own word.
+void SyncedChange::concludeLed()
+{
+    m_result = m_chosen;
+    for (const auto &[other, seen] : m_seen) {
+        if (other != m_chosen)
+            m_actions.emplace_back(ResumeServer {other});
+    }
+    finish("the server leads");
 }
 
 SyncedChangeActions SyncedChange::onStanding(const ServerId &server, const ServerStanding &standing,
@@ -150,15 +188,14 @@
         if (server == m_chosen)
             judgeCatchingUp(now);
         break;
+    case Step::Ordering:
+        // Another server's order could still take the lead from it, after what is held is resumed.
+        if (server == m_chosen && standing.isPrimary && !m_chosenLed && isOnlyOpenOrder(server))
+            concludeLed();
+        break;
     case Step::Confirming:
-        if (server != m_chosen || !standing.isPrimary)
-            break;
-        m_result = m_chosen;
-        for (const auto &[other, seen] : m_seen) {
-            if (other != m_chosen)
-                m_actions.emplace_back(ResumeServer {other});
-        }
-        finish("the server leads");
+        if (server == m_chosen && standing.isPrimary)
+            concludeLed();
         break;
     default:
         break;
@@ -203,10 +240,10 @@
     if (m_step == Step::Over || now < m_wakeAt)
         return {};
     if (now < m_deadline) {
-        if (m_step == Step::CatchingUp || m_step == Step::Confirming) {
-            m_actions.emplace_back(AskStanding {m_chosen});
-            m_wakeAt = std::min(m_deadline, now + AskInterval);
-        }
+        const bool isPolled = m_step == Step::CatchingUp || m_step == Step::Confirming
+                || (m_step == Step::Ordering && !m_chosenLed);
+        if (isPolled)
+            askChosen(now);
         return take();
     }
     switch (m_step) {
@@ -223,7 +260,7 @@
         retryLater("the control log gave no token in time", now);
         break;
     case Step::Ordering:
-        confirm(now);
+        retryLater("the platform's answer is overdue", now);
         break;
     case Step::Confirming:
         retryLater("the server doesn't lead yet", now);
--- a/src/failover/syncedchangesteps.cpp
+++ b/src/failover/syncedchangesteps.cpp
@@ -93,11 +93,24 @@
         if (!primary && seen.isOverloaded)
             return retryLater(server.text() + " takes no further connection", now);
     }
-    if (primary && !isAnyHeld && m_openOrders.empty())
+    if (primary && mayMoveGently(*primary, isAnyHeld))
         return holdForMove(now);
     holdForLost(now);
 }
 
+// An unanswered order for the server that would be chosen, or for the present primary, does no
+// harm whenever it comes: the one holds all commits while the others are held, the other leads.
+bool SyncedChange::mayMoveGently(const ServerId &primary, bool isAnyHeld) const
+{
+    if (!isAnyHeld && m_openOrders.empty())
+        return true;
+    const std::optional<ServerId> best = bestReplica(primary);
+    return best
+            && std::all_of(m_openOrders.begin(), m_openOrders.end(), [&](const ServerId &ordered) {
+                   return ordered == *best || ordered == primary;
+               });
+}
+
 void SyncedChange::hold(const ServerId &server)
 {
     m_seen[server].isAnswered = false;
@@ -163,6 +176,14 @@
                                         : seen.standing.heldTerm >= m_term;
 }
 
+// Of two servers that hold as much: one that stays, and one whose promotion may come anyway.
+bool SyncedChange::isPreferred(const ServerId &server, const ServerId &other) const
+{
+    if (isLeaving(server) != isLeaving(other))
+        return isLeaving(other);
+    return m_openOrders.count(server) > m_openOrders.count(other);
+}
+
 void SyncedChange::judgeHolds(TimePoint now)
 {
     std::size_t fenced = 0;
@@ -184,8 +205,7 @@
         return;
     for (const auto &[server, seen] : m_seen) {
         const bool isHighest = isFenced(server) && seen.standing.received == highest;
-        const bool isBetter = m_chosen.isEmpty() || isLeaving(m_chosen);
-        if (isHighest && isBetter)
+        if (isHighest && (m_chosen.isEmpty() || isPreferred(server, m_chosen)))
             m_chosen = server;
     }
     if (waitsForOrders(m_chosen, now))
--- a/src/proxy/serverhome.cpp
+++ b/src/proxy/serverhome.cpp
@@ -45,8 +45,8 @@
 // the others may have nothing to send.
 int ServerHome::mostRunning(const Server &server) const
 {
-    const int homes = homeCount(server.said.server);
-    return (std::max(1, server.said.slots) + Overlap + homes - 1) / homes;
+    const int homes = homeCount(server.record.said.server);
+    return (std::max(1, server.record.said.slots) + Overlap + homes - 1) / homes;
 }
 
 void ServerHome::setServers(const std::vector<ServerRecord> &records, TimePoint now)
@@ -56,9 +56,9 @@
         named.insert(record.said.server);
         Server &server = m_servers[record.said.server];
         const bool isReborn = server.isKnown
-                && (server.said.lifetime != record.said.lifetime
-                    || server.said.address != record.said.address);
-        server.said = record.said;
+                && (server.record.said.lifetime != record.said.lifetime
+                    || server.record.said.address != record.said.address);
+        server.record = record;
         server.isKnown = true;
         if (!isReborn)
             continue;
@@ -149,13 +149,14 @@
 void ServerHome::wait(const LaneKey &key, Lane &lane, TimePoint now)
 {
     const auto found = m_servers.find(lane.server);
-    const bool isHopeless = found == m_servers.end() || !found->second.isKnown
-            || (found->second.isUnreachable && lane.connection == 0);
-    if (isHopeless)
+    if (found == m_servers.end() || !found->second.isKnown)
         return refuseNext(key, lane, now);
     Server &server = found->second;
+    const bool hasLeft = server.record.hasLeft(m_leaveTime, now) && !isProof(lane);
+    if (lane.connection == 0 && (server.isUnreachable || hasLeft))
+        return refuseNext(key, lane, now);
     const Duration perStatement = server.usualTime.value() * homeCount(lane.server)
-            / std::max(1, server.said.slots);
+            / std::max(1, server.record.said.slots);
     Urgency urgency = lane.urgency;
     if (lane.connection != 0)
         urgency.rank = 0;
--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -43,7 +43,7 @@
     connection.usedAt = now;
     server.connections.insert(key);
     ++server.opening;
-    m_outlet.open(key, server.said);
+    m_outlet.open(key, server.record.said);
 }
 
 void ServerHome::opened(ConnectionKey key, TimePoint now)
--- a/src/proxy/serverpool.cpp
+++ b/src/proxy/serverpool.cpp
@@ -90,7 +90,8 @@
     const PooledServer *best = nullptr;
     for (const auto &[server, state] : m_servers) {
         const bool isCandidate = state.record.said.service == service && !state.record.isGone
-                && state.record.said.isPrimary && !state.refusesWrites && !state.isElsewhere;
+                && state.record.said.isPrimary && !state.refusesWrites && !state.isElsewhere
+                && !state.record.hasLeft(m_leaveTime, now);
         if (!isCandidate)
             continue;
         // The one that became primary last, unless it can't be used.
@@ -105,6 +106,23 @@
     return best->record.said.server;
 }
 
+bool ServerPool::hasLeft(const ServerId &server, TimePoint now) const
+{
+    return m_servers.at(server).record.hasLeft(m_leaveTime, now);
+}
+
+std::vector<ServerId> ServerPool::takeLeft(TimePoint now)
+{
+    std::vector<ServerId> left;
+    for (auto &[server, state] : m_servers) {
+        const bool wasLeft = std::exchange(state.isLeftNoted,
+                                           state.record.hasLeft(m_leaveTime, now));
+        if (state.isLeftNoted && !wasLeft)
+            left.push_back(server);
+    }
+    return left;
+}
+
 double ServerPool::costOf(const PooledServer &state, const ReadNeed &need, TimePoint now) const
 {
     const double usual = usualMilliseconds(state, now);
--- a/src/proxy/serverregistry.cpp
+++ b/src/proxy/serverregistry.cpp
@@ -20,13 +20,29 @@
     return copy == right;
 }
 
+// The earliest moment at which any process heard that the server leaves, in its present lifetime.
+std::optional<TimePoint> leavingSince(const ServerRecord &latest, const ServerRecord &known,
+                                      const ServerRecord &heard, TimePoint now)
+{
+    if (!latest.said.isLeaving)
+        return std::nullopt;
+    TimePoint since = now;
+    for (const ServerRecord *record : {&known, &heard}) {
+        if (record->leavingSince && record->said.lifetime == latest.said.lifetime)
+            since = std::min(since, *record->leavingSince);
+    }
+    return since;
+}
+
 } // namespace
 
 bool ServerRegistry::take(const ServerRecord &record, TimePoint now)
 {
     const auto found = m_entries.find(record.said.server);
     if (found == m_entries.end()) {
-        m_entries[record.said.server] = {record, now};
+        ServerRecord first = record;
+        first.leavingSince = leavingSince(record, record, record, now);
+        m_entries[record.said.server] = {first, now};
         ++m_version;
         return true;
     }
@@ -42,6 +58,7 @@
         latest.confirmedTerm = record.confirmedTerm;
         latest.said.isPrimary = record.said.isPrimary;
     }
+    latest.leavingSince = leavingSince(latest, entry.record, record, now);
     const bool isNews = latest != entry.record;
     if (!saysTheSame(entry.record, latest))
         ++m_version;
--- a/src/proxy/sessionproxy.cpp
+++ b/src/proxy/sessionproxy.cpp
@@ -330,6 +330,9 @@
         const ConnectionKey key = m_pool.add(server, now);
         m_outlet.open(key, m_pool.find(server)->record.said);
     }
+    for (const ServerId &server : m_pool.takeLeft(now))
+        m_outlet.judged({server, m_pool.find(server)->record.said.service, "left",
+                         "its time to leave is over"});
     const auto isScarceOne = [this](const ServerId &server) { return isScarce(server); };
     for (const ConnectionKey key : m_pool.takeUnused(now, isScarceOne))
         drop(key);
--- a/src/proxy/sessionrouting.cpp
+++ b/src/proxy/sessionrouting.cpp
@@ -164,9 +164,15 @@
 
 void SessionProxy::hand(ConnectionKey connection, const Borrower &borrower, TimePoint now)
 {
-    m_pool.connection(connection)->borrower = borrower;
-    if (borrower.session == 0)
+    if (borrower.session == 0) {
+        m_pool.connection(connection)->borrower = borrower;
         return sendProof(borrower.proofOf, connection, now);
+    }
+    if (m_pool.hasLeft(m_pool.connection(connection)->server, now)) {
+        m_pool.putIdle(connection, now);
+        return pause(borrower.session, "the server's time to leave is over", now);
+    }
+    m_pool.connection(connection)->borrower = borrower;
     dispatch(borrower.session, connection, now);
 }
 
--- a/src/settings/nodeschema.cpp
+++ b/src/settings/nodeschema.cpp
@@ -10,6 +10,7 @@
 
 constexpr Range DrainTimeoutRange {0, 3'600'000}; // ms
 constexpr Range DrainSecondsRange {0, 3'600};
+constexpr Range ServerLeaveTimeRange {0, 3'600'000}; // ms
 constexpr Range ToleratedLossesRange {0, 3};
 constexpr Range CallerThreadsRange {1, 10'000};
 constexpr bool IsRequired = true;
@@ -29,6 +30,7 @@
         {"promotions", &NodeSettings::promotions},
         {"drain_seconds", &NodeSettings::drainSeconds, DrainSecondsRange},
         {"drain_timeout", &NodeSettings::drainTimeout, DrainTimeoutRange},
+        {"server_leave_time", &NodeSettings::serverLeaveTime, ServerLeaveTimeRange},
         {"caller_threads", &NodeSettings::callerThreads, CallerThreadsRange},
 };
 
--- a/src/site/changekeeper.cpp
+++ b/src/site/changekeeper.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr auto TokenTimeout = 2500ms;
-constexpr auto OrderTimeout = 5s;
+constexpr auto OrderTimeout = 1500ms; // longer than a promotion takes
 constexpr auto RosterInterval = 1s;
 
 bool saysTheSame(const ServerAnnouncement &left, ServerAnnouncement right)
@@ -45,8 +45,10 @@
     const bool isLeading = m_log.isLeader();
     if (!isLeading && m_isLeading)
         abandonAll();
-    if (isLeading && !m_isLeading)
+    if (isLeading && !m_isLeading) {
         m_trigger.lead(m_listensSince);
+        m_leadingSince = now;
+    }
     m_isLeading = isLeading;
     checkLinks(now);
     if (!isLeading)
@@ -73,7 +75,8 @@
     for (const auto &[service, servers] : services) {
         if (m_groups[service].change)
             continue;
-        if (const auto wish = m_trigger.wish(service, servers, m_roster.serversOf(service), now))
+        const RosterView roster {m_roster.serversOf(service), !m_roster.openOrders(service).empty()};
+        if (const auto wish = m_trigger.wish(service, servers, roster, now))
             start(service, *wish, now);
     }
 }
@@ -120,7 +123,9 @@
 {
     Group &group = m_groups[service];
     group.change = std::make_unique<SyncedChange>(wish.reason, wish.servers, wish.from);
-    group.change->setOpenOrders(m_roster.openOrders(service), now);
+    // What an earlier leader of control ordered, it ordered before this one led.
+    group.change->setOpenOrders(m_roster.openOrders(service),
+                                std::max(group.orderedAt, m_leadingSince));
     group.startedAt = now;
     group.toldWhy.clear();
     log("primary_change_started",
@@ -194,6 +199,7 @@
         {{"service", service.text()},
          {"server", action.server.text()},
          {"token", std::to_string(action.token)}});
+    m_groups[service].orderedAt = EventLoop::now();
     m_groups[service].worker->post([this, service, action] {
         const PromotionOutcome outcome = m_promoter.promote(service, action.server, action.token,
                                                             OrderTimeout);
@@ -206,7 +212,8 @@
             const auto found = m_groups.find(service);
             if (found == m_groups.end() || !found->second.change)
                 return;
-            perform(service, found->second.change->onOrdered(outcome, EventLoop::now()));
+            perform(service,
+                    found->second.change->onOrdered(action.token, outcome, EventLoop::now()));
             afterStep(service);
         });
     });
--- a/src/site/changekeeper.h
+++ b/src/site/changekeeper.h
@@ -54,6 +54,7 @@
         std::map<ServerId, ConnectionKey> links;
         std::string toldWhy; // as last logged
         TimePoint startedAt {};
+        TimePoint orderedAt {}; // the latest order of this process
         std::unique_ptr<TaskWorker> worker;
     };
 
@@ -99,6 +100,7 @@
     ChangeTrigger m_trigger;
     const TimePoint m_listensSince = EventLoop::now();
     bool m_isLeading = false;
+    TimePoint m_leadingSince {};
     std::map<ServiceName, Group> m_groups;
     std::map<ConnectionKey, Link> m_links;
     std::map<ServerId, ServerAnnouncement> m_known;
--- a/src/site/controlfollower.cpp
+++ b/src/site/controlfollower.cpp
@@ -191,7 +191,7 @@
     if (reply.__isset.servers) {
         view.servers.emplace();
         for (const wire::ServerRecord &record : reply.servers)
-            view.servers->push_back(fromWire(record));
+            view.servers->push_back(fromWire(record, askedAt));
     }
     if (reply.__isset.homes)
         view.homes = fromWire(reply.homes);
--- a/src/site/controlnode.cpp
+++ b/src/site/controlnode.cpp
@@ -151,7 +151,7 @@
 
 void ControlNode::announce(const ServerAnnouncement &announcement)
 {
-    const ServerRecord record {announcement, false};
+    ServerRecord record {announcement, false};
     std::uint64_t before = 0;
     std::uint64_t after = 0;
     {
@@ -159,6 +159,7 @@
         before = m_registry.version();
         m_registry.take(record, EventLoop::now());
         after = m_registry.version();
+        record.leavingSince = m_registry.find(announcement.server)->leavingSince;
     }
     if (before == after)
         return;
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -61,7 +61,7 @@
     if (reply.directoryVersion != request.directoryVersion) {
         reply.__isset.servers = true;
         for (const ServerRecord &record : m_registry.all())
-            reply.servers.push_back(toWire(record));
+            reply.servers.push_back(toWire(record, EventLoop::now()));
     }
     for (const auto &[peers, domain] : m_seedDomains) {
         wire::ControlVm control;
@@ -105,7 +105,7 @@
         m_otherFollowers[parseEndpoint(from.vm)] = {news.followers, EventLoop::now(),
                                                     fromWire(news.homes)};
         for (const wire::ServerRecord &record : news.servers)
-            m_registry.take(fromWire(record), EventLoop::now());
+            m_registry.take(fromWire(record, EventLoop::now()), EventLoop::now());
     }
     takeComplaints(news.complaints);
 }
@@ -195,7 +195,7 @@
 {
     const std::lock_guard lock(m_mutex);
     for (const auto &[peer, mailbox] : m_mailboxes)
-        mailbox->put(std::vector<wire::ServerRecord> {toWire(record)});
+        mailbox->put(std::vector<wire::ServerRecord> {toWire(record, EventLoop::now())});
 }
 
 void ControlNode::maintain()
@@ -214,7 +214,7 @@
         m_registry.forget(ForgottenAfter, EventLoop::now());
         std::vector<wire::ServerRecord> records;
         for (const ServerRecord &record : m_registry.all())
-            records.push_back(toWire(record));
+            records.push_back(toWire(record, EventLoop::now()));
         std::erase_if(m_followers, [](const auto &one) {
             return EventLoop::now() - one.second.askedAt >= HomeTime;
         });
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -15,6 +15,9 @@
 // Before the drain timeout, so that the process ends by itself.
 constexpr auto LastMoment = 900ms;
 constexpr auto FlushTime = 600ms; // the same, once the last answers have left
+// Before a leaving server's time is over, for statements that are on their way to it.
+constexpr Duration LeaveMargin = 1s;
+constexpr int LeaveMarginParts = 4; // at most this part of a server's time to leave
 
 HttpServer::Options healthOptions()
 {
@@ -34,6 +37,15 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+// How long a leaving server gets new work.
+Duration leaveTime(const NodeSettings &settings)
+{
+    const Duration allowed = settings.serverLeaveTime;
+    if (allowed == Duration::zero())
+        return Duration::max();
+    return allowed - std::min(LeaveMargin, allowed / LeaveMarginParts);
+}
+
 } // namespace
 
 EntryNode::EntryNode(const NodeSettings &settings)
@@ -69,6 +81,7 @@
                   });
               })
 {
+    m_proxy.setLeaveTime(leaveTime(settings));
     m_callers = makeCallerPort(m_loop, settings.listen.callers, *this);
     m_health = std::make_unique<HttpServer>(settings.listen.health, healthOptions(),
                                             [this](const HttpRequest &) { return answerHealth(); });
@@ -100,6 +113,7 @@
                                         [this](const std::string &event, const std::string &reason) {
                                             logLine(LogLevel::Warning, event, {{"reason", reason}});
                                         });
+    m_home->setLeaveTime(leaveTime(m_settings));
     m_follower.setLanes(toString(lanes));
 }
 
--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -34,6 +34,7 @@
     HomePort(const HomePort &) = delete;
     HomePort &operator=(const HomePort &) = delete;
 
+    void setLeaveTime(Duration time) { m_home.setLeaveTime(time); }
     void setServers(const std::vector<ServerRecord> &records)
     {
         m_home.setServers(records, EventLoop::now());
--- a/src/site/sitewire.cpp
+++ b/src/site/sitewire.cpp
@@ -6,6 +6,13 @@
 
 namespace nutmegtide {
 
+namespace {
+
+// That a peer may claim; no server takes so long to leave.
+constexpr std::chrono::milliseconds LongestLeave = 24h;
+
+} // namespace
+
 std::vector<wire::AgedProof> toWire(const std::vector<AgedProof> &proofs)
 {
     std::vector<wire::AgedProof> result;
@@ -31,7 +38,7 @@
     return result;
 }
 
-wire::ServerRecord toWire(const ServerRecord &record)
+wire::ServerRecord toWire(const ServerRecord &record, TimePoint now)
 {
     wire::ServerRecord result;
     const ServerAnnouncement &said = record.said;
@@ -46,10 +53,15 @@
     result.sequence = static_cast<std::int64_t>(said.sequence);
     result.isGone = record.isGone;
     result.confirmedTerm = static_cast<std::int64_t>(record.confirmedTerm);
+    if (record.leavingSince) {
+        // Rounded up, since a server may be taken to leave for longer than it does.
+        const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - *record.leavingSince);
+        result.__set_leavingMilliseconds(age.count());
+    }
     return result;
 }
 
-ServerRecord fromWire(const wire::ServerRecord &record)
+ServerRecord fromWire(const wire::ServerRecord &record, TimePoint now)
 {
     ServerRecord result;
     ServerAnnouncement &said = result.said;
@@ -64,6 +76,10 @@
     said.sequence = static_cast<std::uint64_t>(record.sequence);
     result.isGone = record.isGone;
     result.confirmedTerm = static_cast<Term>(record.confirmedTerm);
+    if (record.__isset.leavingMilliseconds) {
+        const std::chrono::milliseconds age(record.leavingMilliseconds);
+        result.leavingSince = now - std::clamp(age, 0ms, LongestLeave);
+    }
     return result;
 }
 
--- a/src/site/sitewire.h
+++ b/src/site/sitewire.h
@@ -22,7 +22,8 @@
 std::vector<wire::ServerHome> toWire(const ServerHomes &homes);
 ServerHomes fromWire(const std::vector<wire::ServerHome> &homes);
 
-wire::ServerRecord toWire(const ServerRecord &record);
-ServerRecord fromWire(const wire::ServerRecord &record);
+// `now` is the moment of sending, or of taking in.
+wire::ServerRecord toWire(const ServerRecord &record, TimePoint now);
+ServerRecord fromWire(const wire::ServerRecord &record, TimePoint now);
 
 } // namespace nutmegtide
--- a/test/unit/failover/changetrigger_test.cpp
+++ b/test/unit/failover/changetrigger_test.cpp
@@ -36,7 +36,7 @@
     trigger.lead(TimePoint(10s));
     const std::vector<ServerRecord> servers {record("a", true), record("b", false)};
     CHECK_FALSE(trigger.wish(Service, servers, {}, TimePoint(11s)));
-    CHECK(trigger.wish(Service, servers, {ServerId("a")}, TimePoint(11'400ms)));
+    CHECK(trigger.wish(Service, servers, {{ServerId("a")}}, TimePoint(11'400ms)));
     CHECK(trigger.wish(Service, servers, {}, TimePoint(13s)));
     trigger.ended(Service, ServerId("a"), TimePoint(13s));
     CHECK_FALSE(trigger.wish(Service, servers, {}, TimePoint(15s)));
@@ -47,7 +47,7 @@
     ChangeTrigger trigger;
     trigger.lead(TimePoint(0s));
     const auto wish = trigger.wish(Service, {record("a", true)},
-                                   {ServerId("a"), ServerId("b"), ServerId("c")}, TimePoint(10s));
+                                   {{ServerId("a"), ServerId("b"), ServerId("c")}}, TimePoint(10s));
     REQUIRE(wish);
     CHECK(wish->servers.size() == 3);
 }
@@ -145,3 +145,17 @@
     REQUIRE(wish);
     CHECK((wish->reason == ChangeReason::Lost));
 }
+
+TEST_CASE("an unanswered order is closed by a later one, after all that presses more")
+{
+    ChangeTrigger trigger = readyTrigger();
+    const RosterView roster {{}, true};
+    const auto wish = trigger.wish(Service, {record("a", true), record("b", false)}, roster,
+                                   TimePoint(10s));
+    REQUIRE(wish);
+    CHECK(wish->reason == ChangeReason::Lost);
+    const auto pressing = trigger.wish(Service, {record("a", true, true), record("b", false)},
+                                       roster, TimePoint(10s));
+    REQUIRE(pressing);
+    CHECK(pressing->reason == ChangeReason::Moved);
+}
--- a/test/unit/failover/syncedchange_test.cpp
+++ b/test/unit/failover/syncedchange_test.cpp
@@ -71,6 +71,76 @@
     CHECK(rig.orders == 1);
 }
 
+TEST_CASE("a leaving primary is replaced well within its time while half of the orders come late")
+{
+    constexpr unsigned Seeds = 200;
+    constexpr Duration LeaveTime = 6s; // of 7 s, less what is left to statements under way
+    unsigned late = 0;
+    for (unsigned seed = 1; seed <= Seeds; ++seed) {
+        SyncedRig rig(3, seed);
+        rig.losesAnswers = true;
+        rig.step();
+        rig.begin(ChangeReason::Moved, ServerId("s1"));
+        const TimePoint until = rig.now + LeaveTime;
+        while (rig.now < until && rig.group.primary == ServerId("s1"))
+            rig.step();
+        late += rig.group.primary == ServerId("s1") ? 1 : 0;
+        CHECK(rig.group.lost == 0);
+    }
+    // Four orders in a row without an answer, none of which is carried out within the time.
+    CHECK(late <= Seeds / 16);
+}
+
+TEST_CASE("commits go on while an order to move the primary has no answer")
+{
+    SyncedRig rig(3, 1);
+    rig.losesAnswers = true;
+    for (unsigned seed = 2; rig.overdue.empty(); ++seed) {
+        rig.generator.seed(seed);
+        rig.step();
+        rig.begin(ChangeReason::Moved, rig.group.primary);
+    }
+    const std::size_t before = rig.group.acknowledged.size();
+    for (int step = 0; step < 100; ++step)
+        rig.step();
+    CHECK(rig.group.acknowledged.size() == before + 100);
+}
+
+TEST_CASE("a server that leads by its own word needs no answer of the platform")
+{
+    SyncedRig rig(3, 1);
+    rig.losesAnswers = true;
+    rig.step();
+    rig.begin(ChangeReason::Moved, ServerId("s1"));
+    const TimePoint begun = rig.now;
+    while (!rig.change->isOver() && rig.now - begun < 60s)
+        rig.step();
+    REQUIRE(rig.change->isOver());
+    CHECK(rig.change->primary() == rig.group.primary);
+    CHECK(rig.group.lost == 0);
+}
+
+TEST_CASE("the answer to an earlier order says nothing of the latest one")
+{
+    SyncedChange change(ChangeReason::Moved,
+                        {{ServerId("a"), true}, {ServerId("b"), false}, {ServerId("c"), false}},
+                        ServerId("a"));
+    const TimePoint now(1s);
+    change.start(now);
+    change.onStanding(ServerId("a"), {true, 1, {1, 5}, 0, 3}, now);
+    change.onStanding(ServerId("b"), {false, 1, {1, 5}, 0, 3}, now);
+    change.onStanding(ServerId("c"), {false, 1, {1, 5}, 0, 3}, now);
+    const ServerId held = change.chosen() == ServerId("b") ? ServerId("c") : ServerId("b");
+    change.onStanding(held, {false, 1, {1, 5}, 2, 3}, now);
+    REQUIRE((change.stepName() == "reserving"));
+    const auto actions = change.onToken(7, now);
+    REQUIRE(actions.size() == 1);
+    change.onOrdered(6, PromotionOutcome::Accepted, now);
+    CHECK((change.stepName() == "ordering"));
+    change.onOrdered(7, PromotionOutcome::Accepted, now);
+    CHECK((change.stepName() == "confirming"));
+}
+
 TEST_CASE("an overloaded primary is not taken for lost")
 {
     SyncedChange change(ChangeReason::Lost, {{ServerId("a"), false}, {ServerId("b"), false}});
@@ -127,10 +197,15 @@
                 if (rig.change && rig.change->isOver())
                     rig.begin(ChangeReason::Moved, rig.group.primary);
                 break;
-            default:
+            default: {
                 rig.step();
+                // What control does about an order that may still be carried out.
+                const bool isOver = rig.change && rig.change->isOver();
+                if (isOver && rig.change->hasOpenOrders() && rig.generator() % 40 == 0)
+                    rig.begin(ChangeReason::Lost);
                 break;
             }
+            }
             if (rig.group.lost != 0)
                 break;
         }
--- a/test/unit/failover/syncedgroup.h
+++ b/test/unit/failover/syncedgroup.h
@@ -138,7 +138,7 @@
         if (change && !isNewLeader && !change->hasOpenOrders())
             openOrders.clear();
         change.emplace(reason, servers, from);
-        change->setOpenOrders(openOrders, now);
+        change->setOpenOrders(openOrders, isNewLeader ? now : orderedAt);
         perform(change->start(now));
     }
     // Lets one step of time pass: commits, late orders, ticks.
@@ -154,6 +154,16 @@
             group.promote(*order);
             order = lateOrders.erase(order);
         }
+        for (auto order = overdue.begin(); order != overdue.end();) {
+            if (order->due > now) {
+                ++order;
+                continue;
+            }
+            const std::uint64_t unanswered = order->token;
+            order = overdue.erase(order);
+            if (change)
+                perform(change->onOrdered(unanswered, PromotionOutcome::Unknown, now));
+        }
         if (change && !change->isOver())
             perform(change->tick(now));
     }
@@ -169,12 +179,16 @@
     std::mt19937 generator;
     std::optional<SyncedChange> change;
     std::vector<SyncedGroup::Order> lateOrders;
+    std::vector<SyncedGroup::Order> overdue; // whose answers won't come
     bool losesAnswers = false; // of orders, which are then carried out late
     std::uint64_t token = 0;
     std::set<ServerId> openOrders; // as the control log keeps them
     int orders = 0;
+    TimePoint orderedAt {};
     TimePoint now {10s};
 
+    static constexpr Duration OrderTimeout = 1500ms;
+
 private:
     void perform(const SyncedChangeActions &actions)
     {
@@ -207,14 +221,15 @@
     void perform(const OrderPromotion &action)
     {
         ++orders;
+        orderedAt = now;
         const SyncedGroup::Order order {action.server, action.token,
                                         now + std::chrono::seconds(2 + generator() % 10)};
         if (losesAnswers && generator() % 2 == 0) {
             lateOrders.push_back(order);
-            perform(change->onOrdered(PromotionOutcome::Unknown, now));
+            overdue.push_back({action.server, action.token, now + OrderTimeout});
             return;
         }
-        perform(change->onOrdered(group.promote(order), now));
+        perform(change->onOrdered(action.token, group.promote(order), now));
     }
 };
 
--- a/test/unit/proxy/homerig.h
+++ b/test/unit/proxy/homerig.h
@@ -28,13 +28,18 @@
         ServerReply reply;
     };
 
-    HomeRig()
+    HomeRig() { tellServer(); }
+
+    // Announces the server, which has been leaving since then if a moment is given.
+    void tellServer(std::optional<TimePoint> leavingSince = {})
     {
         ServerRecord record;
         record.said.server = Server;
         record.said.service = ServiceName("db");
         record.said.slots = 3;
         record.said.address = {"10.0.0.1", 80};
+        record.said.isLeaving = leavingSince.has_value();
+        record.leavingSince = leavingSince;
         home.setServers({record}, now);
     }
 
--- a/test/unit/proxy/proxyrig.h
+++ b/test/unit/proxy/proxyrig.h
@@ -13,6 +13,7 @@
 {
     ServerAnnouncement said;
     bool leads = false;
+    std::optional<TimePoint> leavingSince;
     bool takesConnections = true;
     bool acceptsNothing = false; // new connections are neither accepted nor refused
     std::optional<StatementFault> connectionRefusal; // at the start of a connection
@@ -87,7 +88,8 @@
         std::vector<ServerRecord> records;
         for (auto &[id, server] : servers) {
             ++server.said.sequence;
-            records.push_back({server.said, false});
+            server.said.isLeaving = server.leavingSince.has_value();
+            records.push_back({server.said, false, 0, server.leavingSince});
         }
         proxy.setServers(records, now);
     }
--- a/test/unit/proxy/serverhome_test.cpp
+++ b/test/unit/proxy/serverhome_test.cpp
@@ -330,3 +330,25 @@
     CHECK(rig.evidence.empty());
     CHECK(rig.wasSent("q2"));
 }
+
+TEST_CASE("a server whose time to leave is over: only proofs and open transactions go on")
+{
+    HomeRig rig;
+    rig.home.setLeaveTime(6s);
+    rig.ask(1, HomeRig::command(ServerCommandKind::Begin, "b"));
+    rig.openAll();
+    rig.answer("b", TransactionState::Open);
+    rig.tellServer(rig.now - 6s);
+    rig.ask(2, HomeRig::read("late"));
+    CHECK_FALSE(rig.wasSent("late"));
+    REQUIRE(!rig.replies.empty());
+    CHECK((rig.replies.back().reply.fault == StatementFault::Busy)); // it has not run
+    rig.ask(1, HomeRig::read("in_transaction"));
+    CHECK(rig.wasSent("in_transaction"));
+    rig.home.take({2, 1}, HomeRig::Server,
+                  {HomeRig::command(ServerCommandKind::Begin, "proof"),
+                   HomeRig::command(ServerCommandKind::Rollback)},
+                  {1, 50ms}, rig.now);
+    rig.openAll();
+    CHECK(rig.wasSent("proof"));
+}
--- a/test/unit/proxy/serverregistry_test.cpp
+++ b/test/unit/proxy/serverregistry_test.cpp
@@ -87,3 +87,49 @@
     CHECK_FALSE(other.find(ServerId("s"))->said.isPrimary);
     CHECK_FALSE(other.take(*leader.find(ServerId("s")), TimePoint()));
 }
+
+TEST_CASE("a server has been leaving since any process first heard so, until it is born again")
+{
+    const auto leaving = [](std::uint64_t lifetime, std::uint64_t sequence,
+                            std::optional<TimePoint> since = {}) {
+        ServerRecord result = record(lifetime, sequence);
+        result.said.isLeaving = true;
+        result.leavingSince = since;
+        return result;
+    };
+    struct Row
+    {
+        const char *what;
+        ServerRecord known; // taken at 10 s
+        ServerRecord comes; // taken at 12 s
+        std::optional<TimePoint> since;
+    };
+    const Row rows[] = {
+            {"its first word of it", record(1, 1), leaving(1, 2), TimePoint(12s)},
+            {"its word again", leaving(1, 1), leaving(1, 2), TimePoint(10s)},
+            {"heard elsewhere before", leaving(1, 1), leaving(1, 1, TimePoint(9s)), TimePoint(9s)},
+            {"heard elsewhere, told with an older word", leaving(1, 3),
+             leaving(1, 2, TimePoint(8s)), TimePoint(8s)},
+            {"heard elsewhere later", leaving(1, 1), leaving(1, 1, TimePoint(11s)), TimePoint(10s)},
+            {"it stays after all", leaving(1, 1), record(1, 2), std::nullopt},
+            {"born again", leaving(1, 9), record(2, 1), std::nullopt},
+            {"leaving in its next life", leaving(1, 9), leaving(2, 1), TimePoint(12s)},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        ServerRegistry registry;
+        registry.take(row.known, TimePoint(10s));
+        registry.take(row.comes, TimePoint(12s));
+        CHECK(registry.find(ServerId("s"))->leavingSince == row.since);
+    }
+}
+
+TEST_CASE("a server's time to leave is over at its end, not before")
+{
+    ServerRecord leaving = record(1, 1);
+    CHECK_FALSE(leaving.hasLeft(6s, TimePoint(100s)));
+    leaving.leavingSince = TimePoint(10s);
+    CHECK_FALSE(leaving.hasLeft(6s, TimePoint(15'999ms)));
+    CHECK(leaving.hasLeft(6s, TimePoint(16s)));
+    CHECK_FALSE(leaving.hasLeft(Duration::max(), TimePoint(1h)));
+}
--- a/test/unit/proxy/sessionrouting_test.cpp
+++ b/test/unit/proxy/sessionrouting_test.cpp
@@ -282,3 +282,51 @@
     REQUIRE(rig.answerTo("w2") != nullptr);
     CHECK_FALSE(rig.answerTo("w2")->fault);
 }
+
+TEST_CASE("a primary that leaves while its successor is late: no new work after its time is over")
+{
+    struct Row
+    {
+        const char *what;
+        Duration leaving; // for which the primary has been leaving
+        bool isSent;
+    };
+    const Row rows[] = {{"it has time left", 5s, true}, {"its time is over", 6s, false}};
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        ProxyRig rig;
+        rig.proxy.setLeaveTime(6s);
+        rig.session(1, "casks");
+        rig.session(2, "casks");
+        rig.ask(1, StatementKind::Begin, "b");
+        rig.ask(1, StatementKind::Write, "w1", "item");
+        rig.serve();
+        rig.server("p").leavingSince = rig.now - row.leaving;
+        rig.tellServers();
+        rig.ask(2, StatementKind::Write, "w2", "item");
+        rig.ask(1, StatementKind::Write, "w3", "item");
+        rig.serve();
+        rig.pass(1s);
+        CHECK(rig.sendingsOf("w2").size() == (row.isSent ? 1 : 0));
+        if (!row.isSent)
+            CHECK((rig.answerTo("w2")->fault == StatementFault::Busy)); // it has not run
+        // What is open there goes on to its end.
+        CHECK(rig.sendingsOf("w3").size() == 1);
+        CHECK_FALSE(rig.answerTo("w3")->fault);
+    }
+}
+
+TEST_CASE("a primary whose time to leave ends while a write waits for a connection to it")
+{
+    ProxyRig rig;
+    rig.proxy.setLeaveTime(6s);
+    rig.server("p").leavingSince = rig.now - 5950ms;
+    rig.tellServers();
+    rig.session(1, "casks");
+    rig.ask(1, StatementKind::Write, "w", "item");
+    rig.pass(60ms);
+    rig.serve(); // the connection is accepted only now
+    rig.pass(1s);
+    CHECK(rig.sendingsOf("w").empty());
+    CHECK((rig.answerTo("w")->fault == StatementFault::Busy));
+}
--- a/test/unit/site/sitewire_test.cpp
+++ b/test/unit/site/sitewire_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 using namespace nutmegtide;
 
 TEST_CASE("a proof's age is never told as younger than it is")
@@ -43,3 +45,32 @@
     proof.position.index = -1;
     CHECK_THROWS_AS(fromWire(std::vector<wire::AgedProof> {proof}), MessageError);
 }
+
+TEST_CASE("how long a server has been leaving crosses as an age, on any two clocks")
+{
+    struct Row
+    {
+        std::optional<TimePoint> since; // at the sender, whose clock shows 100 s
+        std::optional<TimePoint> read; // at the receiver, whose clock shows 7 s
+    };
+    const Row rows[] = {{std::nullopt, std::nullopt},
+                        {TimePoint(98s), TimePoint(5s)},
+                        {TimePoint(100s), TimePoint(7s)},
+                        {TimePoint(101s), TimePoint(7s)}};
+    for (const Row &row : rows) {
+        ServerRecord record;
+        record.said.server = ServerId("s");
+        record.said.address = {"10.0.0.1", 80};
+        record.leavingSince = row.since;
+        CHECK(fromWire(toWire(record, TimePoint(100s)), TimePoint(7s)).leavingSince == row.read);
+    }
+}
+
+TEST_CASE("an absurd age of a peer's leaving server is bounded")
+{
+    ServerRecord record;
+    record.said.address = {"10.0.0.1", 80};
+    wire::ServerRecord told = toWire(record, TimePoint(1s));
+    told.__set_leavingMilliseconds(std::numeric_limits<std::int64_t>::max());
+    CHECK(fromWire(told, TimePoint(1s)).leavingSince == TimePoint(1s) - 24h);
+}
