Elect a leader within 0.25 s after all control VMs were lost, and give dead peers up sooner

The time went to the first election (300 to 550 ms from the start), to connections that entries and the control log tried to VMs that weren't up yet (open() timed out after 400 ms and 1 s), and to the look at the log's servers every 200 ms.

Hypothesis: a member that has just started can't have lost a leader, and a pre-vote is refused by those that hear one; so its first tries may come after 50 to 100 ms. Connections are given up after 250 ms by the control log and the news, after 100 ms by entries that know nothing yet; answers have their time.

--- a/include/nutmegtide/control/raftnode.h
+++ b/include/nutmegtide/control/raftnode.h
@@ -27,6 +27,9 @@
     Duration heartbeat = 100ms;
     Duration shortestElection = 400ms;
     Duration longestElection = 800ms;
+    // From the start to the first try of an election, and from one try to the next until a leader
+    // is heard or some tries were in vain; up to twice as long. 0: as at any other time.
+    Duration firstElection = 0ms;
 };
 
 // Equal for messages that do the same, for the exhaustive walk.
@@ -114,6 +117,9 @@
     void fire(const std::string &event);
     void perform(const std::string &action, const std::string &event);
     void resetElectionTimer();
+    // The same with the short time of a start, where that is due.
+    void resetFirstElectionTimer();
+    TimePoint randomMoment(Duration shortest, Duration longest);
     void adoptTerm();
     void askPreVotes();
     void raiseTerm();
@@ -181,6 +187,7 @@
     ChartInstance m_role;
     TimePoint m_now;
     TimePoint m_electionDue;
+    int m_firstElections = 10; // tries that are left before the time of a start is over
     TimePoint m_heartbeatDue;
     std::optional<TimePoint> m_leaderHeard;
     VoteRecord m_vote;
--- a/src/control/raftelection.cpp
+++ b/src/control/raftelection.cpp
@@ -3,13 +3,28 @@
 
 namespace nutmegtide {
 
-void RaftNode::resetElectionTimer()
+TimePoint RaftNode::randomMoment(Duration shortest, Duration longest)
 {
-    const auto span = (m_timings.longestElection - m_timings.shortestElection).count();
+    const auto span = (longest - shortest).count();
     Duration extra {0};
     if (span > 0)
         extra = Duration(std::uniform_int_distribution<Duration::rep>(0, span)(m_generator));
-    m_electionDue = m_now + m_timings.shortestElection + extra;
+    return m_now + shortest + extra;
+}
+
+void RaftNode::resetElectionTimer()
+{
+    m_electionDue = randomMoment(m_timings.shortestElection, m_timings.longestElection);
+}
+
+// A process that has just started can't have lost a leader that it heard. Where one leads all the
+// same, those that hear it refuse the pre-vote, so that a try costs no more than its messages.
+void RaftNode::resetFirstElectionTimer()
+{
+    if (m_timings.firstElection == Duration::zero() || m_firstElections == 0)
+        return resetElectionTimer();
+    --m_firstElections;
+    m_electionDue = randomMoment(m_timings.firstElection, 2 * m_timings.firstElection);
 }
 
 void RaftNode::adoptTerm()
@@ -22,7 +37,7 @@
 
 void RaftNode::askPreVotes()
 {
-    resetElectionTimer();
+    resetFirstElectionTimer();
     m_leader = {};
     m_votes.clear();
     if (!isVoter())
@@ -35,7 +50,7 @@
 
 void RaftNode::raiseTerm()
 {
-    resetElectionTimer();
+    resetFirstElectionTimer();
     m_votes.clear();
     m_vote = {m_vote.term + 1, m_self};
     persistVote();
--- a/src/control/raftfollower.cpp
+++ b/src/control/raftfollower.cpp
@@ -21,6 +21,7 @@
     fire("leader_heard");
     m_leader = message.sender;
     m_leaderHeard = m_now;
+    m_firstElections = 0;
 }
 
 void RaftNode::takeAppend(const RaftMessage &message)
--- a/src/control/raftleader.cpp
+++ b/src/control/raftleader.cpp
@@ -29,6 +29,7 @@
 void RaftNode::recordLeader()
 {
     m_leader = m_self;
+    m_firstElections = 0;
     m_actions.emplace_back(BecameLeader {m_vote.term});
 }
 
--- a/src/control/raftnode.cpp
+++ b/src/control/raftnode.cpp
@@ -30,7 +30,7 @@
     , m_commit(m_log.snapshot().index)
     , m_ownDurable(m_log.lastIndex())
 {
-    resetElectionTimer();
+    resetFirstElectionTimer();
 }
 
 RaftActions RaftNode::receive(const RaftMessage &message, TimePoint now)
--- a/src/serve/peerclient.cpp
+++ b/src/serve/peerclient.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr auto ConnectTimeout = 1000ms;
 constexpr auto CloseInterval = 10s; // of looking for unused connections
 
 // An idle connection has nothing to read unless the peer closed it.
@@ -53,7 +52,7 @@
 std::unique_ptr<PeerConnection> PeerClients::open(const Endpoint &peer,
                                                   std::chrono::milliseconds timeout) const
 {
-    return std::make_unique<PeerConnection>(routeTo(peer), std::min(timeout, ConnectTimeout));
+    return std::make_unique<PeerConnection>(routeTo(peer), timeout);
 }
 
 const Endpoint &PeerClients::routeTo(const Endpoint &peer) const
--- a/src/serve/peerclient.h
+++ b/src/serve/peerclient.h
@@ -30,6 +30,14 @@
     bool m_wasSent;
 };
 
+// What a call may take. A machine that isn't up answers nothing, so a connection is given up sooner
+// than an answer where another try helps more than waiting.
+struct CallTimeouts
+{
+    std::chrono::milliseconds connect;
+    std::chrono::milliseconds answer;
+};
+
 // Fills in the header of each call with the identity and the clock of this process.
 using HeaderSource = std::function<wire::Header()>;
 
@@ -73,10 +81,19 @@
 
     // Throws PeerError, or wire::PeerRefusal as the peer sent it.
     template <typename Call>
-    auto call(const Endpoint &peer, std::chrono::milliseconds timeout, Call &&call)
+    auto call(const Endpoint &peer, const CallTimeouts &timeouts, Call &&call)
             -> decltype(call(std::declval<wire::PeerClient &>()));
+    template <typename Call>
+    auto call(const Endpoint &peer, std::chrono::milliseconds timeout, Call &&call)
+            -> decltype(call(std::declval<wire::PeerClient &>()))
+    {
+        return this->call(peer, CallTimeouts {std::min(timeout, LongestConnect), timeout},
+                          std::forward<Call>(call));
+    }
 
 private:
+    static constexpr std::chrono::milliseconds LongestConnect {1000};
+
     std::unique_ptr<PeerConnection> borrow(const Endpoint &peer);
     std::unique_ptr<PeerConnection> open(const Endpoint &peer,
                                          std::chrono::milliseconds timeout) const;
@@ -92,13 +109,13 @@
 };
 
 template <typename Call>
-auto PeerClients::call(const Endpoint &peer, std::chrono::milliseconds timeout, Call &&call)
+auto PeerClients::call(const Endpoint &peer, const CallTimeouts &timeouts, Call &&call)
         -> decltype(call(std::declval<wire::PeerClient &>()))
 {
     auto connection = borrow(peer);
     if (!connection)
-        connection = open(peer, timeout);
-    connection->setTimeout(timeout);
+        connection = open(peer, timeouts.connect);
+    connection->setTimeout(timeouts.answer);
     try {
         if constexpr (std::is_void_v<decltype(call(connection->client()))>) {
             call(connection->client());
--- a/src/serve/raftsender.cpp
+++ b/src/serve/raftsender.cpp
@@ -8,7 +8,8 @@
 
 constexpr std::size_t LongestQueue = 64; // messages
 constexpr std::size_t MostBytesPerCall = 4 * 1024 * 1024; // below a peer's largest frame
-constexpr auto CallTimeout = 1s;
+// While a connection is tried to a machine that isn't up yet, whatever follows waits.
+constexpr CallTimeouts Timeouts {250ms, 1s};
 
 std::size_t sizeOf(const RaftMessage &message)
 {
@@ -84,7 +85,7 @@
     for (const RaftMessage &message : messages)
         batch.push_back(toWire(message));
     try {
-        m_peers.call(record->peers, CallTimeout,
+        m_peers.call(record->peers, Timeouts,
                      [&](wire::PeerClient &client) { client.raft(m_peers.header(), batch); });
         m_onAnswer(m_peer, std::nullopt);
     } catch (const PeerError &) {
--- a/src/site/controlfollower.cpp
+++ b/src/site/controlfollower.cpp
@@ -9,7 +9,8 @@
 
 constexpr auto AskInterval = 300ms;
 constexpr auto EagerInterval = 100ms; // while nothing is known yet, or after a failure
-constexpr auto CallTimeout = 400ms;
+constexpr CallTimeouts UsualTimeouts {400ms, 400ms};
+constexpr CallTimeouts EagerTimeouts {100ms, 400ms}; // while nothing is known yet
 
 ControlStanding standingOf(const wire::FollowReply &reply)
 {
@@ -146,8 +147,9 @@
     }
     std::string reason = "it doesn't hear the leader";
     const TimePoint askedAt = EventLoop::now();
+    const CallTimeouts &timeouts = m_isEager ? EagerTimeouts : UsualTimeouts;
     try {
-        const auto reply = m_peers.call(*control, CallTimeout, [&](wire::PeerClient &client) {
+        const auto reply = m_peers.call(*control, timeouts, [&](wire::PeerClient &client) {
             wire::FollowReply result;
             client.follow(result, m_peers.header(), asked);
             return result;
--- a/src/site/controlnode.cpp
+++ b/src/site/controlnode.cpp
@@ -18,7 +18,7 @@
 constexpr auto ReadTimeout = 1500ms;
 constexpr int PeerWorkers = 4;
 // Control VMs of one region are milliseconds apart, and all wait for a leader after a restart.
-constexpr RaftTimings LogTimings {80ms, 300ms, 550ms};
+constexpr RaftTimings LogTimings {80ms, 300ms, 550ms, 50ms};
 constexpr Duration LeaderTick = 30ms; // of decisions on changes of primary
 constexpr Duration FollowerTick = 300ms;
 
--- a/src/site/controlnode.h
+++ b/src/site/controlnode.h
@@ -88,6 +88,7 @@
 
     // Looks after the members, the peers and the registry from a thread of its own.
     void maintain();
+    bool isStarting() const;
     void maintainMembers();
     void maintainPeers();
     void maintainHomes();
@@ -141,6 +142,8 @@
     std::unique_ptr<ChangeKeeper> m_changes; // the same
     std::thread m_loopThread;
 
+    const TimePoint m_startedAt = EventLoop::now();
+    bool m_hasRoster = false; // of m_thread alone
     Signal m_signal;
     std::atomic<bool> m_isStopping = false;
     std::thread m_thread;
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr auto MaintainInterval = 200ms;
+constexpr auto StartInterval = 20ms; // the same until the log's servers are known here
+constexpr auto StartTime = 3s; // in which that is expected
 constexpr auto SpreadInterval = 2s; // of the whole registry
 constexpr auto ForgottenAfter = 60s; // servers that are gone
 constexpr auto KnownTime = 10s; // that a control VM which was not heard counts as one
@@ -161,6 +163,7 @@
 void ControlNode::takeRoster()
 {
     const std::vector<ServerAnnouncement> known = m_roster.announcements();
+    m_hasRoster = !known.empty();
     const std::lock_guard lock(m_mutex);
     for (const ServerAnnouncement &said : known) {
         if (m_registry.find(said.server) == nullptr)
@@ -198,11 +201,17 @@
         mailbox->put(std::vector<wire::ServerRecord> {toWire(record, EventLoop::now())});
 }
 
+// Entry VMs that start too wait for what the log says, which is known once there is a leader.
+bool ControlNode::isStarting() const
+{
+    return EventLoop::now() - m_startedAt < StartTime && !(hearsLeader() && m_hasRoster);
+}
+
 void ControlNode::maintain()
 {
     TimePoint spreadAt {};
     while (!m_isStopping) {
-        m_signal.restUntil(Clock::now() + MaintainInterval);
+        m_signal.restUntil(Clock::now() + (isStarting() ? StartInterval : MaintainInterval));
         maintainPeers();
         maintainMembers();
         takeRoster();
--- a/src/site/newsmailbox.cpp
+++ b/src/site/newsmailbox.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr auto CallTimeout = 800ms;
+constexpr CallTimeouts Timeouts {250ms, 800ms};
 constexpr std::size_t MostComplaints = 256; // that wait for one peer
 
 } // namespace
@@ -77,7 +77,7 @@
         }
         const wire::SiteNews news = takeNews();
         try {
-            m_peers.call(m_peer, CallTimeout, [&](wire::PeerClient &client) {
+            m_peers.call(m_peer, Timeouts, [&](wire::PeerClient &client) {
                 client.spreadNews(m_peers.header(), news);
             });
         } catch (const PeerError &) {
--- a/test/unit/control/controlvms.h
+++ b/test/unit/control/controlvms.h
@@ -58,8 +58,10 @@
 
     // The standbys wait until they are made members.
     explicit ControlVms(unsigned seed, const std::vector<std::string> &names = {"c1", "c2", "c3"},
-                        const std::vector<std::string> &standbys = {})
-        : m_random(seed)
+                        const std::vector<std::string> &standbys = {},
+                        const RaftTimings &timings = {})
+        : m_timings(timings)
+        , m_random(seed)
     {
         for (const std::string &name : names)
             m_names.emplace_back(name);
@@ -87,7 +89,7 @@
         vm.state = stored.snapshot.state;
         const std::vector<VmName> names = vm.isFounder ? m_names : std::vector<VmName> {};
         vm.node = std::make_unique<RaftNode>(name, std::move(stored), names, controlRoleChart(),
-                                             RaftTimings {}, std::minstd_rand(m_random()), m_now);
+                                             m_timings, std::minstd_rand(m_random()), m_now);
     }
     void stop(const VmName &name)
     {
@@ -255,6 +257,7 @@
         return store.replace(install.snapshot, install.vote, install.tail), install.write;
     }
 
+    const RaftTimings m_timings;
     // Another kind of generator than the nodes have: seeded from their own kind, their election
     // timeouts would repeat each other.
     std::mt19937 m_random;
--- a/test/unit/control/raftnode_test.cpp
+++ b/test/unit/control/raftnode_test.cpp
@@ -272,3 +272,63 @@
     CHECK_THROWS_AS(leader.removeMember(VmName("c2")), MembershipError);
     CHECK_THROWS_AS(vms.node(followerOf(vms).text()).removeMember(VmName("c3")), NotLeaderError);
 }
+
+TEST_CASE(
+        "all control VMs lost at once and back one after the other: a leader soon after a majority")
+{
+    constexpr RaftTimings Timings {80ms, 300ms, 550ms, 50ms};
+    constexpr std::chrono::milliseconds Aim = 250ms;
+    constexpr unsigned Seeds = 300;
+    struct Row
+    {
+        std::string what;
+        std::chrono::milliseconds between; // starts of VMs
+        bool isLastBack;
+    };
+    const Row rows[] = {{"together", 0ms, true},
+                        {"staggered", 70ms, true},
+                        {"slowly", 140ms, true},
+                        {"one is missing", 70ms, false}};
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        unsigned late = 0;
+        for (unsigned seed = 1; seed <= Seeds; ++seed) {
+            ControlVms vms(seed, {"c1", "c2", "c3"}, {}, Timings);
+            REQUIRE(vms.commit("a"));
+            for (const VmName &vm : vms.all())
+                vms.stop(vm);
+            vms.run(500ms);
+            vms.start(VmName("c1"));
+            vms.run(row.between);
+            vms.start(VmName("c2"));
+            const TimePoint majorityBack = vms.now();
+            vms.run(row.between);
+            if (row.isLastBack)
+                vms.start(VmName("c3"));
+            vms.runUntil([&vms] { return vms.leader().has_value(); });
+            late += vms.now() - majorityBack > Aim ? 1 : 0;
+            CHECK(vms.commit("b"));
+        }
+        CHECK(late == 0);
+    }
+}
+
+TEST_CASE("a member that comes back alone while the others have a leader disturbs nobody")
+{
+    ControlVms vms(Seed, {"c1", "c2", "c3"}, {}, {80ms, 300ms, 550ms, 50ms});
+    REQUIRE(vms.commit("a"));
+    const VmName leader = *vms.leader();
+    const RaftTerm term = vms.node(leader.text()).term();
+    for (int i = 0; i < 10; ++i) {
+        const VmName follower = followerOf(vms);
+        vms.stop(follower);
+        vms.run(400ms);
+        vms.cut(follower); // it hears the leader only later
+        vms.start(follower);
+        vms.run(300ms);
+        vms.heal();
+        vms.run(1s);
+    }
+    CHECK(vms.leader() == leader);
+    CHECK(vms.node(leader.text()).term() == term);
+}
