Let sessions that come before the first routes wait for them for a while

Hypothesis: within 2 s of the process's start a session waits for the routes for at most 1 s, since its caller would only ask others that have just started too. After that, as in a cut, it is refused at once. What a caller sends ahead is kept for it.

Tests: "all processes lost at once: who comes before the routes waits for them for a while", "a start without control: nobody waits for routes that don't come", "a planned stop refuses those who wait for routes".

--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -90,6 +90,9 @@
 public:
     SessionProxy(ProxyOutlet &outlet, FailureDomain own);
 
+    // Before the first routes, a session that comes by then waits for them for a while, since its
+    // caller would ask other processes that have just started too. Later ones are refused at once.
+    void awaitRoutes(TimePoint until) { m_awaitsRoutesUntil = until; }
     void setRoutes(std::shared_ptr<const RouteTable> routes);
     void setServers(const std::vector<ServerRecord> &records, TimePoint now);
     // A server that has been leaving for so long gets no new work; open transactions go on there.
@@ -135,7 +138,7 @@
     // Servers of other failure domains fail, and none of them has answered lately.
     bool isCutOff(TimePoint now) const { return m_pool.isCutOff(now); }
     // Takes no further session.
-    void refuseSessions() { m_isClosed = true; }
+    void refuseSessions();
     // Ends the transactions that are open and idle.
     void abortOpen(TimePoint now);
     // Answers all that is still waited for, as the last step of a planned stop.
@@ -196,6 +199,14 @@
         bool isTimed = false;
     };
 
+    // A session that waits for the first routes.
+    struct EarlySession
+    {
+        DatabaseName database;
+        TimePoint cameAt;
+        std::deque<SessionStatement> queue;
+    };
+
     struct ProofState
     {
         std::set<SessionKey> waiting;
@@ -207,6 +218,9 @@
     };
 
     // Callers' side (sessionproxy.cpp).
+    void startSession(SessionKey key, const DatabaseName &database, TimePoint now);
+    // Ends the sessions that wait for the first routes and came before then.
+    void refuseEarly(TimePoint cameBefore);
     void takeNext(SessionKey key, TimePoint now);
     void start(SessionKey key, const SessionStatement &statement, TimePoint now);
     bool answerLocally(SessionKey key, const SessionStatement &statement, TimePoint now);
@@ -272,6 +286,8 @@
     std::shared_ptr<const RouteTable> m_routes;
     ServerPool m_pool;
     std::map<SessionKey, Session> m_sessions;
+    std::map<SessionKey, EarlySession> m_earlySessions;
+    TimePoint m_awaitsRoutesUntil {};
     std::map<ServiceName, ProofState> m_proofs;
     std::map<DatabaseName, UsualTime> m_workOf; // of a statement, by its route
     std::set<std::pair<TimePoint, SessionKey>> m_timers;
--- a/src/proxy/sessionproxy.cpp
+++ b/src/proxy/sessionproxy.cpp
@@ -9,6 +9,7 @@
 
 constexpr auto PoolInterval = 100ms; // of looking for unused connections
 constexpr std::size_t MostQueued = 256; // statements that a caller sends ahead of their answers
+constexpr Duration LongestEarlyWait = 1s; // of a session for the first routes
 constexpr int ObjectiveParts = 4; // a statement that can't be sent waits this part of the objective
 
 } // namespace
@@ -24,6 +25,30 @@
     m_routes = std::move(routes);
     std::erase_if(m_workOf,
                   [this](const auto &item) { return m_routes->find(item.first) == nullptr; });
+    for (auto &[key, early] : std::exchange(m_earlySessions, {})) {
+        startSession(key, early.database, early.cameAt);
+        for (const SessionStatement &statement : early.queue)
+            receive(key, statement, early.cameAt);
+    }
+}
+
+void SessionProxy::refuseEarly(TimePoint cameBefore)
+{
+    std::vector<SessionKey> refused;
+    for (const auto &[key, early] : m_earlySessions) {
+        if (early.cameAt < cameBefore)
+            refused.push_back(key);
+    }
+    for (const SessionKey key : refused) {
+        m_earlySessions.erase(key);
+        m_outlet.end(key, StatementFault::Busy);
+    }
+}
+
+void SessionProxy::refuseSessions()
+{
+    m_isClosed = true;
+    refuseEarly(TimePoint::max());
 }
 
 void SessionProxy::setServers(const std::vector<ServerRecord> &records, TimePoint now)
@@ -45,14 +70,22 @@
 
 void SessionProxy::openSession(SessionKey key, const DatabaseName &database, TimePoint now)
 {
-    if (m_isClosed)
-        return m_outlet.end(key, StatementFault::Busy);
-    if (m_routes->find(database) == nullptr) {
-        // Before the first routes are known, nobody can say that a database is unknown.
-        const bool isKnowing = m_routes->revision != 0;
-        m_outlet.end(key, isKnowing ? StatementFault::UnknownDatabase : StatementFault::Busy);
+    // Before the first routes are known, nobody can say that a database is unknown.
+    const bool isKnowing = m_routes->revision != 0;
+    if (!isKnowing && !m_isClosed && now < m_awaitsRoutesUntil) {
+        m_earlySessions[key] = {database, now, {}};
+        m_poolDueAt = std::min(m_poolDueAt, now + PoolInterval);
         return;
     }
+    if (m_isClosed || !isKnowing)
+        return m_outlet.end(key, StatementFault::Busy);
+    startSession(key, database, now);
+}
+
+void SessionProxy::startSession(SessionKey key, const DatabaseName &database, TimePoint now)
+{
+    if (m_routes->find(database) == nullptr)
+        return m_outlet.end(key, StatementFault::UnknownDatabase);
     Session &session = m_sessions[key];
     session.database = database;
     session.usedAt = now;
@@ -61,15 +94,17 @@
 
 void SessionProxy::receive(SessionKey key, const SessionStatement &statement, TimePoint now)
 {
+    const auto early = m_earlySessions.find(key);
     const auto found = m_sessions.find(key);
-    if (found == m_sessions.end())
+    if (early == m_earlySessions.end() && found == m_sessions.end())
         return;
-    if (found->second.queue.size() >= MostQueued) {
+    auto &queue = early != m_earlySessions.end() ? early->second.queue : found->second.queue;
+    if (queue.size() >= MostQueued) {
         m_outlet.end(key, StatementFault::TooLarge);
         callerLeft(key, now);
         return;
     }
-    found->second.queue.push_back(statement);
+    queue.push_back(statement);
     takeNext(key, now);
 }
 
@@ -270,6 +305,7 @@
 
 void SessionProxy::callerLeft(SessionKey key, TimePoint now)
 {
+    m_earlySessions.erase(key);
     const auto found = m_sessions.find(key);
     if (found == m_sessions.end())
         return;
@@ -322,6 +358,7 @@
     if (now < m_poolDueAt)
         return;
     m_poolDueAt = now + PoolInterval;
+    refuseEarly(now - LongestEarlyWait);
     for (const ConnectionKey key : m_pool.silent(now)) {
         m_outlet.close(key);
         lost(key, Loss::Silent, now);
--- a/test/unit/proxy/proxyrig.h
+++ b/test/unit/proxy/proxyrig.h
@@ -63,7 +63,8 @@
         addRoute(table, "casks", Consistency::Latest, 0ms);
         addRoute(table, "aged", Consistency::BoundedAge, 1500ms);
         addRoute(table, "own", Consistency::OwnWrites, 2500ms);
-        proxy.setRoutes(std::make_shared<RouteTable>(table));
+        routes = std::make_shared<RouteTable>(table);
+        proxy.setRoutes(routes);
         tellServers();
     }
 
@@ -164,6 +165,8 @@
 
     static inline const ServiceName Service {"db"};
     std::map<ServerId, ScriptedServer> servers;
+    std::shared_ptr<const RouteTable> routes;
+    std::vector<SessionKey> accepted;
     std::vector<GivenAnswer> answers;
     std::vector<SentCommand> sentCommands;
     bool hasHomes = false; // connections go through homes
@@ -233,7 +236,7 @@
         return reply;
     }
 
-    void accept(SessionKey /*session*/) override { }
+    void accept(SessionKey session) override { accepted.push_back(session); }
     void answer(SessionKey session, const RequestId &request, const SessionAnswer &answer) override
     {
         answers.push_back({session, request, answer});
--- a/test/unit/proxy/sessionproxy_test.cpp
+++ b/test/unit/proxy/sessionproxy_test.cpp
@@ -150,3 +150,63 @@
     REQUIRE(rig.answerTo("w") != nullptr);
     CHECK_FALSE(rig.answerTo("w")->fault);
 }
+
+TEST_CASE("all processes lost at once: who comes before the routes waits for them for a while")
+{
+    ProxyRig rig;
+    const std::shared_ptr<const RouteTable> routes = rig.routes;
+    rig.proxy.setRoutes(std::make_shared<RouteTable>());
+    rig.proxy.awaitRoutes(rig.now + 2s);
+    rig.session(1, "casks");
+    rig.session(2, "nowhere");
+    rig.session(3, "casks");
+    rig.ask(1, StatementKind::Read, "ahead", "item"); // before it was told to go on
+    rig.proxy.callerLeft(3, rig.now);
+    rig.pass(600ms);
+    CHECK(rig.accepted.empty());
+    CHECK(rig.ended.empty());
+    rig.proxy.setRoutes(routes);
+    CHECK(rig.accepted == std::vector<SessionKey> {1});
+    REQUIRE(rig.ended.size() == 1);
+    CHECK(rig.ended[0].first == 2);
+    CHECK((rig.ended[0].second == StatementFault::UnknownDatabase));
+    rig.serve();
+    REQUIRE(rig.answerTo("ahead") != nullptr);
+    CHECK_FALSE(rig.answerTo("ahead")->fault);
+}
+
+TEST_CASE("a start without control: nobody waits for routes that don't come")
+{
+    struct Row
+    {
+        const char *what;
+        Duration comes; // after the start
+        Duration answered; // after it came, at the latest
+    };
+    const Row rows[] = {{"early", 100ms, 1200ms},
+                        {"at the end of the start", 1900ms, 1200ms},
+                        {"later", 2s, 0ms}};
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        ProxyRig rig;
+        rig.proxy.setRoutes(std::make_shared<RouteTable>());
+        rig.proxy.awaitRoutes(rig.now + 2s);
+        rig.pass(row.comes);
+        rig.session(1, "casks");
+        rig.pass(row.answered);
+        REQUIRE(rig.ended.size() == 1);
+        CHECK((rig.ended[0].second == StatementFault::Busy));
+        CHECK(rig.accepted.empty());
+    }
+}
+
+TEST_CASE("a planned stop refuses those who wait for routes")
+{
+    ProxyRig rig;
+    rig.proxy.setRoutes(std::make_shared<RouteTable>());
+    rig.proxy.awaitRoutes(rig.now + 2s);
+    rig.session(1, "casks");
+    rig.proxy.refuseSessions();
+    REQUIRE(rig.ended.size() == 1);
+    CHECK((rig.ended[0].second == StatementFault::Busy));
+}
