Call a control VM current only once all that was committed before its leader is applied there

Now a member is current once an entry of its leader's own term and all that the leader has told to be committed are applied there; before that it doesn't answer for the fleet.

A configuration is compressed when it is first asked for, not for each revision that passes by at a start. Test: "a member whose state is out of date says so until it has caught up with the leader".

--- a/include/nutmegtide/control/raftnode.h
+++ b/include/nutmegtide/control/raftnode.h
@@ -46,6 +46,9 @@
     Members members;
     std::map<VmName, std::string> refusedFolders; // by VM whose folder isn't the member's
     std::map<VmName, TimePoint> heard; // by the leader, of its followers
+    // All that was committed before the present leader was elected, and all that the leader has
+    // told of since, is applied here. Before that, what is applied may be long out of date.
+    bool isCurrent = false;
 };
 
 // The decisions of one control VM in the replicated log: Raft's rules with
@@ -129,6 +132,8 @@
     void recordLeader();
     void recordSteppedDown(const std::string &event);
 
+    bool isCurrent() const;
+
     // Elections.
     void answerPreVote(const RaftMessage &message);
     void answerVote(const RaftMessage &message);
@@ -194,6 +199,7 @@
     RaftTerm m_higherTerm = 0; // what adopt_term takes over
     VmName m_leader;
     RaftLog m_log;
+    LogIndex m_leaderCommit = 0; // as leaders told
     LogIndex m_commit = 0;
     std::map<VmName, std::string> m_votes; // granted in this election, with the folder's id
     std::map<VmName, Progress> m_progress; // as leader
--- a/src/control/raftfollower.cpp
+++ b/src/control/raftfollower.cpp
@@ -22,6 +22,7 @@
     m_leader = message.sender;
     m_leaderHeard = m_now;
     m_firstElections = 0;
+    m_leaderCommit = std::max(m_leaderCommit, message.commit);
 }
 
 void RaftNode::takeAppend(const RaftMessage &message)
--- a/src/control/raftleader.cpp
+++ b/src/control/raftleader.cpp
@@ -90,7 +90,7 @@
     RaftMessage message = messageTo(peer, RaftMessageKind::Append);
     message.lastIndex = m_log.snapshot().index;
     message.lastTerm = m_log.snapshot().term;
-    message.commit = m_log.snapshot().index;
+    message.commit = m_commit;
     send(std::move(message));
 }
 
--- a/src/control/raftnode.cpp
+++ b/src/control/raftnode.cpp
@@ -83,8 +83,22 @@
     std::map<VmName, TimePoint> heard;
     for (const auto &[peer, progress] : m_progress)
         heard[peer] = progress.heard;
-    return {m_leader,        m_vote.term,      m_log.lastIndex(), m_commit, m_log.snapshot().index,
-            m_log.members(), m_refusedFolders, std::move(heard)};
+    return {m_leader,
+            m_vote.term,
+            m_log.lastIndex(),
+            m_commit,
+            m_log.snapshot().index,
+            m_log.members(),
+            m_refusedFolders,
+            std::move(heard),
+            isCurrent()};
+}
+
+// A leader's first own entry is committed after all that was committed before its term.
+bool RaftNode::isCurrent() const
+{
+    return !m_leader.isEmpty() && m_commit >= m_leaderCommit
+            && m_log.termAt(m_commit) == m_vote.term;
 }
 
 TimePoint RaftNode::deadline() const
--- a/src/site/controlnode.cpp
+++ b/src/site/controlnode.cpp
@@ -144,7 +144,7 @@
 bool ControlNode::isInTouch() const
 {
     if (hearsLeader())
-        return true;
+        return m_log.status().isCurrent;
     const std::lock_guard lock(m_mutex);
     return m_isFollowerInTouch;
 }
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -41,8 +41,8 @@
     takeComplaints(complaints);
     wire::FollowReply reply;
     reply.proofs = answerProofs(request.agedServices);
-    reply.isMember = hearsLeader();
-    reply.isCurrent = reply.isMember || isInTouch();
+    reply.isCurrent = isInTouch();
+    reply.isMember = reply.isCurrent && hearsLeader();
     reply.leader = leaderName().text();
     const std::lock_guard lock(m_mutex);
     if (request.folder.empty())
@@ -55,6 +55,9 @@
     }
     if (m_revision > static_cast<Revision>(request.revision)) {
         reply.__isset.configuration = true;
+        // Compressed when it is first asked for: at a start many revisions pass by unasked.
+        if (m_compressed.empty() && m_configuration.size() >= CompressFrom)
+            m_compressed = compress(m_configuration);
         reply.configuration.revision = static_cast<std::int64_t>(m_revision);
         reply.configuration.isCompressed = !m_compressed.empty();
         reply.configuration.text = m_compressed.empty() ? m_configuration : m_compressed;
@@ -157,7 +160,7 @@
         return;
     m_revision = revision;
     m_configuration = text;
-    m_compressed = text.size() < CompressFrom ? "" : compress(text);
+    m_compressed.clear();
 }
 
 void ControlNode::takeRoster()
@@ -204,7 +207,7 @@
 // Entry VMs that start too wait for what the log says, which is known once there is a leader.
 bool ControlNode::isStarting() const
 {
-    return EventLoop::now() - m_startedAt < StartTime && !(hearsLeader() && m_hasRoster);
+    return EventLoop::now() - m_startedAt < StartTime && !(isInTouch() && m_hasRoster);
 }
 
 void ControlNode::maintain()
--- a/test/unit/control/controlvms.h
+++ b/test/unit/control/controlvms.h
@@ -5,6 +5,7 @@
 #include "nutmegtide/control/raftnode.h"
 #include "unit/control/fakedisk.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 #include <functional>
 #include <set>
@@ -184,16 +185,16 @@
             return isUp(name) && m_vms[name].state.find(payload + ";") != std::string::npos;
         });
     }
-    bool agree(const std::string &state)
+    bool agreed(const std::string &state) const
     {
-        return runUntil([&] {
-            for (auto &[name, vm] : m_vms) {
-                if (vm.node && vm.state != state)
-                    return false;
-            }
-            return true;
+        return std::all_of(m_vms.begin(), m_vms.end(), [&state](const auto &item) {
+            return item.second.node == nullptr || item.second.state == state;
         });
     }
+    bool agree(const std::string &state)
+    {
+        return runUntil([&] { return agreed(state); });
+    }
     void takeSnapshot(const std::string &name)
     {
         Vm &vm = at(name);
--- a/test/unit/control/raftnode_test.cpp
+++ b/test/unit/control/raftnode_test.cpp
@@ -332,3 +332,38 @@
     CHECK(vms.leader() == leader);
     CHECK(vms.node(leader.text()).term() == term);
 }
+
+TEST_CASE("a member whose state is out of date says so until it has caught up with the leader")
+{
+    ControlVms vms(Seed);
+    const auto isCurrent = [&vms](const VmName &vm) {
+        return vms.node(vm.text()).status().isCurrent;
+    };
+    REQUIRE(vms.commit("a"));
+    REQUIRE(vms.agree("a;"));
+    for (const VmName &vm : vms.all())
+        vms.takeSnapshot(vm.text());
+    REQUIRE(vms.commit("b"));
+    REQUIRE(vms.agree("a;b;"));
+    for (const VmName &vm : vms.all()) {
+        CHECK(isCurrent(vm));
+        vms.restart(vm);
+    }
+    // Each has the old snapshot's state at first, and none may take that for the newest.
+    while (!vms.agreed("a;b;")) {
+        for (const VmName &vm : vms.all())
+            CHECK((!isCurrent(vm) || vms.at(vm.text()).state == "a;b;"));
+        vms.step();
+    }
+    REQUIRE(vms.runUntil([&] { return isCurrent(VmName("c1")) && isCurrent(VmName("c2")); }));
+
+    const VmName follower = followerOf(vms);
+    vms.cut(follower);
+    REQUIRE(vms.commit("c"));
+    vms.restart(follower);
+    vms.run(2s);
+    CHECK_FALSE(isCurrent(follower));
+    vms.heal();
+    REQUIRE(vms.runUntil([&] { return isCurrent(follower); }));
+    CHECK(vms.at(follower.text()).state == "a;b;c;");
+}
