Tell other control VMs only what they don't know, and ask the own domain's again soon at a start

- The directory: a control VM tells another one only the servers whose record differs from what it told it last; all of it after a lost call and every 10 s, since the other may have started anew.
- Entries elsewhere: at the start of a fleet no control VM has a leader yet, and one that said so counted as failed for 5 s, in which an entry asked elsewhere ten times a second and was told the growing directory and the homes each time (4.3 KB a call).
One that isn't ready counts as bad for 0.2 s while the entry knows nothing.

--- a/src/site/controlchoice.cpp
+++ b/src/site/controlchoice.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr auto RetryTime = 5s; // after which a control VM that failed is as good as the others
+// After which a control VM that failed is as good as the others, by ControlFailure.
+constexpr Duration RetryTimes[] = {5s, 200ms};
 
 } // namespace
 
@@ -37,8 +38,7 @@
     std::optional<ControlLocation> best;
     auto rank = [this, now](const ControlLocation &control) {
         const Standing &standing = m_standings[control.peers];
-        const bool isBad = standing.hasFailed && now - standing.failedAt < RetryTime;
-        const TimePoint failedAt = isBad ? standing.failedAt : TimePoint {};
+        const TimePoint failedAt = now < standing.badUntil ? standing.failedAt : TimePoint {};
         return std::make_tuple(failedAt, control.failureDomain != m_own, control.peers != m_current);
     };
     for (const ControlLocation &control : known()) {
@@ -53,12 +53,12 @@
 
 void ControlChoice::succeeded(const Endpoint &control)
 {
-    m_standings[control].hasFailed = false;
+    m_standings[control].badUntil = {};
 }
 
-void ControlChoice::failed(const Endpoint &control, TimePoint now)
+void ControlChoice::failed(const Endpoint &control, ControlFailure failure, TimePoint now)
 {
-    m_standings[control] = {now, true};
+    m_standings[control] = {now, now + RetryTimes[static_cast<std::size_t>(failure)]};
 }
 
 bool ControlChoice::isOwnDomain(const Endpoint &control) const
--- a/src/site/controlchoice.h
+++ b/src/site/controlchoice.h
@@ -26,9 +26,15 @@
     Member, // hears the leader of the control log
 };
 
+// Why a control VM's answer was of no use.
+enum class ControlFailure {
+    Silent, // it can't be reached, or doesn't answer
+    NotReady, // it answers, but has no leader yet since all have just started
+};
+
 // Chooses the control VM to ask: one of the own failure domain first, where bytes are cheap and
 // a cut is unlikely; another one after a failure, in turn. A VM that failed is tried again after
-// a while.
+// a while, and sooner where it only wasn't ready.
 class ControlChoice
 {
 public:
@@ -39,7 +45,7 @@
     // Nothing where no control VM is known.
     std::optional<Endpoint> next(TimePoint now);
     void succeeded(const Endpoint &control);
-    void failed(const Endpoint &control, TimePoint now);
+    void failed(const Endpoint &control, ControlFailure failure, TimePoint now);
     // Whether the control VM is known to stand in the own failure domain.
     bool isOwnDomain(const Endpoint &control) const;
     // Whether the word of a control VM with this standing is taken. Among control VMs only a
@@ -54,7 +60,7 @@
     struct Standing
     {
         TimePoint failedAt {};
-        bool hasFailed = false;
+        TimePoint badUntil {};
     };
 
     const FailureDomain m_own;
--- a/src/site/controlfollower.cpp
+++ b/src/site/controlfollower.cpp
@@ -146,6 +146,8 @@
         asked.directoryVersion = m_directoryVersions[*control];
     }
     std::string reason = "it doesn't hear the leader";
+    // While this VM knows nothing, all may have just started; later it would only go to and fro.
+    ControlFailure failure = m_isEager ? ControlFailure::NotReady : ControlFailure::Silent;
     const TimePoint askedAt = EventLoop::now();
     const CallTimeouts &timeouts = m_isEager ? EagerTimeouts : UsualTimeouts;
     try {
@@ -160,13 +162,14 @@
         }
     } catch (const PeerError &fault) {
         reason = fault.what();
+        failure = ControlFailure::Silent;
     } catch (const wire::PeerRefusal &refusal) {
         reason = refusal.message;
     } catch (const Error &fault) {
         reason = fault.what();
     }
     const std::lock_guard lock(m_mutex);
-    m_choice.failed(*control, EventLoop::now());
+    m_choice.failed(*control, failure, EventLoop::now());
     report(false, toString(*control) + ": " + reason);
     return false;
 }
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -234,7 +234,7 @@
         const std::vector<wire::HomeVm> homes = toWire(ownHomes());
         for (const auto &[peer, mailbox] : m_mailboxes) {
             mailbox->setFollowers(followers, homes);
-            mailbox->put(records);
+            mailbox->putAll(records);
         }
     }
 }
--- a/src/site/newsmailbox.cpp
+++ b/src/site/newsmailbox.cpp
@@ -32,6 +32,16 @@
     m_signal.notify();
 }
 
+void NewsMailbox::putAll(const std::vector<wire::ServerRecord> &servers)
+{
+    std::vector<wire::ServerRecord> unknown;
+    {
+        const std::lock_guard lock(m_mutex);
+        unknown = m_filter.unknown(servers, Clock::now());
+    }
+    put(unknown);
+}
+
 void NewsMailbox::setFollowers(int followers, std::vector<wire::HomeVm> homes)
 {
     const std::lock_guard lock(m_mutex);
@@ -65,7 +75,13 @@
     return news;
 }
 
-// What can't be delivered is dropped: the whole registry is sent again every few seconds.
+void NewsMailbox::noteLost()
+{
+    const std::lock_guard lock(m_mutex);
+    m_filter.lost();
+}
+
+// What can't be delivered is dropped: the next putAll() tells everything anew.
 void NewsMailbox::run()
 {
     while (!m_isStopping) {
@@ -80,10 +96,12 @@
             m_peers.call(m_peer, Timeouts, [&](wire::PeerClient &client) {
                 client.spreadNews(m_peers.header(), news);
             });
+            const std::lock_guard lock(m_mutex);
+            m_filter.delivered(news.servers);
         } catch (const PeerError &) {
-            continue;
+            noteLost();
         } catch (const wire::PeerRefusal &) {
-            continue;
+            noteLost();
         }
     }
 }
--- a/src/site/newsmailbox.h
+++ b/src/site/newsmailbox.h
@@ -3,6 +3,7 @@
 #include "nutmegtide/base/endpoint.h"
 #include "serve/peerclient.h"
 #include "serve/signal.h"
+#include "site/newsfilter.h"
 
 #include <atomic>
 #include <map>
@@ -22,7 +23,10 @@
     NewsMailbox(const NewsMailbox &) = delete;
     NewsMailbox &operator=(const NewsMailbox &) = delete;
 
+    // News of servers.
     void put(const std::vector<wire::ServerRecord> &servers);
+    // All servers that are known, of which the other VM is told what it doesn't know yet.
+    void putAll(const std::vector<wire::ServerRecord> &servers);
     // The entry VMs that follow this control VM, and those of them that take lanes; told with the
     // next news.
     void setFollowers(int followers, std::vector<wire::HomeVm> homes);
@@ -31,6 +35,7 @@
 private:
     void run();
     wire::SiteNews takeNews();
+    void noteLost();
 
     const Endpoint m_peer;
     PeerClients &m_peers;
@@ -38,6 +43,7 @@
     Signal m_signal;
     std::mutex m_mutex;
     std::map<std::string, wire::ServerRecord> m_servers;
+    NewsFilter m_filter;
     std::vector<wire::PrimaryComplaint> m_complaints;
     int m_followers = 0;
     std::vector<wire::HomeVm> m_homes;
--- a/test/unit/site/controlchoice_test.cpp
+++ b/test/unit/site/controlchoice_test.cpp
@@ -21,12 +21,12 @@
     choice.learn(
             {{vm(1), FailureDomain("a")}, {vm(2), FailureDomain("b")}, {vm(3), FailureDomain("c")}});
     CHECK((choice.next(now) == vm(2)));
-    choice.failed(vm(2), now);
+    choice.failed(vm(2), ControlFailure::Silent, now);
     now += 1s;
     const auto second = choice.next(now);
     REQUIRE(second);
     CHECK((*second != vm(2)));
-    choice.failed(*second, now);
+    choice.failed(*second, ControlFailure::Silent, now);
     const auto third = choice.next(now);
     CHECK((third != second));
     CHECK((third != vm(2)));
@@ -89,3 +89,20 @@
     CHECK(choice.isOwnDomain(vm(2)));
     CHECK_FALSE(choice.isOwnDomain(vm(3)));
 }
+
+TEST_CASE(
+        "a start of all VMs: the own domain's control VM is asked again soon, not those elsewhere")
+{
+    ControlChoice choice(FailureDomain("b"), {vm(1)});
+    choice.learn({{vm(1), FailureDomain("a")}, {vm(2), FailureDomain("b")}});
+    TimePoint now(10s);
+    REQUIRE((choice.next(now) == vm(2)));
+    choice.failed(vm(2), ControlFailure::NotReady, now);
+    CHECK((choice.next(now) == vm(1))); // it may know the leader already
+    choice.succeeded(vm(1));
+    now += 200ms;
+    CHECK((choice.next(now) == vm(2)));
+    choice.failed(vm(2), ControlFailure::Silent, now);
+    now += 200ms;
+    CHECK((choice.next(now) == vm(1)));
+}
