--- a/test/unit/failover/syncedchange_test.cpp
+++ b/test/unit/failover/syncedchange_test.cpp
@@ -137,8 +137,34 @@
     REQUIRE(actions.size() == 1);
     change.onOrdered(6, PromotionOutcome::Accepted, now);
     CHECK((change.stepName() == "ordering"));
+    CHECK(change.hasOpenOrders());
     change.onOrdered(7, PromotionOutcome::Accepted, now);
     CHECK((change.stepName() == "confirming"));
+    CHECK_FALSE(change.hasOpenOrders());
+}
+
+TEST_CASE("an order without an answer stays open, also once its server leads")
+{
+    SyncedChange change(ChangeReason::Lost, {{ServerId("a"), false}, {ServerId("b"), false}});
+    const TimePoint now(1s);
+    change.start(now);
+    change.onStanding(ServerId("b"), {false, 1, {1, 5}, 0, 3}, now);
+    change.onUnreachable(ServerId("a"), now);
+    change.onStanding(ServerId("b"), {false, 1, {1, 5}, 2, 3}, now);
+    REQUIRE((change.stepName() == "reserving"));
+    change.onToken(7, now);
+    change.onOrdered(7, PromotionOutcome::Unknown, now);
+    CHECK(change.hasOpenOrders());
+    change.tick(now + 200ms); // looks again
+    change.onUnreachable(ServerId("a"), now + 200ms);
+    change.onStanding(ServerId("b"), {false, 1, {1, 5}, 2, 3}, now + 200ms);
+    change.onStanding(ServerId("b"), {false, 1, {1, 5}, 3, 3}, now + 200ms);
+    REQUIRE((change.stepName() == "reserving"));
+    change.onToken(8, now + 200ms);
+    change.onStanding(ServerId("b"), {true, 2, {1, 5}, 0, 3}, now + 300ms);
+    CHECK(change.isOver());
+    CHECK(change.primary() == ServerId("b"));
+    CHECK(change.hasOpenOrders());
 }
 
 TEST_CASE("an overloaded primary is not taken for lost")
--- a/test/unit/proxy/sessionproofs_test.cpp
+++ b/test/unit/proxy/sessionproofs_test.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace nutmegtide;
 using namespace nutmegtide::test;
 
@@ -109,3 +111,27 @@
     CHECK(rig.proxy.agedServices(rig.now) == std::vector<ServiceName> {ProxyRig::Service});
     CHECK(rig.proxy.agedServices(rig.now + 6s).empty());
 }
+
+TEST_CASE("a proof covers what came before it was sent, not what came before its answer")
+{
+    ProxyRig rig;
+    rig.session(1, "casks");
+    rig.session(2, "casks");
+    rig.ask(1, StatementKind::Read, "warm", "item");
+    rig.serve(); // leaves connections that are idle
+    const auto begins = [&rig] {
+        return std::count_if(rig.sentCommands.begin(), rig.sentCommands.end(),
+                             [](const SentCommand &sent) {
+                                 return sent.command.kind == ServerCommandKind::Begin;
+                             });
+    };
+    const auto before = begins();
+    rig.pass(5ms);
+    rig.ask(1, StatementKind::Read, "r1", "item");
+    REQUIRE(begins() == before + 1);
+    rig.pass(5ms);
+    rig.ask(2, StatementKind::Read, "r2", "item");
+    rig.serve();
+    CHECK(begins() == before + 2);
+    CHECK_FALSE(rig.answerTo("r2")->fault);
+}
--- a/test/unit/proxy/sessionreplies_test.cpp
+++ b/test/unit/proxy/sessionreplies_test.cpp
@@ -228,3 +228,20 @@
     CHECK(rig.sendingsOf("w2").front().urgency.patience >= 10ms);
     CHECK(rig.sendingsOf("w2").front().urgency.patience <= 150ms);
 }
+
+TEST_CASE("a write without an answer is complained of after its own time, not a read's")
+{
+    ProxyRig rig;
+    rig.session(1, "casks");
+    rig.ask(1, StatementKind::Write, "w1", "item");
+    rig.serve();
+    rig.server("p").isSilent = true;
+    rig.ask(1, StatementKind::Write, "w2", "item");
+    rig.serve();
+    rig.pass(
+            330ms); // a read would have gone elsewhere after 300 ms, three quarters of its objective
+    CHECK(rig.proxy.complaints(rig.now).empty());
+    rig.pass(30ms);
+    REQUIRE(rig.proxy.complaints(rig.now).size() == 1);
+    CHECK(rig.proxy.complaints(rig.now).front().server == ServerId("p"));
+}
--- a/test/unit/proxy/sessionrouting_test.cpp
+++ b/test/unit/proxy/sessionrouting_test.cpp
@@ -330,3 +330,36 @@
     CHECK(rig.sendingsOf("w").empty());
     CHECK((rig.answerTo("w")->fault == StatementFault::Busy));
 }
+
+TEST_CASE("a session's own write counts although an older proof would do for its route")
+{
+    ProxyRig rig;
+    rig.proxy.takeProof(ProxyRig::Service, rig.now, {1, 10}, rig.now);
+    rig.session(1, "own");
+    rig.pass(50ms);
+    rig.ask(1, StatementKind::Write, "w", "item");
+    rig.serve();
+    REQUIRE_FALSE(rig.answerTo("w")->fault);
+    rig.ask(1, StatementKind::Read, "r", "item");
+    rig.serve();
+    const auto sendings = rig.sendingsOf("r");
+    REQUIRE(!sendings.empty());
+    CHECK((sendings.front().command.after == LogPosition {1, 11}));
+}
+
+TEST_CASE("all servers busy: a read is sent a bounded number of times")
+{
+    ProxyRig rig;
+    rig.proxy.takeProof(ProxyRig::Service, rig.now, {1, 10}, rig.now);
+    for (auto &[id, server] : rig.servers)
+        server.refusal = StatementFault::Busy;
+    rig.session(1, "aged");
+    rig.ask(1, StatementKind::Read, "r", "item");
+    for (int step = 0; step < 50; ++step) {
+        rig.serve();
+        rig.pass(10ms);
+    }
+    CHECK(rig.sendingsOf("r").size() == 4);
+    REQUIRE(rig.answerTo("r") != nullptr);
+    CHECK((rig.answerTo("r")->fault == StatementFault::Busy));
+}
