Wait for longer just after a start, and let a primary that has left prove positions

Breaking decisions one by one showed that the bound on a leaving server stood twice, and that the one in ServerPool::primary() also kept proofs from a primary whose time to leave was over, so that reads of the latest data failed at replicas that could serve them. Proofs go on now, and writes wait for the successor as they do in any change of primary.

--- a/include/nutmegtide/proxy/serverpool.h
+++ b/include/nutmegtide/proxy/serverpool.h
@@ -104,7 +104,7 @@
     // Takes the servers over. Returns the connections to servers that are gone.
     std::vector<ConnectionKey> setServers(const std::vector<ServerRecord> &records, TimePoint now);
 
-    // A server that has been leaving for so long gets no new work.
+    // A server that has been leaving for so long gets no new work; it may still prove that it leads.
     void setLeaveTime(Duration time) { m_leaveTime = time; }
     bool hasLeft(const ServerId &server, TimePoint now) const;
     // Servers of which that has become so since the last call.
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -90,9 +90,11 @@
 public:
     SessionProxy(ProxyOutlet &outlet, FailureDomain own);
 
-    // Before the first routes, a session that comes by then waits for them for a while, since its
-    // caller would ask other processes that have just started too. Later ones are refused at once.
-    void awaitRoutes(TimePoint until) { m_awaitsRoutesUntil = until; }
+    // Until then this process has just started, maybe with all others. A session that comes before
+    // the first routes waits for them for a while, since its caller would only ask the others; and
+    // statements wait for longer than usual, since all that was held up comes at once and is soon
+    // worked off. Later, both are refused as at any other time.
+    void setStarting(TimePoint until) { m_startsUntil = until; }
     void setRoutes(std::shared_ptr<const RouteTable> routes);
     void setServers(const std::vector<ServerRecord> &records, TimePoint now);
     // A server that has been leaving for so long gets no new work; open transactions go on there.
@@ -287,7 +289,7 @@
     ServerPool m_pool;
     std::map<SessionKey, Session> m_sessions;
     std::map<SessionKey, EarlySession> m_earlySessions;
-    TimePoint m_awaitsRoutesUntil {};
+    TimePoint m_startsUntil {};
     std::map<ServiceName, ProofState> m_proofs;
     std::map<DatabaseName, UsualTime> m_workOf; // of a statement, by its route
     std::set<std::pair<TimePoint, SessionKey>> m_timers;
--- a/src/proxy/serverpool.cpp
+++ b/src/proxy/serverpool.cpp
@@ -90,8 +90,7 @@
     const PooledServer *best = nullptr;
     for (const auto &[server, state] : m_servers) {
         const bool isCandidate = state.record.said.service == service && !state.record.isGone
-                && state.record.said.isPrimary && !state.refusesWrites && !state.isElsewhere
-                && !state.record.hasLeft(m_leaveTime, now);
+                && state.record.said.isPrimary && !state.refusesWrites && !state.isElsewhere;
         if (!isCandidate)
             continue;
         // The one that became primary last, unless it can't be used.
--- a/src/proxy/sessionproxy.cpp
+++ b/src/proxy/sessionproxy.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t MostQueued = 256; // statements that a caller sends ahead of their answers
 constexpr Duration LongestEarlyWait = 1s; // of a session for the first routes
 constexpr int ObjectiveParts = 4; // a statement that can't be sent waits this part of the objective
+constexpr int StartParts = 2; // the same, just after a start
 
 } // namespace
 
@@ -72,7 +73,7 @@
 {
     // Before the first routes are known, nobody can say that a database is unknown.
     const bool isKnowing = m_routes->revision != 0;
-    if (!isKnowing && !m_isClosed && now < m_awaitsRoutesUntil) {
+    if (!isKnowing && !m_isClosed && now < m_startsUntil) {
         m_earlySessions[key] = {database, now, {}};
         m_poolDueAt = std::min(m_poolDueAt, now + PoolInterval);
         return;
@@ -134,7 +135,8 @@
     work.route = isInTransaction ? *session.transactionRoute : *current;
     work.revision = isInTransaction ? session.transactionRevision : m_routes->revision;
     work.arrivedAt = now;
-    work.giveUpAt = now + work.route.latencyObjective / ObjectiveParts;
+    const int parts = now < m_startsUntil ? StartParts : ObjectiveParts;
+    work.giveUpAt = now + work.route.latencyObjective / parts;
     work.timeoutAt = now + work.route.statementTimeout;
     const PreparedStatement *prepared = preparedOf(session, statement);
     work.isWrite = statement.kind == StatementKind::Write || (prepared && prepared->isWrite);
--- a/src/proxy/sessionrouting.cpp
+++ b/src/proxy/sessionrouting.cpp
@@ -20,6 +20,7 @@
 // A home answers before a statement that waits there is taken for one that a server is silent to.
 constexpr auto MostPatience = 150ms;
 
+constexpr std::string_view LeftReason = "the server's time to leave is over";
 constexpr std::string_view CutOffReason = "this VM is cut off from the primary";
 
 // An empty log has no position that could be asked for.
@@ -79,7 +80,8 @@
 {
     const auto primary = m_pool.primary(work.route.service, now);
     const auto failingSince = primary ? m_pool.find(*primary)->failingSince : std::nullopt;
-    const bool isChanging = !primary || (failingSince && now - *failingSince < UsualChange);
+    const bool isChanging = !primary || m_pool.hasLeft(*primary, now)
+            || (failingSince && now - *failingSince < UsualChange);
     if (isChanging)
         work.giveUpAt = std::max(work.giveUpAt,
                                  work.arrivedAt + work.route.statementTimeout / ChangeParts);
@@ -170,7 +172,7 @@
     }
     if (m_pool.hasLeft(m_pool.connection(connection)->server, now)) {
         m_pool.putIdle(connection, now);
-        return pause(borrower.session, "the server's time to leave is over", now);
+        return pause(borrower.session, LeftReason, now);
     }
     m_pool.connection(connection)->borrower = borrower;
     dispatch(borrower.session, connection, now);
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -15,7 +15,7 @@
 // Before the drain timeout, so that the process ends by itself.
 constexpr auto LastMoment = 900ms;
 constexpr auto FlushTime = 600ms; // the same, once the last answers have left
-constexpr Duration StartTime = 2s; // in which control is expected to tell the routes
+constexpr Duration StartTime = 2s; // in which the routes come and what was held up is worked off
 // Before a leaving server's time is over, for statements that are on their way to it.
 constexpr Duration LeaveMargin = 1s;
 constexpr int LeaveMarginParts = 4; // at most this part of a server's time to leave
@@ -83,7 +83,7 @@
               })
 {
     m_proxy.setLeaveTime(leaveTime(settings));
-    m_proxy.awaitRoutes(EventLoop::now() + StartTime);
+    m_proxy.setStarting(EventLoop::now() + StartTime);
     m_callers = makeCallerPort(m_loop, settings.listen.callers, *this);
     m_health = std::make_unique<HttpServer>(settings.listen.health, healthOptions(),
                                             [this](const HttpRequest &) { return answerHealth(); });
--- a/test/unit/control/raftnode_test.cpp
+++ b/test/unit/control/raftnode_test.cpp
@@ -367,3 +367,22 @@
     REQUIRE(vms.runUntil([&] { return isCurrent(follower); }));
     CHECK(vms.at(follower.text()).state == "a;b;c;");
 }
+
+TEST_CASE("a member that missed entries within its leader's term isn't current before it has them")
+{
+    ControlVms vms(Seed);
+    REQUIRE(vms.commit("a"));
+    REQUIRE(vms.agree("a;"));
+    const VmName follower = followerOf(vms);
+    vms.cut(follower);
+    REQUIRE(vms.commit("b"));
+    REQUIRE(vms.commit("c"));
+    vms.run(2s);
+    vms.heal();
+    while (!vms.agreed("a;b;c;")) {
+        const bool isCurrent = vms.node(follower.text()).status().isCurrent;
+        CHECK((!isCurrent || vms.at(follower.text()).state == "a;b;c;"));
+        vms.step();
+    }
+    CHECK(vms.runUntil([&] { return vms.node(follower.text()).status().isCurrent; }));
+}
--- a/test/unit/failover/syncedchange_test.cpp
+++ b/test/unit/failover/syncedchange_test.cpp
@@ -240,3 +240,107 @@
     }
     CHECK(over > 0);
 }
+
+TEST_CASE("an open order for another server: the chosen one's own word doesn't end the change")
+{
+    // The order for the old primary could still be carried out, after what is held was resumed.
+    SyncedChange change(ChangeReason::Moved,
+                        {{ServerId("a"), true}, {ServerId("b"), false}, {ServerId("c"), false}},
+                        ServerId("a"));
+    const TimePoint now(1s);
+    change.setOpenOrders({ServerId("a")}, now);
+    change.start(now);
+    change.onStanding(ServerId("a"), {true, 1, {1, 5}, 0, 3}, now);
+    change.onStanding(ServerId("b"), {false, 1, {1, 5}, 0, 3}, now);
+    change.onStanding(ServerId("c"), {false, 1, {1, 5}, 0, 3}, now);
+    const ServerId chosen = change.chosen();
+    const ServerId held(chosen == ServerId("b") ? "c" : "b");
+    change.onStanding(held, {false, 1, {1, 5}, 2, 3}, now);
+    REQUIRE((change.stepName() == "reserving"));
+    change.onToken(7, now);
+    change.onStanding(chosen, {true, 2, {1, 5}, 0, 3}, now + 100ms);
+    CHECK_FALSE(change.isOver());
+    change.onOrdered(7, PromotionOutcome::Accepted, now + 200ms);
+    change.onStanding(chosen, {true, 2, {1, 5}, 0, 3}, now + 260ms);
+    CHECK(change.isOver());
+    CHECK(change.primary() == chosen);
+}
+
+TEST_CASE("of replicas that hold as much, the one whose promotion was ordered is chosen")
+{
+    for (const char *ordered : {"b", "c"}) {
+        CAPTURE(std::string(ordered));
+        SyncedChange change(ChangeReason::Lost,
+                            {{ServerId("a"), false},
+                             {ServerId("b"), false},
+                             {ServerId("c"), false}});
+        const TimePoint now(1s);
+        change.setOpenOrders({ServerId(ordered)}, now);
+        change.start(now);
+        change.onUnreachable(ServerId("a"), now);
+        for (const char *replica : {"b", "c"})
+            change.onStanding(ServerId(replica), {false, 1, {1, 5}, 0, 3}, now);
+        for (const char *replica : {"b", "c"})
+            change.onStanding(ServerId(replica), {false, 1, {1, 5}, 2, 3}, now);
+        CHECK((change.stepName() == "reserving"));
+        CHECK(change.chosen() == ServerId(ordered));
+    }
+}
+
+TEST_CASE("another server than the ordered one is chosen only once that order would have come")
+{
+    SyncedChange change(ChangeReason::Lost,
+                        {{ServerId("a"), false}, {ServerId("b"), false}, {ServerId("c"), false}});
+    const auto probeAndHold = [&change](TimePoint now) {
+        change.onUnreachable(ServerId("a"), now);
+        for (const Term held : {0, 2}) {
+            change.onStanding(ServerId("b"), {false, 1, {1, 5}, held, 3}, now);
+            change.onStanding(ServerId("c"), {false, 1, {1, 6}, held, 3}, now);
+        }
+    };
+    TimePoint now(100s);
+    change.setOpenOrders({ServerId("b")}, now);
+    change.start(now);
+    probeAndHold(now);
+    CHECK(change.chosen() == ServerId("c")); // it holds more than the ordered one
+    CHECK((change.stepName() == "waiting"));
+    now += 13s;
+    change.tick(now);
+    change.onUnreachable(ServerId("a"), now);
+    for (const Term held : {2, 3}) {
+        change.onStanding(ServerId("b"), {false, 1, {1, 5}, held, 3}, now);
+        change.onStanding(ServerId("c"), {false, 1, {1, 6}, held, 3}, now);
+    }
+    CHECK((change.stepName() == "reserving"));
+}
+
+TEST_CASE("an order for a third server may still come: the primary is not moved gently")
+{
+    struct Row
+    {
+        const char *what;
+        std::set<ServerId> openOrders;
+        std::size_t held;
+    };
+    // Gently, all but the chosen replica are held; else all are, so that no commit is acknowledged.
+    const Row rows[] = {{"none is open", {}, 1},
+                        {"for the one that will be chosen", {ServerId("b")}, 1},
+                        {"for the present primary", {ServerId("a")}, 1},
+                        {"for another replica", {ServerId("c")}, 2}};
+    for (const Row &row : rows) {
+        CAPTURE(std::string(row.what));
+        SyncedChange change(ChangeReason::Moved,
+                            {{ServerId("a"), true}, {ServerId("b"), false}, {ServerId("c"), false}},
+                            ServerId("a"));
+        const TimePoint now(100s);
+        change.setOpenOrders(row.openOrders, now);
+        change.start(now);
+        change.onStanding(ServerId("a"), {true, 1, {1, 6}, 0, 3}, now);
+        change.onStanding(ServerId("b"), {false, 1, {1, 6}, 0, 3}, now);
+        const auto actions = change.onStanding(ServerId("c"), {false, 1, {1, 5}, 0, 3}, now);
+        const auto held = std::count_if(actions.begin(), actions.end(), [](const auto &action) {
+            return std::holds_alternative<HoldServer>(action);
+        });
+        CHECK(static_cast<std::size_t>(held) == row.held);
+    }
+}
--- a/test/unit/proxy/sessionproxy_test.cpp
+++ b/test/unit/proxy/sessionproxy_test.cpp
@@ -156,7 +156,7 @@
     ProxyRig rig;
     const std::shared_ptr<const RouteTable> routes = rig.routes;
     rig.proxy.setRoutes(std::make_shared<RouteTable>());
-    rig.proxy.awaitRoutes(rig.now + 2s);
+    rig.proxy.setStarting(rig.now + 2s);
     rig.session(1, "casks");
     rig.session(2, "nowhere");
     rig.session(3, "casks");
@@ -190,7 +190,7 @@
         CAPTURE(row.what);
         ProxyRig rig;
         rig.proxy.setRoutes(std::make_shared<RouteTable>());
-        rig.proxy.awaitRoutes(rig.now + 2s);
+        rig.proxy.setStarting(rig.now + 2s);
         rig.pass(row.comes);
         rig.session(1, "casks");
         rig.pass(row.answered);
@@ -204,9 +204,34 @@
 {
     ProxyRig rig;
     rig.proxy.setRoutes(std::make_shared<RouteTable>());
-    rig.proxy.awaitRoutes(rig.now + 2s);
+    rig.proxy.setStarting(rig.now + 2s);
     rig.session(1, "casks");
     rig.proxy.refuseSessions();
     REQUIRE(rig.ended.size() == 1);
     CHECK((rig.ended[0].second == StatementFault::Busy));
 }
+
+TEST_CASE("all processes lost at once: what was held up waits for longer, for as long as a start "
+          "takes")
+{
+    struct Row
+    {
+        const char *what;
+        Duration since; // the start
+        bool isServed; // when the server's connection is accepted after 150 ms
+    };
+    // The objective is 400 ms, of which a quarter is waited for at other times, and half at a start.
+    const Row rows[] = {{"just started", 100ms, true}, {"started long ago", 2s, false}};
+    for (const Row &row : rows) {
+        CAPTURE(std::string(row.what));
+        ProxyRig rig;
+        rig.proxy.setStarting(rig.now + 2s);
+        rig.pass(row.since);
+        rig.session(1, "casks");
+        rig.ask(1, StatementKind::Write, "w", "item");
+        rig.pass(150ms);
+        rig.serve();
+        REQUIRE(rig.answerTo("w") != nullptr);
+        CHECK(rig.answerTo("w")->fault.has_value() == !row.isServed);
+    }
+}
--- a/test/unit/proxy/sessionrouting_test.cpp
+++ b/test/unit/proxy/sessionrouting_test.cpp
@@ -363,3 +363,30 @@
     REQUIRE(rig.answerTo("r") != nullptr);
     CHECK((rig.answerTo("r")->fault == StatementFault::Busy));
 }
+
+TEST_CASE("a primary whose time to leave is over still proves positions for reads at replicas")
+{
+    ProxyRig rig;
+    rig.proxy.setLeaveTime(6s);
+    rig.server("p").leavingSince = rig.now - 7s;
+    rig.tellServers();
+    rig.session(1, "casks");
+    rig.ask(1, StatementKind::Read, "r", "item");
+    rig.serve();
+    REQUIRE(rig.answerTo("r") != nullptr);
+    CHECK_FALSE(rig.answerTo("r")->fault);
+    CHECK(rig.sendingsOf("r").front().server != ServerId("p"));
+    // A write waits for the successor as long as it does for any change of primary.
+    rig.ask(1, StatementKind::Write, "w", "item");
+    rig.pass(300ms);
+    CHECK(rig.answerTo("w") == nullptr);
+    rig.server("r1").leads = true;
+    rig.server("r1").said.isPrimary = true;
+    rig.server("p").said.isPrimary = false;
+    rig.tellServers();
+    rig.pass(50ms);
+    rig.serve();
+    REQUIRE(rig.answerTo("w") != nullptr);
+    CHECK_FALSE(rig.answerTo("w")->fault);
+    CHECK(rig.sendingsOf("w").size() == 1);
+}
