--- a/include/nutmegtide/control/raftnode.h
+++ b/include/nutmegtide/control/raftnode.h
@@ -122,6 +122,7 @@
     void resetElectionTimer();
     // The same with the short time of a start, where that is due.
     void resetFirstElectionTimer();
+    static constexpr int MostFirstElections = 10; // tries, before the time of a start is over
     TimePoint randomMoment(Duration shortest, Duration longest);
     void adoptTerm();
     void askPreVotes();
@@ -192,7 +193,7 @@
     ChartInstance m_role;
     TimePoint m_now;
     TimePoint m_electionDue;
-    int m_firstElections = 10; // tries that are left before the time of a start is over
+    int m_firstElections = MostFirstElections; // that are left
     TimePoint m_heartbeatDue;
     std::optional<TimePoint> m_leaderHeard;
     VoteRecord m_vote;
