List a lost commit as known red: a newcomer that a change of primary doesn't know

A replica was gone for good and a new server took its address; the change went on without either, held one replica, and ordered its promotion, while the old primary came back from a cut and acknowledged 13 commits with the newcomer.

--- a/test/unit/failover/syncedchange_test.cpp
+++ b/test/unit/failover/syncedchange_test.cpp
@@ -344,3 +344,18 @@
         CHECK(static_cast<std::size_t>(held) == row.held);
     }
 }
+
+// Known red: the servers of a change are those that were known when it began, and one that has
+// taken a gone one's place since receives from the old primary all the same.
+TEST_CASE("no order while a server that took a gone one's place may receive from the old primary")
+{
+    SyncedChange change(ChangeReason::Lost,
+                        {{ServerId("a"), false}, {ServerId("b"), false}, {ServerId("c"), false}});
+    const TimePoint now(1s);
+    change.start(now);
+    change.onStanding(ServerId("b"), {false, 1, {1, 5}, 0, 3}, now);
+    change.onGone(ServerId("c"), now); // another server answers at its address
+    change.onUnreachable(ServerId("a"), now); // the primary, which is cut off and still leads
+    change.onStanding(ServerId("b"), {false, 1, {1, 5}, 2, 3}, now);
+    CHECK_FALSE((change.stepName() == "reserving"));
+}
