--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -7185,6 +7185,11 @@
 void LaneRequest::__set_workMicroseconds(const int64_t val) {
   this->workMicroseconds = val;
 }
+
+void LaneRequest::__set_workspace(const std::string& val) {
+  this->workspace = val;
+__isset.workspace = true;
+}
 std::ostream& operator<<(std::ostream& out, const LaneRequest& obj)
 {
   obj.printTo(out);
@@ -7281,6 +7286,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7334,6 +7347,11 @@
   xfer += oprot->writeI64(this->workMicroseconds);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.workspace) {
+    xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 8);
+    xfer += oprot->writeString(this->workspace);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7348,6 +7366,7 @@
   swap(a.patienceMicroseconds, b.patienceMicroseconds);
   swap(a.isClosed, b.isClosed);
   swap(a.workMicroseconds, b.workMicroseconds);
+  swap(a.workspace, b.workspace);
   swap(a.__isset, b.__isset);
 }
 
@@ -7359,6 +7378,7 @@
   patienceMicroseconds = other217.patienceMicroseconds;
   isClosed = other217.isClosed;
   workMicroseconds = other217.workMicroseconds;
+  workspace = other217.workspace;
   __isset = other217.__isset;
 }
 LaneRequest& LaneRequest::operator=(const LaneRequest& other218) {
@@ -7369,6 +7389,7 @@
   patienceMicroseconds = other218.patienceMicroseconds;
   isClosed = other218.isClosed;
   workMicroseconds = other218.workMicroseconds;
+  workspace = other218.workspace;
   __isset = other218.__isset;
   return *this;
 }
@@ -7382,6 +7403,7 @@
   out << ", " << "patienceMicroseconds=" << to_string(patienceMicroseconds);
   out << ", " << "isClosed=" << to_string(isClosed);
   out << ", " << "workMicroseconds=" << to_string(workMicroseconds);
+  out << ", " << "workspace="; (__isset.workspace ? (out << to_string(workspace)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -2848,7 +2848,7 @@
 std::ostream& operator<<(std::ostream& out, const LaneCommand& obj);
 
 typedef struct _LaneRequest__isset {
-  _LaneRequest__isset() : lane(false), server(false), commands(false), rank(false), patienceMicroseconds(false), isClosed(false), workMicroseconds(false) {}
+  _LaneRequest__isset() : lane(false), server(false), commands(false), rank(false), patienceMicroseconds(false), isClosed(false), workMicroseconds(false), workspace(false) {}
   bool lane :1;
   bool server :1;
   bool commands :1;
@@ -2856,6 +2856,7 @@
   bool patienceMicroseconds :1;
   bool isClosed :1;
   bool workMicroseconds :1;
+  bool workspace :1;
 } _LaneRequest__isset;
 
 class LaneRequest : public virtual ::apache::thrift::TBase {
@@ -2869,7 +2870,8 @@
                 rank(0),
                 patienceMicroseconds(0),
                 isClosed(0),
-                workMicroseconds(0) {
+                workMicroseconds(0),
+                workspace() {
   }
 
   virtual ~LaneRequest() noexcept;
@@ -2880,6 +2882,7 @@
   int64_t patienceMicroseconds;
   bool isClosed;
   int64_t workMicroseconds;
+  std::string workspace;
 
   _LaneRequest__isset __isset;
 
@@ -2897,6 +2900,8 @@
 
   void __set_workMicroseconds(const int64_t val);
 
+  void __set_workspace(const std::string& val);
+
   bool operator == (const LaneRequest & rhs) const
   {
     if (!(lane == rhs.lane))
@@ -2913,6 +2918,10 @@
       return false;
     if (!(workMicroseconds == rhs.workMicroseconds))
       return false;
+    if (__isset.workspace != rhs.__isset.workspace)
+      return false;
+    else if (__isset.workspace && !(workspace == rhs.workspace))
+      return false;
     return true;
   }
   bool operator != (const LaneRequest &rhs) const {
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -380,6 +380,7 @@
   5: i64 patienceMicroseconds,
   6: bool isClosed,                     // the lane ends
   7: i64 workMicroseconds,              // Urgency
+  8: optional string workspace,         // the lane's workspace, with the first commands
 }
 
 // A server's answer to one command.
--- a/include/nutmegtide/base/ids.h
+++ b/include/nutmegtide/base/ids.h
@@ -48,6 +48,7 @@
 using SessionId = Name<struct SessionIdTag>;
 using TransactionId = Name<struct TransactionIdTag>;
 using ChangeId = Name<struct ChangeIdTag>;
+using WorkspaceName = Name<struct WorkspaceNameTag>;
 using FleetId = Name<struct FleetIdTag>;
 
 // The term of a database group; it grows by one with each change of primary or of voters.
--- a/include/nutmegtide/failover/semisyncchange.h
+++ b/include/nutmegtide/failover/semisyncchange.h
@@ -95,10 +95,10 @@
 // An order without an answer may be carried out later. So no server is resumed before a later token
 // has been used; a change that is called off also orders the promotion of the present primary. No
 // server other than the target of an open order is chosen until the time in which the platform
-// could carry that order out has passed. A server that takes the address of one that no longer exists
-// counts as not fenced until it is known, and servers that join are fenced like the others. The chosen server's own status often shows sooner than the
-// platform's answer that an order was carried out. If neither arrives in time, the promotion is
-// ordered again with a higher token.
+// could carry that order out has passed. A server that takes the address of one that no longer
+// exists counts as not fenced until it is known, and servers that join are fenced like the others.
+// The chosen server's own status often shows sooner than the platform's answer that an order was
+// carried out. If neither arrives in time, the promotion is ordered again with a higher token.
 //
 //   SemiSyncChange change(ChangeReason::Lost, servers);
 //   perform(change.start(now));
--- a/include/nutmegtide/proxy/routetable.h
+++ b/include/nutmegtide/proxy/routetable.h
@@ -2,6 +2,7 @@
 
 #include "nutmegtide/base/errors.h"
 #include "nutmegtide/base/ids.h"
+#include "nutmegtide/proxy/workspaces.h"
 
 #include <chrono>
 #include <map>
@@ -34,6 +35,7 @@
     std::chrono::milliseconds statementTimeout {0};
     std::chrono::milliseconds latencyObjective {0}; // target for a statement, queueing included
     int priority = 0; // lower values go first
+    bool isPublic = false; // callers need no key
 
     bool operator==(const Route &) const = default;
 };
@@ -63,6 +65,8 @@
     Revision revision = 0;
     std::map<DatabaseName, Route> routes;
     std::map<ServiceName, ServiceSettings> services;
+    // Nothing where the configuration knows no workspaces; callers then need no key.
+    std::optional<WorkspaceTable> workspaces;
     std::chrono::milliseconds idleTransactionTimeout {0}; // 0 disables it
 
     // Returns the route of the database, or nullptr if there is none.
--- a/include/nutmegtide/proxy/serverhome.h
+++ b/include/nutmegtide/proxy/serverhome.h
@@ -27,7 +27,8 @@
 public:
     virtual ~ServerHomeDelegate() = default;
 
-    virtual void open(ConnectionKey connection, const ServerAnnouncement &server) = 0;
+    virtual void open(ConnectionKey connection, const ServerAnnouncement &server,
+                      const WorkspaceName &workspace) = 0;
     virtual void send(ConnectionKey connection, const std::vector<ServerCommand> &commands) = 0;
     virtual void close(ConnectionKey connection) = 0;
     virtual void reply(const LaneKey &lane, const ServerReply &reply) = 0;
@@ -47,6 +48,11 @@
 // new ones are rarely opened, and the server never gets more statements than it can run at once,
 // but for one that is on its way.
 //
+// A connection belongs to the workspace in whose name it was opened, and only statements of that
+// workspace run on it; proofs of position run on any. A home has a share of the connections that
+// the server accepts. Where that is used up, an idle connection is closed before one for another
+// workspace is opened.
+//
 // A statement is sent at most once. A statement that was not sent is answered with Busy, which
 // guarantees that it didn't run. The class has no threads, sockets or clock: callers pass in events
 // and the time.
@@ -67,13 +73,27 @@
     // listed has one.
     void setHomeCounts(std::map<ServerId, int> counts) { m_homeCounts = std::move(counts); }
 
+    // Sets how many connections a server of each service accepts from all processes; 0 or a service
+    // that is not listed: unknown.
+    void setConnectionLimits(std::map<ServiceName, int> limits)
+    {
+        m_connectionLimits = std::move(limits);
+    }
+
     // Sets how long a leaving server gets new work. After that only open transactions and proofs of
     // position go on there.
     void setLeaveTime(Duration time) { m_leaveTime = time; }
 
-    // Events of lanes. The first commands of a lane create it; a lane of an unknown server is
-    // answered with Busy.
-    void take(const LaneKey &lane, const ServerId &server,
+    // Where a lane leads.
+    struct LaneTarget
+    {
+        ServerId server;
+        WorkspaceName workspace;
+    };
+
+    // Events of lanes. The first commands of a lane create it, and only these need a target; a lane
+    // of an unknown server is answered with Busy.
+    void take(const LaneKey &lane, const LaneTarget &target,
               const std::vector<ServerCommand> &commands, const Urgency &urgency, TimePoint now);
     void closeLane(const LaneKey &lane, TimePoint now);
     void linkLost(std::uint64_t link, TimePoint now);
@@ -97,6 +117,7 @@
     struct Lane
     {
         ServerId server;
+        WorkspaceName workspace;
         SessionState image;
         std::deque<ServerCommand> pending; // not sent yet
         Urgency urgency;
@@ -110,6 +131,7 @@
     struct Connection
     {
         ServerId server;
+        WorkspaceName workspace;
         bool isOpen = false;
         // Lane that uses the connection; valid if isUsed.
         LaneKey lane;
@@ -125,7 +147,7 @@
         bool isKnown = false;
         HomeQueue queue;
         std::map<HomeQueue::Ticket, LaneKey> waiting;
-        std::vector<ConnectionKey> idle; // the most recently used one is last
+        std::vector<ConnectionKey> idle; // of all workspaces; the most recently used one is last
         std::set<ConnectionKey> connections;
         int opening = 0;
         int running = 0; // statements that occupy a slot
@@ -150,8 +172,14 @@
     void wait(const LaneKey &key, Lane &lane, TimePoint now);
     void serve(const ServerId &server, TimePoint now);
     bool serveOne(const ServerId &server, TimePoint now);
-    void openAnother(const ServerId &server, TimePoint now);
-    void openConnection(const ServerId &server, TimePoint now);
+    // Returns how many connections this home may hold to the server.
+    std::size_t maxConnections(const Server &server) const;
+    // Returns the most recently used idle connection that the lane may use; 0 without one.
+    ConnectionKey idleFor(const Server &server, const Lane &lane) const;
+    void openWanted(const ServerId &server, TimePoint now);
+    // Makes room for another connection. Returns whether there is some.
+    bool makeRoom(Server &server);
+    void openConnection(const ServerId &server, const WorkspaceName &workspace, TimePoint now);
     void attach(const LaneKey &key, Lane &lane, ConnectionKey connection, TimePoint now);
     void sendNext(Lane &lane, TimePoint now);
     void refuseNext(const LaneKey &key, Lane &lane, TimePoint now);
@@ -173,6 +201,7 @@
     Duration m_leaveTime = Duration::max();
     std::map<ServerId, Server> m_servers;
     std::map<ServerId, int> m_homeCounts;
+    std::map<ServiceName, int> m_connectionLimits;
     std::map<LaneKey, Lane> m_lanes;
     std::map<ConnectionKey, Connection> m_connections;
     ConnectionKey m_lastConnection = 0;
--- a/include/nutmegtide/proxy/serverpool.h
+++ b/include/nutmegtide/proxy/serverpool.h
@@ -25,6 +25,7 @@
 {
     SessionKey session = 0;
     ServiceName proofOf; // service to be proved; set if session is 0
+    WorkspaceName workspace {}; // of the session; empty for a proof
 
     auto operator<=>(const Borrower &) const = default;
 };
@@ -42,6 +43,7 @@
 struct ServerConnection
 {
     ServerId server;
+    WorkspaceName workspace; // in whose name it is opened; only its statements run on it
     bool isOpen = false; // the server has accepted it
     bool isLane = false; // it is a lane of the server's home
     bool isRetired = false; // it is closed once nobody uses it
@@ -73,7 +75,7 @@
 {
     ServerRecord record;
     std::set<ConnectionKey> connections;
-    std::vector<ConnectionKey> idle; // the most recently used one is last
+    std::vector<ConnectionKey> idle; // of all workspaces; the most recently used one is last
     std::deque<Borrower> waiting; // for a connection, first come first served
     int opening = 0;
     int running = 0; // statements without a reply
@@ -130,16 +132,24 @@
     ServerConnection *connection(ConnectionKey key);
 
     // Adds a connection that is being opened.
-    ConnectionKey add(const ServerId &server, TimePoint now);
+    ConnectionKey add(const ServerId &server, const WorkspaceName &workspace, TimePoint now);
     void opened(ConnectionKey key, TimePoint now);
-    // Takes the idle connection whose state is closest to the session's; nullopt if none is idle.
-    std::optional<ConnectionKey> takeIdle(const ServerId &server, const SessionState &session,
+    // Takes the workspace's idle connection whose state is closest to the session's; nullopt if
+    // none is idle.
+    std::optional<ConnectionKey> takeIdle(const ServerId &server, const WorkspaceName &workspace,
+                                          const SessionState &session,
                                           const PreparedStatement *prepared);
     // Returns a connection to the idle ones.
     void putIdle(ConnectionKey key, TimePoint now);
     // Removes the connection. Returns its borrower.
     std::optional<Borrower> remove(ConnectionKey key);
     bool mayOpen(const ServerId &server, TimePoint now) const;
+    // Removes from the idle ones and returns a connection that has to be closed before another one
+    // may be opened: the one that was unused for longest. Returns nullopt if there is room.
+    std::optional<ConnectionKey> takeSurplus(const ServerId &server);
+    // Returns whether more borrowers of the workspace wait at the server than connections are being
+    // opened for it.
+    bool needsConnection(const ServerId &server, const WorkspaceName &workspace) const;
     // Removes from the idle ones and returns the connections that have been idle for too long. The
     // limit is shorter at a server whose connections are scarce, since other processes need them.
     using IsScarce = std::function<bool(const ServerId &)>;
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -39,6 +39,15 @@
     std::string_view reason;
 };
 
+// A session whose key is unknown or was removed, for the log.
+struct KeyRefusal
+{
+    SessionKey session = 0;
+    DatabaseName database;
+    WorkspaceName workspace; // which held the key before; empty for an unknown key
+    Revision revision = 0; // of the configuration that was applied
+};
+
 // Actions that a SessionProxy requests. Results are passed to the methods of SessionProxy, but
 // never from inside these calls.
 class SessionProxyDelegate
@@ -51,11 +60,14 @@
                         const SessionAnswer &answer) = 0;
     // Ends a session, with `fault` as the reason if one is given.
     virtual void end(SessionKey session, std::optional<StatementFault> fault) = 0;
-    virtual void open(ConnectionKey connection, const ServerAnnouncement &server) = 0;
+    virtual void open(ConnectionKey connection, const ServerAnnouncement &server,
+                      const WorkspaceName &workspace) = 0;
     virtual void send(ConnectionKey connection, const std::vector<ServerCommand> &commands,
                       const Urgency &urgency) = 0;
     virtual void close(ConnectionKey connection) = 0;
     virtual void requestDecided(const RequestDecision &decision) = 0;
+    // A session was refused or is ended, as no workspace that may use the route holds its key.
+    virtual void keyRefused(const KeyRefusal &refusal) = 0;
     virtual void serverAssessed(const ServerAssessment &serverAssessment) = 0;
 };
 
@@ -98,8 +110,12 @@
     // since the held-up work of all callers arrives at once and is soon done. Afterwards both are
     // refused as at any other time.
     void setStarting(TimePoint until) { m_startsUntil = until; }
-    // Applies a configuration. Open transactions keep the route that they began with.
-    void setRoutes(std::shared_ptr<const RouteTable> routes);
+    // Applies a configuration. Open transactions keep the route that they began with. Sessions whose
+    // key the configuration removes or moves to another workspace end: idle ones at once, a running
+    // statement is answered first, and an open transaction gets half of the revocation time.
+    void setRoutes(std::shared_ptr<const RouteTable> routes, TimePoint now);
+    // Sets the time in which a removed key has to be out of use.
+    void setRevocationTime(Duration time) { m_revocationTime = time; }
     // Replaces the known servers. Idle connections to removed or restarted ones are closed.
     void setServers(const std::vector<ServerRecord> &records, TimePoint now);
     // Sets how long a leaving server gets new work. After that only open transactions and proofs of
@@ -114,7 +130,8 @@
     void setEntryCount(int count) { m_entryCount = count; }
 
     // Events of callers.
-    void openSession(SessionKey key, const DatabaseName &database, TimePoint now);
+    void openSession(SessionKey key, const DatabaseName &database, const KeyDigest &credential,
+                     TimePoint now);
     void receive(SessionKey key, const SessionStatement &statement, TimePoint now);
     void callerLeft(SessionKey key, TimePoint now);
 
@@ -196,6 +213,10 @@
     struct Session
     {
         DatabaseName database;
+        KeyDigest credential;
+        WorkspaceName workspace; // empty where no key is needed
+        // Its key was removed; it ends by then.
+        std::optional<TimePoint> revokedBy;
         SessionState image;
         TransactionState state = TransactionState::Idle;
         bool isReadOnly = false; // of the open transaction
@@ -217,6 +238,7 @@
     struct PendingSession
     {
         DatabaseName database;
+        KeyDigest credential;
         TimePoint queuedAt;
         std::deque<SessionStatement> queue;
     };
@@ -233,7 +255,15 @@
     };
 
     // Callers (sessionproxy.cpp).
-    void startSession(SessionKey key, const DatabaseName &database, TimePoint now);
+    void startSession(SessionKey key, const DatabaseName &database, const KeyDigest &credential,
+                      TimePoint now);
+    // Returns the workspace whose callers use the route with this key, an empty name where no key
+    // is needed, and nothing for a key that may not use it.
+    std::optional<WorkspaceName> authorize(const Route &route, const KeyDigest &credential) const;
+    // Marks the sessions whose key was removed, and ends those that are idle.
+    void revokeSessions(TimePoint now);
+    // Ends revoked sessions whose time is over.
+    void endRevoked(TimePoint now);
     // Ends the sessions that wait for the first routes and arrived before `queuedBefore`.
     void refusePendingSessions(TimePoint queuedBefore);
     void takeNext(SessionKey key, TimePoint now);
@@ -244,6 +274,12 @@
     void answerFault(SessionKey key, const SessionStatement &statement, StatementFault fault,
                      std::string detail, TimePoint now);
     void answerDone(SessionKey key, const SessionStatement &statement, TimePoint now);
+    // Whether the session's key was removed and its time is over, or it has no transaction open.
+    static bool isRevocationDue(const Session &session, TimePoint now);
+    // Refuses the statement of a session whose key was removed, and ends the session.
+    void answerRevoked(SessionKey key, const SessionStatement &statement, TimePoint now);
+    void refuseKey(SessionKey key, const DatabaseName &database);
+    void forgetSession(SessionKey key);
     void finish(SessionKey key, const SessionAnswer &answer, TimePoint now);
     void fail(SessionKey key, StatementFault fault, std::string_view reason, TimePoint now);
     void stopWaiting(SessionKey key, const Work &work);
@@ -264,7 +300,7 @@
     bool isPrimaryCutOff(const ServiceName &service, TimePoint now) const;
     bool needsPrimary(const Session &session, const Work &work) const;
     void acquire(const Borrower &borrower, const ServerId &server, TimePoint now);
-    void openIfWanted(const ServerId &server, TimePoint now);
+    void openIfWanted(const ServerId &server, const WorkspaceName &workspace, TimePoint now);
     void assignConnection(ConnectionKey connection, const Borrower &borrower, TimePoint now);
     void dispatch(SessionKey key, ConnectionKey connection, TimePoint now);
     void sendStatement(SessionKey key, TimePoint now);
@@ -307,6 +343,8 @@
     std::map<DatabaseName, AverageTime> m_runTimes; // run time of statements, by route
     std::set<std::pair<TimePoint, SessionKey>> m_timers;
     TimePoint m_poolDueAt;
+    std::set<SessionKey> m_revoked; // sessions whose key was removed
+    Duration m_revocationTime = 2s;
     bool m_isDraining = false;
     bool m_refusesSessions = false;
     bool m_isIsolated = false;
--- a/include/nutmegtide/session/statementfault.h
+++ b/include/nutmegtide/session/statementfault.h
@@ -21,6 +21,8 @@
     UnknownDatabase,
     TooLarge,
     Malformed,
+    Unauthorized, // not run: no workspace holds the caller's key
+    OverCap, // not run: the workspace has reached its cap of operations
 };
 
 // Returns the name for logs and metrics.
--- a/include/nutmegtide/site/adapters.h
+++ b/include/nutmegtide/site/adapters.h
@@ -24,7 +24,8 @@
 public:
     virtual ~CallerEvents() = default;
 
-    virtual void sessionOpened(SessionKey session, const DatabaseName &database) = 0;
+    virtual void sessionOpened(SessionKey session, const DatabaseName &database,
+                               const KeyDigest &key) = 0;
     virtual void statementReceived(SessionKey session, const SessionStatement &statement) = 0;
     // The caller disconnected, or violated the protocol and was sent an error.
     virtual void sessionClosed(SessionKey session, const std::string &reason) = 0;
@@ -63,7 +64,9 @@
 public:
     virtual ~ServerLinks() = default;
 
-    virtual void open(ConnectionKey connection, const ServerAnnouncement &server) = 0;
+    // Without a workspace the connection is opened in the name of this process.
+    virtual void open(ConnectionKey connection, const ServerAnnouncement &server,
+                      const WorkspaceName &workspace) = 0;
     virtual void send(ConnectionKey connection, const std::vector<ServerCommand> &commands) = 0;
     // No event of the connection follows.
     virtual void close(ConnectionKey connection) = 0;
--- a/src/proxy/serverhome.cpp
+++ b/src/proxy/serverhome.cpp
@@ -79,20 +79,22 @@
     m_dueAt = std::min(m_dueAt, now);
 }
 
-void ServerHome::take(const LaneKey &key, const ServerId &server,
+void ServerHome::take(const LaneKey &key, const LaneTarget &target,
                       const std::vector<ServerCommand> &commands, const Urgency &urgency,
                       TimePoint now)
 {
     const bool isKnown = m_lanes.count(key) != 0;
-    if (!isKnown && server.isEmpty()) {
+    if (!isKnown && target.server.isEmpty()) {
         // The lane was already lost here, and the process that uses it doesn't know that yet.
         for (std::size_t i = 0; i < commands.size(); ++i)
             m_delegate.reply(key, busyReply(TransactionState::Idle));
         return;
     }
     Lane &lane = m_lanes[key];
-    if (!isKnown)
-        lane.server = server;
+    if (!isKnown) {
+        lane.server = target.server;
+        lane.workspace = target.workspace;
+    }
     lane.pending.insert(lane.pending.end(), commands.begin(), commands.end());
     lane.urgency = urgency;
     advance(key, now);
@@ -184,7 +186,6 @@
         return false;
     Server &server = found->second;
     const bool isFull = server.running >= maxRunning(server);
-    bool isConnectionWanted = !isFull;
     for (const HomeQueue::Item &item : server.queue.items()) {
         // Rank 0, which includes proofs, is at the front.
         if (isFull && item.rank > 0)
@@ -193,21 +194,18 @@
         Lane &lane = m_lanes.at(key);
         if (isFull && !isProof(lane))
             continue;
-        if (lane.connection == 0 && server.idle.empty()) {
-            isConnectionWanted = true;
+        const ConnectionKey idle = lane.connection == 0 ? idleFor(server, lane) : 0;
+        if (lane.connection == 0 && idle == 0)
             continue;
-        }
         leaveQueue(lane);
         if (lane.connection == 0) {
-            const ConnectionKey connection = server.idle.back();
-            server.idle.pop_back();
-            attach(key, lane, connection, now);
+            std::erase(server.idle, idle);
+            attach(key, lane, idle, now);
         }
         sendNext(lane, now);
         return true;
     }
-    if (isConnectionWanted)
-        openAnother(id, now);
+    openWanted(id, now);
     return false;
 }
 
--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -2,6 +2,7 @@
 #include "nutmegtide/proxy/serverhome.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace nutmegtide {
 
@@ -16,38 +17,86 @@
 // The same for a slow server, as a multiple of its average response time.
 constexpr int SlowFactor = 4;
 constexpr auto IdleTimeout = 2s; // for an unused server connection
+// The same for one of a workspace, which is expensive to open again. It gives way when the home's
+// share is used up.
+constexpr auto WorkspaceIdleTimeout = 20s;
+// Part of a server's connections that is left to control VMs and to direct connections of entry VMs
+// whose home is lost.
+constexpr int ReserveParts = 8;
+constexpr int MinReserve = 3; // connections
 
 } // namespace
 
-// Opens another connection if more lanes wait for one than are being opened.
-void ServerHome::openAnother(const ServerId &id, TimePoint now)
+std::size_t ServerHome::maxConnections(const Server &server) const
+{
+    const auto limit = m_connectionLimits.find(server.record.announcement.service);
+    if (limit == m_connectionLimits.end() || limit->second == 0)
+        return std::numeric_limits<std::size_t>::max();
+    const int shared = limit->second - std::max(MinReserve, limit->second / ReserveParts);
+    const int share = shared / homeCount(server.record.announcement.server);
+    return static_cast<std::size_t>(std::max(share, maxRunning(server)));
+}
+
+ConnectionKey ServerHome::idleFor(const Server &server, const Lane &lane) const
+{
+    const auto found = std::find_if(server.idle.rbegin(), server.idle.rend(), [&](auto key) {
+        return isProof(lane) || m_connections.at(key).workspace == lane.workspace;
+    });
+    return found == server.idle.rend() ? 0 : *found;
+}
+
+// Opens connections for the lanes that wait for one, in the order in which they are served, as long
+// as a slot is free for the statements that run on them.
+void ServerHome::openWanted(const ServerId &id, TimePoint now)
 {
     Server &server = m_servers.at(id);
-    int statements = 0;
-    int proofs = 0;
-    for (const auto &[ticket, key] : server.waiting) {
-        const Lane &lane = m_lanes.at(key);
-        if (lane.connection == 0)
-            ++(isProof(lane) ? proofs : statements);
+    if (!server.isKnown || server.connectionLimitUntil > now)
+        return;
+    std::map<WorkspaceName, int> opening;
+    for (const ConnectionKey key : server.connections) {
+        if (!m_connections.at(key).isOpen)
+            ++opening[m_connections.at(key).workspace];
     }
     // One connection is enough for all proofs, since each is short.
-    const int wanted = std::min(statements, maxRunning(server) - server.running)
-            + std::min(proofs, 1);
-    if (!server.isKnown || server.opening >= wanted || server.connectionLimitUntil > now)
-        return;
-    openConnection(id, now);
+    bool isProofServed = server.opening > 0;
+    int freeSlots = maxRunning(server) - server.running;
+    for (const HomeQueue::Item &item : server.queue.items()) {
+        const Lane &lane = m_lanes.at(server.waiting.at(item.ticket));
+        if (lane.connection != 0)
+            continue;
+        if (isProof(lane) ? std::exchange(isProofServed, true) : --freeSlots < 0)
+            continue;
+        if (opening[lane.workspace]-- > 0)
+            continue;
+        if (!makeRoom(server))
+            return;
+        openConnection(id, lane.workspace, now);
+    }
+}
+
+bool ServerHome::makeRoom(Server &server)
+{
+    if (server.connections.size() < maxConnections(server))
+        return true;
+    if (server.idle.empty())
+        return false;
+    const ConnectionKey oldest = server.idle.front();
+    m_delegate.close(oldest);
+    forget(oldest);
+    return true;
 }
 
-void ServerHome::openConnection(const ServerId &id, TimePoint now)
+void ServerHome::openConnection(const ServerId &id, const WorkspaceName &workspace, TimePoint now)
 {
     Server &server = m_servers.at(id);
     const ConnectionKey key = ++m_lastConnection;
     Connection &connection = m_connections[key];
     connection.server = id;
+    connection.workspace = workspace;
     connection.usedAt = now;
     server.connections.insert(key);
     ++server.opening;
-    m_delegate.open(key, server.record.announcement);
+    m_delegate.open(key, server.record.announcement, workspace);
 }
 
 void ServerHome::opened(ConnectionKey key, TimePoint now)
@@ -230,7 +279,10 @@
         const Duration idleTime = now - connection.usedAt;
         if (!connection.isOpen && idleTime > OpeningTime)
             silent.push_back(key);
-        if (connection.isOpen && !connection.isUsed && idleTime > IdleTimeout)
+        const bool isKept = !connection.workspace.isEmpty()
+                && m_homeCounts.count(connection.server) != 0;
+        const Duration timeout = isKept ? Duration(WorkspaceIdleTimeout) : Duration(IdleTimeout);
+        if (connection.isOpen && !connection.isUsed && idleTime > timeout)
             unused.push_back(key);
     }
     for (const ConnectionKey key : unused) {
@@ -263,7 +315,7 @@
     for (auto &[id, server] : m_servers) {
         if (server.isUnreachable && server.isKnown && server.opening == 0 && server.probeAt <= now) {
             server.probeAt = now + ProbeTime;
-            openConnection(id, now);
+            openConnection(id, {}, now);
         }
         const Duration silenceLimit = std::max(Duration(SilentTime),
                                                server.averageTime.value() * SlowFactor);
--- a/src/proxy/serverpool.cpp
+++ b/src/proxy/serverpool.cpp
@@ -196,11 +196,12 @@
     return found == m_connections.end() ? nullptr : &found->second;
 }
 
-ConnectionKey ServerPool::add(const ServerId &server, TimePoint now)
+ConnectionKey ServerPool::add(const ServerId &server, const WorkspaceName &workspace, TimePoint now)
 {
     const ConnectionKey key = ++m_lastKey;
     ServerConnection &connection = m_connections[key];
     connection.server = server;
+    connection.workspace = workspace;
     connection.usedAt = now;
     connection.sentAt = now;
     PooledServer &state = m_servers.at(server);
@@ -221,6 +222,7 @@
 }
 
 std::optional<ConnectionKey> ServerPool::takeIdle(const ServerId &server,
+                                                  const WorkspaceName &workspace,
                                                   const SessionState &session,
                                                   const PreparedStatement *prepared)
 {
@@ -228,7 +230,10 @@
     auto best = state.idle.end();
     std::size_t lowest = 0;
     for (auto candidate = state.idle.begin(); candidate != state.idle.end(); ++candidate) {
-        const std::size_t distance = m_connections.at(*candidate).image.distance(session, prepared);
+        const ServerConnection &connection = m_connections.at(*candidate);
+        if (connection.workspace != workspace)
+            continue;
+        const std::size_t distance = connection.image.distance(session, prepared);
         if (best != state.idle.end() && distance > lowest)
             continue;
         best = candidate;
@@ -273,6 +278,31 @@
     return state.connectionLimitUntil <= now && state.connections.size() < MaxConnections;
 }
 
+std::optional<ConnectionKey> ServerPool::takeSurplus(const ServerId &server)
+{
+    PooledServer &state = m_servers.at(server);
+    if (state.connections.size() < MaxConnections || state.idle.empty())
+        return std::nullopt;
+    const ConnectionKey key = state.idle.front();
+    state.idle.erase(state.idle.begin());
+    return key;
+}
+
+bool ServerPool::needsConnection(const ServerId &server, const WorkspaceName &workspace) const
+{
+    const PooledServer &state = m_servers.at(server);
+    const auto opening = std::count_if(state.connections.begin(), state.connections.end(),
+                                       [&](ConnectionKey key) {
+                                           const ServerConnection &one = m_connections.at(key);
+                                           return !one.isOpen && one.workspace == workspace;
+                                       });
+    const auto waiting = std::count_if(state.waiting.begin(), state.waiting.end(),
+                                       [&workspace](const Borrower &borrower) {
+                                           return borrower.workspace == workspace;
+                                       });
+    return waiting > opening;
+}
+
 std::vector<ConnectionKey> ServerPool::takeUnused(TimePoint now, const IsScarce &isScarce)
 {
     std::vector<ConnectionKey> unused;
--- a/src/proxy/sessionproxy.cpp
+++ b/src/proxy/sessionproxy.cpp
@@ -24,13 +24,14 @@
     , m_pool(std::move(own))
 { }
 
-void SessionProxy::setRoutes(std::shared_ptr<const RouteTable> routes)
+void SessionProxy::setRoutes(std::shared_ptr<const RouteTable> routes, TimePoint now)
 {
     m_routes = std::move(routes);
+    revokeSessions(now);
     std::erase_if(m_runTimes,
                   [this](const auto &item) { return m_routes->find(item.first) == nullptr; });
     for (auto &[key, pending] : std::exchange(m_pendingSessions, {})) {
-        startSession(key, pending.database, pending.queuedAt);
+        startSession(key, pending.database, pending.credential, pending.queuedAt);
         for (const SessionStatement &statement : pending.queue)
             receive(key, statement, pending.queuedAt);
     }
@@ -53,26 +54,34 @@
                        [this](const auto &item) { return !m_pool.serversOf(item.first).empty(); });
 }
 
-void SessionProxy::openSession(SessionKey key, const DatabaseName &database, TimePoint now)
+void SessionProxy::openSession(SessionKey key, const DatabaseName &database,
+                               const KeyDigest &credential, TimePoint now)
 {
     // Without routes it isn't known which databases exist.
     const bool hasRoutes = m_routes->revision != 0;
     if (!hasRoutes && !m_refusesSessions && now < m_startsUntil) {
-        m_pendingSessions[key] = {database, now, {}};
+        m_pendingSessions[key] = {database, credential, now, {}};
         m_poolDueAt = std::min(m_poolDueAt, now + PoolInterval);
         return;
     }
     if (m_refusesSessions || !hasRoutes)
         return m_delegate.end(key, StatementFault::Busy);
-    startSession(key, database, now);
+    startSession(key, database, credential, now);
 }
 
-void SessionProxy::startSession(SessionKey key, const DatabaseName &database, TimePoint now)
+void SessionProxy::startSession(SessionKey key, const DatabaseName &database,
+                                const KeyDigest &credential, TimePoint now)
 {
-    if (m_routes->find(database) == nullptr)
+    const Route *route = m_routes->find(database);
+    if (route == nullptr)
         return m_delegate.end(key, StatementFault::UnknownDatabase);
+    const auto workspace = authorize(*route, credential);
+    if (!workspace)
+        return refuseKey(key, database);
     Session &session = m_sessions[key];
     session.database = database;
+    session.credential = credential;
+    session.workspace = *workspace;
     session.usedAt = now;
     m_delegate.accept(key);
 }
@@ -107,6 +116,8 @@
 void SessionProxy::start(SessionKey key, const SessionStatement &statement, TimePoint now)
 {
     clearTimer(key);
+    if (isRevocationDue(m_sessions.at(key), now))
+        return answerRevoked(key, statement, now);
     if (answerLocally(key, statement, now))
         return;
     Session &session = m_sessions.at(key);
@@ -240,11 +251,10 @@
     note(key, work, answer.fault ? "refused" : "answered", answer.detail, now);
     m_delegate.answer(key, work.statement.request, answer);
     startIdleTimer(key, now);
-    const bool isOver = m_isDraining && session.state == TransactionState::Idle
-            && session.queue.empty();
-    if (isOver) {
+    const bool isEnding = m_isDraining || session.revokedBy;
+    if (isEnding && session.state == TransactionState::Idle && session.queue.empty()) {
         m_delegate.end(key, std::nullopt);
-        m_sessions.erase(key);
+        forgetSession(key);
         return;
     }
     takeNext(key, now);
@@ -285,7 +295,7 @@
 void SessionProxy::stopWaiting(SessionKey key, const Work &work)
 {
     if (work.phase == Phase::Connection)
-        leaveQueue({key, {}}, work.server);
+        leaveQueue({key, {}, m_sessions.at(key).workspace}, work.server);
     if (work.phase == Phase::Proof)
         m_proofs[work.route.service].waiting.erase(key);
 }
@@ -307,6 +317,12 @@
     }
     if (session.pinned != 0)
         unpin(key, true, now);
+    forgetSession(key);
+}
+
+void SessionProxy::forgetSession(SessionKey key)
+{
+    m_revoked.erase(key);
     m_sessions.erase(key);
 }
 
@@ -346,13 +362,14 @@
         return;
     m_poolDueAt = now + PoolInterval;
     refusePendingSessions(now - MaxRoutesWait);
+    endRevoked(now);
     for (const ConnectionKey key : m_pool.silent(now)) {
         m_delegate.close(key);
         lost(key, Loss::Silent, now);
     }
     for (const ServerId &server : m_pool.serversToProbe(now)) {
-        const ConnectionKey key = m_pool.add(server, now);
-        m_delegate.open(key, m_pool.find(server)->record.announcement);
+        const ConnectionKey key = m_pool.add(server, {}, now);
+        m_delegate.open(key, m_pool.find(server)->record.announcement, {});
     }
     for (const ServerId &server : m_pool.takePastLeaveTime(now))
         m_delegate.serverAssessed({server, m_pool.find(server)->record.announcement.service, "left",
--- a/src/proxy/sessionrouting.cpp
+++ b/src/proxy/sessionrouting.cpp
@@ -78,7 +78,7 @@
             return retryLater(key, "no server is left to ask", now);
         }
     }
-    acquire({key, {}}, *server, now);
+    acquire({key, {}, session.workspace}, *server, now);
 }
 
 // Extends the wait of a statement while a failed or leaving primary may soon be replaced. Otherwise
@@ -149,7 +149,8 @@
     const Session *session = borrower.session == 0 ? nullptr : &m_sessions.at(borrower.session);
     const PreparedStatement *prepared = session ? preparedOf(*session, session->work->statement)
                                                 : nullptr;
-    const auto idle = m_pool.takeIdle(server, session ? session->image : noImage, prepared);
+    const auto idle = m_pool.takeIdle(server, borrower.workspace,
+                                      session ? session->image : noImage, prepared);
     if (session != nullptr) {
         Work &work = *m_sessions.at(borrower.session).work;
         work.server = server;
@@ -160,18 +161,22 @@
     state.waiting.push_back(borrower);
     if (session != nullptr)
         setTimer(borrower.session, session->work->sendDeadline);
-    openIfWanted(server, now);
+    openIfWanted(server, borrower.workspace, now);
 }
 
-// Opens another connection if more borrowers wait for one than are being opened.
-void SessionProxy::openIfWanted(const ServerId &server, TimePoint now)
+// Opens another connection of the workspace if more of its borrowers wait for one than are being
+// opened. An idle one of another workspace gives way if there are as many as are allowed.
+void SessionProxy::openIfWanted(const ServerId &server, const WorkspaceName &workspace,
+                                TimePoint now)
 {
-    const PooledServer &state = *m_pool.find(server);
-    const bool isOpeningEnough = state.opening >= static_cast<int>(state.waiting.size());
-    if (isOpeningEnough || !m_pool.mayOpen(server, now))
+    if (!m_pool.needsConnection(server, workspace))
         return;
-    const ConnectionKey key = m_pool.add(server, now);
-    m_delegate.open(key, state.record.announcement);
+    if (const auto surplus = m_pool.takeSurplus(server))
+        drop(*surplus);
+    if (!m_pool.mayOpen(server, now))
+        return;
+    const ConnectionKey key = m_pool.add(server, workspace, now);
+    m_delegate.open(key, m_pool.find(server)->record.announcement, workspace);
 }
 
 void SessionProxy::assignConnection(ConnectionKey connection, const Borrower &borrower,
@@ -293,17 +298,26 @@
 {
     ServerConnection &connection = *m_pool.connection(key);
     connection.borrower.reset();
+    const ServerId server = connection.server;
+    const WorkspaceName workspace = connection.workspace;
     if (connection.isRetired) {
-        const ServerId server = connection.server;
         drop(key);
-        return openIfWanted(server, now);
+        return openIfWanted(server, workspace, now);
+    }
+    PooledServer &state = *m_pool.find(server);
+    const auto next = std::find_if(state.waiting.begin(), state.waiting.end(),
+                                   [&workspace](const Borrower &borrower) {
+                                       return borrower.workspace == workspace;
+                                   });
+    if (next != state.waiting.end()) {
+        const Borrower borrower = *next;
+        state.waiting.erase(next);
+        return assignConnection(key, borrower, now);
     }
-    PooledServer &state = *m_pool.find(connection.server);
-    if (state.waiting.empty())
-        return m_pool.putIdle(key, now);
-    const Borrower next = state.waiting.front();
-    state.waiting.pop_front();
-    assignConnection(key, next, now);
+    m_pool.putIdle(key, now);
+    // The server's other connections may all be in use by other workspaces.
+    if (!state.waiting.empty())
+        openIfWanted(server, state.waiting.front().workspace, now);
 }
 
 // Returns whether the server has too few connections for each process to keep one.
--- a/src/session/statementfault.cpp
+++ b/src/session/statementfault.cpp
@@ -13,7 +13,7 @@
 };
 
 // In the order of StatementFault.
-constexpr std::array<FaultRow, 13> FaultRows = {{
+constexpr std::array<FaultRow, 15> FaultRows = {{
         {"busy", true},
         {"aborted", false},
         {"lagging", true},
@@ -27,6 +27,8 @@
         {"unknown_database", false},
         {"too_large", false},
         {"malformed", false},
+        {"unauthorized", true},
+        {"over_cap", true},
 }};
 
 } // namespace
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -156,12 +156,7 @@
     const TimePoint now = EventLoop::now();
     if (view.configuration && view.revision > m_revision) {
         try {
-            auto routes = std::make_shared<const RouteTable>(readConfiguration(*view.configuration));
-            m_revision = view.revision;
-            m_counts.setRevision(m_revision);
-            m_proxy.setRoutes(std::move(routes));
-            logLine(LogLevel::Info, "routes_in_force",
-                    {{"revision", std::to_string(m_revision)}, {"from", toString(view.from)}});
+            applyRoutes(readConfiguration(*view.configuration), view.from);
         } catch (const RouteTableError &fault) {
             logLine(LogLevel::Error, "routes_refused",
                     {{"revision", std::to_string(view.revision)}, {"reason", fault.what()}});
@@ -190,6 +185,23 @@
     updateReadiness();
 }
 
+void EntryNode::applyRoutes(const RouteTable &routes, const Endpoint &from)
+{
+    m_revision = routes.revision;
+    m_counts.setRevision(m_revision);
+    m_proxy.setRoutes(std::make_shared<const RouteTable>(routes), EventLoop::now());
+    std::map<ServiceName, int> limits;
+    for (const auto &[name, service] : routes.services)
+        limits[name] = service.maxConnections;
+    if (m_home)
+        m_home->setConnectionLimits(std::move(limits));
+    const std::size_t workspaces = routes.workspaces ? routes.workspaces->workspaces().size() : 0;
+    logLine(LogLevel::Info, "routes_in_force",
+            {{"revision", std::to_string(m_revision)},
+             {"from", toString(from)},
+             {"workspaces", std::to_string(workspaces)}});
+}
+
 void EntryNode::applyHomes(ServerHomes homes)
 {
     if (m_home)
@@ -280,9 +292,9 @@
     return response;
 }
 
-void EntryNode::sessionOpened(SessionKey session, const DatabaseName &database)
+void EntryNode::sessionOpened(SessionKey session, const DatabaseName &database, const KeyDigest &key)
 {
-    m_proxy.openSession(session, database, EventLoop::now());
+    m_proxy.openSession(session, database, key, EventLoop::now());
 }
 
 void EntryNode::statementReceived(SessionKey session, const SessionStatement &statement)
@@ -335,9 +347,10 @@
     m_callers->end(session, fault);
 }
 
-void EntryNode::open(ConnectionKey connection, const ServerAnnouncement &server)
+void EntryNode::open(ConnectionKey connection, const ServerAnnouncement &server,
+                     const WorkspaceName &workspace)
 {
-    m_links.open(connection, server);
+    m_links.open(connection, server, workspace);
 }
 
 void EntryNode::send(ConnectionKey connection, const std::vector<ServerCommand> &commands,
@@ -374,6 +387,15 @@
              {"revision", std::to_string(decision.revision)}});
 }
 
+void EntryNode::keyRefused(const KeyRefusal &refusal)
+{
+    logLine(LogLevel::Warning, refusal.workspace.isEmpty() ? "key_refused" : "key_revoked",
+            {{"session", std::to_string(refusal.session)},
+             {"database", refusal.database.text()},
+             {"workspace", refusal.workspace.text()},
+             {"revision", std::to_string(refusal.revision)}});
+}
+
 void EntryNode::serverAssessed(const ServerAssessment &serverAssessment)
 {
     logLine(LogLevel::Warning, "server_judged",
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -41,7 +41,8 @@
     // How long the load balancer needs to notice a failing health check and stop sending callers.
     static constexpr Duration BalancerGrace = 2500ms;
 
-    void sessionOpened(SessionKey session, const DatabaseName &database) override;
+    void sessionOpened(SessionKey session, const DatabaseName &database,
+                       const KeyDigest &key) override;
     void statementReceived(SessionKey session, const SessionStatement &statement) override;
     void sessionClosed(SessionKey session, const std::string &reason) override;
 
@@ -54,14 +55,17 @@
     void accept(SessionKey session) override;
     void answer(SessionKey session, const RequestId &request, const SessionAnswer &answer) override;
     void end(SessionKey session, std::optional<StatementFault> fault) override;
-    void open(ConnectionKey connection, const ServerAnnouncement &server) override;
+    void open(ConnectionKey connection, const ServerAnnouncement &server,
+              const WorkspaceName &workspace) override;
     void send(ConnectionKey connection, const std::vector<ServerCommand> &commands,
               const Urgency &urgency) override;
     void close(ConnectionKey connection) override;
     void requestDecided(const RequestDecision &decision) override;
+    void keyRefused(const KeyRefusal &refusal) override;
     void serverAssessed(const ServerAssessment &serverAssessment) override;
 
     void startHome();
+    void applyRoutes(const RouteTable &routes, const Endpoint &from);
     void applyView(const ControlView &view);
     void afterEvents();
     void onWakeTime();
--- a/src/site/homeport.cpp
+++ b/src/site/homeport.cpp
@@ -97,7 +97,8 @@
         for (const wire::LaneCommand &command : request.commands)
             commands.push_back(fromWire(command));
         if (!commands.empty())
-            m_home.take(lane, ServerId(request.server), commands,
+            m_home.take(lane, {ServerId(request.server), WorkspaceName(request.workspace)},
+                        commands,
                         {request.rank, std::chrono::microseconds(request.patienceMicroseconds),
                          std::chrono::microseconds(request.workMicroseconds)},
                         now);
@@ -176,9 +177,10 @@
     }
 }
 
-void HomePort::open(ConnectionKey connection, const ServerAnnouncement &server)
+void HomePort::open(ConnectionKey connection, const ServerAnnouncement &server,
+                    const WorkspaceName &workspace)
 {
-    m_servers->open(connection, server);
+    m_servers->open(connection, server, workspace);
 }
 
 void HomePort::send(ConnectionKey connection, const std::vector<ServerCommand> &commands)
--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -44,6 +44,11 @@
     void leave();
     // Sets the homes of each server. `own` is this VM's listener for lanes.
     void setHomes(const ServerHomes &homes, const Endpoint &own);
+    // Sets how many connections a server of each service accepts.
+    void setConnectionLimits(std::map<ServiceName, int> limits)
+    {
+        m_home.setConnectionLimits(std::move(limits));
+    }
     void tick(TimePoint now);
     TimePoint wakeAt() const { return m_home.wakeAt(); }
     // Sends what the events since the last call produced. Must be called before each wait for
@@ -71,7 +76,8 @@
     // Returns the next frame to send on the link, null where the link is closed.
     wire::LaneFrame *outgoing(std::uint64_t link);
 
-    void open(ConnectionKey connection, const ServerAnnouncement &server) override;
+    void open(ConnectionKey connection, const ServerAnnouncement &server,
+              const WorkspaceName &workspace) override;
     void send(ConnectionKey connection, const std::vector<ServerCommand> &commands) override;
     void close(ConnectionKey connection) override;
     void reply(const LaneKey &lane, const ServerReply &reply) override;
--- a/src/site/lanelinks.cpp
+++ b/src/site/lanelinks.cpp
@@ -143,7 +143,8 @@
         findUsableHome(homes, now);
 }
 
-void LaneLinks::open(ConnectionKey connection, const ServerAnnouncement &server)
+void LaneLinks::open(ConnectionKey connection, const ServerAnnouncement &server,
+                     const WorkspaceName &workspace)
 {
     const TimePoint now = EventLoop::now();
     const auto named = m_homesByServer.find(server.server);
@@ -151,8 +152,8 @@
     if (named != m_homesByServer.end())
         home = findUsableHome(named->second, now);
     if (!home || isHomeBypassed(server.server, now))
-        return m_direct->open(connection, server);
-    m_lanes[connection] = {*home, server.server, 0};
+        return m_direct->open(connection, server, workspace);
+    m_lanes[connection] = {*home, {server.server, workspace}, 0};
     m_homes.at(*home).lanes.insert(connection);
     // A lane is created by its first command, so it is open at once.
     m_loop.post([this, connection] {
@@ -169,7 +170,10 @@
         return m_direct->send(connection, commands);
     wire::LaneRequest request;
     request.lane = static_cast<std::int64_t>(connection);
-    request.server = std::exchange(lane->second.unannouncedServer, {}).text();
+    const ServerHome::LaneTarget target = std::exchange(lane->second.unannouncedTarget, {});
+    request.server = target.server.text();
+    if (!target.workspace.isEmpty())
+        request.__set_workspace(target.workspace.text());
     for (const ServerCommand &command : commands)
         request.commands.push_back(toWire(command));
     request.rank = urgency.rank;
--- a/src/site/lanelinks.h
+++ b/src/site/lanelinks.h
@@ -2,7 +2,7 @@
 
 #include "nutmegtide/base/endpoint.h"
 #include "nutmegtide/fleet/domainreachability.h"
-#include "nutmegtide/proxy/homequeue.h"
+#include "nutmegtide/proxy/serverhome.h"
 #include "nutmegtide/site/adapters.h"
 #include "site/eventloop.h"
 #include "site/homedirectory.h"
@@ -46,7 +46,8 @@
     void setHomes(ServerHomes homes);
     void setServers(const std::vector<ServerRecord> &records);
 
-    void open(ConnectionKey connection, const ServerAnnouncement &server);
+    void open(ConnectionKey connection, const ServerAnnouncement &server,
+              const WorkspaceName &workspace);
     void send(ConnectionKey connection, const std::vector<ServerCommand> &commands,
               const Urgency &urgency);
     void close(ConnectionKey connection);
@@ -66,7 +67,7 @@
     struct Lane
     {
         Endpoint home;
-        ServerId unannouncedServer; // the lane's server, until sent with the first request
+        ServerHome::LaneTarget unannouncedTarget; // until sent with the first request
         int unanswered = 0; // number of commands
     };
     struct Home
--- a/src/site/lanewire.cpp
+++ b/src/site/lanewire.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t LengthSize = 4; // bytes
 constexpr int BitsPerByte = 8;
 constexpr auto LastKind = ServerCommandKind::Reset; // later kinds are sent by control VMs only
-constexpr auto LastFault = StatementFault::Malformed;
+constexpr auto LastFault = StatementFault::OverCap;
 constexpr auto LastState = TransactionState::Failed;
 constexpr auto LastEvidence = ServerEvidence::WrongAddress;
 
--- a/src/site/primarychangemanager.cpp
+++ b/src/site/primarychangemanager.cpp
@@ -77,11 +77,12 @@
     }
     for (auto vacated = m_vacatedAddresses.begin(); vacated != m_vacatedAddresses.end();) {
         const auto &[gone, last] = *vacated;
-        const bool isSuccessorKnown = std::any_of(
-                present.begin(), present.end(), [&gone = gone, &last = last](const auto &record) {
-                    return record.announcement.address == last.address
-                            && record.announcement.server != gone;
-                });
+        const bool isSuccessorKnown = std::any_of(present.begin(), present.end(),
+                                                  [&gone = gone, &last = last](const auto &record) {
+                                                      return record.announcement.address
+                                                              == last.address
+                                                              && record.announcement.server != gone;
+                                                  });
         if (!isSuccessorKnown) {
             ++vacated;
             continue;
--- a/src/site/primarychangemanagerlinks.cpp
+++ b/src/site/primarychangemanagerlinks.cpp
@@ -55,7 +55,7 @@
     link.server = server;
     link.activeAt = now;
     m_groups[service].links[server] = key;
-    m_serverLinks->open(key, m_announcements[server]);
+    m_serverLinks->open(key, m_announcements[server], {});
     return key;
 }
 
--- a/src/site/proofcollector.cpp
+++ b/src/site/proofcollector.cpp
@@ -82,7 +82,7 @@
     line.service = primary.service;
     line.server = primary.server;
     line.sentAt = now;
-    m_links->open(key, primary);
+    m_links->open(key, primary, {});
 }
 
 void ProofCollector::ask(ConnectionKey key, TimePoint now)
--- a/test/unit/proxy/serverhome_test.cpp
+++ b/test/unit/proxy/serverhome_test.cpp
@@ -192,7 +192,7 @@
 TEST_CASE("if the begin of a proof is refused, its rollback is answered too")
 {
     ServerHomeFixture fixture;
-    fixture.home.take({1, 1}, ServerHomeFixture::Server,
+    fixture.home.take({1, 1}, {ServerHomeFixture::Server, {}},
                       {ServerHomeFixture::command(ServerCommandKind::Begin),
                        ServerHomeFixture::command(ServerCommandKind::Rollback)},
                       {0, 20ms}, fixture.now);
@@ -208,7 +208,7 @@
     ServerHomeFixture fixture;
     fixture.askReads(12, {2, 150ms});
     REQUIRE(fixture.unanswered.size() == 4); // three slots, and one for the network delay
-    fixture.home.take({2, 1}, ServerHomeFixture::Server,
+    fixture.home.take({2, 1}, {ServerHomeFixture::Server, {}},
                       {ServerHomeFixture::command(ServerCommandKind::Begin, "b"),
                        ServerHomeFixture::command(ServerCommandKind::Rollback, "r")},
                       {0, 100ms}, fixture.now);
@@ -218,7 +218,7 @@
     fixture.answer("r");
     CHECK(fixture.unanswered.size() == 4); // statements still wait for a slot
     // The next proof uses the same connection.
-    fixture.home.take({3, 1}, ServerHomeFixture::Server,
+    fixture.home.take({3, 1}, {ServerHomeFixture::Server, {}},
                       {ServerHomeFixture::command(ServerCommandKind::Begin, "b2"),
                        ServerHomeFixture::command(ServerCommandKind::Rollback, "r2")},
                       {0, 100ms}, fixture.now);
@@ -253,9 +253,8 @@
     fixture.ask(1, ServerHomeFixture::read("q1"));
     fixture.openAll();
     fixture.home.lost(fixture.connectionOf("q1"), Loss::Closed, fixture.now);
-    fixture.home.take({1, 1}, ServerId(),
-                      {ServerHomeFixture::command(ServerCommandKind::Write, "w")}, {0, 100ms},
-                      fixture.now);
+    fixture.home.take({1, 1}, {}, {ServerHomeFixture::command(ServerCommandKind::Write, "w")},
+                      {0, 100ms}, fixture.now);
     CHECK_FALSE(fixture.wasSent("w"));
     REQUIRE(fixture.replies.size() == 1);
     CHECK((fixture.replies.front().reply.fault == StatementFault::Busy));
@@ -353,7 +352,7 @@
     CHECK((fixture.replies.back().reply.fault == StatementFault::Busy)); // it was not run
     fixture.ask(1, ServerHomeFixture::read("in_transaction"));
     CHECK(fixture.wasSent("in_transaction"));
-    fixture.home.take({2, 1}, ServerHomeFixture::Server,
+    fixture.home.take({2, 1}, {ServerHomeFixture::Server, {}},
                       {ServerHomeFixture::command(ServerCommandKind::Begin, "proof"),
                        ServerHomeFixture::command(ServerCommandKind::Rollback)},
                       {1, 50ms}, fixture.now);
--- a/test/unit/proxy/serverhomefixture.h
+++ b/test/unit/proxy/serverhomefixture.h
@@ -56,7 +56,7 @@
     }
     void ask(std::uint64_t lane, const ServerCommand &command, Urgency urgency = {1, 50ms})
     {
-        home.take({1, lane}, Server, {command}, urgency, now);
+        home.take({1, lane}, {Server, {}}, {command}, urgency, now);
     }
     // Sends a read on each of the lanes 1 to `lanes`, named "q1" and so on, and opens the
     // connections that each one requests.
@@ -122,6 +122,7 @@
         return 0;
     }
 
+    std::map<ConnectionKey, WorkspaceName> workspaceOf; // of each connection that was requested
     static inline const ServerId Server {"s"};
     TimePoint now {100s};
     std::vector<ConnectionKey> opening;
@@ -134,8 +135,10 @@
     ServerHome home {*this};
 
 private:
-    void open(ConnectionKey connection, const ServerAnnouncement & /*server*/) override
+    void open(ConnectionKey connection, const ServerAnnouncement & /*server*/,
+              const WorkspaceName &workspace) override
     {
+        workspaceOf[connection] = workspace;
         opening.push_back(connection);
     }
     void send(ConnectionKey connection, const std::vector<ServerCommand> &commands) override
--- a/test/unit/proxy/serverpool_test.cpp
+++ b/test/unit/proxy/serverpool_test.cpp
@@ -77,7 +77,7 @@
     CHECK(pool.serversToProbe(now + 500ms).empty());
     CHECK((pool.chooseReader(Service, {}, {ServerId("a")}, now + 2s) == std::nullopt));
     CHECK(pool.serversToProbe(now + 2s) == std::vector<ServerId> {ServerId("b")});
-    pool.opened(pool.add(ServerId("b"), now + 2s), now + 2s);
+    pool.opened(pool.add(ServerId("b"), {}, now + 2s), now + 2s);
     CHECK((pool.chooseReader(Service, {}, {ServerId("a")}, now + 2s) == ServerId("b")));
 }
 
@@ -103,7 +103,7 @@
     const TimePoint now(100s);
     ServerPool pool = threeServers(now);
     for (const char *server : {"b", "c"}) {
-        const ConnectionKey key = pool.add(ServerId(server), now);
+        const ConnectionKey key = pool.add(ServerId(server), {}, now);
         pool.opened(key, now);
         pool.putIdle(key, now);
     }
@@ -119,7 +119,7 @@
     const TimePoint now(100s);
     ServerPool pool = threeServers(now);
     for (int i = 0; i < 3; ++i) {
-        const ConnectionKey key = pool.add(ServerId("b"), now);
+        const ConnectionKey key = pool.add(ServerId("b"), {}, now);
         pool.opened(key, now);
         pool.putIdle(key, now);
     }
--- a/test/unit/proxy/sessionproxy_test.cpp
+++ b/test/unit/proxy/sessionproxy_test.cpp
@@ -48,7 +48,7 @@
 {
     SessionProxyFixture fixture;
     fixture.session(1, "nowhere");
-    fixture.proxy.setRoutes(std::make_shared<RouteTable>());
+    fixture.proxy.setRoutes(std::make_shared<RouteTable>(), fixture.now);
     fixture.session(2, "casks");
     REQUIRE(fixture.ended.size() == 2);
     CHECK((fixture.ended[0].second == StatementFault::UnknownDatabase));
@@ -154,7 +154,7 @@
 {
     SessionProxyFixture fixture;
     const std::shared_ptr<const RouteTable> routes = fixture.routes;
-    fixture.proxy.setRoutes(std::make_shared<RouteTable>());
+    fixture.proxy.setRoutes(std::make_shared<RouteTable>(), fixture.now);
     fixture.proxy.setStarting(fixture.now + 2s);
     fixture.session(1, "casks");
     fixture.session(2, "nowhere");
@@ -164,7 +164,7 @@
     fixture.advanceTime(600ms);
     CHECK(fixture.accepted.empty());
     CHECK(fixture.ended.empty());
-    fixture.proxy.setRoutes(routes);
+    fixture.proxy.setRoutes(routes, fixture.now);
     CHECK(fixture.accepted == std::vector<SessionKey> {1});
     REQUIRE(fixture.ended.size() == 1);
     CHECK(fixture.ended[0].first == 2);
@@ -188,7 +188,7 @@
     for (const Row &row : rows) {
         CAPTURE(row.what);
         SessionProxyFixture fixture;
-        fixture.proxy.setRoutes(std::make_shared<RouteTable>());
+        fixture.proxy.setRoutes(std::make_shared<RouteTable>(), fixture.now);
         fixture.proxy.setStarting(fixture.now + 2s);
         fixture.advanceTime(row.comes);
         fixture.session(1, "casks");
@@ -202,7 +202,7 @@
 TEST_CASE("a planned stop refuses the sessions that wait for routes")
 {
     SessionProxyFixture fixture;
-    fixture.proxy.setRoutes(std::make_shared<RouteTable>());
+    fixture.proxy.setRoutes(std::make_shared<RouteTable>(), fixture.now);
     fixture.proxy.setStarting(fixture.now + 2s);
     fixture.session(1, "casks");
     fixture.proxy.refuseSessions();
--- a/test/unit/proxy/sessionproxyfixture.h
+++ b/test/unit/proxy/sessionproxyfixture.h
@@ -64,7 +64,7 @@
         addRoute(table, "aged", Consistency::BoundedAge, 1500ms);
         addRoute(table, "own", Consistency::OwnWrites, 2500ms);
         routes = std::make_shared<RouteTable>(table);
-        proxy.setRoutes(routes);
+        proxy.setRoutes(routes, now);
         announceServers();
     }
 
@@ -94,9 +94,10 @@
         }
         proxy.setServers(records, now);
     }
-    void session(SessionKey key, const std::string &database)
+    void session(SessionKey key, const std::string &database) { session(key, database, {}); }
+    void session(SessionKey key, const std::string &database, const KeyDigest &credential)
     {
-        proxy.openSession(key, DatabaseName(database), now);
+        proxy.openSession(key, DatabaseName(database), credential, now);
     }
     void ask(SessionKey key, StatementKind kind, const std::string &request,
              const std::string &argument = {}, const std::string &name = {},
@@ -168,6 +169,8 @@
     std::shared_ptr<const RouteTable> routes;
     std::vector<SessionKey> accepted;
     std::vector<GivenAnswer> answers;
+    std::vector<KeyRefusal> refusals;
+    std::map<ConnectionKey, WorkspaceName> workspaceOf; // of each connection that was requested
     std::vector<SentCommand> sentCommands;
     bool hasHomes = false; // connections go through homes
     std::vector<std::pair<SessionKey, std::optional<StatementFault>>> ended;
@@ -245,8 +248,10 @@
     {
         ended.emplace_back(session, fault);
     }
-    void open(ConnectionKey connection, const ServerAnnouncement &server) override
+    void open(ConnectionKey connection, const ServerAnnouncement &server,
+              const WorkspaceName &workspace) override
     {
+        workspaceOf[connection] = workspace;
         m_opening.emplace_back(connection, server.server);
         m_connections[connection] = server.server;
     }
@@ -268,6 +273,7 @@
                       [connection](const auto &item) { return item.first == connection; });
     }
     void requestDecided(const RequestDecision & /*decision*/) override { }
+    void keyRefused(const KeyRefusal &refusal) override { refusals.push_back(refusal); }
     void serverAssessed(const ServerAssessment & /*judgement*/) override { }
 
     std::deque<std::pair<ConnectionKey, ServerId>> m_opening;
--- a/test/unit/site/proofcollector_test.cpp
+++ b/test/unit/site/proofcollector_test.cpp
@@ -14,7 +14,8 @@
     explicit FakeLinks(ServerEvents &events)
         : events(events)
     { }
-    void open(ConnectionKey connection, const ServerAnnouncement &server) override
+    void open(ConnectionKey connection, const ServerAnnouncement &server,
+              const WorkspaceName & /*workspace*/) override
     {
         opened.emplace_back(connection, server.server);
     }
