--- a/gen/Peer.cpp
+++ b/gen/Peer.cpp
@@ -954,14 +954,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size249;
-            ::apache::thrift::protocol::TType _etype252;
-            xfer += iprot->readListBegin(_etype252, _size249);
-            this->messages.resize(_size249);
-            uint32_t _i253;
-            for (_i253 = 0; _i253 < _size249; ++_i253)
+            uint32_t _size265;
+            ::apache::thrift::protocol::TType _etype268;
+            xfer += iprot->readListBegin(_etype268, _size265);
+            this->messages.resize(_size265);
+            uint32_t _i269;
+            for (_i269 = 0; _i269 < _size265; ++_i269)
             {
-              xfer += this->messages[_i253].read(iprot);
+              xfer += this->messages[_i269].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -994,10 +994,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<RaftMessage> ::const_iterator _iter254;
-    for (_iter254 = this->messages.begin(); _iter254 != this->messages.end(); ++_iter254)
+    std::vector<RaftMessage> ::const_iterator _iter270;
+    for (_iter270 = this->messages.begin(); _iter270 != this->messages.end(); ++_iter270)
     {
-      xfer += (*_iter254).write(oprot);
+      xfer += (*_iter270).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1025,10 +1025,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->messages)).size()));
-    std::vector<RaftMessage> ::const_iterator _iter255;
-    for (_iter255 = (*(this->messages)).begin(); _iter255 != (*(this->messages)).end(); ++_iter255)
+    std::vector<RaftMessage> ::const_iterator _iter271;
+    for (_iter271 = (*(this->messages)).begin(); _iter271 != (*(this->messages)).end(); ++_iter271)
     {
-      xfer += (*_iter255).write(oprot);
+      xfer += (*_iter271).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1834,14 +1834,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size256;
-            ::apache::thrift::protocol::TType _etype259;
-            xfer += iprot->readListBegin(_etype259, _size256);
-            this->reports.resize(_size256);
-            uint32_t _i260;
-            for (_i260 = 0; _i260 < _size256; ++_i260)
+            uint32_t _size272;
+            ::apache::thrift::protocol::TType _etype275;
+            xfer += iprot->readListBegin(_etype275, _size272);
+            this->reports.resize(_size272);
+            uint32_t _i276;
+            for (_i276 = 0; _i276 < _size272; ++_i276)
             {
-              xfer += this->reports[_i260].read(iprot);
+              xfer += this->reports[_i276].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1874,10 +1874,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<GroupReport> ::const_iterator _iter261;
-    for (_iter261 = this->reports.begin(); _iter261 != this->reports.end(); ++_iter261)
+    std::vector<GroupReport> ::const_iterator _iter277;
+    for (_iter277 = this->reports.begin(); _iter277 != this->reports.end(); ++_iter277)
     {
-      xfer += (*_iter261).write(oprot);
+      xfer += (*_iter277).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1905,10 +1905,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->reports)).size()));
-    std::vector<GroupReport> ::const_iterator _iter262;
-    for (_iter262 = (*(this->reports)).begin(); _iter262 != (*(this->reports)).end(); ++_iter262)
+    std::vector<GroupReport> ::const_iterator _iter278;
+    for (_iter278 = (*(this->reports)).begin(); _iter278 != (*(this->reports)).end(); ++_iter278)
     {
-      xfer += (*_iter262).write(oprot);
+      xfer += (*_iter278).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2734,14 +2734,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size263;
-            ::apache::thrift::protocol::TType _etype266;
-            xfer += iprot->readListBegin(_etype266, _size263);
-            this->services.resize(_size263);
-            uint32_t _i267;
-            for (_i267 = 0; _i267 < _size263; ++_i267)
+            uint32_t _size279;
+            ::apache::thrift::protocol::TType _etype282;
+            xfer += iprot->readListBegin(_etype282, _size279);
+            this->services.resize(_size279);
+            uint32_t _i283;
+            for (_i283 = 0; _i283 < _size279; ++_i283)
             {
-              xfer += iprot->readString(this->services[_i267]);
+              xfer += iprot->readString(this->services[_i283]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2774,10 +2774,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
-    std::vector<std::string> ::const_iterator _iter268;
-    for (_iter268 = this->services.begin(); _iter268 != this->services.end(); ++_iter268)
+    std::vector<std::string> ::const_iterator _iter284;
+    for (_iter284 = this->services.begin(); _iter284 != this->services.end(); ++_iter284)
     {
-      xfer += oprot->writeString((*_iter268));
+      xfer += oprot->writeString((*_iter284));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2805,10 +2805,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>((*(this->services)).size()));
-    std::vector<std::string> ::const_iterator _iter269;
-    for (_iter269 = (*(this->services)).begin(); _iter269 != (*(this->services)).end(); ++_iter269)
+    std::vector<std::string> ::const_iterator _iter285;
+    for (_iter285 = (*(this->services)).begin(); _iter285 != (*(this->services)).end(); ++_iter285)
     {
-      xfer += oprot->writeString((*_iter269));
+      xfer += oprot->writeString((*_iter285));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2849,14 +2849,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size270;
-            ::apache::thrift::protocol::TType _etype273;
-            xfer += iprot->readListBegin(_etype273, _size270);
-            this->success.resize(_size270);
-            uint32_t _i274;
-            for (_i274 = 0; _i274 < _size270; ++_i274)
+            uint32_t _size286;
+            ::apache::thrift::protocol::TType _etype289;
+            xfer += iprot->readListBegin(_etype289, _size286);
+            this->success.resize(_size286);
+            uint32_t _i290;
+            for (_i290 = 0; _i290 < _size286; ++_i290)
             {
-              xfer += this->success[_i274].read(iprot);
+              xfer += this->success[_i290].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2895,10 +2895,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<AgedProof> ::const_iterator _iter275;
-      for (_iter275 = this->success.begin(); _iter275 != this->success.end(); ++_iter275)
+      std::vector<AgedProof> ::const_iterator _iter291;
+      for (_iter291 = this->success.begin(); _iter291 != this->success.end(); ++_iter291)
       {
-        xfer += (*_iter275).write(oprot);
+        xfer += (*_iter291).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2943,14 +2943,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size276;
-            ::apache::thrift::protocol::TType _etype279;
-            xfer += iprot->readListBegin(_etype279, _size276);
-            (*(this->success)).resize(_size276);
-            uint32_t _i280;
-            for (_i280 = 0; _i280 < _size276; ++_i280)
+            uint32_t _size292;
+            ::apache::thrift::protocol::TType _etype295;
+            xfer += iprot->readListBegin(_etype295, _size292);
+            (*(this->success)).resize(_size292);
+            uint32_t _i296;
+            for (_i296 = 0; _i296 < _size292; ++_i296)
             {
-              xfer += (*(this->success))[_i280].read(iprot);
+              xfer += (*(this->success))[_i296].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -7774,6 +7774,290 @@
 }
 
 
+LoanRequest::~LoanRequest() noexcept {
+}
+
+
+void LoanRequest::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+
+void LoanRequest::__set_wanted(const int32_t val) {
+  this->wanted = val;
+}
+
+void LoanRequest::__set_isForStandIn(const bool val) {
+  this->isForStandIn = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoanRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoanRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isForStandIn);
+          this->__isset.isForStandIn = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoanRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoanRequest");
+
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isForStandIn", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->isForStandIn);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoanRequest &a, LoanRequest &b) {
+  using ::std::swap;
+  swap(a.workspace, b.workspace);
+  swap(a.wanted, b.wanted);
+  swap(a.isForStandIn, b.isForStandIn);
+  swap(a.__isset, b.__isset);
+}
+
+LoanRequest::LoanRequest(const LoanRequest& other229) {
+  workspace = other229.workspace;
+  wanted = other229.wanted;
+  isForStandIn = other229.isForStandIn;
+  __isset = other229.__isset;
+}
+LoanRequest& LoanRequest::operator=(const LoanRequest& other230) {
+  workspace = other230.workspace;
+  wanted = other230.wanted;
+  isForStandIn = other230.isForStandIn;
+  __isset = other230.__isset;
+  return *this;
+}
+void LoanRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoanRequest(";
+  out << "workspace=" << to_string(workspace);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ", " << "isForStandIn=" << to_string(isForStandIn);
+  out << ")";
+}
+
+
+Loan::~Loan() noexcept {
+}
+
+
+void Loan::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+
+void Loan::__set_granted(const int32_t val) {
+  this->granted = val;
+}
+
+void Loan::__set_retryMilliseconds(const int32_t val) {
+  this->retryMilliseconds = val;
+}
+
+void Loan::__set_isFromStandIn(const bool val) {
+  this->isFromStandIn = val;
+}
+std::ostream& operator<<(std::ostream& out, const Loan& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Loan::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->granted);
+          this->__isset.granted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retryMilliseconds);
+          this->__isset.retryMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isFromStandIn);
+          this->__isset.isFromStandIn = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Loan::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Loan");
+
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("granted", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->granted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retryMilliseconds", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->retryMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isFromStandIn", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->isFromStandIn);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Loan &a, Loan &b) {
+  using ::std::swap;
+  swap(a.workspace, b.workspace);
+  swap(a.granted, b.granted);
+  swap(a.retryMilliseconds, b.retryMilliseconds);
+  swap(a.isFromStandIn, b.isFromStandIn);
+  swap(a.__isset, b.__isset);
+}
+
+Loan::Loan(const Loan& other231) {
+  workspace = other231.workspace;
+  granted = other231.granted;
+  retryMilliseconds = other231.retryMilliseconds;
+  isFromStandIn = other231.isFromStandIn;
+  __isset = other231.__isset;
+}
+Loan& Loan::operator=(const Loan& other232) {
+  workspace = other232.workspace;
+  granted = other232.granted;
+  retryMilliseconds = other232.retryMilliseconds;
+  isFromStandIn = other232.isFromStandIn;
+  __isset = other232.__isset;
+  return *this;
+}
+void Loan::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Loan(";
+  out << "workspace=" << to_string(workspace);
+  out << ", " << "granted=" << to_string(granted);
+  out << ", " << "retryMilliseconds=" << to_string(retryMilliseconds);
+  out << ", " << "isFromStandIn=" << to_string(isFromStandIn);
+  out << ")";
+}
+
+
 LaneFrame::~LaneFrame() noexcept {
 }
 
@@ -7809,6 +8093,16 @@
 void LaneFrame::__set_isReachDoubted(const bool val) {
   this->isReachDoubted = val;
 }
+
+void LaneFrame::__set_loanRequests(const std::vector<LoanRequest> & val) {
+  this->loanRequests = val;
+__isset.loanRequests = true;
+}
+
+void LaneFrame::__set_loans(const std::vector<Loan> & val) {
+  this->loans = val;
+__isset.loans = true;
+}
 std::ostream& operator<<(std::ostream& out, const LaneFrame& obj)
 {
   obj.printTo(out);
@@ -7841,14 +8135,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size229;
-            ::apache::thrift::protocol::TType _etype232;
-            xfer += iprot->readListBegin(_etype232, _size229);
-            this->requests.resize(_size229);
-            uint32_t _i233;
-            for (_i233 = 0; _i233 < _size229; ++_i233)
+            uint32_t _size233;
+            ::apache::thrift::protocol::TType _etype236;
+            xfer += iprot->readListBegin(_etype236, _size233);
+            this->requests.resize(_size233);
+            uint32_t _i237;
+            for (_i237 = 0; _i237 < _size233; ++_i237)
             {
-              xfer += this->requests[_i233].read(iprot);
+              xfer += this->requests[_i237].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7861,14 +8155,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replies.clear();
-            uint32_t _size234;
-            ::apache::thrift::protocol::TType _etype237;
-            xfer += iprot->readListBegin(_etype237, _size234);
-            this->replies.resize(_size234);
-            uint32_t _i238;
-            for (_i238 = 0; _i238 < _size234; ++_i238)
+            uint32_t _size238;
+            ::apache::thrift::protocol::TType _etype241;
+            xfer += iprot->readListBegin(_etype241, _size238);
+            this->replies.resize(_size238);
+            uint32_t _i242;
+            for (_i242 = 0; _i242 < _size238; ++_i242)
             {
-              xfer += this->replies[_i238].read(iprot);
+              xfer += this->replies[_i242].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7881,14 +8175,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size239;
-            ::apache::thrift::protocol::TType _etype242;
-            xfer += iprot->readListBegin(_etype242, _size239);
-            this->evidence.resize(_size239);
-            uint32_t _i243;
-            for (_i243 = 0; _i243 < _size239; ++_i243)
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->evidence.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
             {
-              xfer += this->evidence[_i243].read(iprot);
+              xfer += this->evidence[_i247].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7937,6 +8231,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loanRequests.clear();
+            uint32_t _size248;
+            ::apache::thrift::protocol::TType _etype251;
+            xfer += iprot->readListBegin(_etype251, _size248);
+            this->loanRequests.resize(_size248);
+            uint32_t _i252;
+            for (_i252 = 0; _i252 < _size248; ++_i252)
+            {
+              xfer += this->loanRequests[_i252].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loanRequests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->loans.clear();
+            uint32_t _size253;
+            ::apache::thrift::protocol::TType _etype256;
+            xfer += iprot->readListBegin(_etype256, _size253);
+            this->loans.resize(_size253);
+            uint32_t _i257;
+            for (_i257 = 0; _i257 < _size253; ++_i257)
+            {
+              xfer += this->loans[_i257].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.loans = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7957,10 +8291,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<LaneRequest> ::const_iterator _iter244;
-    for (_iter244 = this->requests.begin(); _iter244 != this->requests.end(); ++_iter244)
+    std::vector<LaneRequest> ::const_iterator _iter258;
+    for (_iter258 = this->requests.begin(); _iter258 != this->requests.end(); ++_iter258)
     {
-      xfer += (*_iter244).write(oprot);
+      xfer += (*_iter258).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7969,10 +8303,10 @@
   xfer += oprot->writeFieldBegin("replies", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replies.size()));
-    std::vector<LaneReply> ::const_iterator _iter245;
-    for (_iter245 = this->replies.begin(); _iter245 != this->replies.end(); ++_iter245)
+    std::vector<LaneReply> ::const_iterator _iter259;
+    for (_iter259 = this->replies.begin(); _iter259 != this->replies.end(); ++_iter259)
     {
-      xfer += (*_iter245).write(oprot);
+      xfer += (*_iter259).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7981,10 +8315,10 @@
   xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-    std::vector<LaneEvidence> ::const_iterator _iter246;
-    for (_iter246 = this->evidence.begin(); _iter246 != this->evidence.end(); ++_iter246)
+    std::vector<LaneEvidence> ::const_iterator _iter260;
+    for (_iter260 = this->evidence.begin(); _iter260 != this->evidence.end(); ++_iter260)
     {
-      xfer += (*_iter246).write(oprot);
+      xfer += (*_iter260).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8010,6 +8344,32 @@
   xfer += oprot->writeBool(this->isReachDoubted);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.loanRequests) {
+    xfer += oprot->writeFieldBegin("loanRequests", ::apache::thrift::protocol::T_LIST, 9);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loanRequests.size()));
+      std::vector<LoanRequest> ::const_iterator _iter261;
+      for (_iter261 = this->loanRequests.begin(); _iter261 != this->loanRequests.end(); ++_iter261)
+      {
+        xfer += (*_iter261).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.loans) {
+    xfer += oprot->writeFieldBegin("loans", ::apache::thrift::protocol::T_LIST, 10);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loans.size()));
+      std::vector<Loan> ::const_iterator _iter262;
+      for (_iter262 = this->loans.begin(); _iter262 != this->loans.end(); ++_iter262)
+      {
+        xfer += (*_iter262).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8025,30 +8385,36 @@
   swap(a.isLeaving, b.isLeaving);
   swap(a.failureDomain, b.failureDomain);
   swap(a.isReachDoubted, b.isReachDoubted);
+  swap(a.loanRequests, b.loanRequests);
+  swap(a.loans, b.loans);
   swap(a.__isset, b.__isset);
 }
 
-LaneFrame::LaneFrame(const LaneFrame& other247) {
-  requests = other247.requests;
-  replies = other247.replies;
-  evidence = other247.evidence;
-  isQuestion = other247.isQuestion;
-  isAnswer = other247.isAnswer;
-  isLeaving = other247.isLeaving;
-  failureDomain = other247.failureDomain;
-  isReachDoubted = other247.isReachDoubted;
-  __isset = other247.__isset;
-}
-LaneFrame& LaneFrame::operator=(const LaneFrame& other248) {
-  requests = other248.requests;
-  replies = other248.replies;
-  evidence = other248.evidence;
-  isQuestion = other248.isQuestion;
-  isAnswer = other248.isAnswer;
-  isLeaving = other248.isLeaving;
-  failureDomain = other248.failureDomain;
-  isReachDoubted = other248.isReachDoubted;
-  __isset = other248.__isset;
+LaneFrame::LaneFrame(const LaneFrame& other263) {
+  requests = other263.requests;
+  replies = other263.replies;
+  evidence = other263.evidence;
+  isQuestion = other263.isQuestion;
+  isAnswer = other263.isAnswer;
+  isLeaving = other263.isLeaving;
+  failureDomain = other263.failureDomain;
+  isReachDoubted = other263.isReachDoubted;
+  loanRequests = other263.loanRequests;
+  loans = other263.loans;
+  __isset = other263.__isset;
+}
+LaneFrame& LaneFrame::operator=(const LaneFrame& other264) {
+  requests = other264.requests;
+  replies = other264.replies;
+  evidence = other264.evidence;
+  isQuestion = other264.isQuestion;
+  isAnswer = other264.isAnswer;
+  isLeaving = other264.isLeaving;
+  failureDomain = other264.failureDomain;
+  isReachDoubted = other264.isReachDoubted;
+  loanRequests = other264.loanRequests;
+  loans = other264.loans;
+  __isset = other264.__isset;
   return *this;
 }
 void LaneFrame::printTo(std::ostream& out) const {
@@ -8062,6 +8428,8 @@
   out << ", " << "isLeaving=" << to_string(isLeaving);
   out << ", " << "failureDomain=" << to_string(failureDomain);
   out << ", " << "isReachDoubted=" << to_string(isReachDoubted);
+  out << ", " << "loanRequests="; (__isset.loanRequests ? (out << to_string(loanRequests)) : (out << "<null>"));
+  out << ", " << "loans="; (__isset.loans ? (out << to_string(loans)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -184,6 +184,10 @@
 
 class LaneEvidence;
 
+class LoanRequest;
+
+class Loan;
+
 class LaneFrame;
 
 typedef struct _Header__isset {
@@ -3082,8 +3086,129 @@
 
 std::ostream& operator<<(std::ostream& out, const LaneEvidence& obj);
 
+typedef struct _LoanRequest__isset {
+  _LoanRequest__isset() : workspace(false), wanted(false), isForStandIn(false) {}
+  bool workspace :1;
+  bool wanted :1;
+  bool isForStandIn :1;
+} _LoanRequest__isset;
+
+class LoanRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoanRequest(const LoanRequest&);
+  LoanRequest& operator=(const LoanRequest&);
+  LoanRequest() noexcept
+              : workspace(),
+                wanted(0),
+                isForStandIn(0) {
+  }
+
+  virtual ~LoanRequest() noexcept;
+  std::string workspace;
+  int32_t wanted;
+  bool isForStandIn;
+
+  _LoanRequest__isset __isset;
+
+  void __set_workspace(const std::string& val);
+
+  void __set_wanted(const int32_t val);
+
+  void __set_isForStandIn(const bool val);
+
+  bool operator == (const LoanRequest & rhs) const
+  {
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    if (!(isForStandIn == rhs.isForStandIn))
+      return false;
+    return true;
+  }
+  bool operator != (const LoanRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoanRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoanRequest &a, LoanRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const LoanRequest& obj);
+
+typedef struct _Loan__isset {
+  _Loan__isset() : workspace(false), granted(false), retryMilliseconds(false), isFromStandIn(false) {}
+  bool workspace :1;
+  bool granted :1;
+  bool retryMilliseconds :1;
+  bool isFromStandIn :1;
+} _Loan__isset;
+
+class Loan : public virtual ::apache::thrift::TBase {
+ public:
+
+  Loan(const Loan&);
+  Loan& operator=(const Loan&);
+  Loan() noexcept
+       : workspace(),
+         granted(0),
+         retryMilliseconds(0),
+         isFromStandIn(0) {
+  }
+
+  virtual ~Loan() noexcept;
+  std::string workspace;
+  int32_t granted;
+  int32_t retryMilliseconds;
+  bool isFromStandIn;
+
+  _Loan__isset __isset;
+
+  void __set_workspace(const std::string& val);
+
+  void __set_granted(const int32_t val);
+
+  void __set_retryMilliseconds(const int32_t val);
+
+  void __set_isFromStandIn(const bool val);
+
+  bool operator == (const Loan & rhs) const
+  {
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(granted == rhs.granted))
+      return false;
+    if (!(retryMilliseconds == rhs.retryMilliseconds))
+      return false;
+    if (!(isFromStandIn == rhs.isFromStandIn))
+      return false;
+    return true;
+  }
+  bool operator != (const Loan &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Loan & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Loan &a, Loan &b);
+
+std::ostream& operator<<(std::ostream& out, const Loan& obj);
+
 typedef struct _LaneFrame__isset {
-  _LaneFrame__isset() : requests(false), replies(false), evidence(false), isQuestion(false), isAnswer(false), isLeaving(false), failureDomain(false), isReachDoubted(false) {}
+  _LaneFrame__isset() : requests(false), replies(false), evidence(false), isQuestion(false), isAnswer(false), isLeaving(false), failureDomain(false), isReachDoubted(false), loanRequests(false), loans(false) {}
   bool requests :1;
   bool replies :1;
   bool evidence :1;
@@ -3092,6 +3217,8 @@
   bool isLeaving :1;
   bool failureDomain :1;
   bool isReachDoubted :1;
+  bool loanRequests :1;
+  bool loans :1;
 } _LaneFrame__isset;
 
 class LaneFrame : public virtual ::apache::thrift::TBase {
@@ -3116,6 +3243,8 @@
   bool isLeaving;
   std::string failureDomain;
   bool isReachDoubted;
+  std::vector<LoanRequest>  loanRequests;
+  std::vector<Loan>  loans;
 
   _LaneFrame__isset __isset;
 
@@ -3135,6 +3264,10 @@
 
   void __set_isReachDoubted(const bool val);
 
+  void __set_loanRequests(const std::vector<LoanRequest> & val);
+
+  void __set_loans(const std::vector<Loan> & val);
+
   bool operator == (const LaneFrame & rhs) const
   {
     if (!(requests == rhs.requests))
@@ -3153,6 +3286,14 @@
       return false;
     if (!(isReachDoubted == rhs.isReachDoubted))
       return false;
+    if (__isset.loanRequests != rhs.__isset.loanRequests)
+      return false;
+    else if (__isset.loanRequests && !(loanRequests == rhs.loanRequests))
+      return false;
+    if (__isset.loans != rhs.__isset.loans)
+      return false;
+    else if (__isset.loans && !(loans == rhs.loans))
+      return false;
     return true;
   }
   bool operator != (const LaneFrame &rhs) const {
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -401,6 +401,20 @@
   2: i32 evidence,                      // ServerEvidence
 }
 
+// A request for operations of a workspace with a cap, and the answer.
+struct LoanRequest {
+  1: string workspace,
+  2: i32 wanted,
+  3: bool isForStandIn,
+}
+
+struct Loan {
+  1: string workspace,
+  2: i32 granted,
+  3: i32 retryMilliseconds,
+  4: bool isFromStandIn,
+}
+
 struct LaneFrame {
   1: list<LaneRequest> requests,
   2: list<LaneReply> replies,
@@ -410,6 +424,8 @@
   6: bool isLeaving,                    // the home stops soon and takes no further lanes
   7: string failureDomain,              // of the entry VM, in its first frame
   8: bool isReachDoubted,               // nothing is heard from other failure domains
+  9: optional list<LoanRequest> loanRequests,
+  10: optional list<Loan> loans,
 }
 
 service Peer {
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "nutmegtide/proxy/caplender.h"
 #include "nutmegtide/proxy/homequeue.h"
 #include "nutmegtide/proxy/positionproofs.h"
 #include "nutmegtide/proxy/routetable.h"
@@ -17,6 +18,7 @@
     RequestId request;
     SessionKey session = 0;
     DatabaseName database;
+    WorkspaceName workspace;
     StatementKind kind = StatementKind::Read;
     std::string_view step; // "answered", "sent_elsewhere", "refused"
     std::string_view reason;
@@ -65,6 +67,9 @@
     virtual void send(ConnectionKey connection, const std::vector<ServerCommand> &commands,
                       const Urgency &urgency) = 0;
     virtual void close(ConnectionKey connection) = 0;
+    // Requests operations of a workspace with a cap, one request at a time for each workspace. The
+    // answer is passed to SessionProxy::lent().
+    virtual void borrow(const WorkspaceName &workspace, int wanted) = 0;
     virtual void requestDecided(const RequestDecision &decision) = 0;
     // A session was refused or is ended, as no workspace that may use the route holds its key.
     virtual void keyRefused(const KeyRefusal &refusal) = 0;
@@ -146,6 +151,9 @@
     // of the connection keeps it, and nobody else gets it.
     void retire(ConnectionKey key, TimePoint now);
 
+    // The answer to SessionProxyDelegate::borrow().
+    void lent(const WorkspaceName &workspace, const CapLoan &loan, TimePoint now);
+
     // Runs everything that is due: timeouts, retries, probes and closing idle connections.
     void tick(TimePoint now);
     // Returns when tick() is due next.
@@ -181,6 +189,7 @@
 private:
     // Stage of a statement.
     enum class Phase {
+        Cap, // waits until its workspace may start another operation
         Proof, // waits for a proof of position
         Connection,
         Begin, // waits for the reply to its transaction's begin
@@ -217,6 +226,7 @@
         WorkspaceName workspace; // empty where no key is needed
         // Its key was removed; it ends by then.
         std::optional<TimePoint> revokedBy;
+        bool isCharged = false; // the current operation counts towards the workspace's cap
         SessionState image;
         TransactionState state = TransactionState::Idle;
         bool isReadOnly = false; // of the open transaction
@@ -292,6 +302,22 @@
     void note(SessionKey key, const Work &work, std::string_view step, std::string_view reason,
               TimePoint now);
 
+    // Caps (sessioncaps.cpp).
+    // Operations of one workspace that wait for a loan.
+    struct CapQueue
+    {
+        std::deque<SessionKey> waiting;
+        int asked = 0; // operations that the outstanding request is for
+        // Operations that were lent for statements which then didn't run anywhere.
+        int returned = 0;
+        TimePoint returnedAt {};
+    };
+    bool needsLoan(const Session &session) const;
+    void charge(SessionKey key, TimePoint now);
+    void startCharged(SessionKey key, TimePoint now);
+    void returnLoan(SessionKey key, TimePoint now);
+    void borrowForWaiting(const WorkspaceName &workspace);
+
     // Servers (sessionrouting.cpp, sessionreplies.cpp).
     void route(SessionKey key, TimePoint now);
     void extendForPrimaryChange(Work &work, TimePoint now) const;
@@ -343,6 +369,7 @@
     std::map<DatabaseName, AverageTime> m_runTimes; // run time of statements, by route
     std::set<std::pair<TimePoint, SessionKey>> m_timers;
     TimePoint m_poolDueAt;
+    std::map<WorkspaceName, CapQueue> m_capQueues;
     std::set<SessionKey> m_revoked; // sessions whose key was removed
     Duration m_revocationTime = 2s;
     bool m_isDraining = false;
--- a/include/nutmegtide/settings/nodesettings.h
+++ b/include/nutmegtide/settings/nodesettings.h
@@ -47,6 +47,16 @@
     bool operator==(const LogSettings &) const = default;
 };
 
+// [caps]: how the caps of workspaces are counted.
+struct CapSettings
+{
+    std::chrono::milliseconds window {5000}; // any span of this length counts
+    double overage = 0; // share of a cap that may be exceeded in a window
+    int slack = 0; // operations in a window besides
+
+    bool operator==(const CapSettings &) const = default;
+};
+
 // [node] and the tables beside it: what one process must know before it has met its fleet.
 struct NodeSettings
 {
@@ -67,9 +77,12 @@
     double drainSeconds = 0; // sets drainTimeout where it is above 0, with parts of a second
     // In which a backend server that said that it leaves may still get work; 0 sets no bound.
     std::chrono::milliseconds serverLeaveTime {0};
+    // In which a removed key has to be out of use everywhere.
+    std::chrono::milliseconds revocationTime {4000};
     int callerThreads = 64;
     ListenSettings listen;
     LogSettings log;
+    CapSettings caps;
     // [peer_routes]: where this VM calls a peer whose listener it can't reach at its own address.
     std::map<Endpoint, Endpoint> peerRoutes;
 
--- a/src/proxy/sessionproxy.cpp
+++ b/src/proxy/sessionproxy.cpp
@@ -28,6 +28,7 @@
 {
     m_routes = std::move(routes);
     revokeSessions(now);
+    std::erase_if(m_capQueues, [](const auto &item) { return item.second.waiting.empty(); });
     std::erase_if(m_runTimes,
                   [this](const auto &item) { return m_routes->find(item.first) == nullptr; });
     for (auto &[key, pending] : std::exchange(m_pendingSessions, {})) {
@@ -139,6 +140,10 @@
     if (session.pinned != 0)
         work.sendDeadline = now + work.route.latencyObjective;
     session.work = work;
+    if (!isInTransaction)
+        session.isCharged = false;
+    if (needsLoan(session))
+        return charge(key, now);
     route(key, now);
 }
 
@@ -201,6 +206,7 @@
     session.transactionRoute = *route;
     session.transactionRevision = m_routes->revision;
     session.begunAt = now;
+    session.isCharged = false;
     session.hasWritten = false;
     answerDone(key, statement, now);
 }
@@ -265,6 +271,9 @@
 void SessionProxy::fail(SessionKey key, StatementFault fault, std::string_view reason, TimePoint now)
 {
     Session &session = m_sessions.at(key);
+    const bool wasNothingSent = session.pinned == 0 && session.work->attempts == 0;
+    if (session.isCharged && wasNothingSent)
+        returnLoan(key, now);
     if (session.pinned != 0)
         unpin(key, false, now);
     if (session.state == TransactionState::Open) {
@@ -296,6 +305,8 @@
 {
     if (work.phase == Phase::Connection)
         leaveQueue({key, {}, m_sessions.at(key).workspace}, work.server);
+    if (work.phase == Phase::Cap)
+        std::erase(m_capQueues[m_sessions.at(key).workspace].waiting, key);
     if (work.phase == Phase::Proof)
         m_proofs[work.route.service].waiting.erase(key);
 }
@@ -401,7 +412,7 @@
     if (work.phase == Phase::Answer || work.phase == Phase::Begin)
         return onOverdueReply(key, now);
     stopWaiting(key, work);
-    if (now >= work.sendDeadline)
+    if (now >= work.sendDeadline || work.phase == Phase::Cap)
         return fail(key, work.lastFault.value_or(StatementFault::Busy), "not sent in time", now);
     route(key, now);
 }
--- a/src/proxy/sessionreports.cpp
+++ b/src/proxy/sessionreports.cpp
@@ -32,6 +32,7 @@
     decision.request = work.statement.request;
     decision.session = key;
     decision.database = work.route.database;
+    decision.workspace = m_sessions.at(key).workspace;
     decision.kind = work.statement.kind;
     decision.step = step;
     decision.reason = reason;
--- a/src/settings/nodeschema.cpp
+++ b/src/settings/nodeschema.cpp
@@ -12,6 +12,10 @@
 constexpr Range DrainSecondsRange {0, 3'600};
 constexpr Range ServerLeaveTimeRange {0, 3'600'000}; // ms
 constexpr Range ToleratedLossesRange {0, 3};
+constexpr Range RevocationTimeRange {1, 3'600'000}; // ms
+constexpr Range CapWindowRange {100, 3'600'000}; // ms
+constexpr Range CapOverageRange {0, 10};
+constexpr Range CapSlackRange {0, 1'000'000}; // operations
 constexpr Range CallerThreadsRange {1, 10'000};
 constexpr bool IsRequired = true;
 
@@ -31,6 +35,7 @@
         {"drain_seconds", &NodeSettings::drainSeconds, DrainSecondsRange},
         {"drain_timeout", &NodeSettings::drainTimeout, DrainTimeoutRange},
         {"server_leave_time", &NodeSettings::serverLeaveTime, ServerLeaveTimeRange},
+        {"revocation_time", &NodeSettings::revocationTime, RevocationTimeRange},
         {"caller_threads", &NodeSettings::callerThreads, CallerThreadsRange},
 };
 
@@ -48,7 +53,13 @@
         {"to_standard_output", &LogSettings::toStandardOutput},
 };
 
-constexpr std::string_view NodeTables[] = {"node", "listen", "log", "peer_routes"};
+const KeyRow<CapSettings> CapRows[] = {
+        {"window", &CapSettings::window, CapWindowRange},
+        {"overage", &CapSettings::overage, CapOverageRange},
+        {"slack", &CapSettings::slack, CapSlackRange},
+};
+
+constexpr std::string_view NodeTables[] = {"node", "listen", "log", "caps", "peer_routes"};
 
 // Port 0 stands for a port of the kernel's choice, so it never collides.
 void checkListeners(const ListenSettings &listen, SectionReader &reader)
@@ -109,6 +120,7 @@
     reader.readTable<NodeSettings>("node", NodeRows, settings);
     reader.readTable<ListenSettings>("listen", ListenRows, settings.listen);
     reader.readTable<LogSettings>("log", LogRows, settings.log);
+    reader.readTable<CapSettings>("caps", CapRows, settings.caps);
     readPeerRoutes(merged, reader, settings);
     reader.checkUnknown(merged.tables, "", NodeTables);
     checkListeners(settings.listen, reader);
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -40,6 +40,11 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+CapRule capRule(const CapSettings &caps)
+{
+    return {caps.window, caps.overage, static_cast<double>(caps.slack)};
+}
+
 // Returns how long a leaving server still gets new work.
 Duration leaveTime(const NodeSettings &settings)
 {
@@ -84,7 +89,13 @@
                   });
               })
 {
+    m_links.setOnLoan([this](const Endpoint &lender, const WorkspaceName &workspace,
+                             LenderRole role, const CapLoan &loan) {
+        m_borrower.answered(lender, workspace, role, loan, EventLoop::now());
+    });
     m_proxy.setLeaveTime(leaveTime(settings));
+    m_proxy.setRevocationTime(settings.revocationTime);
+    m_borrower.setRule(capRule(settings.caps));
     m_proxy.setStarting(EventLoop::now() + StartTime);
     m_callers = makeCallerPort(m_loop, settings.listen.callers, *this);
     m_health = std::make_unique<HttpServer>(settings.listen.health, healthOptions(),
@@ -118,6 +129,7 @@
                                             logLine(LogLevel::Warning, event, {{"reason", reason}});
                                         });
     m_home->setLeaveTime(leaveTime(m_settings));
+    m_home->setCapRule(capRule(m_settings.caps));
     m_follower.setLanes(toString(lanes));
 }
 
@@ -163,6 +175,7 @@
         }
     }
     m_proxy.setEntryCount(view.entryCount);
+    m_borrower.setEntryCount(view.entryCount);
     for (const AgedProof &proof : view.proofs)
         m_proxy.takeProof(proof.service, view.askedAt - proof.age, proof.position, now);
     if (view.homes)
@@ -176,6 +189,7 @@
             const std::vector<ServerRecord> present = m_registry.present();
             m_proxy.setServers(present, now);
             m_links.setServers(present);
+            m_borrower.setCandidates(m_links.lenderCandidates());
             if (m_home)
                 m_home->setServers(present);
             logLine(LogLevel::Info, "servers_known",
@@ -193,8 +207,11 @@
     std::map<ServiceName, int> limits;
     for (const auto &[name, service] : routes.services)
         limits[name] = service.maxConnections;
-    if (m_home)
+    m_borrower.setWorkspaces(routes.workspaces);
+    if (m_home) {
         m_home->setConnectionLimits(std::move(limits));
+        m_home->setWorkspaces(routes.workspaces);
+    }
     const std::size_t workspaces = routes.workspaces ? routes.workspaces->workspaces().size() : 0;
     logLine(LogLevel::Info, "routes_in_force",
             {{"revision", std::to_string(m_revision)},
@@ -209,6 +226,7 @@
     for (auto &[server, lanes] : homes)
         lanes = homesInOrderFor(m_identity.vm, std::move(lanes));
     m_links.setHomes(std::move(homes));
+    m_borrower.setCandidates(m_links.lenderCandidates());
 }
 
 void EntryNode::updateReadiness()
@@ -236,7 +254,7 @@
     }
     m_counts.setSessions(m_proxy.sessionCount());
     m_links.flush();
-    TimePoint wake = std::min(m_proxy.wakeAt(), m_links.wakeAt());
+    TimePoint wake = std::min({m_proxy.wakeAt(), m_links.wakeAt(), m_borrower.wakeAt()});
     if (m_home) {
         m_home->flush();
         wake = std::min(wake, m_home->wakeAt());
@@ -252,6 +270,7 @@
     m_proxy.tick(now);
     m_follower.setAgedServices(m_proxy.agedServices(now));
     m_links.tick(now);
+    m_borrower.tick(now);
     if (m_home)
         m_home->tick(now);
     if (!m_isDraining)
@@ -364,6 +383,27 @@
     m_links.close(connection);
 }
 
+void EntryNode::borrow(const WorkspaceName &workspace, int wanted)
+{
+    m_borrower.borrow(workspace, wanted, EventLoop::now());
+}
+
+bool EntryNode::isReachable(const Endpoint &lender)
+{
+    return m_links.isHomeReachable(lender);
+}
+
+void EntryNode::requestLoan(const Endpoint &lender, const WorkspaceName &workspace, LenderRole role,
+                            int wanted)
+{
+    m_links.requestLoan(lender, workspace, role, wanted);
+}
+
+void EntryNode::lent(const WorkspaceName &workspace, const CapLoan &loan)
+{
+    m_proxy.lent(workspace, loan, EventLoop::now());
+}
+
 // Successful statements are only counted, not logged.
 void EntryNode::requestDecided(const RequestDecision &decision)
 {
@@ -375,6 +415,7 @@
             {{"request_id", decision.request.text()},
              {"session", std::to_string(decision.session)},
              {"database", decision.database.text()},
+             {"workspace", decision.workspace.text()},
              {"kind", std::string(toString(decision.kind))},
              {"fault", decision.fault ? std::string(toString(*decision.fault)) : ""},
              {"reason", std::string(decision.reason)},
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -20,7 +20,10 @@
 
 // An entry VM of a site. It connects the sessions of callers to backend servers, and polls the
 // control VMs for the routes and the servers.
-class EntryNode : private CallerEvents, private ServerEvents, private SessionProxyDelegate
+class EntryNode : private CallerEvents,
+                  private ServerEvents,
+                  private SessionProxyDelegate,
+                  private CapBorrowerDelegate
 {
 public:
     // Throws ListenError.
@@ -60,6 +63,11 @@
     void send(ConnectionKey connection, const std::vector<ServerCommand> &commands,
               const Urgency &urgency) override;
     void close(ConnectionKey connection) override;
+    void borrow(const WorkspaceName &workspace, int wanted) override;
+    bool isReachable(const Endpoint &lender) override;
+    void requestLoan(const Endpoint &lender, const WorkspaceName &workspace, LenderRole role,
+                     int wanted) override;
+    void lent(const WorkspaceName &workspace, const CapLoan &loan) override;
     void requestDecided(const RequestDecision &decision) override;
     void keyRefused(const KeyRefusal &refusal) override;
     void serverAssessed(const ServerAssessment &serverAssessment) override;
@@ -89,6 +97,7 @@
     SessionProxy m_proxy;
     std::unique_ptr<CallerPort> m_callers;
     LaneLinks m_links;
+    CapBorrower m_borrower {*this};
     std::unique_ptr<HomePort> m_home; // null where this VM accepts no lanes
     ControlFollower m_follower;
     std::unique_ptr<HttpServer> m_health;
--- a/src/site/homeport.cpp
+++ b/src/site/homeport.cpp
@@ -9,6 +9,8 @@
 // LaneLinks gives up a home no sooner than this after its last answer.
 constexpr auto LongestStall = 300ms;
 constexpr auto WarningInterval = 100ms; // between forwarded warnings
+// A failure domain without homes may lend a share of the caps by itself, and may come back.
+constexpr auto MissingDomainTime = 30s;
 
 } // namespace
 
@@ -105,6 +107,48 @@
         if (request.isClosed)
             m_home.closeLane(lane, now);
     }
+    for (const wire::LoanRequest &request : frame.loanRequests)
+        handleLoanRequest(link, request);
+}
+
+void HomePort::handleLoanRequest(std::uint64_t link, const wire::LoanRequest &request)
+{
+    const LenderRole role = request.isForStandIn ? LenderRole::StandIn : LenderRole::Owner;
+    const CapLoan lent = m_lender.lend(WorkspaceName(request.workspace), role,
+                                       std::max(0, request.wanted), EventLoop::now());
+    wire::Loan loan;
+    loan.workspace = request.workspace;
+    loan.granted = lent.granted;
+    loan.retryMilliseconds = static_cast<std::int32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(lent.retryAfter).count());
+    loan.isFromStandIn = request.isForStandIn;
+    wire::LaneFrame *frame = outgoing(link);
+    frame->loans.push_back(std::move(loan));
+    frame->__isset.loans = true;
+}
+
+void HomePort::setServers(const std::vector<ServerRecord> &records)
+{
+    m_home.setServers(records, EventLoop::now());
+    m_domainOf.clear();
+    for (const ServerRecord &record : records)
+        m_domainOf[record.announcement.server] = record.announcement.failureDomain;
+}
+
+void HomePort::updateLender(TimePoint now)
+{
+    std::set<FailureDomain> present;
+    for (const auto &[server, homes] : m_homesByServer) {
+        const auto domain = m_domainOf.find(server);
+        if (domain != m_domainOf.end())
+            present.insert(domain->second);
+    }
+    for (const FailureDomain &domain : present)
+        m_domainSeenAt[domain] = now;
+    std::erase_if(m_domainSeenAt,
+                  [now](const auto &item) { return now - item.second > MissingDomainTime; });
+    m_lender.setDomains(static_cast<int>(present.size()), static_cast<int>(m_domainSeenAt.size()));
+    m_lender.forgetUnused(now);
 }
 
 // Forwards the warning to the other VMs of the entry VM's failure domain, which then probe their
@@ -146,11 +190,13 @@
             counts[server] = static_cast<int>(lanes.size());
     }
     m_home.setHomeCounts(std::move(counts));
+    m_homesByServer = homes;
 }
 
 void HomePort::tick(TimePoint now)
 {
     m_home.tick(now);
+    updateLender(now);
 }
 
 void HomePort::flush()
--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegtide/base/endpoint.h"
+#include "nutmegtide/proxy/caplender.h"
 #include "nutmegtide/proxy/serverhome.h"
 #include "nutmegtide/site/adapters.h"
 #include "site/eventloop.h"
@@ -36,14 +37,16 @@
     HomePort &operator=(const HomePort &) = delete;
 
     void setLeaveTime(Duration time) { m_home.setLeaveTime(time); }
-    void setServers(const std::vector<ServerRecord> &records)
-    {
-        m_home.setServers(records, EventLoop::now());
-    }
+    void setServers(const std::vector<ServerRecord> &records);
     // Asks the other VMs to use other homes; commands in progress go on.
     void leave();
     // Sets the homes of each server. `own` is this VM's listener for lanes.
     void setHomes(const ServerHomes &homes, const Endpoint &own);
+    void setWorkspaces(const std::optional<WorkspaceTable> &workspaces)
+    {
+        m_lender.setWorkspaces(workspaces);
+    }
+    void setCapRule(const CapRule &rule) { m_lender.setRule(rule); }
     // Sets how many connections a server of each service accepts.
     void setConnectionLimits(std::map<ServiceName, int> limits)
     {
@@ -71,6 +74,8 @@
     bool wasStalled() const;
     void closeAllLinks();
     void handleFrame(std::uint64_t link, const wire::LaneFrame &frame);
+    void handleLoanRequest(std::uint64_t link, const wire::LoanRequest &request);
+    void updateLender(TimePoint now);
     void forwardReachWarning(std::uint64_t from, TimePoint now);
     void end(std::uint64_t link);
     // Returns the next frame to send on the link, null where the link is closed.
@@ -94,6 +99,10 @@
     const FailureDomain m_own;
     const OnFault m_onFault;
     ServerHome m_home {*this};
+    CapLender m_lender;
+    ServerHomes m_homesByServer;
+    std::map<ServerId, FailureDomain> m_domainOf;
+    std::map<FailureDomain, TimePoint> m_domainSeenAt; // with a home
     std::unique_ptr<ServerLinks> m_servers;
     StreamListener m_listener;
     std::map<std::uint64_t, Link> m_links;
--- a/src/site/lanelinks.cpp
+++ b/src/site/lanelinks.cpp
@@ -139,6 +139,9 @@
 {
     if (m_homesByServer.size() > MostConnectedAhead)
         return;
+    // Any home may lend operations.
+    for (const Endpoint &at : m_allHomes)
+        connect(at, now);
     for (const auto &[server, homes] : m_homesByServer)
         findUsableHome(homes, now);
 }
@@ -204,6 +207,50 @@
     m_lanes.erase(lane);
 }
 
+std::vector<CapLenderCandidate> LaneLinks::lenderCandidates() const
+{
+    std::vector<CapLenderCandidate> candidates;
+    for (const Endpoint &at : m_allHomes)
+        candidates.push_back({at, m_remoteHomes.count(at) == 0});
+    return candidates;
+}
+
+bool LaneLinks::isHomeReachable(const Endpoint &at)
+{
+    if (m_allHomes.count(at) != 0)
+        connect(at, EventLoop::now());
+    return isUsable(at);
+}
+
+void LaneLinks::requestLoan(const Endpoint &at, const WorkspaceName &workspace, LenderRole role,
+                            int wanted)
+{
+    wire::LoanRequest request;
+    request.workspace = workspace.text();
+    request.wanted = wanted;
+    request.isForStandIn = role == LenderRole::StandIn;
+    Home &home = m_homes.at(at);
+    // An unanswered request makes a frozen home be probed.
+    if (home.unanswered++ == 0)
+        home.heardAt = EventLoop::now();
+    ++home.loansAsked;
+    wire::LaneFrame &frame = outgoing(at);
+    frame.loanRequests.push_back(std::move(request));
+    frame.__isset.loanRequests = true;
+}
+
+void LaneLinks::handleLoan(const Endpoint &at, const wire::Loan &message)
+{
+    Home &home = m_homes.at(at);
+    if (home.loansAsked == 0)
+        return;
+    --home.loansAsked;
+    --home.unanswered;
+    const LenderRole role = message.isFromStandIn ? LenderRole::StandIn : LenderRole::Owner;
+    m_onLoan(at, WorkspaceName(message.workspace), role,
+             {message.granted, std::chrono::milliseconds(message.retryMilliseconds)});
+}
+
 void LaneLinks::bypassHome(const ServerId &server)
 {
     m_directUntil[server] = EventLoop::now() + BypassTime;
@@ -278,6 +325,8 @@
             bypassHome(ServerId(message.server));
         m_onEvidence(ServerId(message.server), evidence);
     }
+    for (const wire::Loan &loan : frame.loans)
+        handleLoan(at, loan);
     for (const wire::LaneReply &reply : frame.replies)
         handleReply(reply);
 }
--- a/src/site/lanelinks.h
+++ b/src/site/lanelinks.h
@@ -2,6 +2,7 @@
 
 #include "nutmegtide/base/endpoint.h"
 #include "nutmegtide/fleet/domainreachability.h"
+#include "nutmegtide/proxy/capborrower.h"
 #include "nutmegtide/proxy/serverhome.h"
 #include "nutmegtide/site/adapters.h"
 #include "site/eventloop.h"
@@ -42,6 +43,11 @@
     LaneLinks(EventLoop &loop, const std::string &self, FailureDomain own, ServerEvents &events,
               OnEvidence onEvidence, OnHome onHome);
 
+    // Called with a home's answer to a request for operations.
+    using OnLoan = std::function<void(const Endpoint &home, const WorkspaceName &workspace,
+                                      LenderRole role, const CapLoan &loan)>;
+    void setOnLoan(OnLoan onLoan) { m_onLoan = std::move(onLoan); }
+
     // Sets the homes of each server, in order of preference.
     void setHomes(ServerHomes homes);
     void setServers(const std::vector<ServerRecord> &records);
@@ -51,6 +57,12 @@
     void send(ConnectionKey connection, const std::vector<ServerCommand> &commands,
               const Urgency &urgency);
     void close(ConnectionKey connection);
+    // Returns the homes of all servers as lenders of operations.
+    std::vector<CapLenderCandidate> lenderCandidates() const;
+    // Returns whether the home answers; connects to it if it isn't connected.
+    bool isHomeReachable(const Endpoint &at);
+    void requestLoan(const Endpoint &at, const WorkspaceName &workspace, LenderRole role,
+                     int wanted);
     bool isLane(ConnectionKey connection) const { return m_lanes.count(connection) != 0; }
     // Another source reports that other failure domains may be unreachable, or that they are
     // reachable.
@@ -76,7 +88,8 @@
         FrameBuffer frames;
         wire::LaneFrame outgoing;
         std::set<ConnectionKey> lanes;
-        int unanswered = 0; // number of commands of all lanes
+        int unanswered = 0; // number of commands of all lanes and of loans that were asked for
+        int loansAsked = 0;
         bool isReachable = false; // has answered on this connection
         bool isLeaving = false;
         bool isProbed = false;
@@ -98,6 +111,7 @@
     void handleFrame(const Endpoint &at, const wire::LaneFrame &frame);
     void retireLanes(const Endpoint &at);
     void handleReply(const wire::LaneReply &reply);
+    void handleLoan(const Endpoint &at, const wire::Loan &message);
     // Closes the connection to a home and all its lanes, and doesn't reconnect during the pause.
     void disconnect(const Endpoint &at, const std::string &why, Duration pause);
     wire::LaneFrame &outgoing(const Endpoint &at);
@@ -113,6 +127,7 @@
     ServerEvents &m_events;
     const OnEvidence m_onEvidence;
     const OnHome m_onHome;
+    OnLoan m_onLoan;
     std::unique_ptr<ServerLinks> m_direct;
     ServerHomes m_homesByServer; // in order of preference
     std::set<Endpoint> m_allHomes; // the homes of all servers
--- a/test/unit/proxy/sessionproxyfixture.h
+++ b/test/unit/proxy/sessionproxyfixture.h
@@ -170,6 +170,7 @@
     std::vector<SessionKey> accepted;
     std::vector<GivenAnswer> answers;
     std::vector<KeyRefusal> refusals;
+    std::vector<std::pair<WorkspaceName, int>> loanRequests; // with the operations asked for
     std::map<ConnectionKey, WorkspaceName> workspaceOf; // of each connection that was requested
     std::vector<SentCommand> sentCommands;
     bool hasHomes = false; // connections go through homes
@@ -272,6 +273,10 @@
         std::erase_if(m_opening,
                       [connection](const auto &item) { return item.first == connection; });
     }
+    void borrow(const WorkspaceName &workspace, int wanted) override
+    {
+        loanRequests.emplace_back(workspace, wanted);
+    }
     void requestDecided(const RequestDecision & /*decision*/) override { }
     void keyRefused(const KeyRefusal &refusal) override { refusals.push_back(refusal); }
     void serverAssessed(const ServerAssessment & /*judgement*/) override { }
