--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -207,6 +207,7 @@
     std::map<ServiceName, int> limits;
     for (const auto &[name, service] : routes.services)
         limits[name] = service.maxConnections;
+    m_links.setUsesAllHomes(routes.workspaces.has_value());
     m_borrower.setWorkspaces(routes.workspaces);
     if (m_home) {
         m_home->setConnectionLimits(std::move(limits));
@@ -223,8 +224,6 @@
 {
     if (m_home)
         m_home->setHomes(homes, m_settings.listen.lanes);
-    for (auto &[server, lanes] : homes)
-        lanes = homesInOrderFor(m_identity.vm, std::move(lanes));
     m_links.setHomes(std::move(homes));
     m_borrower.setCandidates(m_links.lenderCandidates());
 }
--- a/src/site/homedirectory.cpp
+++ b/src/site/homedirectory.cpp
@@ -81,11 +81,10 @@
     }
 }
 
-std::vector<Endpoint> homesInOrderFor(const VmName &entry, std::vector<Endpoint> homes)
+std::vector<Endpoint> homesInOrderFor(const std::string &chooser, std::vector<Endpoint> homes)
 {
-    std::sort(homes.begin(), homes.end(), [&entry](const Endpoint &left, const Endpoint &right) {
-        return placementWeight(entry.text(), toString(left))
-                > placementWeight(entry.text(), toString(right));
+    std::sort(homes.begin(), homes.end(), [&chooser](const Endpoint &left, const Endpoint &right) {
+        return placementWeight(chooser, toString(left)) > placementWeight(chooser, toString(right));
     });
     return homes;
 }
--- a/src/site/homedirectory.h
+++ b/src/site/homedirectory.h
@@ -50,8 +50,8 @@
     std::int64_t m_version = 0; // 0 stands for no homes
 };
 
-// Returns the homes of one server in the order in which an entry VM uses them. The order differs
-// between entry VMs, so that they spread their load evenly over the homes.
-std::vector<Endpoint> homesInOrderFor(const VmName &entry, std::vector<Endpoint> homes);
+// Returns the homes of one server in the order of preference of a chooser: a workspace or an entry
+// VM. The order differs between choosers, so that they spread their load evenly over the homes.
+std::vector<Endpoint> homesInOrderFor(const std::string &chooser, std::vector<Endpoint> homes);
 
 } // namespace nutmegtide
--- a/src/site/lanelinks.cpp
+++ b/src/site/lanelinks.cpp
@@ -22,6 +22,7 @@
 LaneLinks::LaneLinks(EventLoop &loop, const std::string &self, FailureDomain own,
                      ServerEvents &events, OnEvidence onEvidence, OnHome onHome)
     : m_loop(loop)
+    , m_self(self)
     , m_own(std::move(own))
     , m_events(events)
     , m_onEvidence(std::move(onEvidence))
@@ -139,11 +140,21 @@
 {
     if (m_homesByServer.size() > MostConnectedAhead)
         return;
-    // Any home may lend operations.
-    for (const Endpoint &at : m_allHomes)
-        connect(at, now);
+    if (m_usesAllHomes) {
+        for (const Endpoint &at : m_allHomes)
+            connect(at, now);
+        return;
+    }
     for (const auto &[server, homes] : m_homesByServer)
-        findUsableHome(homes, now);
+        findUsableHome(homesInOrderFor(m_self, homes), now);
+}
+
+// Returns whose order of the homes is used. All entry VMs use one home of a server for a workspace,
+// so that its connections aren't spread over all of them. Without workspaces each entry VM has an
+// order of its own.
+std::string LaneLinks::chooser(const WorkspaceName &workspace) const
+{
+    return workspace.isEmpty() ? m_self : workspace.text();
 }
 
 void LaneLinks::open(ConnectionKey connection, const ServerAnnouncement &server,
@@ -153,7 +164,7 @@
     const auto named = m_homesByServer.find(server.server);
     std::optional<Endpoint> home;
     if (named != m_homesByServer.end())
-        home = findUsableHome(named->second, now);
+        home = findUsableHome(homesInOrderFor(chooser(workspace), named->second), now);
     if (!home || isHomeBypassed(server.server, now))
         return m_direct->open(connection, server, workspace);
     m_lanes[connection] = {*home, {server.server, workspace}, 0};
--- a/src/site/lanelinks.h
+++ b/src/site/lanelinks.h
@@ -48,9 +48,12 @@
                                       LenderRole role, const CapLoan &loan)>;
     void setOnLoan(OnLoan onLoan) { m_onLoan = std::move(onLoan); }
 
-    // Sets the homes of each server, in order of preference.
+    // Sets the homes of each server.
     void setHomes(ServerHomes homes);
     void setServers(const std::vector<ServerRecord> &records);
+    // With workspaces any home may be needed next, for a lane or to lend operations; else only the
+    // preferred home of each server is.
+    void setUsesAllHomes(bool usesAll) { m_usesAllHomes = usesAll; }
 
     void open(ConnectionKey connection, const ServerAnnouncement &server,
               const WorkspaceName &workspace);
@@ -102,6 +105,7 @@
     void bypassHome(const ServerId &server);
     bool isHomeBypassed(const ServerId &server, TimePoint now) const;
     bool isUsable(const Endpoint &at) const;
+    std::string chooser(const WorkspaceName &workspace) const;
     // Connects to the homes that are likely to be needed next.
     void connectAhead(TimePoint now);
     std::optional<Endpoint> findUsableHome(const std::vector<Endpoint> &homes, TimePoint now);
@@ -123,16 +127,18 @@
     void warnOwnDomainHomes();
 
     EventLoop &m_loop;
+    const std::string m_self;
     const FailureDomain m_own;
     ServerEvents &m_events;
     const OnEvidence m_onEvidence;
     const OnHome m_onHome;
     OnLoan m_onLoan;
     std::unique_ptr<ServerLinks> m_direct;
-    ServerHomes m_homesByServer; // in order of preference
+    ServerHomes m_homesByServer;
     std::set<Endpoint> m_allHomes; // the homes of all servers
     std::map<ServerId, FailureDomain> m_domainOf;
     std::set<Endpoint> m_remoteHomes; // homes of other failure domains
+    bool m_usesAllHomes = false;
     DomainReachability m_reach;
     std::map<Endpoint, Home> m_homes;
     FrameWriter m_writer;
--- a/test/unit/platform/configuration_test.cpp
+++ b/test/unit/platform/configuration_test.cpp
@@ -68,3 +68,48 @@
     for (std::size_t size = 0; size < whole.size(); ++size)
         CHECK_THROWS_AS(parseConfiguration(whole.substr(0, size)), RouteTableError);
 }
+
+namespace {
+
+// Returns a configuration with these workspaces, as JSON.
+std::string withWorkspaces(const std::string &workspaces)
+{
+    return R"({"version":3,"routes":[],"services":[],"tenants":)" + workspaces + "}";
+}
+
+} // namespace
+
+TEST_CASE("workspaces have a name, keys, a cap and a priority")
+{
+    const RouteTable table = parseConfiguration(withWorkspaces(
+            R"([{"name":"w1","apiKeys":["k1","k2"],"priority":2,"ratePerS":12.5,"burst":30},
+                {"name":"w2","apiKeys":[]}])"));
+    REQUIRE(table.workspaces);
+    const Workspace *workspace = table.workspaces->findByKey(KeyDigest("k2"));
+    REQUIRE(workspace != nullptr);
+    CHECK(*workspace == Workspace {WorkspaceName("w1"), 2, {12.5, 30}});
+    CHECK_FALSE(table.workspaces->find(WorkspaceName("w2"))->cap.isSet());
+    CHECK_FALSE(parseConfiguration(R"({"version":3,"routes":[],"services":[]})").workspaces);
+}
+
+TEST_CASE("invalid workspaces are refused whole, without naming a key")
+{
+    for (const char *workspaces :
+         {R"([{"name":"w1","apiKeys":["secret"]},{"name":"w2","apiKeys":["secret"]}])",
+          R"([{"name":"w1","apiKeys":["secret"]},{"name":"w1","apiKeys":[]}])",
+          R"([{"apiKeys":["secret"]}])", R"([{"name":"","apiKeys":["secret"]}])",
+          R"([{"name":"w 1","apiKeys":["secret"]}])", R"([{"name":"w1"}])",
+          R"([{"name":"w1","apiKeys":["secret",1]}])", R"([{"name":"w1","apiKeys":["secret",""]}])",
+          R"([{"name":"w1","apiKeys":["secret"],"ratePerS":-1}])",
+          R"([{"name":"w1","apiKeys":["secret"],"burst":"many"}])", R"({"w1":["secret"]})"}) {
+        CAPTURE(std::string(workspaces));
+        std::string message;
+        try {
+            parseConfiguration(withWorkspaces(workspaces));
+        } catch (const RouteTableError &fault) {
+            message = fault.what();
+        }
+        CHECK_FALSE(message.empty());
+        CHECK(message.find("secret") == std::string::npos);
+    }
+}
--- a/test/unit/site/homedirectory_test.cpp
+++ b/test/unit/site/homedirectory_test.cpp
@@ -117,13 +117,11 @@
     const std::vector<Endpoint> homes {{"h1", 1}, {"h2", 1}, {"h3", 1}};
     std::map<Endpoint, int> first;
     for (int number = 0; number < 300; ++number) {
-        const std::vector<Endpoint> order = homesInOrderFor(VmName("e" + std::to_string(number)),
-                                                            homes);
+        const std::vector<Endpoint> order = homesInOrderFor("e" + std::to_string(number), homes);
         REQUIRE(order.size() == 3);
         ++first[order.front()];
         CHECK(order
-              == homesInOrderFor(VmName("e" + std::to_string(number)),
-                                 {homes[2], homes[0], homes[1]}));
+              == homesInOrderFor("e" + std::to_string(number), {homes[2], homes[0], homes[1]}));
     }
     for (const Endpoint &home : homes)
         CHECK(first[home] > 70);
