--- a/include/nutmegtide/proxy/caplender.h
+++ b/include/nutmegtide/proxy/caplender.h
@@ -27,6 +27,15 @@
     bool operator==(const CapRule &) const = default;
 };
 
+// The answer to a request for operations.
+struct CapLoan
+{
+    int granted = 0;
+    Duration retryAfter {}; // with fewer than asked for: when the next one will be there
+
+    bool operator==(const CapLoan &) const = default;
+};
+
 // Counts what was lent in the last window, so that no window has more than the limit.
 //
 // The process that lent before may have lent the whole limit just before the count began. So within
@@ -40,10 +49,8 @@
         , m_startedAt(now)
     { }
 
-    // Takes up to `wanted` operations of the limit and returns how many it got.
-    int take(int wanted, double limit, Duration window, TimePoint now);
-    // Returns how long it takes until the next operation may be taken.
-    Duration timeToNext(double limit, Duration window, TimePoint now) const;
+    // Lends up to `wanted` operations of the limit.
+    CapLoan lend(int wanted, double limit, Duration window, TimePoint now);
     // Returns whether a new counter would allow no more than this one.
     bool isUnused(Duration window, TimePoint now) const;
 
@@ -54,6 +61,9 @@
         int taken = 0;
     };
 
+    int take(int wanted, double limit, Duration window, TimePoint now);
+    // Returns how long it takes until the next operation may be taken.
+    Duration timeToNext(double limit, Duration window, TimePoint now) const;
     void expire(Duration window, TimePoint now);
 
     double m_first;
@@ -68,15 +78,6 @@
     StandIn, // one of each failure domain, for entry proxies that don't reach the owner
 };
 
-// The answer to a request for operations.
-struct CapLoan
-{
-    int granted = 0;
-    Duration retryAfter {}; // with fewer than asked for: when the next one will be there
-
-    bool operator==(const CapLoan &) const = default;
-};
-
 // Lends the operations of workspaces with a cap to entry proxies, which start an operation only
 // with a loan. A loan is given after its operation arrived and before it runs, so no window has
 // more operations that arrive and run in it than loans.
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -187,6 +187,9 @@
     bool knowsServers() const;
 
 private:
+    // Interval of the checks of pooled connections.
+    static constexpr Duration PoolInterval = 100ms;
+
     // Stage of a statement.
     enum class Phase {
         Cap, // waits until its workspace may start another operation
--- a/src/proxy/capborrower.cpp
+++ b/src/proxy/capborrower.cpp
@@ -84,11 +84,7 @@
         return {wanted, {}};
     const double limit = m_rule.allowance(known->cap) / m_entryCount;
     WindowCounter &counter = m_ownShares.try_emplace(workspace, 0, now).first->second;
-    CapLoan loan;
-    loan.granted = counter.take(wanted, limit, m_rule.window, now);
-    if (loan.granted < wanted)
-        loan.retryAfter = counter.timeToNext(limit, m_rule.window, now);
-    return loan;
+    return counter.lend(wanted, limit, m_rule.window, now);
 }
 
 void CapBorrower::tick(TimePoint now)
--- a/src/proxy/caplender.cpp
+++ b/src/proxy/caplender.cpp
@@ -21,6 +21,15 @@
     }
 }
 
+CapLoan WindowCounter::lend(int wanted, double limit, Duration window, TimePoint now)
+{
+    CapLoan loan;
+    loan.granted = take(wanted, limit, window, now);
+    if (loan.granted < wanted)
+        loan.retryAfter = timeToNext(limit, window, now);
+    return loan;
+}
+
 int WindowCounter::take(int wanted, double limit, Duration window, TimePoint now)
 {
     expire(window, now);
@@ -74,11 +83,7 @@
     const double limit = m_rule.allowance(known->cap) * share;
     const double first = 1 + known->cap.burst * share * FirstBurstShare;
     WindowCounter &counter = m_counters.try_emplace({workspace, role}, first, now).first->second;
-    CapLoan loan;
-    loan.granted = counter.take(wanted, limit, m_rule.window, now);
-    if (loan.granted < wanted)
-        loan.retryAfter = counter.timeToNext(limit, m_rule.window, now);
-    return loan;
+    return counter.lend(wanted, limit, m_rule.window, now);
 }
 
 void CapLender::forgetUnused(TimePoint now)
--- a/src/proxy/sessionkeys.cpp
+++ b/src/proxy/sessionkeys.cpp
@@ -1,4 +1,4 @@
-// Part of SessionProxy that checks the keys of callers.
+// Part of SessionProxy that opens sessions and checks the keys of callers.
 #include "nutmegtide/proxy/sessionproxy.h"
 
 namespace nutmegtide {
@@ -11,6 +11,38 @@
 
 } // namespace
 
+void SessionProxy::openSession(SessionKey key, const DatabaseName &database,
+                               const KeyDigest &credential, TimePoint now)
+{
+    // Without routes it isn't known which databases exist.
+    const bool hasRoutes = m_routes->revision != 0;
+    if (!hasRoutes && !m_refusesSessions && now < m_startsUntil) {
+        m_pendingSessions[key] = {database, credential, now, {}};
+        m_poolDueAt = std::min(m_poolDueAt, now + PoolInterval);
+        return;
+    }
+    if (m_refusesSessions || !hasRoutes)
+        return m_delegate.end(key, StatementFault::Busy);
+    startSession(key, database, credential, now);
+}
+
+void SessionProxy::startSession(SessionKey key, const DatabaseName &database,
+                                const KeyDigest &credential, TimePoint now)
+{
+    const Route *route = m_routes->find(database);
+    if (route == nullptr)
+        return m_delegate.end(key, StatementFault::UnknownDatabase);
+    const auto workspace = authorize(*route, credential);
+    if (!workspace)
+        return refuseKey(key, database);
+    Session &session = m_sessions[key];
+    session.database = database;
+    session.credential = credential;
+    session.workspace = *workspace;
+    session.usedAt = now;
+    m_delegate.accept(key);
+}
+
 std::optional<WorkspaceName> SessionProxy::authorize(const Route &route,
                                                      const KeyDigest &credential) const
 {
--- a/src/proxy/sessionproxy.cpp
+++ b/src/proxy/sessionproxy.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr auto PoolInterval = 100ms; // interval of the checks of pooled connections
 // Statements that a caller may send ahead of their answers.
 constexpr std::size_t MaxQueuedStatements = 256;
 // How long a session waits for the first routes.
@@ -55,38 +54,6 @@
                        [this](const auto &item) { return !m_pool.serversOf(item.first).empty(); });
 }
 
-void SessionProxy::openSession(SessionKey key, const DatabaseName &database,
-                               const KeyDigest &credential, TimePoint now)
-{
-    // Without routes it isn't known which databases exist.
-    const bool hasRoutes = m_routes->revision != 0;
-    if (!hasRoutes && !m_refusesSessions && now < m_startsUntil) {
-        m_pendingSessions[key] = {database, credential, now, {}};
-        m_poolDueAt = std::min(m_poolDueAt, now + PoolInterval);
-        return;
-    }
-    if (m_refusesSessions || !hasRoutes)
-        return m_delegate.end(key, StatementFault::Busy);
-    startSession(key, database, credential, now);
-}
-
-void SessionProxy::startSession(SessionKey key, const DatabaseName &database,
-                                const KeyDigest &credential, TimePoint now)
-{
-    const Route *route = m_routes->find(database);
-    if (route == nullptr)
-        return m_delegate.end(key, StatementFault::UnknownDatabase);
-    const auto workspace = authorize(*route, credential);
-    if (!workspace)
-        return refuseKey(key, database);
-    Session &session = m_sessions[key];
-    session.database = database;
-    session.credential = credential;
-    session.workspace = *workspace;
-    session.usedAt = now;
-    m_delegate.accept(key);
-}
-
 void SessionProxy::receive(SessionKey key, const SessionStatement &statement, TimePoint now)
 {
     const auto pending = m_pendingSessions.find(key);
--- a/src/site/lanelinks.cpp
+++ b/src/site/lanelinks.cpp
@@ -13,8 +13,6 @@
 constexpr auto ReconnectTime = 500ms; // between connections to one home
 constexpr auto SilentHomeRetryTime = 3s; // before a silent home is tried again; it may be slow
 constexpr auto BypassTime = 2s; // a server is used directly this long after its home failed
-constexpr std::size_t FirstProbedHomes = 4; // remote homes that are probed first on a suspicion
-constexpr std::size_t WarnedHomes = 2; // homes of the own domain that forward a warning
 constexpr std::size_t MostConnectedAhead = 256; // servers; with more, no connections ahead of use
 
 } // namespace
@@ -59,60 +57,6 @@
     }
 }
 
-// The homes that were silent during a cut may be connected again at once.
-void LaneLinks::clearCutOffSuspicion(TimePoint now)
-{
-    m_reach.noteAlive(now);
-    for (const Endpoint &at : m_remoteHomes) {
-        const auto home = m_homes.find(at);
-        if (home != m_homes.end())
-            home->second.connectAt = std::min(home->second.connectAt, now);
-    }
-    m_dueAt = now;
-}
-
-void LaneLinks::checkReach(TimePoint now)
-{
-    const DomainReachability::ProbeTargets questions = m_reach.dueProbes(now);
-    if (questions != DomainReachability::ProbeTargets::None) {
-        m_reach.noteProbesSent(questions, probeRemoteHomes(questions, now), now);
-        if (questions == DomainReachability::ProbeTargets::All)
-            warnOwnDomainHomes();
-    }
-    if (const auto wakeAt = m_reach.wakeAt(); wakeAt && *wakeAt > now)
-        m_dueAt = std::min(m_dueAt, *wakeAt);
-}
-
-// Probes homes of other failure domains. Returns how many of them owe an answer now.
-std::size_t LaneLinks::probeRemoteHomes(DomainReachability::ProbeTargets questions, TimePoint now)
-{
-    const std::size_t most = questions == DomainReachability::ProbeTargets::Few
-            ? FirstProbedHomes
-            : m_remoteHomes.size();
-    std::size_t count = 0;
-    for (const Endpoint &at : m_remoteHomes) {
-        const auto home = m_homes.find(at);
-        if (count == most || home == m_homes.end() || !home->second.isReachable)
-            continue;
-        ++count;
-        if (!home->second.isProbed)
-            sendProbe(at, home->second, now);
-    }
-    return count;
-}
-
-// Homes of the own failure domain forward the warning to the entry VMs there.
-void LaneLinks::warnOwnDomainHomes()
-{
-    std::size_t count = 0;
-    for (const auto &[at, home] : m_homes) {
-        if (count == WarnedHomes || !home.isReachable || m_remoteHomes.count(at) != 0)
-            continue;
-        ++count;
-        outgoing(at).isReachDoubted = true;
-    }
-}
-
 bool LaneLinks::isUsable(const Endpoint &at) const
 {
     const auto home = m_homes.find(at);
@@ -218,50 +162,6 @@
     m_lanes.erase(lane);
 }
 
-std::vector<CapLenderCandidate> LaneLinks::lenderCandidates() const
-{
-    std::vector<CapLenderCandidate> candidates;
-    for (const Endpoint &at : m_allHomes)
-        candidates.push_back({at, m_remoteHomes.count(at) == 0});
-    return candidates;
-}
-
-bool LaneLinks::isHomeReachable(const Endpoint &at)
-{
-    if (m_allHomes.count(at) != 0)
-        connect(at, EventLoop::now());
-    return isUsable(at);
-}
-
-void LaneLinks::requestLoan(const Endpoint &at, const WorkspaceName &workspace, LenderRole role,
-                            int wanted)
-{
-    wire::LoanRequest request;
-    request.workspace = workspace.text();
-    request.wanted = wanted;
-    request.isForStandIn = role == LenderRole::StandIn;
-    Home &home = m_homes.at(at);
-    // An unanswered request makes a frozen home be probed.
-    if (home.unanswered++ == 0)
-        home.heardAt = EventLoop::now();
-    ++home.loansAsked;
-    wire::LaneFrame &frame = outgoing(at);
-    frame.loanRequests.push_back(std::move(request));
-    frame.__isset.loanRequests = true;
-}
-
-void LaneLinks::handleLoan(const Endpoint &at, const wire::Loan &message)
-{
-    Home &home = m_homes.at(at);
-    if (home.loansAsked == 0)
-        return;
-    --home.loansAsked;
-    --home.unanswered;
-    const LenderRole role = message.isFromStandIn ? LenderRole::StandIn : LenderRole::Owner;
-    m_onLoan(at, WorkspaceName(message.workspace), role,
-             {message.granted, std::chrono::milliseconds(message.retryMilliseconds)});
-}
-
 void LaneLinks::bypassHome(const ServerId &server)
 {
     m_directUntil[server] = EventLoop::now() + BypassTime;
--- /dev/null
+++ b/src/site/lanelinksloans.cpp
@@ -0,0 +1,50 @@
+// Part of LaneLinks that asks homes for operations of workspaces with a cap.
+#include "site/lanelinks.h"
+
+namespace nutmegtide {
+
+std::vector<CapLenderCandidate> LaneLinks::lenderCandidates() const
+{
+    std::vector<CapLenderCandidate> candidates;
+    for (const Endpoint &at : m_allHomes)
+        candidates.push_back({at, m_remoteHomes.count(at) == 0});
+    return candidates;
+}
+
+bool LaneLinks::isHomeReachable(const Endpoint &at)
+{
+    if (m_allHomes.count(at) != 0)
+        connect(at, EventLoop::now());
+    return isUsable(at);
+}
+
+void LaneLinks::requestLoan(const Endpoint &at, const WorkspaceName &workspace, LenderRole role,
+                            int wanted)
+{
+    wire::LoanRequest request;
+    request.workspace = workspace.text();
+    request.wanted = wanted;
+    request.isForStandIn = role == LenderRole::StandIn;
+    Home &home = m_homes.at(at);
+    // An unanswered request makes a frozen home be probed.
+    if (home.unanswered++ == 0)
+        home.heardAt = EventLoop::now();
+    ++home.loansAsked;
+    wire::LaneFrame &frame = outgoing(at);
+    frame.loanRequests.push_back(std::move(request));
+    frame.__isset.loanRequests = true;
+}
+
+void LaneLinks::handleLoan(const Endpoint &at, const wire::Loan &message)
+{
+    Home &home = m_homes.at(at);
+    if (home.loansAsked == 0)
+        return;
+    --home.loansAsked;
+    --home.unanswered;
+    const LenderRole role = message.isFromStandIn ? LenderRole::StandIn : LenderRole::Owner;
+    m_onLoan(at, WorkspaceName(message.workspace), role,
+             {message.granted, std::chrono::milliseconds(message.retryMilliseconds)});
+}
+
+} // namespace nutmegtide
--- a/test/unit/proxy/caplender_test.cpp
+++ b/test/unit/proxy/caplender_test.cpp
@@ -24,11 +24,11 @@
 TEST_CASE("a window has its limit, and what leaves it may be taken again")
 {
     WindowCounter counter(0, TimePoint(1s));
-    CHECK(counter.take(50, 20, 5s, TimePoint(2s)) == 4); // a fifth of the first window has passed
-    CHECK(counter.take(50, 20, 5s, TimePoint(6s)) == 16);
-    CHECK(counter.take(1, 20, 5s, TimePoint(6900ms)) == 0);
-    CHECK(counter.timeToNext(20, 5s, TimePoint(6900ms)) == 150ms);
-    CHECK(counter.take(50, 20, 5s, TimePoint(7100ms)) == 4);
+    CHECK(counter.lend(50, 20, 5s, TimePoint(2s)).granted
+          == 4); // a fifth of the first window has passed
+    CHECK(counter.lend(50, 20, 5s, TimePoint(6s)).granted == 16);
+    CHECK(counter.lend(1, 20, 5s, TimePoint(6900ms)) == CapLoan {0, 150ms});
+    CHECK(counter.lend(50, 20, 5s, TimePoint(7100ms)).granted == 4);
     CHECK_FALSE(counter.isUnused(5s, TimePoint(12s)));
     CHECK(counter.isUnused(5s, TimePoint(13s)));
 }
