--- a/test/unit/proxy/serverhomeconnections_test.cpp
+++ b/test/unit/proxy/serverhomeconnections_test.cpp
@@ -56,9 +56,9 @@
         ServerHomeFixture fixture;
         fixture.home.setConnectionLimits({{ServiceName("db"), row.limit}});
         fixture.home.setHomeCounts({{ServerHomeFixture::Server, row.homes}});
-        for (int i = 0; i < 100; ++i) {
-            const std::string request = "q" + std::to_string(i);
-            askFor(fixture, static_cast<std::uint64_t>(i + 1), "w" + std::to_string(i), request);
+        for (std::uint64_t lane = 1; lane <= 100; ++lane) {
+            const std::string request = "q" + std::to_string(lane);
+            askFor(fixture, lane, "w" + std::to_string(lane), request);
             CHECK(fixture.home.connectionCount() <= row.most);
             fixture.answer(request);
         }
