Take work off hot paths that workspaces added

The keys of a configuration were inserted into a sorted vector, which moves half of it for each key; they are in a map now. A VM's own order of a server's homes was computed anew every 50 ms, on deployments without workspaces too; it is computed when the homes change, as before. The lender looked at all servers every 50 ms; it does so when homes or servers change, and each second. Behaviour is the same. Found by reading, not measured.

--- a/include/nutmegtide/proxy/workspaces.h
+++ b/include/nutmegtide/proxy/workspaces.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace nutmegtide {
@@ -66,7 +65,7 @@
 
 private:
     std::map<WorkspaceName, Workspace> m_workspaces;
-    std::vector<std::pair<KeyDigest, WorkspaceName>> m_keys; // in the order of the digests
+    std::map<KeyDigest, WorkspaceName> m_keys;
 };
 
 } // namespace nutmegtide
--- a/src/site/homeport.cpp
+++ b/src/site/homeport.cpp
@@ -11,6 +11,7 @@
 constexpr auto WarningInterval = 100ms; // between forwarded warnings
 // A failure domain without homes may lend a share of the caps by itself, and may come back.
 constexpr auto MissingDomainTime = 30s;
+constexpr auto LenderInterval = 1s; // between updates of the lender without new homes or servers
 
 } // namespace
 
@@ -133,10 +134,12 @@
     m_domainOf.clear();
     for (const ServerRecord &record : records)
         m_domainOf[record.announcement.server] = record.announcement.failureDomain;
+    updateLender(EventLoop::now());
 }
 
 void HomePort::updateLender(TimePoint now)
 {
+    m_lenderDueAt = now + LenderInterval;
     std::set<FailureDomain> present;
     for (const auto &[server, homes] : m_homesByServer) {
         const auto domain = m_domainOf.find(server);
@@ -191,12 +194,14 @@
     }
     m_home.setHomeCounts(std::move(counts));
     m_homesByServer = homes;
+    updateLender(EventLoop::now());
 }
 
 void HomePort::tick(TimePoint now)
 {
     m_home.tick(now);
-    updateLender(now);
+    if (now >= m_lenderDueAt)
+        updateLender(now);
 }
 
 void HomePort::flush()
--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -100,6 +100,7 @@
     const OnFault m_onFault;
     ServerHome m_home {*this};
     CapLender m_lender;
+    TimePoint m_lenderDueAt {};
     ServerHomes m_homesByServer;
     std::map<ServerId, FailureDomain> m_domainOf;
     std::map<FailureDomain, TimePoint> m_domainSeenAt; // with a home
--- a/src/site/lanelinks.cpp
+++ b/src/site/lanelinks.cpp
@@ -32,8 +32,10 @@
 {
     m_homesByServer = std::move(homes);
     m_allHomes.clear();
-    for (const auto &[server, lanes] : m_homesByServer)
+    for (auto &[server, lanes] : m_homesByServer) {
+        lanes = homesInOrderFor(m_self, std::move(lanes));
         m_allHomes.insert(lanes.begin(), lanes.end());
+    }
     m_dueAt = EventLoop::now();
     updateRemoteHomes();
 }
@@ -90,15 +92,16 @@
         return;
     }
     for (const auto &[server, homes] : m_homesByServer)
-        findUsableHome(homesInOrderFor(m_self, homes), now);
+        findUsableHome(homes, now);
 }
 
-// Returns whose order of the homes is used. All entry VMs use one home of a server for a workspace,
-// so that its connections aren't spread over all of them. Without workspaces each entry VM has an
-// order of its own.
-std::string LaneLinks::chooser(const WorkspaceName &workspace) const
+// Returns the homes in the order in which they are tried. All entry VMs use one home of a server
+// for a workspace, so that its connections aren't spread over all of them. Without a workspace each
+// entry VM has an order of its own.
+std::vector<Endpoint> LaneLinks::homesFor(const WorkspaceName &workspace,
+                                          const std::vector<Endpoint> &homes)
 {
-    return workspace.isEmpty() ? m_self : workspace.text();
+    return workspace.isEmpty() ? homes : homesInOrderFor(workspace.text(), homes);
 }
 
 void LaneLinks::open(ConnectionKey connection, const ServerAnnouncement &server,
@@ -108,7 +111,7 @@
     const auto named = m_homesByServer.find(server.server);
     std::optional<Endpoint> home;
     if (named != m_homesByServer.end())
-        home = findUsableHome(homesInOrderFor(chooser(workspace), named->second), now);
+        home = findUsableHome(homesFor(workspace, named->second), now);
     if (!home || isHomeBypassed(server.server, now))
         return m_direct->open(connection, server, workspace);
     m_lanes[connection] = {*home, {server.server, workspace}, 0};
--- a/src/site/lanelinks.h
+++ b/src/site/lanelinks.h
@@ -105,7 +105,8 @@
     void bypassHome(const ServerId &server);
     bool isHomeBypassed(const ServerId &server, TimePoint now) const;
     bool isUsable(const Endpoint &at) const;
-    std::string chooser(const WorkspaceName &workspace) const;
+    static std::vector<Endpoint> homesFor(const WorkspaceName &workspace,
+                                          const std::vector<Endpoint> &homes);
     // Connects to the homes that are likely to be needed next.
     void connectAhead(TimePoint now);
     std::optional<Endpoint> findUsableHome(const std::vector<Endpoint> &homes, TimePoint now);
@@ -134,7 +135,7 @@
     const OnHome m_onHome;
     OnLoan m_onLoan;
     std::unique_ptr<ServerLinks> m_direct;
-    ServerHomes m_homesByServer;
+    ServerHomes m_homesByServer; // in this VM's order of preference
     std::set<Endpoint> m_allHomes; // the homes of all servers
     std::map<ServerId, FailureDomain> m_domainOf;
     std::set<Endpoint> m_remoteHomes; // homes of other failure domains
