End sessions in one place, and drop an accessor and a condition that nothing needs

Three loops ended a list of sessions; endSessions() does. An answer to a request for operations can't be older than the request, as both are of one thread's clock. No check of a test changed.

--- a/include/nutmegtide/failover/semisyncchange.h
+++ b/include/nutmegtide/failover/semisyncchange.h
@@ -134,8 +134,6 @@
     // It is known which server uses the gone one's address; if it is one of the group, onJoined()
     // was called with it before.
     void onSuccessorKnown(const ServerId &gone) { m_unknownSuccessors.erase(gone); }
-    // Returns the gone servers whose addresses are used by servers that aren't known yet.
-    const std::set<ServerId> &unknownSuccessors() const { return m_unknownSuccessors; }
     // The answers to ReserveToken.
     SemiSyncChangeActions onToken(std::uint64_t token, TimePoint now);
     SemiSyncChangeActions onTokenFailed(TimePoint now);
--- a/include/nutmegtide/proxy/capborrower.h
+++ b/include/nutmegtide/proxy/capborrower.h
@@ -64,7 +64,7 @@
     void borrow(const WorkspaceName &workspace, int wanted, TimePoint now);
     // The answer to a request. Ignored if it is no longer waited for.
     void answered(const Endpoint &lender, const WorkspaceName &workspace, LenderRole role,
-                  const CapLoan &loan, TimePoint now);
+                  const CapLoan &loan);
     // Turns to the next lender where an answer is overdue or its lender can't be reached any more.
     void tick(TimePoint now);
     // Returns when tick() is due next.
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -299,6 +299,7 @@
     void unpin(SessionKey key, bool isRolledBack, TimePoint now);
     void startIdleTimer(SessionKey key, TimePoint now);
     void endInactive(TimePoint now, bool (*isOfKind)(const Session &));
+    void endSessions(const std::vector<SessionKey> &sessions, TimePoint now);
     void setTimer(SessionKey key, TimePoint moment);
     void clearTimer(SessionKey key);
     void onTimer(SessionKey key, TimePoint now);
--- a/src/proxy/capborrower.cpp
+++ b/src/proxy/capborrower.cpp
@@ -64,13 +64,13 @@
 }
 
 void CapBorrower::answered(const Endpoint &lender, const WorkspaceName &workspace, LenderRole role,
-                           const CapLoan &loan, TimePoint now)
+                           const CapLoan &loan)
 {
     const auto found = m_requests.find(workspace);
     const bool isAwaited = found != m_requests.end() && !found->second.isOwnShare
             && found->second.lender == lender && found->second.role == role;
     // A late answer may be to an earlier request for another number of operations.
-    if (!isAwaited || loan.granted > found->second.wanted || now < found->second.askedAt)
+    if (!isAwaited || loan.granted > found->second.wanted)
         return;
     m_requests.erase(found);
     m_ownShares.erase(workspace);
--- a/src/proxy/sessionkeys.cpp
+++ b/src/proxy/sessionkeys.cpp
@@ -75,10 +75,7 @@
         if (!session.work && session.queue.empty() && session.state == TransactionState::Idle)
             idle.push_back(key);
     }
-    for (const SessionKey key : idle) {
-        m_delegate.end(key, std::nullopt);
-        callerLeft(key, now);
-    }
+    endSessions(idle, now);
 }
 
 // A statement that is running is left to its answer, which ends the session.
@@ -90,10 +87,7 @@
         if (!session.work && *session.revokedBy <= now)
             due.push_back(key);
     }
-    for (const SessionKey key : due) {
-        m_delegate.end(key, std::nullopt);
-        callerLeft(key, now);
-    }
+    endSessions(due, now);
 }
 
 bool SessionProxy::isRevocationDue(const Session &session, TimePoint now)
--- a/src/proxy/sessionstop.cpp
+++ b/src/proxy/sessionstop.cpp
@@ -64,7 +64,12 @@
         if (!session.work && isOfKind(session))
             inactive.push_back(key);
     }
-    for (const SessionKey key : inactive) {
+    endSessions(inactive, now);
+}
+
+void SessionProxy::endSessions(const std::vector<SessionKey> &sessions, TimePoint now)
+{
+    for (const SessionKey key : sessions) {
         m_delegate.end(key, std::nullopt);
         callerLeft(key, now);
     }
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -89,10 +89,9 @@
                   });
               })
 {
-    m_links.setOnLoan([this](const Endpoint &lender, const WorkspaceName &workspace,
-                             LenderRole role, const CapLoan &loan) {
-        m_borrower.answered(lender, workspace, role, loan, EventLoop::now());
-    });
+    m_links.setOnLoan(
+            [this](const Endpoint &lender, const WorkspaceName &workspace, LenderRole role,
+                   const CapLoan &loan) { m_borrower.answered(lender, workspace, role, loan); });
     m_proxy.setLeaveTime(leaveTime(settings));
     m_proxy.setRevocationTime(settings.revocationTime);
     m_borrower.setRule(capRule(settings.caps));
--- a/test/unit/proxy/capborrower_test.cpp
+++ b/test/unit/proxy/capborrower_test.cpp
@@ -88,9 +88,9 @@
         CHECK((standIn != owner));
         CHECK(standIn.address != "10.0.0.1");
         // The owner's late answer would be used beside the stand-in's.
-        fixture.borrower.answered(owner, Casks, LenderRole::Owner, {2, {}}, fixture.now);
+        fixture.borrower.answered(owner, Casks, LenderRole::Owner, {2, {}});
         CHECK(fixture.loans.empty());
-        fixture.borrower.answered(standIn, Casks, LenderRole::StandIn, {2, {}}, fixture.now);
+        fixture.borrower.answered(standIn, Casks, LenderRole::StandIn, {2, {}});
         CHECK(fixture.loans == std::vector<CapLoan> {{2, {}}});
     }
 }
@@ -115,10 +115,9 @@
 TEST_CASE("an answer that nobody waits for is ignored")
 {
     BorrowerFixture fixture;
-    fixture.borrower.answered({"10.0.0.1", 1}, Casks, LenderRole::Owner, {5, {}}, fixture.now);
+    fixture.borrower.answered({"10.0.0.1", 1}, Casks, LenderRole::Owner, {5, {}});
     CHECK(fixture.loans.empty());
     fixture.borrower.borrow(Casks, 1, fixture.now);
-    fixture.borrower.answered(fixture.requests.back().lender, Casks, LenderRole::Owner, {5, {}},
-                              fixture.now);
+    fixture.borrower.answered(fixture.requests.back().lender, Casks, LenderRole::Owner, {5, {}});
     CHECK(fixture.loans.empty()); // more than was asked for
 }
