Ask the stand-ins of other failure domains to lend before an entry falls back to its own small share

Ruled out: the slow start of a new owner (it tells shorter times) and caps that were really reached.

Each workspace has one stand-in in each failure domain, the same for all entries, each with the share of a domain; so the stand-ins still lend one cap together, as before.

The test of stand-ins fails without the change.

--- a/include/nutmegtide/proxy/capborrower.h
+++ b/include/nutmegtide/proxy/capborrower.h
@@ -27,23 +27,26 @@
 struct CapLenderCandidate
 {
     Endpoint at;
-    bool isOwnDomain = false; // it is in the failure domain of this process
+    FailureDomain failureDomain;
 
     bool operator==(const CapLenderCandidate &) const = default;
 };
 
 // Borrows operations of workspaces with a cap on behalf of an entry proxy. Every entry that knows
-// the same candidates asks the same owner. Where the owner can't be reached or doesn't answer in
-// time, the stand-in in the own failure domain is asked, and where there is none, this entry lends
-// itself its own small share of the cap.
+// the same candidates asks the same owner. A workspace also has one stand-in in each failure domain,
+// the same for all entries. Where the owner can't be reached or doesn't answer in time, the stand-ins
+// are asked one after the other, that of the own failure domain first. Where none is left, this entry
+// lends itself its own small share of the cap.
 //
+//   CapBorrower borrower(delegate, failureDomain);
 //   borrower.setCandidates(candidates);
 //   borrower.borrow(workspace, 2, now); // -> CapBorrowerDelegate::lent()
 class CapBorrower
 {
 public:
-    explicit CapBorrower(CapBorrowerDelegate &delegate)
+    CapBorrower(CapBorrowerDelegate &delegate, FailureDomain own)
         : m_delegate(delegate)
+        , m_own(std::move(own))
     { }
 
     void setCandidates(std::vector<CapLenderCandidate> candidates)
@@ -75,16 +78,17 @@
     {
         int wanted = 0;
         LenderRole role = LenderRole::Owner;
+        std::size_t nextStandIn = 0; // which of the workspace's stand-ins is tried next
         Endpoint lender;
         TimePoint askedAt;
         bool isOwnShare = false; // nobody is asked; it is settled with the next tick
     };
 
-    // The lenders of one workspace; null where there is none.
+    // The lenders of one workspace.
     struct Lenders
     {
-        const CapLenderCandidate *owner = nullptr;
-        const CapLenderCandidate *standIn = nullptr;
+        const CapLenderCandidate *owner = nullptr; // null where there is none
+        std::vector<const CapLenderCandidate *> standIns; // in the order in which they are asked
     };
 
     const Lenders &lendersOf(const WorkspaceName &workspace);
@@ -94,6 +98,7 @@
     CapLoan takeOwnShare(const WorkspaceName &workspace, int wanted, TimePoint now);
 
     CapBorrowerDelegate &m_delegate;
+    const FailureDomain m_own;
     std::vector<CapLenderCandidate> m_candidates;
     std::map<WorkspaceName, Lenders> m_chosen; // of m_candidates
     std::optional<WorkspaceTable> m_workspaces;
--- a/src/proxy/capborrower.cpp
+++ b/src/proxy/capborrower.cpp
@@ -3,6 +3,7 @@
 #include "nutmegtide/fleet/placement.h"
 
 #include <algorithm>
+#include <set>
 
 namespace nutmegtide {
 
@@ -24,19 +25,24 @@
     for (const CapLenderCandidate &candidate : m_candidates)
         order.emplace_back(placementWeight(workspace.text(), toString(candidate.at)), &candidate);
     std::sort(order.rbegin(), order.rend());
+    std::set<FailureDomain> served;
     for (const auto &[weight, candidate] : order) {
         if (lenders.owner == nullptr)
             lenders.owner = candidate;
-        else if (lenders.standIn == nullptr && candidate->isOwnDomain)
-            lenders.standIn = candidate;
+        else if (served.insert(candidate->failureDomain).second)
+            lenders.standIns.push_back(candidate);
     }
+    std::stable_partition(lenders.standIns.begin(), lenders.standIns.end(),
+                          [this](const CapLenderCandidate *standIn) {
+                              return standIn->failureDomain == m_own;
+                          });
     return lenders;
 }
 
 void CapBorrower::borrow(const WorkspaceName &workspace, int wanted, TimePoint now)
 {
     Request &request = m_requests[workspace];
-    request = {wanted, LenderRole::Owner, {}, now, false};
+    request = {wanted, LenderRole::Owner, 0, {}, now, false};
     const CapLenderCandidate *lender = lendersOf(workspace).owner;
     if (lender != nullptr && m_delegate.isReachable(lender->at))
         ask(workspace, request, lender, now);
@@ -54,11 +60,13 @@
 
 void CapBorrower::askNext(const WorkspaceName &workspace, Request &request, TimePoint now)
 {
-    const bool mayAskStandIn = request.role == LenderRole::Owner;
-    const CapLenderCandidate *lender = mayAskStandIn ? lendersOf(workspace).standIn : nullptr;
     request.role = LenderRole::StandIn;
-    if (lender != nullptr && m_delegate.isReachable(lender->at))
-        return ask(workspace, request, lender, now);
+    const std::vector<const CapLenderCandidate *> &standIns = lendersOf(workspace).standIns;
+    while (request.nextStandIn < standIns.size()) {
+        const CapLenderCandidate *lender = standIns[request.nextStandIn++];
+        if (m_delegate.isReachable(lender->at))
+            return ask(workspace, request, lender, now);
+    }
     request.isOwnShare = true;
     request.lender = {};
 }
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -73,6 +73,7 @@
                           isReachable ? "home_reached" : "home_lost",
                           {{"home", toString(home)}, {"reason", why}});
               })
+    , m_borrower(*this, settings.failureDomain)
     , m_follower(
               m_peers, ControlVmSelector(settings.failureDomain, seedPeers(settings)),
               [this](const ControlView &view) { m_loop.post([this, view] { applyView(view); }); },
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -97,7 +97,7 @@
     SessionProxy m_proxy;
     std::unique_ptr<CallerPort> m_callers;
     LaneLinks m_links;
-    CapBorrower m_borrower {*this};
+    CapBorrower m_borrower;
     std::unique_ptr<HomePort> m_home; // null where this VM accepts no lanes
     ControlFollower m_follower;
     std::unique_ptr<HttpServer> m_health;
--- a/src/site/lanelinks.cpp
+++ b/src/site/lanelinks.cpp
@@ -185,7 +185,11 @@
     StreamSocket::Handlers handlers;
     handlers.received = [this, at](std::string_view bytes) { return read(at, bytes); };
     handlers.ended = [this, at](StreamSocket::End end) {
-        disconnect(at, end == StreamSocket::End::Unreachable ? "refused" : "closed", ReconnectTime);
+        if (end == StreamSocket::End::Unreachable)
+            return disconnect(at, "refused", ReconnectTime);
+        // A reset says nothing about the home, which is needed again at once.
+        const bool hasAnswered = m_homes.at(at).isReachable;
+        disconnect(at, "closed", hasAnswered ? Duration() : Duration(ReconnectTime));
     };
     home.socket = std::make_unique<StreamSocket>(m_loop.base(), at, std::move(handlers));
     outgoing(at).failureDomain = m_own.text();
--- a/test/unit/proxy/capborrower_test.cpp
+++ b/test/unit/proxy/capborrower_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <set>
 
 using namespace nutmegtide;
@@ -10,6 +11,9 @@
 
 const WorkspaceName Casks("casks");
 
+const FailureDomain Own("east");
+const FailureDomain Other("west");
+
 // Records the requests of a CapBorrower among three homes, of which "10.0.0.2" and "10.0.0.3" are
 // in its own failure domain.
 struct BorrowerFixture : CapBorrowerDelegate
@@ -24,7 +28,7 @@
     BorrowerFixture()
     {
         borrower.setCandidates(
-                {{{"10.0.0.1", 1}, false}, {{"10.0.0.2", 1}, true}, {{"10.0.0.3", 1}, true}});
+                {{{"10.0.0.1", 1}, Other}, {{"10.0.0.2", 1}, Own}, {{"10.0.0.3", 1}, Own}});
         WorkspaceTable table;
         table.add({Casks, 1, {10, 10}}, {});
         borrower.setWorkspaces(table);
@@ -50,7 +54,7 @@
     std::vector<Request> requests;
     std::vector<CapLoan> loans;
     TimePoint now {10s};
-    CapBorrower borrower {*this};
+    CapBorrower borrower {*this, Own};
 };
 
 } // namespace
@@ -60,7 +64,7 @@
     BorrowerFixture one;
     BorrowerFixture other;
     other.borrower.setCandidates(
-            {{{"10.0.0.3", 1}, false}, {{"10.0.0.1", 1}, true}, {{"10.0.0.2", 1}, false}});
+            {{{"10.0.0.3", 1}, Other}, {{"10.0.0.1", 1}, Own}, {{"10.0.0.2", 1}, Other}});
     std::set<Endpoint> owners;
     for (int i = 0; i < 50; ++i) {
         const WorkspaceName workspace("w" + std::to_string(i));
@@ -95,6 +99,46 @@
     }
 }
 
+// Pattern: entries that a cut separates from some homes, or whose own failure domain has no home, went
+// straight to their own small share and refused callers that were far below the cap.
+TEST_CASE("stand-ins of other failure domains lend where the own one can't be reached or has none")
+{
+    const FailureDomain third("north");
+    const std::vector<CapLenderCandidate> everywhere {{{"10.0.0.1", 1}, Other},
+                                                      {{"10.0.0.2", 1}, Own},
+                                                      {{"10.0.0.3", 1}, third},
+                                                      {{"10.0.0.4", 1}, Other},
+                                                      {{"10.0.0.5", 1}, Own},
+                                                      {{"10.0.0.6", 1}, third}};
+    for (const FailureDomain &own : {Own, Other, third, FailureDomain("south")}) {
+        CAPTURE(own.text());
+        BorrowerFixture fixture;
+        CapBorrower borrower(fixture, own);
+        borrower.setCandidates(everywhere);
+        borrower.borrow(Casks, 1, fixture.now);
+        std::set<FailureDomain> asked;
+        for (std::size_t next = 1; next <= 3; ++next) {
+            fixture.unreachable.insert(fixture.requests.back().lender);
+            borrower.tick(fixture.now);
+            REQUIRE(fixture.requests.size() == next + 1);
+            CHECK((fixture.requests.back().role == LenderRole::StandIn));
+            const auto standIn = std::find_if(everywhere.begin(), everywhere.end(),
+                                              [&fixture](const CapLenderCandidate &candidate) {
+                                                  return candidate.at
+                                                          == fixture.requests.back().lender;
+                                              });
+            // All entries use the same stand-in of a failure domain, as it lends the domain's share.
+            CHECK(asked.insert(standIn->failureDomain).second);
+            const bool hasOwn = own.text() != "south";
+            CHECK((standIn->failureDomain == own) == (hasOwn && next == 1));
+        }
+        fixture.unreachable.insert(fixture.requests.back().lender);
+        borrower.tick(fixture.now);
+        CHECK(fixture.requests.size() == 4);
+        CHECK(fixture.loans.size() == 1); // of the own share
+    }
+}
+
 TEST_CASE("without any lender an entry starts no more than its own share")
 {
     BorrowerFixture fixture;
