Let a home at a full server exchange its own connections instead of waiting

Cause: a server that has no connection left made its home open none for 60 ms, also in place of an idle one of another workspace, which needs no more room than the server has. With a workspace for each connection the few that a home held then served nobody who waited. Ruled out: the order of closing and opening (two calm seconds have 600 exchanges and 60 refusals).

A home now holds no more than it held when the server refused one, and one more after each 60 ms. Within that it exchanges idle connections at once.

--- a/include/nutmegtide/proxy/capborrower.h
+++ b/include/nutmegtide/proxy/capborrower.h
@@ -33,10 +33,10 @@
 };
 
 // Borrows operations of workspaces with a cap on behalf of an entry proxy. Every entry that knows
-// the same candidates asks the same owner. A workspace also has one stand-in in each failure domain,
-// the same for all entries. Where the owner can't be reached or doesn't answer in time, the stand-ins
-// are asked one after the other, that of the own failure domain first. Where none is left, this entry
-// lends itself its own small share of the cap.
+// the same candidates asks the same owner. A workspace also has one stand-in in each failure
+// domain, the same for all entries. Where the owner can't be reached or doesn't answer in time, the
+// stand-ins are asked one after the other, that of the own failure domain first. Where none is
+// left, this entry lends itself its own small share of the cap.
 //
 //   CapBorrower borrower(delegate, failureDomain);
 //   borrower.setCandidates(candidates);
--- a/include/nutmegtide/proxy/serverhome.h
+++ b/include/nutmegtide/proxy/serverhome.h
@@ -152,7 +152,10 @@
         int opening = 0;
         int running = 0; // statements that occupy a slot
         AverageTime averageTime; // of statements
-        TimePoint connectionLimitUntil {};
+        // How many connections this home held when the server last had none left for it; nullopt if
+        // that didn't happen yet.
+        std::optional<std::size_t> heldAtRefusal;
+        TimePoint refusedAt {};
         // No connection could be opened; cleared when one is.
         bool isUnreachable = false;
         // Time of the next connection attempt while the server is unreachable.
@@ -172,13 +175,16 @@
     void wait(const LaneKey &key, Lane &lane, TimePoint now);
     void serve(const ServerId &server, TimePoint now);
     bool serveOne(const ServerId &server, TimePoint now);
-    // Returns how many connections this home may hold to the server.
-    std::size_t maxConnections(const Server &server) const;
+    // Returns this home's share of the connections that the server accepts.
+    std::size_t connectionShare(const Server &server) const;
+    // Returns how many connections this home may hold to the server now.
+    std::size_t maxConnections(const Server &server, TimePoint now) const;
+    void noteConnectionLimit(Server &server, TimePoint now);
     // Returns the most recently used idle connection that the lane may use; 0 without one.
     ConnectionKey idleFor(const Server &server, const Lane &lane) const;
     void openWanted(const ServerId &server, TimePoint now);
     // Makes room for another connection. Returns whether there is some.
-    bool makeRoom(Server &server);
+    bool makeRoom(Server &server, TimePoint now);
     void openConnection(const ServerId &server, const WorkspaceName &workspace, TimePoint now);
     void attach(const LaneKey &key, Lane &lane, ConnectionKey connection, TimePoint now);
     void sendNext(Lane &lane, TimePoint now);
--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -27,7 +27,24 @@
 
 } // namespace
 
-std::size_t ServerHome::maxConnections(const Server &server) const
+// A server that had no connection left is given another one to open after each pause, until this
+// home's share is reached again.
+std::size_t ServerHome::maxConnections(const Server &server, TimePoint now) const
+{
+    const std::size_t share = connectionShare(server);
+    if (!server.heldAtRefusal)
+        return share;
+    const auto pauses = static_cast<std::size_t>((now - server.refusedAt) / ConnectionLimitPause);
+    return std::min(share, *server.heldAtRefusal + pauses);
+}
+
+void ServerHome::noteConnectionLimit(Server &server, TimePoint now)
+{
+    server.heldAtRefusal = server.connections.size();
+    server.refusedAt = now;
+}
+
+std::size_t ServerHome::connectionShare(const Server &server) const
 {
     const auto limit = m_connectionLimits.find(server.record.announcement.service);
     if (limit == m_connectionLimits.end() || limit->second == 0)
@@ -50,7 +67,7 @@
 void ServerHome::openWanted(const ServerId &id, TimePoint now)
 {
     Server &server = m_servers.at(id);
-    if (!server.isKnown || server.connectionLimitUntil > now)
+    if (!server.isKnown)
         return;
     std::map<WorkspaceName, int> opening;
     for (const ConnectionKey key : server.connections) {
@@ -68,15 +85,15 @@
             continue;
         if (opening[lane.workspace]-- > 0)
             continue;
-        if (!makeRoom(server))
+        if (!makeRoom(server, now))
             return;
         openConnection(id, lane.workspace, now);
     }
 }
 
-bool ServerHome::makeRoom(Server &server)
+bool ServerHome::makeRoom(Server &server, TimePoint now)
 {
-    if (server.connections.size() < maxConnections(server))
+    if (server.connections.size() < maxConnections(server, now))
         return true;
     if (server.idle.empty())
         return false;
@@ -143,7 +160,7 @@
     forget(key);
     if (isCapacityRefusal(fault)) {
         // Waiting lanes get a connection that is returned, or are refused at their deadline.
-        m_servers.at(server).connectionLimitUntil = now + ConnectionLimitPause;
+        noteConnectionLimit(m_servers.at(server), now);
         return;
     }
     noteUnreachable(server,
@@ -162,7 +179,7 @@
     Server &server = m_servers.at(connection.server);
     // A server whose slots are all busy doesn't accept new connections until one is free.
     if (!connection.isOpen && loss == Loss::Silent && now - server.heardAt < OpeningTime) {
-        server.connectionLimitUntil = now + ConnectionLimitPause;
+        noteConnectionLimit(server, now);
         return;
     }
     if (!connection.isOpen) {
--- a/test/unit/proxy/capborrower_test.cpp
+++ b/test/unit/proxy/capborrower_test.cpp
@@ -99,8 +99,8 @@
     }
 }
 
-// Pattern: entries that a cut separates from some homes, or whose own failure domain has no home, went
-// straight to their own small share and refused callers that were far below the cap.
+// Pattern: entries that a cut separates from some homes, or whose own failure domain has no home,
+// went straight to their own small share and refused callers that were far below the cap.
 TEST_CASE("stand-ins of other failure domains lend where the own one can't be reached or has none")
 {
     const FailureDomain third("north");
--- a/test/unit/proxy/serverhomeconnections_test.cpp
+++ b/test/unit/proxy/serverhomeconnections_test.cpp
@@ -91,3 +91,39 @@
     CHECK(fixture.opening.empty());
     CHECK(fixture.unanswered.size() == 1);
 }
+
+// Pattern: a server is full while it still counts the connections of lost processes, and a home's
+// few connections belong to other workspaces than those that wait.
+TEST_CASE("at a full server a home exchanges its own connections at once and asks for more slowly")
+{
+    ServerHomeFixture fixture;
+    fixture.home.setConnectionLimits({{ServiceName("db"), 42}});
+    for (const char *workspace : {"a", "b"}) {
+        askFor(fixture, fixture.sent.size() + 1, workspace, workspace);
+        fixture.answer(workspace);
+    }
+    const auto ask = [&fixture](std::uint64_t lane, const char *workspace) {
+        fixture.home.take({1, lane}, {ServerHomeFixture::Server, WorkspaceName(workspace)},
+                          {ServerHomeFixture::read(workspace)}, {1, 300ms}, fixture.now);
+    };
+    ask(3, "c");
+    REQUIRE(fixture.opening.size() == 1);
+    const ConnectionKey refused = fixture.opening.front();
+    fixture.home.refused(refused, StatementFault::TooManyConnections, fixture.now);
+    CHECK(fixture.home.connectionCount() == 2);
+
+    // Both that wait get the place of an unused connection.
+    ask(4, "d");
+    CHECK(fixture.opening.size() == 2);
+    CHECK(fixture.home.connectionCount() == 2);
+    fixture.openAll();
+    CHECK(fixture.wasSent("c"));
+    CHECK(fixture.wasSent("d"));
+
+    // One more is asked for after a pause, since the server may have room again.
+    ask(5, "e");
+    CHECK(fixture.opening.empty());
+    fixture.advanceTime(ConnectionLimitPause + 50ms);
+    CHECK(fixture.opening.size() == 1);
+    CHECK(fixture.home.connectionCount() == 3);
+}
