Keep the domains of homes in one place, and take work off a home's hot path and a revision's start

lenderCandidates() worked out again which failure domain each home is in; updateHomeDomains() keeps it for both uses. openWanted() counted openings after each reply, also where nothing waits. A new configuration was copied once more than its users need. Behaviour is the same, but that a home is no longer counted in the own domain where only its first server's domain is unknown. Found by reading, not measured.

--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -67,7 +67,7 @@
 void ServerHome::openWanted(const ServerId &id, TimePoint now)
 {
     Server &server = m_servers.at(id);
-    if (!server.isKnown)
+    if (!server.isKnown || server.queue.isEmpty())
         return;
     std::map<WorkspaceName, int> opening;
     for (const ConnectionKey key : server.connections) {
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -199,11 +199,13 @@
     updateReadiness();
 }
 
-void EntryNode::applyRoutes(const RouteTable &routes, const Endpoint &from)
+void EntryNode::applyRoutes(RouteTable table, const Endpoint &from)
 {
+    const auto shared = std::make_shared<const RouteTable>(std::move(table));
+    const RouteTable &routes = *shared;
     m_revision = routes.revision;
     m_counts.setRevision(m_revision);
-    m_proxy.setRoutes(std::make_shared<const RouteTable>(routes), EventLoop::now());
+    m_proxy.setRoutes(shared, EventLoop::now());
     std::map<ServiceName, int> limits;
     for (const auto &[name, service] : routes.services)
         limits[name] = service.maxConnections;
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -73,7 +73,7 @@
     void serverAssessed(const ServerAssessment &serverAssessment) override;
 
     void startHome();
-    void applyRoutes(const RouteTable &routes, const Endpoint &from);
+    void applyRoutes(RouteTable table, const Endpoint &from);
     void applyView(const ControlView &view);
     void afterEvents();
     void onWakeTime();
--- a/src/site/lanelinks.cpp
+++ b/src/site/lanelinks.cpp
@@ -37,7 +37,7 @@
         m_allHomes.insert(lanes.begin(), lanes.end());
     }
     m_dueAt = EventLoop::now();
-    updateRemoteHomes();
+    updateHomeDomains();
 }
 
 void LaneLinks::setServers(const std::vector<ServerRecord> &records)
@@ -45,16 +45,21 @@
     m_domainOf.clear();
     for (const ServerRecord &record : records)
         m_domainOf[record.announcement.server] = record.announcement.failureDomain;
-    updateRemoteHomes();
+    updateHomeDomains();
 }
 
 // A home is in the failure domain of its servers.
-void LaneLinks::updateRemoteHomes()
+void LaneLinks::updateHomeDomains()
 {
+    m_domainOfHome.clear();
     m_remoteHomes.clear();
     for (const auto &[server, homes] : m_homesByServer) {
         const auto domain = m_domainOf.find(server);
-        if (domain != m_domainOf.end() && domain->second != m_own)
+        if (domain == m_domainOf.end())
+            continue;
+        for (const Endpoint &at : homes)
+            m_domainOfHome.try_emplace(at, domain->second);
+        if (domain->second != m_own)
             m_remoteHomes.insert(homes.begin(), homes.end());
     }
 }
--- a/src/site/lanelinks.h
+++ b/src/site/lanelinks.h
@@ -122,7 +122,7 @@
     wire::LaneFrame &outgoing(const Endpoint &at);
     void restartAnswerTimeouts(TimePoint now);
     void checkHomes(TimePoint now);
-    void updateRemoteHomes();
+    void updateHomeDomains();
     void checkReach(TimePoint now);
     std::size_t probeRemoteHomes(DomainReachability::ProbeTargets questions, TimePoint now);
     void warnOwnDomainHomes();
@@ -138,6 +138,8 @@
     ServerHomes m_homesByServer; // in this VM's order of preference
     std::set<Endpoint> m_allHomes; // the homes of all servers
     std::map<ServerId, FailureDomain> m_domainOf;
+    // Of the homes of known servers.
+    std::map<Endpoint, FailureDomain> m_domainOfHome;
     std::set<Endpoint> m_remoteHomes; // homes of other failure domains
     bool m_usesAllHomes = false;
     DomainReachability m_reach;
--- a/src/site/lanelinksloans.cpp
+++ b/src/site/lanelinksloans.cpp
@@ -5,15 +5,11 @@
 
 std::vector<CapLenderCandidate> LaneLinks::lenderCandidates() const
 {
-    std::map<Endpoint, FailureDomain> domainOf;
-    for (const auto &[server, homes] : m_homesByServer) {
-        const auto domain = m_domainOf.find(server);
-        for (const Endpoint &at : homes)
-            domainOf.try_emplace(at, domain == m_domainOf.end() ? m_own : domain->second);
-    }
     std::vector<CapLenderCandidate> candidates;
-    for (const auto &[at, domain] : domainOf)
-        candidates.push_back({at, domain});
+    for (const Endpoint &at : m_allHomes) {
+        const auto domain = m_domainOfHome.find(at);
+        candidates.push_back({at, domain == m_domainOfHome.end() ? m_own : domain->second});
+    }
     return candidates;
 }
 
