--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,6 @@
 #!/bin/bash
-# A status report whose id isn't text reaches the control VMs once. With TROUBLE=0 the same report has a readable id.
+# Another writer sends a status report whose id isn't text, once in six seconds. With TROUBLE=0 the same reports have a
+# readable id.
 CASE=$(cd "$(dirname "$0")" && pwd)
 . "$CASE/../lib/site.sh"
 
@@ -21,12 +22,22 @@
 
 id='i-%FF'
 [ "$TROUBLE" = 0 ] && id=i-2
-note "another writer: status report for $id, answered $(call_control PUT "/instances/$id" "$(status_report "127.0.0.9:$SERVER_PORT" 1)")"
+other_sequence=0
+send_other_report() {
+    other_sequence=$((other_sequence + 1))
+    note "another writer: status report for $id, answered $(call_control PUT "/instances/$id" \
+        "$(status_report "127.0.0.9:$SERVER_PORT" $other_sequence)")"
+}
 
 unacknowledged=0
 end=$((SECONDS + 40))
+next_report=$SECONDS
 while [ $SECONDS -lt $end ]; do
     restart_ended
+    if [ $SECONDS -ge $next_report ]; then
+        send_other_report
+        next_report=$((SECONDS + 6))
+    fi
     sequence=$((sequence + 1))
     beat=$(call_control PUT /instances/i-1 "$(status_report "127.0.0.9:$SERVER_PORT" $sequence primary)")
     version=$((version + 1))
