Let the review's server take the position prefix off a statement

Cause: a prepared statement behind the prefix was refused. Change: the prefix is taken off before the statement is run.

--- a/review/standin/databaseserver.cpp
+++ b/review/standin/databaseserver.cpp
@@ -114,12 +114,13 @@
             ++m_commits;
         return (row.empty() ? "" : "ROW " + row + LineEnd) + done(connection, "proof." + request);
     }
-    std::string query(Connection &connection, const std::string &request, const std::string &text)
+    std::string query(Connection &connection, const std::string &request, std::string text)
     {
         std::string rest = text;
         std::string verb = takeWord(rest);
         if (verb == "AFTER") {
             takeWord(rest); // this server's log is the only one, so it has every position
+            text = rest;
             verb = takeWord(rest);
         }
         if (verb == "STATUS" || verb == "PAUSE" || verb == "RESUME" || verb == "DEMOTE")
