--- a/review/lib/site.sh
+++ b/review/lib/site.sh
@@ -96,6 +96,7 @@
     [ -n "${KEEP:-}" ] || rm -rf "$WORK"
 }
 trap stop_all EXIT
+trap "exit 2" INT TERM
 
 # http ADDRESS PORT METHOD PATH BODY: prints the whole response; nothing where none comes within a second.
 http() {
