Refuse server ids that aren't words, so that one report ends no control VM

Cause: the id comes from the path and may hold any bytes. The leader encoded it as JSON for the control log on a thread that expects only the project's errors, and the library's type_error ended the process. A stack trace of at the throw shows TaskWorker::run, PrimaryChangeManager::updateRoster, ServerRoster::encode, Json::dump. Ruled out: the promotion order, which has the same call but isn't on the stack; log lines, which are no JSON; Thrift, which carries any bytes.

On related paths: a committed entry that the roster can't read changes nothing, and paths are decoded with all their bytes, since %00 cut an id short.

--- a/include/nutmegtide/failover/serverroster.h
+++ b/include/nutmegtide/failover/serverroster.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <mutex>
+#include <nlohmann/json_fwd.hpp>
 #include <set>
 #include <string>
 #include <vector>
@@ -15,7 +16,8 @@
 // The servers that each service is known to have, with their latest announcements, as stored in the
 // control log. If all control VMs restart, they know the servers at once; otherwise they would take
 // the servers that they have heard so far for all of them, and fence too few. It also stores which
-// promotions were ordered and may still be carried out. Other payloads are ignored. Thread-safe.
+// promotions were ordered and may still be carried out. Payloads that can't be read are ignored.
+// Thread-safe.
 //
 //   log.propose({CommandKind::Group, ServerRoster::encode(service, servers)}, timeout);
 //   roster.serversOf(service);
@@ -24,6 +26,7 @@
 public:
     using Servers = std::map<ServerId, ServerAnnouncement>;
 
+    // The functions that return a log entry throw MessageError for a name that isn't UTF-8.
     // Returns the log entry that replaces the servers of the service.
     static std::string encode(const ServiceName &service, const Servers &servers);
     // Returns the log entry for a promotion about to be ordered. Its index is the fencing token.
@@ -44,6 +47,9 @@
     std::vector<ServerAnnouncement> announcements() const;
 
 private:
+    // Throws Json::exception or EndpointError.
+    void apply(const nlohmann::json &json);
+
     mutable std::mutex m_mutex;
     std::map<ServiceName, Servers> m_services;
     std::map<ServiceName, std::set<ServerId>> m_openOrders;
--- a/src/control/raftlog.cpp
+++ b/src/control/raftlog.cpp
@@ -1,6 +1,7 @@
 #include "nutmegtide/control/raftlog.h"
 
 #include "nutmegtide/base/errors.h"
+#include "nutmegtide/base/text.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -12,7 +13,7 @@
     nlohmann::json list = nlohmann::json::array();
     for (const ControlMember &member : members)
         list.push_back({{"vm", member.vm.text()}, {"folder", member.folder}});
-    return list.dump();
+    return encodeJson(list);
 }
 
 Members decodeMembers(const std::string &payload)
--- a/src/failover/groupledger.cpp
+++ b/src/failover/groupledger.cpp
@@ -1,6 +1,7 @@
 #include "nutmegtide/failover/groupledger.h"
 
 #include "nutmegtide/base/errors.h"
+#include "nutmegtide/base/text.h"
 
 #include <array>
 #include <nlohmann/json.hpp>
@@ -55,13 +56,12 @@
 
 std::string encode(const GroupCommand &command)
 {
-    return Json {{"kind", KindNames.at(static_cast<std::size_t>(command.kind))},
-                 {"database", command.database.text()},
-                 {"term", command.term},
-                 {"owner", command.owner},
-                 {"primary", command.primary.text()},
-                 {"voters", serverTexts(command.voters)}}
-            .dump();
+    return encodeJson({{"kind", KindNames.at(static_cast<std::size_t>(command.kind))},
+                       {"database", command.database.text()},
+                       {"term", command.term},
+                       {"owner", command.owner},
+                       {"primary", command.primary.text()},
+                       {"voters", serverTexts(command.voters)}});
 }
 
 GroupCommand decodeGroupCommand(const std::string &payload)
@@ -139,7 +139,7 @@
                                  {"attempt", record.attempt},
                                  {"owner", record.attemptOwner}};
     }
-    return json.dump();
+    return encodeJson(json);
 }
 
 void GroupLedger::restore(const std::string &snapshot)
--- a/src/failover/serverroster.cpp
+++ b/src/failover/serverroster.cpp
@@ -1,6 +1,7 @@
 #include "nutmegtide/failover/serverroster.h"
 
 #include "nutmegtide/base/errors.h"
+#include "nutmegtide/base/text.h"
 
 #include <nlohmann/json.hpp>
 
@@ -54,41 +55,52 @@
 
 std::string ServerRoster::encode(const ServiceName &service, const Servers &servers)
 {
-    return Json {{ServiceKey, service.text()}, {"servers", toJson(servers)}}.dump();
+    return encodeJson({{ServiceKey, service.text()}, {"servers", toJson(servers)}});
 }
 
 std::string ServerRoster::encodeOrder(const ServiceName &service, const ServerId &server)
 {
-    return Json {{OrderKey, service.text()}, {"server", server.text()}}.dump();
+    return encodeJson({{OrderKey, service.text()}, {"server", server.text()}});
 }
 
 std::string ServerRoster::encodeOrdersClosed(const ServiceName &service)
 {
-    return Json {{ClosedKey, service.text()}}.dump();
+    return encodeJson({{ClosedKey, service.text()}});
 }
 
+// An entry that can't be read changes nothing, on any control VM: an exception here would end each
+// of them in turn, and again at every start.
 void ServerRoster::apply(std::uint64_t /*index*/, const std::string &payload)
 {
     const Json json = Json::parse(payload, nullptr, false);
     if (!json.is_object())
         return;
-    if (json.contains(OrderKey)) {
-        const std::lock_guard lock(m_mutex);
-        m_openOrders[ServiceName(json.at(OrderKey).get<std::string>())].emplace(
-                json.at("server").get<std::string>());
+    try {
+        apply(json);
+    } catch (const Json::exception &) {
+        return;
+    } catch (const EndpointError &) {
         return;
     }
-    if (json.contains(ClosedKey)) {
+}
+
+void ServerRoster::apply(const Json &json)
+{
+    if (json.contains(OrderKey)) {
+        const ServiceName service(json.at(OrderKey).get<std::string>());
+        const ServerId server(json.at("server").get<std::string>());
         const std::lock_guard lock(m_mutex);
-        m_openOrders.erase(ServiceName(json.at(ClosedKey).get<std::string>()));
-        return;
+        m_openOrders[service].insert(server);
+    } else if (json.contains(ClosedKey)) {
+        const ServiceName service(json.at(ClosedKey).get<std::string>());
+        const std::lock_guard lock(m_mutex);
+        m_openOrders.erase(service);
+    } else if (json.contains(ServiceKey)) {
+        const ServiceName service(json.at(ServiceKey).get<std::string>());
+        Servers servers = serversFrom(service, json.at("servers"));
+        const std::lock_guard lock(m_mutex);
+        m_services[service] = std::move(servers);
     }
-    if (!json.contains(ServiceKey))
-        return;
-    const ServiceName service(json.at(ServiceKey).get<std::string>());
-    Servers servers = serversFrom(service, json.at("servers"));
-    const std::lock_guard lock(m_mutex);
-    m_services[service] = std::move(servers);
 }
 
 std::string ServerRoster::snapshot() const
@@ -102,7 +114,7 @@
         for (const ServerId &server : servers)
             orders[service.text()].push_back(server.text());
     }
-    return Json {{"services", services}, {"orders", orders}}.dump();
+    return encodeJson({{"services", services}, {"orders", orders}});
 }
 
 void ServerRoster::restore(const std::string &snapshot)
@@ -119,6 +131,8 @@
         }
     } catch (const Json::exception &fault) {
         throw MessageError(std::string("malformed snapshot of the rosters: ") + fault.what());
+    } catch (const EndpointError &fault) {
+        throw MessageError(std::string("malformed snapshot of the rosters: ") + fault.what());
     }
     const std::lock_guard lock(m_mutex);
     m_services = std::move(services);
--- a/src/power/powerledger.cpp
+++ b/src/power/powerledger.cpp
@@ -1,5 +1,7 @@
 #include "nutmegtide/power/powerledger.h"
 
+#include "nutmegtide/base/text.h"
+
 #include <nlohmann/json.hpp>
 
 namespace nutmegtide {
@@ -13,7 +15,7 @@
                         {"database", record.database.text()},
                         {"order", record.order.text()}});
     }
-    return json.dump();
+    return encodeJson(json);
 }
 
 std::vector<SpareRecord> decodeSpares(const std::string &payload)
--- a/src/serve/httpserver.cpp
+++ b/src/serve/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "serve/httpserver.h"
 
+#include <algorithm>
 #include <array>
 #include <civetweb.h>
 #include <strings.h>
@@ -33,6 +34,18 @@
     return isTruncated ? BodyState::Truncated : BodyState::Whole;
 }
 
+// Decodes a path. The library's own decoding would hand it over as a C string, which ends at an
+// encoded zero byte.
+std::string decodePath(const char *encoded)
+{
+    std::string path(encoded ? encoded : "");
+    std::string decoded(path.size() + 1, '\0');
+    const int length = mg_url_decode(path.data(), static_cast<int>(path.size()), decoded.data(),
+                                     static_cast<int>(decoded.size()), 0);
+    decoded.resize(static_cast<std::size_t>(std::max(length, 0)));
+    return decoded;
+}
+
 HttpResponse refuseBody(int status, const char *type, const char *message)
 {
     HttpResponse response;
@@ -72,6 +85,8 @@
                               requestTimeout.c_str(),
                               "tcp_nodelay",
                               "1",
+                              "decode_url",
+                              "no",
                               nullptr};
     mg_callbacks callbacks {};
     m_isClosing = options.closesAfterAnswer;
@@ -106,7 +121,7 @@
     const mg_request_info *info = mg_get_request_info(connection);
     HttpRequest request;
     request.method = info->request_method;
-    request.path = info->local_uri ? info->local_uri : "";
+    request.path = decodePath(info->local_uri);
     request.remoteAddress = info->remote_addr;
     request.query = info->query_string ? info->query_string : "";
     for (int i = 0; i < info->num_headers; ++i)
--- a/src/site/controlfollower.cpp
+++ b/src/site/controlfollower.cpp
@@ -197,9 +197,9 @@
                                                               : reply.configuration.text;
     }
     if (reply.__isset.servers) {
-        view.servers.emplace();
-        for (const wire::ServerRecord &record : reply.servers)
-            view.servers->push_back(fromWire(record, askedAt));
+        ReceivedServers received = fromWire(reply.servers, askedAt);
+        logRefusedServers(received, toString(from));
+        view.servers = std::move(received.records);
     }
     if (reply.__isset.homes)
         view.homes = fromWire(reply.homes);
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -105,12 +105,14 @@
 void ControlNode::receiveUpdates(const wire::Header &from, const wire::SiteNews &news)
 {
     registerControlVm(parseEndpoint(from.vm), FailureDomain(from.failureDomain), news.folder);
+    const ReceivedServers received = fromWire(news.servers, EventLoop::now());
+    logRefusedServers(received, from.vm);
     {
         const std::lock_guard lock(m_mutex);
         m_otherFollowers[parseEndpoint(from.vm)] = {news.followers, EventLoop::now(),
                                                     fromWire(news.homes)};
-        for (const wire::ServerRecord &record : news.servers)
-            m_registry.take(fromWire(record, EventLoop::now()), EventLoop::now());
+        for (const ServerRecord &record : received.records)
+            m_registry.take(record, EventLoop::now());
     }
     receiveComplaints(news.complaints);
 }
--- a/src/site/sitewire.cpp
+++ b/src/site/sitewire.cpp
@@ -1,5 +1,7 @@
 #include "site/sitewire.h"
 
+#include "base/log.h"
+#include "nutmegtide/base/text.h"
 #include "serve/wireconvert.h"
 
 #include <algorithm>
@@ -11,6 +13,18 @@
 // Upper bound for the leaving time that a peer reports; no server takes longer to leave.
 constexpr std::chrono::milliseconds LongestLeave = 24h;
 
+// Throws MessageError for a name that can't be sent on in lines and in JSON.
+void checkNames(const ServerAnnouncement &announcement)
+{
+    if (!isWord(announcement.server.text()))
+        throw MessageError("the server's id is no word");
+    if (!isWord(announcement.service.text()))
+        throw MessageError("the service of server " + announcement.server.text() + " is no word");
+    if (!isUtf8(announcement.failureDomain.text()))
+        throw MessageError("the failure domain of server " + announcement.server.text()
+                           + " is not UTF-8");
+}
+
 } // namespace
 
 std::vector<wire::AgedProof> toWire(const std::vector<AgedProof> &proofs)
@@ -83,6 +97,33 @@
     return result;
 }
 
+ReceivedServers fromWire(const std::vector<wire::ServerRecord> &records, TimePoint now)
+{
+    ReceivedServers received;
+    for (const wire::ServerRecord &record : records) {
+        try {
+            ServerRecord taken = fromWire(record, now);
+            checkNames(taken.announcement);
+            received.records.push_back(std::move(taken));
+        } catch (const MessageError &fault) {
+            received.refusals.emplace_back(fault.what());
+        } catch (const EndpointError &fault) {
+            received.refusals.emplace_back(fault.what());
+        }
+    }
+    return received;
+}
+
+void logRefusedServers(const ReceivedServers &received, const std::string &peer)
+{
+    if (received.refusals.empty())
+        return;
+    logEvent(LogLevel::Warning, "server_records_refused", {},
+             {{"peer", peer},
+              {"count", std::to_string(received.refusals.size())},
+              {"first_reason", received.refusals.front()}});
+}
+
 std::vector<wire::HomeVm> toWire(const std::vector<HomeCandidate> &candidates)
 {
     std::vector<wire::HomeVm> result;
--- a/src/site/sitewire.h
+++ b/src/site/sitewire.h
@@ -6,6 +6,7 @@
 #include "site/homedirectory.h"
 
 #include <map>
+#include <string>
 #include <vector>
 
 namespace nutmegtide {
@@ -26,4 +27,17 @@
 wire::ServerRecord toWire(const ServerRecord &record, TimePoint now);
 ServerRecord fromWire(const wire::ServerRecord &record, TimePoint now);
 
+// The server records of a peer's message.
+struct ReceivedServers
+{
+    std::vector<ServerRecord> records;
+    std::vector<std::string> refusals; // the reason for each record that was left out
+};
+
+// Leaves out each record that can't be read, so that the others hold: the peer may be of an older
+// version, which passes on whatever a server announced.
+ReceivedServers fromWire(const std::vector<wire::ServerRecord> &records, TimePoint now);
+// Writes a log line if records of the peer's message were left out.
+void logRefusedServers(const ReceivedServers &received, const std::string &peer);
+
 } // namespace nutmegtide
--- a/test/process/site_test.cpp
+++ b/test/process/site_test.cpp
@@ -12,6 +12,15 @@
 using namespace nutmegtide;
 using namespace nutmegtide::test;
 
+namespace {
+
+// A report of a server that doesn't exist.
+constexpr const char *GoodReport =
+        R"({"service":"db","address":"127.0.0.1:9","zone":"a","version":"v1","slots":3,)"
+        R"("phase":"ready","coldRemainingMs":0,"dbRole":"replica","sequence":1,"born":1})";
+
+} // namespace
+
 TEST_CASE("a site: a caller's statements go through an entry VM to a server and back")
 {
     LineServer server("db", "i-1");
@@ -102,6 +111,12 @@
             {"PUT", "/config", "{\"version\":9,\"routes\":[{}],\"services\":[]}"},
             {"PUT", "/instances/i-2", "{\"service\":5}"},
             {"PUT", "/instances/i-2", "\xff"},
+            {"PUT", "/instances/i-%FF", GoodReport},
+            {"PUT", "/instances/i%202", GoodReport},
+            {"PUT", "/instances/i-2%0D%0ABYE", GoodReport},
+            {"PUT", "/instances/i-1%00", GoodReport},
+            {"PUT", "/instances/", GoodReport},
+            {"DELETE", "/instances/i-%FF", ""},
             {"POST", "/instances/i-1", "{}"},
             {"GET", "/nowhere", ""},
     };
--- a/test/unit/failover/serverroster_test.cpp
+++ b/test/unit/failover/serverroster_test.cpp
@@ -48,6 +48,43 @@
     CHECK_THROWS_AS(roster.restore("{\"services\":{\"db\":[{}]},\"orders\":{}}"), MessageError);
 }
 
+// Guards against an exception that no thread of a control VM expects and that ends the process.
+TEST_CASE("a name that is not UTF-8 is refused when an entry is encoded")
+{
+    const ServiceName service("db");
+    const ServerId unreadable("i-\xff");
+    CHECK_THROWS_AS(ServerRoster::encode(service, {{unreadable, announcement("i-\xff")}}),
+                    MessageError);
+    CHECK_THROWS_AS(ServerRoster::encodeOrder(service, unreadable), MessageError);
+    CHECK_THROWS_AS(ServerRoster::encodeOrdersClosed(ServiceName("\xff")), MessageError);
+}
+
+// Guards against a committed entry that ends every control VM that applies it, at each start.
+TEST_CASE("an entry with a field that is missing or of another type changes nothing")
+{
+    const ServiceName service("db");
+    ServerRoster roster;
+    roster.apply(1, ServerRoster::encode(service, {{ServerId("s1"), announcement("s1")}}));
+    const std::string before = roster.snapshot();
+    const char *const entries[] = {
+            R"({"order_of":5,"server":"s1"})",
+            R"({"order_of":"db"})",
+            R"({"orders_closed_of":[]})",
+            R"({"roster_of":"db"})",
+            R"({"roster_of":"db","servers":[{}]})",
+            R"({"roster_of":"db","servers":[{"server":"s1","address":"nowhere"}]})",
+    };
+    for (const char *const entry : entries) {
+        CAPTURE(entry);
+        roster.apply(2, entry);
+        CHECK(roster.snapshot() == before);
+    }
+    const char *const address =
+            R"({"services":{"db":[{"server":"s1","address":"nowhere"}]},"orders":{}})";
+    CHECK_THROWS_AS(roster.restore(address), MessageError);
+    CHECK(roster.snapshot() == before);
+}
+
 TEST_CASE("an order stays open until orders are closed, also after restoring a snapshot")
 {
     const ServiceName service("db");
--- a/test/unit/platform/announcements_test.cpp
+++ b/test/unit/platform/announcements_test.cpp
@@ -56,3 +56,21 @@
     CHECK_THROWS_AS(parseAnnouncement("i-7f", "\xff\xfe"), MessageError);
     CHECK_THROWS_AS(parseAnnouncement("", goodAnnouncement().dump()), MessageError);
 }
+
+// Guards against an id of bytes that no JSON can hold: the control leader ended when it stored such
+// a server in the control log, and after it the next leader.
+TEST_CASE("an announcement with an id or a service that is no word is refused")
+{
+    const char *const names[] = {"i-\xff", "\xc3", "i 1", "i-1\r\nQUERY - STATUS", "i-1\n", "\x7f"};
+    for (const char *const name : names) {
+        CAPTURE(std::string(name));
+        CHECK_THROWS_AS(parseServerId(name), MessageError);
+        CHECK_THROWS_AS(parseAnnouncement(name, goodAnnouncement().dump()), MessageError);
+        Json json = goodAnnouncement();
+        json["service"] = name;
+        const std::string body = json.dump(-1, ' ', false, Json::error_handler_t::ignore);
+        if (std::string(name) != "i-\xff")
+            CHECK_THROWS_AS(parseAnnouncement("i-7f", body), MessageError);
+    }
+    CHECK(parseServerId("i-\xc3\xa9") == ServerId("i-\xc3\xa9"));
+}
--- a/test/unit/site/sitewire_test.cpp
+++ b/test/unit/site/sitewire_test.cpp
@@ -46,6 +46,36 @@
     CHECK_THROWS_AS(fromWire(std::vector<wire::AgedProof> {proof}), MessageError);
 }
 
+// Guards against a record that an older version passed on: it took ids of any bytes.
+TEST_CASE("a record of a server that can't be read is left out, and the others of its message hold")
+{
+    ServerRecord good;
+    good.announcement.server = ServerId("i-1");
+    good.announcement.service = ServiceName("db");
+    good.announcement.address = {"10.0.0.1", 80};
+    const wire::ServerRecord readable = toWire(good, TimePoint(1s));
+    struct Row
+    {
+        std::string wire::ServerRecord::*field;
+        const char *value;
+    };
+    const Row rows[] = {{&wire::ServerRecord::server, "i-\xff"},
+                        {&wire::ServerRecord::server, ""},
+                        {&wire::ServerRecord::server, "i-2\r\nBYE"},
+                        {&wire::ServerRecord::serviceName, "d b"},
+                        {&wire::ServerRecord::failureDomain, "\xfe"},
+                        {&wire::ServerRecord::address, "nowhere"}};
+    for (const Row &row : rows) {
+        CAPTURE(std::string(row.value));
+        wire::ServerRecord unreadable = readable;
+        unreadable.*row.field = row.value;
+        const ReceivedServers received = fromWire({unreadable, readable}, TimePoint(1s));
+        CHECK(received.refusals.size() == 1);
+        REQUIRE(received.records.size() == 1);
+        CHECK(received.records.front().announcement.server == ServerId("i-1"));
+    }
+}
+
 TEST_CASE("the time since a server is leaving is sent as an age, independent of both VMs' clocks")
 {
     struct Row
