Bound the control log in bytes, so that large configurations don't fill disks

The disk of 128 MB was full first, and the copy in memory grew with it.

The fix: SnapshotSchedule counts bytes beside entries; a full disk makes the VM store its present state at once, ahead of the writes that it replaces. Related paths: a log is read in blocks and applied without a copy, so that a start needs its size once; uncommitted entries and messages for a VM that is away are bounded in bytes, and proposals beyond are refused at once. The format of the file and the messages are unchanged.

--- a/bench/controllogmodel.h
+++ b/bench/controllogmodel.h
@@ -90,7 +90,7 @@
                     counts.bytes += entryRecord(entry).size();
                 last = entries->write;
             } else if (const auto *apply = std::get_if<ApplyCommitted>(&action)) {
-                counts.applied += node.isLeader() ? apply->entries.size() : 0;
+                counts.applied += node.isLeader() ? apply->last - apply->first + 1 : 0;
             }
         }
         if (last == 0)
--- a/include/nutmegtide/control/raftactions.h
+++ b/include/nutmegtide/control/raftactions.h
@@ -48,10 +48,13 @@
     RaftMessage message;
 };
 
-// Passes committed entries to the state machines, in this order.
+// Passes the committed entries from `first` to `last` to the state machines, in order. The node's
+// log holds them until its next input; they aren't copied, since after a start they may be the
+// whole log.
 struct ApplyCommitted
 {
-    std::vector<LogEntry> entries;
+    LogIndex first = 0;
+    LogIndex last = 0;
 };
 
 // Replaces the state of the state machines by that of a snapshot.
--- a/include/nutmegtide/control/raftnode.h
+++ b/include/nutmegtide/control/raftnode.h
@@ -97,6 +97,8 @@
     RaftTerm term() const { return m_vote.term; }
     LogIndex lastIndex() const { return m_log.lastIndex(); }
     LogIndex commit() const { return m_commit; }
+    // The size of the payloads of the entries that aren't known to be committed.
+    std::size_t uncommittedBytes() const;
     const RaftLog &log() const { return m_log; }
     RaftStatus status() const;
     // The time at which tick() has something to do.
--- a/include/nutmegtide/control/replicatedlog.h
+++ b/include/nutmegtide/control/replicatedlog.h
@@ -26,12 +26,19 @@
     bool operator==(const Command &) const = default;
 };
 
+// Base class of the reasons why a proposal isn't known to be committed.
+class ProposalError : public Error
+{
+public:
+    using Error::Error;
+};
+
 // A proposal was refused because this process doesn't lead the control log.
-class NotLeaderError : public Error
+class NotLeaderError : public ProposalError
 {
 public:
     NotLeaderError(const std::string &message, VmName leader)
-        : Error(message)
+        : ProposalError(message)
         , m_leader(std::move(leader))
     { }
 
@@ -43,10 +50,17 @@
 };
 
 // A proposal's outcome wasn't known in time; it may still be committed.
-class ProposalUnknownError : public Error
+class ProposalUnknownError : public ProposalError
 {
 public:
-    using Error::Error;
+    using ProposalError::ProposalError;
+};
+
+// A proposal was refused before it became an entry, so it is never committed.
+class ProposalRefusedError : public ProposalError
+{
+public:
+    using ProposalError::ProposalError;
 };
 
 // A state built from the committed entries of one kind, and equal on every control VM. apply() is
@@ -73,7 +87,8 @@
     // The leader's name; empty if none is known.
     virtual VmName leader() const = 0;
     // Returns the index at which the command was committed and applied here. Throws NotLeaderError,
-    // or ProposalUnknownError if the outcome isn't known within `timeout`.
+    // ProposalRefusedError while too much waits for a majority, or ProposalUnknownError if the
+    // outcome isn't known within `timeout`.
     virtual std::uint64_t propose(const Command &command, std::chrono::milliseconds timeout) = 0;
 };
 
--- a/src/control/filelogstorage.cpp
+++ b/src/control/filelogstorage.cpp
@@ -27,10 +27,12 @@
         fresh.isNew = true;
         return fresh;
     }
-    const std::string file = m_disk.read(LogFile);
-    StoredLog stored = readRecords(file);
+    const std::uint64_t size = m_disk.size(LogFile);
+    StoredLog stored = readRecords(size, [this](std::uint64_t offset, std::size_t length) {
+        return m_disk.read(LogFile, offset, length);
+    });
     m_folderId = stored.folder;
-    m_size = file.size() - stored.truncatedBytes;
+    m_size = size - stored.truncatedBytes;
     if (stored.truncatedBytes > 0)
         m_disk.truncate(LogFile, m_size);
     // What was read may not have been synced before a crash, so it is made durable now.
--- a/src/control/logrecords.cpp
+++ b/src/control/logrecords.cpp
@@ -18,9 +18,11 @@
 };
 
 constexpr std::size_t HeaderSize = 16; // length, type, checksum of both
+constexpr std::size_t ChecksummedHeader = 8; // length, type
 constexpr std::size_t TrailerSize = 9; // checksum of the body, end byte
 constexpr std::size_t SectorSize = 512; // the unit that a disk writes completely or not at all
 constexpr char EndByte = '\xa5';
+constexpr std::size_t BlockSize = 256 * 1024; // bytes that are read at once
 
 std::uint64_t checksum(std::string_view bytes, RecordType type)
 {
@@ -43,12 +45,57 @@
     return std::all_of(bytes.begin(), bytes.end(), [](char byte) { return byte == 0; });
 }
 
+// A file of which one block is in memory.
+class FileBlocks
+{
+public:
+    FileBlocks(std::uint64_t size, const ReadBytes &readBytes)
+        : m_size(size)
+        , m_readBytes(readBytes)
+    { }
+
+    std::uint64_t size() const { return m_size; }
+    // Returns bytes within the file; valid until the next call.
+    std::string_view bytes(std::uint64_t offset, std::size_t length)
+    {
+        if (offset < m_begin || offset + length > m_begin + m_block.size())
+            readBlock(offset, length);
+        return std::string_view(m_block).substr(offset - m_begin, length);
+    }
+    // Returns whether the file holds only zeros from `begin` to `end`.
+    bool isZero(std::uint64_t begin, std::uint64_t end)
+    {
+        while (begin < end) {
+            const std::size_t length = std::min<std::uint64_t>(BlockSize, end - begin);
+            if (!nutmegtide::isZero(bytes(begin, length)))
+                return false;
+            begin += length;
+        }
+        return true;
+    }
+
+private:
+    void readBlock(std::uint64_t offset, std::size_t length)
+    {
+        const std::uint64_t wanted = std::max(length, BlockSize);
+        m_block = m_readBytes(offset, std::min(wanted, m_size - offset));
+        m_begin = offset;
+        if (m_block.size() < length)
+            throw LogStorageError("the control log became shorter while it was read");
+    }
+
+    const std::uint64_t m_size;
+    const ReadBytes &m_readBytes;
+    std::string m_block;
+    std::uint64_t m_begin = 0; // offset of m_block in the file
+};
+
 // Rebuilds a StoredLog by applying the records of a file in order.
 class RecordReader
 {
 public:
-    explicit RecordReader(std::string_view file)
-        : m_file(file)
+    RecordReader(std::uint64_t size, const ReadBytes &readBytes)
+        : m_file(size, readBytes)
     { }
 
     StoredLog read()
@@ -69,19 +116,25 @@
     // Returns false at the end of the complete records, where an incomplete write begins.
     bool readRecord()
     {
-        const std::string_view rest = m_file.substr(m_offset);
-        if (rest.size() < HeaderSize || isZero(rest))
+        const std::uint64_t left = m_file.size() - m_offset;
+        if (left < HeaderSize)
+            return false;
+        const std::string_view start = m_file.bytes(m_offset, HeaderSize);
+        if (isZero(start) && m_file.isZero(m_offset, m_file.size()))
             return false;
-        ByteReader header(rest);
+        const std::string headerBytes(m_file.bytes(m_offset, HeaderSize));
+        ByteReader header(headerBytes);
         const auto length = header.number<std::uint32_t>();
         const auto type = static_cast<RecordType>(header.number<std::uint32_t>());
-        if (header.number<std::uint64_t>() != checksum(rest.substr(0, 8), RecordType {}))
+        if (header.number<std::uint64_t>()
+            != checksum(std::string_view(headerBytes).substr(0, ChecksummedHeader), RecordType {}))
             fail("altered header");
         const std::size_t recordSize = HeaderSize + length + TrailerSize;
-        if (rest.size() < recordSize)
+        if (left < recordSize)
             return false;
-        const std::string_view body = rest.substr(HeaderSize, length);
-        if (!isIntact(rest.substr(0, recordSize), body, type)) {
+        const std::string_view record = m_file.bytes(m_offset, recordSize);
+        const std::string_view body = record.substr(HeaderSize, length);
+        if (!isIntact(record, body, type)) {
             if (isTorn(recordSize))
                 return false;
             fail("altered record");
@@ -98,15 +151,15 @@
     }
 
     // A crash leaves whole sectors of zeros in the last record, and nothing after that record.
-    bool isTorn(std::size_t recordSize) const
+    bool isTorn(std::size_t recordSize)
     {
-        const std::size_t end = m_offset + recordSize;
-        if (!isZero(m_file.substr(end)))
+        const std::uint64_t end = m_offset + recordSize;
+        if (!m_file.isZero(end, m_file.size()))
             return false;
-        std::size_t begin = m_offset;
+        std::uint64_t begin = m_offset;
         while (begin < end) {
-            const std::size_t next = std::min(end, (begin / SectorSize + 1) * SectorSize);
-            if (isZero(m_file.substr(begin, next - begin)))
+            const std::uint64_t next = std::min(end, (begin / SectorSize + 1) * SectorSize);
+            if (m_file.isZero(begin, next))
                 return true;
             begin = next;
         }
@@ -188,8 +241,8 @@
         m_stored.entries.resize(index - m_stored.snapshot.index - 1);
     }
 
-    std::string_view m_file;
-    std::size_t m_offset = 0;
+    FileBlocks m_file;
+    std::uint64_t m_offset = 0;
     StoredLog m_stored;
 };
 
@@ -237,9 +290,16 @@
     return makeRecord(RecordType::Truncate, body.bytes());
 }
 
+StoredLog readRecords(std::uint64_t size, const ReadBytes &readBytes)
+{
+    return RecordReader(size, readBytes).read();
+}
+
 StoredLog readRecords(std::string_view file)
 {
-    return RecordReader(file).read();
+    return readRecords(file.size(), [file](std::uint64_t offset, std::size_t length) {
+        return std::string(file.substr(offset, length));
+    });
 }
 
 } // namespace nutmegtide
--- a/src/control/logrecords.h
+++ b/src/control/logrecords.h
@@ -2,6 +2,7 @@
 
 #include "nutmegtide/control/logstorage.h"
 
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -16,8 +17,14 @@
 std::string entryRecord(const LogEntry &entry);
 std::string truncateRecord(LogIndex index);
 
-// Reads a whole log file; the caller removes `truncatedBytes` from its end. Throws LogCorruptError
-// with the offset of the first invalid record.
+// Returns `length` bytes of a log file from `offset` on, or fewer at its end.
+using ReadBytes = std::function<std::string(std::uint64_t offset, std::size_t length)>;
+
+// Reads a log file of `size` bytes in blocks, so that it is never in memory as a whole beside the
+// entries; the caller removes `truncatedBytes` from its end. Throws LogCorruptError with the offset
+// of the first invalid record.
+StoredLog readRecords(std::uint64_t size, const ReadBytes &readBytes);
+// The same for a file that is in memory.
 StoredLog readRecords(std::string_view file);
 
 } // namespace nutmegtide
--- a/src/control/posixdisk.cpp
+++ b/src/control/posixdisk.cpp
@@ -4,7 +4,6 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 #include <sys/file.h>
 #include <system_error>
 #include <unistd.h>
@@ -60,13 +59,29 @@
 }
 
 std::string PosixDisk::read(const std::string &file) const
+{
+    return read(file, 0, size(file));
+}
+
+std::string PosixDisk::read(const std::string &file, std::uint64_t offset, std::size_t length) const
 {
     std::ifstream in(path(file), std::ios::binary);
-    std::ostringstream bytes;
-    bytes << in.rdbuf();
-    if (!in)
+    in.seekg(static_cast<std::streamoff>(offset));
+    std::string bytes(length, '\0');
+    in.read(bytes.data(), static_cast<std::streamsize>(length));
+    if (in.bad() || !in.is_open())
         throw LogStorageError(path(file) + " can't be read");
-    return bytes.str();
+    bytes.resize(static_cast<std::size_t>(in.gcount()));
+    return bytes;
+}
+
+std::uint64_t PosixDisk::size(const std::string &file) const
+{
+    std::error_code error;
+    const std::uintmax_t size = std::filesystem::file_size(path(file), error);
+    if (error)
+        throw LogStorageError(path(file) + ": " + error.message());
+    return size;
 }
 
 int PosixDisk::descriptorFor(const std::string &file)
--- a/src/control/posixdisk.h
+++ b/src/control/posixdisk.h
@@ -18,6 +18,9 @@
 
     bool exists(const std::string &file) const override;
     std::string read(const std::string &file) const override;
+    std::string read(const std::string &file, std::uint64_t offset,
+                     std::size_t length) const override;
+    std::uint64_t size(const std::string &file) const override;
     void append(const std::string &file, const std::string &bytes) override;
     void truncate(const std::string &file, std::uint64_t size) override;
     void sync(const std::string &file) override;
--- a/src/control/raftnode.cpp
+++ b/src/control/raftnode.cpp
@@ -78,6 +78,14 @@
     return takeActions();
 }
 
+std::size_t RaftNode::uncommittedBytes() const
+{
+    std::size_t bytes = 0;
+    for (LogIndex index = m_commit + 1; index <= m_log.lastIndex(); ++index)
+        bytes += m_log.at(index).payload.size();
+    return bytes;
+}
+
 RaftStatus RaftNode::status() const
 {
     std::map<VmName, TimePoint> heard;
@@ -202,7 +210,7 @@
 {
     if (index <= m_commit)
         return;
-    m_actions.emplace_back(ApplyCommitted {m_log.from(m_commit + 1, index - m_commit)});
+    m_actions.emplace_back(ApplyCommitted {m_commit + 1, index});
     m_commit = index;
 }
 
--- a/src/serve/changerole.cpp
+++ b/src/serve/changerole.cpp
@@ -302,9 +302,7 @@
         try {
             m_log.load()->propose({CommandKind::Group, encode(command)}, ProposalTime);
             isCommitted = true;
-        } catch (const NotLeaderError &) {
-            isCommitted = false;
-        } catch (const ProposalUnknownError &) {
+        } catch (const ProposalError &) {
             isCommitted = false;
         }
         const auto known = m_ledger.find(command.database);
--- a/src/serve/configsubmitter.cpp
+++ b/src/serve/configsubmitter.cpp
@@ -57,7 +57,7 @@
         if (const auto leader = m_directory.find(error.leader()))
             answer.leader = leader->peers;
         return answer;
-    } catch (const ProposalUnknownError &error) {
+    } catch (const ProposalError &error) {
         return undecided(ConfigOutcome::Unknown, error.what());
     }
     const auto decision = m_ledger.find(submission);
--- a/src/serve/controllog.cpp
+++ b/src/serve/controllog.cpp
@@ -11,10 +11,9 @@
 
 namespace {
 
-constexpr LogIndex SnapshotInterval = 1'000; // entries
-// A snapshot is stored this much later than it was taken, so that a follower
-// that is just behind gets entries and not the whole state.
-constexpr LogIndex SnapshotDelay = 64; // entries
+// While no majority stores entries, they are kept in memory and on the disk. A single larger
+// entry is still taken.
+constexpr std::size_t MaxUncommittedBytes = 16 * 1024 * 1024;
 
 std::string makeFolderId()
 {
@@ -64,7 +63,6 @@
     m_recorder.record(EventKind::LogRecovered, fields);
     m_folder = stored.folder;
     m_applied = stored.snapshot.index;
-    m_lastCapture = m_applied;
     if (m_applied > 0)
         restoreMachines(stored.snapshot.state);
     m_node = std::make_unique<RaftNode>(m_settings.name, std::move(stored), m_settings.control,
@@ -241,8 +239,31 @@
     m_waiters.erase(first, last);
 }
 
+std::vector<ControlLog::Proposal> ControlLog::admit(std::vector<Proposal> proposals)
+{
+    std::size_t waiting = m_node->uncommittedBytes();
+    std::vector<Proposal> admitted;
+    for (Proposal &proposal : proposals) {
+        const std::size_t size = proposal.command.payload.size();
+        if (waiting > 0 && waiting + size > MaxUncommittedBytes) {
+            proposal.result.set_exception(std::make_exception_ptr(
+                    ProposalRefusedError("too many bytes wait for a majority of control VMs")));
+            continue;
+        }
+        waiting += size;
+        admitted.push_back(std::move(proposal));
+    }
+    if (admitted.size() < proposals.size())
+        logEvent(LogLevel::Warning, "control_proposals_refused", {m_settings.name},
+                 {{"count", std::to_string(proposals.size() - admitted.size())},
+                  {"uncommitted_bytes", std::to_string(waiting)}});
+    return admitted;
+}
+
 void ControlLog::takeProposals(std::vector<Proposal> proposals)
 {
+    if (!proposals.empty() && m_node->isLeader())
+        proposals = admit(std::move(proposals));
     if (proposals.empty())
         return;
     const LogIndex before = m_node->lastIndex();
@@ -293,16 +314,18 @@
 
 void ControlLog::perform(const ApplyCommitted &action)
 {
-    for (const LogEntry &entry : action.entries) {
+    for (LogIndex index = action.first; index <= action.last; ++index) {
+        const LogEntry &entry = m_node->log().at(index);
         apply(entry);
         settleWaiter(entry);
     }
-    captureState();
+    maintainSnapshots();
 }
 
 void ControlLog::apply(const LogEntry &entry)
 {
     m_applied = entry.index;
+    m_snapshots.addApplied(entry.payload.size());
     const auto machine = m_machines.find(static_cast<CommandKind>(entry.kind));
     if (machine != m_machines.end())
         machine->second->apply(entry.index, entry.payload);
@@ -323,16 +346,28 @@
     m_waiters.erase(waiter);
 }
 
-void ControlLog::captureState()
+void ControlLog::maintainSnapshots()
 {
-    if (m_captured && m_applied >= m_captured->index + SnapshotDelay) {
-        const CapturedState captured = *std::exchange(m_captured, std::nullopt);
-        perform(m_node->snapshotTaken(captured.index, captured.state));
-    }
-    if (m_applied < m_lastCapture + SnapshotInterval)
+    if (m_snapshots.isStoreDue())
+        storeCapturedState();
+    if (!m_snapshots.isCaptureDue())
         return;
-    m_lastCapture = m_applied;
+    captureState();
+    if (m_snapshots.isStoreDue())
+        storeCapturedState();
+}
+
+void ControlLog::captureState()
+{
     m_captured = CapturedState {m_applied, machineStates()};
+    m_snapshots.noteCaptured(m_captured->state.size());
+}
+
+void ControlLog::storeCapturedState()
+{
+    CapturedState captured = *std::exchange(m_captured, std::nullopt);
+    m_snapshots.noteStored();
+    perform(m_node->snapshotTaken(captured.index, std::move(captured.state)));
 }
 
 std::string ControlLog::machineStates() const
@@ -360,7 +395,7 @@
 void ControlLog::perform(const RestoreState &action)
 {
     m_applied = action.index;
-    m_lastCapture = action.index;
+    m_snapshots.noteRestored();
     m_captured.reset();
     failWaiters(m_waiters.begin(), m_waiters.upper_bound(action.index),
                 ProposalUnknownError("a snapshot stands in the place of the entry"));
@@ -390,10 +425,19 @@
     m_recorder.record(EventKind::ChartTransition, fields);
 }
 
+// A snapshot takes the place of all entries before it, so it makes room on a full disk.
 void ControlLog::flushWrites()
 {
-    while (const WriteNumber last = m_writer->flush())
-        perform(m_node->synced(last));
+    FlushResult result;
+    do {
+        result = m_writer->flush();
+        if (result.last != 0)
+            perform(m_node->synced(result.last));
+        if (result.isDiskFull && m_applied > m_node->log().snapshot().index) {
+            captureState();
+            storeCapturedState();
+        }
+    } while (result.last != 0);
 }
 
 void ControlLog::failAll(const std::string &reason)
--- a/src/serve/controllog.h
+++ b/src/serve/controllog.h
@@ -5,6 +5,7 @@
 #include "nutmegtide/charts/chartlibrary.h"
 #include "nutmegtide/control/raftnode.h"
 #include "nutmegtide/control/replicatedlog.h"
+#include "nutmegtide/control/snapshotschedule.h"
 #include "nutmegtide/events/recorder.h"
 #include "nutmegtide/settings/nodesettings.h"
 #include "serve/directory.h"
@@ -82,6 +83,8 @@
     void post(Input input);
     void changeMembers(std::function<RaftActions()> change);
     void takeProposals(std::vector<Proposal> proposals);
+    // Refuses the proposals that would make the uncommitted entries too large; returns the others.
+    std::vector<Proposal> admit(std::vector<Proposal> proposals);
     void publish();
     std::optional<FolderMismatchError> folderRefusal(const RaftMessage &message) const;
     void noteFolderAnswer(const VmName &peer, const std::optional<FolderMismatchError> &refusal);
@@ -102,7 +105,10 @@
     void flushWrites();
     void apply(const LogEntry &entry);
     void settleWaiter(const LogEntry &entry);
+    // Takes and stores snapshots where the schedule says so.
+    void maintainSnapshots();
     void captureState();
+    void storeCapturedState();
     std::string machineStates() const;
     void restoreMachines(const std::string &state);
     template <typename Fault>
@@ -125,8 +131,8 @@
     std::unique_ptr<LogWriter> m_writer;
     std::unique_ptr<RaftNode> m_node;
     LogIndex m_applied = 0;
-    LogIndex m_lastCapture = 0;
-    std::optional<CapturedState> m_captured;
+    SnapshotSchedule m_snapshots;
+    std::optional<CapturedState> m_captured; // not stored yet
     std::map<LogIndex, Waiter> m_waiters;
     std::map<VmName, std::unique_ptr<RaftSender>> m_senders;
 
--- a/src/serve/logwriter.cpp
+++ b/src/serve/logwriter.cpp
@@ -16,32 +16,40 @@
     , m_recorder(recorder)
 { }
 
-WriteNumber LogWriter::flush()
+void LogWriter::add(RaftAction action)
+{
+    if (std::holds_alternative<InstallSnapshot>(action))
+        m_writes.clear();
+    m_writes.push_back(std::move(action));
+}
+
+FlushResult LogWriter::flush()
 {
     if (Clock::now() < m_writeAgainAt)
-        return 0;
-    const WriteNumber last = writeAll();
-    if (last != 0)
+        return {};
+    const FlushResult result = writeAll();
+    if (result.last != 0)
         m_store.sync();
-    return last;
+    return result;
 }
 
-WriteNumber LogWriter::writeAll()
+FlushResult LogWriter::writeAll()
 {
-    WriteNumber last = 0;
+    FlushResult result;
     try {
         while (!m_writes.empty()) {
-            last = write(m_writes.front());
+            result.last = write(m_writes.front());
             m_writes.pop_front();
         }
         m_isDiskFull = false;
     } catch (const DiskFullError &fault) {
+        result.isDiskFull = true;
         if (!m_isDiskFull)
             logEvent(LogLevel::Error, "control_disk_full", {m_vm}, {{"reason", fault.what()}});
         m_isDiskFull = true;
         m_writeAgainAt = Clock::now() + FullDiskRetryInterval;
     }
-    return last;
+    return result;
 }
 
 WriteNumber LogWriter::write(const RaftAction &action)
@@ -71,6 +79,10 @@
     fields.details = {{"index", std::to_string(snapshot.index)},
                       {"bytes", std::to_string(m_store.size())}};
     m_recorder.record(EventKind::SnapshotTaken, fields);
+    logEvent(LogLevel::Info, "control_snapshot_stored", {m_vm},
+             {{"index", std::to_string(snapshot.index)},
+              {"state_bytes", std::to_string(snapshot.state.size())},
+              {"log_bytes", std::to_string(m_store.size())}});
 }
 
 } // namespace nutmegtide
--- a/src/serve/powerrole.cpp
+++ b/src/serve/powerrole.cpp
@@ -80,9 +80,7 @@
     try {
         m_log.propose({CommandKind::Power, encodeSpares(m_planner->records())}, RecordTimeout);
         return true;
-    } catch (const NotLeaderError &) {
-        return false;
-    } catch (const ProposalUnknownError &) {
+    } catch (const ProposalError &) {
         return false;
     }
 }
--- a/src/serve/raftsender.cpp
+++ b/src/serve/raftsender.cpp
@@ -6,19 +6,9 @@
 
 namespace {
 
-constexpr std::size_t LongestQueue = 64; // messages
-constexpr std::size_t MostBytesPerCall = 4 * 1024 * 1024; // below a peer's largest frame
 // While a connection is tried to a machine that isn't up yet, whatever follows waits.
 constexpr CallTimeouts Timeouts {250ms, 1s};
 
-std::size_t sizeOf(const RaftMessage &message)
-{
-    std::size_t size = message.snapshot.state.size();
-    for (const LogEntry &entry : message.entries)
-        size += entry.payload.size();
-    return size;
-}
-
 } // namespace
 
 RaftSender::RaftSender(VmName peer, const Directory &directory, PeerClients &peers,
@@ -43,9 +33,7 @@
 void RaftSender::send(RaftMessage message)
 {
     const std::lock_guard lock(m_mutex);
-    if (m_queue.size() == LongestQueue)
-        m_queue.pop_front();
-    m_queue.push_back(std::move(message));
+    m_queue.put(std::move(message));
     m_changed.notify_one();
 }
 
@@ -53,28 +41,16 @@
 {
     std::unique_lock lock(m_mutex);
     while (true) {
-        m_changed.wait(lock, [this] { return m_isStopping || !m_queue.empty(); });
+        m_changed.wait(lock, [this] { return m_isStopping || !m_queue.isEmpty(); });
         if (m_isStopping)
             return;
-        const std::vector<RaftMessage> messages = takeBatch();
+        const std::vector<RaftMessage> messages = m_queue.takeBatch();
         lock.unlock();
         deliver(messages);
         lock.lock();
     }
 }
 
-std::vector<RaftMessage> RaftSender::takeBatch()
-{
-    std::vector<RaftMessage> messages;
-    std::size_t bytes = 0;
-    while (!m_queue.empty() && (messages.empty() || bytes < MostBytesPerCall)) {
-        bytes += sizeOf(m_queue.front());
-        messages.push_back(std::move(m_queue.front()));
-        m_queue.pop_front();
-    }
-    return messages;
-}
-
 void RaftSender::deliver(const std::vector<RaftMessage> &messages)
 {
     const auto record = m_directory.find(m_peer);
--- a/src/serve/raftsender.h
+++ b/src/serve/raftsender.h
@@ -3,9 +3,9 @@
 #include "nutmegtide/control/logstorage.h"
 #include "serve/directory.h"
 #include "serve/peerclient.h"
+#include "serve/raftqueue.h"
 
 #include <condition_variable>
-#include <deque>
 #include <functional>
 #include <optional>
 #include <thread>
@@ -30,8 +30,6 @@
 
 private:
     void run();
-    // Called with the lock held.
-    std::vector<RaftMessage> takeBatch();
     void deliver(const std::vector<RaftMessage> &messages);
 
     const VmName m_peer;
@@ -40,7 +38,7 @@
     const FolderAnswer m_onAnswer;
     std::mutex m_mutex;
     std::condition_variable m_changed;
-    std::deque<RaftMessage> m_queue;
+    RaftQueue m_queue;
     bool m_isStopping = false;
     std::thread m_thread;
 };
--- a/src/site/controlnode.cpp
+++ b/src/site/controlnode.cpp
@@ -205,7 +205,7 @@
         const auto leader = refuseRead().leader;
         return {leader ? SubmitOutcome::NotLeader : SubmitOutcome::Unavailable, fault.what(),
                 leader};
-    } catch (const ProposalUnknownError &fault) {
+    } catch (const ProposalError &fault) {
         log(LogLevel::Warning, "configuration_unknown",
             {{"revision", std::to_string(routes.revision)}, {"reason", fault.what()}});
         return {SubmitOutcome::Unavailable, fault.what(), std::nullopt};
@@ -220,7 +220,7 @@
         m_log.propose({CommandKind::Config, ""}, ReadTimeout);
     } catch (const NotLeaderError &) {
         return refuseRead();
-    } catch (const ProposalUnknownError &) {
+    } catch (const ProposalError &) {
         return {};
     }
     const ConfigRevision latest = m_ledger.latest();
--- a/test/unit/control/controlvms.h
+++ b/test/unit/control/controlvms.h
@@ -214,7 +214,8 @@
                 ++messagesSent;
                 m_messages.push_back(send->message);
             } else if (const auto *apply = std::get_if<ApplyCommitted>(&action)) {
-                for (const LogEntry &entry : apply->entries) {
+                for (LogIndex index = apply->first; index <= apply->last; ++index) {
+                    const LogEntry &entry = vm.node->log().at(index);
                     m_invariants.applies(name, vm.applied, entry);
                     if (entry.kind == EntryKind::Group)
                         vm.state += entry.payload;
--- a/test/unit/control/fakedisk.h
+++ b/test/unit/control/fakedisk.h
@@ -2,6 +2,7 @@
 
 #include "control/disk.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -19,6 +20,16 @@
 public:
     bool exists(const std::string &file) const override { return m_names.count(file) > 0; }
     std::string read(const std::string &file) const override { return m_names.at(file)->bytes; }
+    std::string read(const std::string &file, std::uint64_t offset,
+                     std::size_t length) const override
+    {
+        largestRead = std::max(largestRead, length);
+        return m_names.at(file)->bytes.substr(offset, length);
+    }
+    std::uint64_t size(const std::string &file) const override
+    {
+        return m_names.at(file)->bytes.size();
+    }
     void append(const std::string &file, const std::string &bytes) override
     {
         count();
@@ -81,6 +92,7 @@
     }
 
     std::size_t operations = 0;
+    mutable std::size_t largestRead = 0; // bytes of the largest part of a file that was read
     std::optional<std::size_t> crashBefore; // number of the first operation that isn't carried out
     std::size_t capacity = SIZE_MAX; // bytes per file
 
--- a/test/unit/control/filelogstorage_test.cpp
+++ b/test/unit/control/filelogstorage_test.cpp
@@ -88,6 +88,25 @@
     }
 }
 
+// Guards against a start that needs several times the log's size in memory.
+TEST_CASE("a log is read in blocks, whatever the size of its records")
+{
+    constexpr std::size_t LargeEntry = 600'000; // bytes; larger than a block
+    constexpr LogIndex Entries = 40;
+    FakeDisk disk;
+    FileLogStorage store(disk, "first");
+    store.load();
+    std::vector<LogEntry> entries;
+    for (LogIndex index = 1; index <= Entries; ++index) {
+        const std::size_t size = index % 3 == 0 ? LargeEntry : index * 1'000;
+        entries.push_back({1, index, EntryKind::Config, std::string(size, char('a' + index % 20))});
+    }
+    store.append(entries);
+    store.sync();
+    CHECK(FileLogStorage(disk, "second").load().entries == entries);
+    CHECK(disk.largestRead < 2 * LargeEntry);
+}
+
 TEST_CASE("a full disk throws DiskFullError, and nothing is lost")
 {
     FakeDisk disk;
--- a/test/unit/control/raftwalk_test.cpp
+++ b/test/unit/control/raftwalk_test.cpp
@@ -100,8 +100,8 @@
         if (const auto *send = std::get_if<SendMessage>(&action)) {
             state.messages.emplace(fingerprint(send->message), send->message);
         } else if (const auto *apply = std::get_if<ApplyCommitted>(&action)) {
-            for (const LogEntry &entry : apply->entries)
-                commitEntry(state, vm, entry);
+            for (LogIndex index = apply->first; index <= apply->last; ++index)
+                commitEntry(state, vm, vm.node.log().at(index));
         } else if (const auto *leads = std::get_if<BecameLeader>(&action)) {
             const auto known = state.leaders.emplace(leads->term, vm.node.self()).first;
             REQUIRE_MESSAGE(known->second == vm.node.self(), "two leaders in one term");
--- a/test/unit/serve/controllog_test.cpp
+++ b/test/unit/serve/controllog_test.cpp
@@ -7,6 +7,7 @@
 #include "unit/settings/temporaryfolder.h"
 
 #include <doctest/doctest.h>
+#include <filesystem>
 
 using namespace nutmegtide;
 
@@ -14,24 +15,23 @@
 
 constexpr auto Patience = 30s; // generous: the verdict must not depend on speed
 
-class ListMachine : public StateMachine
+// A state that is a text.
+class TextMachine : public StateMachine
 {
 public:
-    void apply(std::uint64_t, const std::string &payload) override
-    {
-        const std::lock_guard lock(m_mutex);
-        m_text += payload + ";";
-    }
     std::string snapshot() const override { return text(); }
-    void restore(const std::string &snapshot) override
+    void restore(const std::string &snapshot) override { set(snapshot); }
+    std::string text() const
     {
         const std::lock_guard lock(m_mutex);
-        m_text = snapshot;
+        return m_text;
     }
-    std::string text() const
+
+protected:
+    void set(const std::string &text)
     {
         const std::lock_guard lock(m_mutex);
-        return m_text;
+        m_text = text;
     }
 
 private:
@@ -39,20 +39,39 @@
     std::string m_text;
 };
 
+// Holds all payloads.
+class ListMachine : public TextMachine
+{
+public:
+    void apply(std::uint64_t, const std::string &payload) override { set(text() + payload + ";"); }
+};
+
+// Holds the latest payload, like a configuration.
+class LatestMachine : public TextMachine
+{
+public:
+    void apply(std::uint64_t, const std::string &payload) override { set(payload); }
+};
+
+using VmNames = std::vector<VmName>;
+
+const VmNames ThreeVms = {VmName("c1"), VmName("c2"), VmName("c3")};
+
 // One control VM in this process, with a real listener and folder.
 class ControlVm
 {
 public:
-    ControlVm(const std::string &name, const std::string &folder)
+    ControlVm(const std::string &name, const std::string &folder, const VmNames &members = ThreeVms)
         : m_identity {FleetId("f"), VmName(name), FailureDomain("d"), 1}
         , m_recorder({m_identity.vm, m_identity.failureDomain, 1}, 100)
         , m_peers([this] { return header(); })
     {
         m_settings.name = m_identity.vm;
         m_settings.dataDir = folder + "/" + name;
-        m_settings.control = {VmName("c1"), VmName("c2"), VmName("c3")};
+        m_settings.control = members;
         m_log = std::make_unique<ControlLog>(m_settings, m_directory, m_peers, m_recorder);
         m_log->registerMachine(CommandKind::Group, m_machine);
+        m_log->registerMachine(CommandKind::Config, m_latest);
         m_handlers.raft = [this](const auto &messages) { m_log->receive(messages); };
         m_server = std::make_unique<PeerServer>(Endpoint {"127.0.0.1", 0}, PeerServer::Options(),
                                                 std::make_shared<PeerService>(
@@ -74,6 +93,15 @@
     }
     ControlLog &log() { return *m_log; }
     std::string text() const { return m_machine.text(); }
+    std::string latest() const { return m_latest.text(); }
+    // The size of all files of the control log.
+    std::uintmax_t diskUse() const
+    {
+        std::uintmax_t bytes = 0;
+        for (const auto &file : std::filesystem::directory_iterator(m_settings.dataDir + "/control"))
+            bytes += file.file_size();
+        return bytes;
+    }
 
 private:
     wire::Header header()
@@ -92,6 +120,7 @@
     PeerClients m_peers;
     PeerHandlers m_handlers;
     ListMachine m_machine;
+    LatestMachine m_latest;
     std::unique_ptr<ControlLog> m_log;
     std::unique_ptr<PeerServer> m_server;
 };
@@ -172,6 +201,55 @@
         CHECK(comesTrue([&] { return vm->text() == "one;two;"; }));
 }
 
+// Guards against a log that is shortened after a number of entries only: 450 configurations of
+// 262 kB filled the disks of all control VMs, and nothing was acknowledged or read any more.
+TEST_CASE("large changes in any number don't fill a control VM's disk")
+{
+    constexpr std::uintmax_t DiskSize = 128'000'000; // bytes
+    constexpr std::size_t ChangeSize = 262'144; // bytes
+    constexpr int Changes = 500;
+    const TemporaryFolder folder;
+    ControlVm vm("c1", folder.path(), {VmName("c1")});
+    vm.log().start();
+    REQUIRE(comesTrue([&] { return vm.log().isLeader(); }));
+    std::uintmax_t mostUsed = 0;
+    std::string change;
+    for (int number = 0; number < Changes; ++number) {
+        change = std::string(ChangeSize, static_cast<char>('a' + number % 26));
+        vm.log().propose({CommandKind::Config, change}, Patience);
+        mostUsed = std::max(mostUsed, vm.diskUse());
+    }
+    CHECK(vm.latest() == change);
+    CHECK(mostUsed < DiskSize);
+}
+
+// Guards against a log without snapshots that an earlier version left behind: it was read, but it
+// stayed as large as the disk until a thousand further entries.
+TEST_CASE("a large log of an earlier version is read, and shortened once its entries are committed")
+{
+    constexpr std::size_t ChangeSize = 1'000'000; // bytes
+    constexpr LogIndex Changes = 60;
+    const TemporaryFolder folder;
+    const std::string last(ChangeSize, 'z');
+    {
+        PosixDisk disk(folder.path() + "/c1/control");
+        FileLogStorage store(disk, "earlier");
+        store.load();
+        for (LogIndex index = 1; index <= Changes; ++index)
+            store.append({{1, index, EntryKind::Config,
+                           index == Changes ? last : std::string(ChangeSize, 'a')}});
+        store.persistVote({1, VmName("c1")});
+        store.sync();
+    }
+    ControlVm vm("c1", folder.path(), {VmName("c1")});
+    vm.log().start();
+    CHECK(comesTrue([&] { return vm.latest() == last; }));
+    CHECK(comesTrue([&] { return vm.diskUse() < 3 * ChangeSize; }));
+    REQUIRE(comesTrue([&] { return vm.log().isLeader(); }));
+    vm.log().propose({CommandKind::Config, "next"}, Patience);
+    CHECK(vm.latest() == "next");
+}
+
 TEST_CASE("operators see the members of the control log, and change them at the leader only")
 {
     const TemporaryFolder folder;
