--- a/test/unit/platform/lineprotocol_test.cpp
+++ b/test/unit/platform/lineprotocol_test.cpp
@@ -48,6 +48,55 @@
     }
 }
 
+// Guards against text that changes on its way: a server has to receive what the caller sent.
+TEST_CASE("a caller's reads and writes reach a server byte for byte, or not at all")
+{
+    constexpr std::string_view Letters("ab \r\n\0\t\xff-.1", 11);
+    constexpr int Rounds = 20'000;
+    std::mt19937 random(2027);
+    const auto randomText = [&](std::size_t longest) {
+        std::string text;
+        for (std::size_t left = random() % (longest + 1); left > 0; --left)
+            text += Letters[random() % Letters.size()];
+        while (text.find("\r\n") != std::string::npos)
+            text.erase(text.find("\r\n"), 2);
+        return text;
+    };
+    int passed = 0;
+    for (int round = 0; round < Rounds; ++round) {
+        const char *const verb = random() % 2 == 0 ? " READ " : " WRITE ";
+        const std::string sent = "QUERY " + randomText(4) + verb + randomText(12);
+        CAPTURE(sent);
+        LineBuffer fromCaller;
+        LineBuffer toServer;
+        std::vector<std::string> lines;
+        const std::string bytes = sent + "\r\n";
+        for (std::size_t at = 0; at < bytes.size();) {
+            const std::size_t size = 1 + random() % 5;
+            fromCaller.append(std::string_view(bytes).substr(at, size));
+            while (const auto line = fromCaller.next())
+                lines.push_back(*line);
+            at += size;
+        }
+        REQUIRE(lines == std::vector<std::string> {sent});
+        ServerCommand command;
+        try {
+            const auto statement = std::get<SessionStatement>(parseCallerLine(sent));
+            command.kind = statement.kind == StatementKind::Read ? ServerCommandKind::Read
+                                                                 : ServerCommandKind::Write;
+            command.request = statement.request;
+            command.argument = statement.argument;
+        } catch (const LineError &) {
+            continue;
+        }
+        ++passed;
+        toServer.append(formatCommand(command));
+        CHECK(toServer.next() == sent);
+        CHECK(toServer.size() == 0);
+    }
+    CHECK(passed > Rounds / 4);
+}
+
 TEST_CASE("commands to servers are formatted")
 {
     struct Row
