Give each prepared statement a name of one word on servers

Cause: the name was made from the shape as it stands, and a name is one field of a line. A shape that isn't a word is now written in hexadecimal digits under a prefix that no other name has; all other names are as before. A home executes a statement under the name that it prepared it under, so that an entry VM of an older version, which names it differently, gets the right one.

Failed before, with each part taken out: "a prepared statement's name on servers is one word, ..." and "a statement is executed under the name that it was prepared under on the connection".

--- a/include/nutmegtide/session/sessionstate.h
+++ b/include/nutmegtide/session/sessionstate.h
@@ -15,8 +15,8 @@
     bool isWrite = false;
     std::string shape; // the statement's content, as the caller gave it
 
-    // The name of the statement on servers.
-    std::string serverName() const { return (isWrite ? "w_" : "r_") + shape; }
+    // The name of the statement on servers: one word, which no other statement has.
+    std::string serverName() const;
     auto operator<=>(const PreparedStatement &) const = default;
 };
 
--- a/src/proxy/serverhome.cpp
+++ b/src/proxy/serverhome.cpp
@@ -227,12 +227,16 @@
 void ServerHome::sendNext(Lane &lane, TimePoint now)
 {
     Connection &held = m_connections.at(lane.connection);
-    const ServerCommand command = lane.pending.front();
+    ServerCommand command = lane.pending.front();
     lane.pending.pop_front();
     const bool isInTransaction = lane.state != TransactionState::Idle;
+    const PreparedStatement *prepared = preparedOf(lane, command);
     std::vector<ServerCommand> commands;
     if (command.kind != ServerCommandKind::Rollback)
-        commands = held.image.restore(lane.image, preparedOf(lane, command), isInTransaction);
+        commands = held.image.restore(lane.image, prepared, isInTransaction);
+    // The lane's entry VM may be of a version that names statements differently.
+    if (prepared != nullptr)
+        command.name = prepared->serverName();
     held.restoring = static_cast<int>(commands.size());
     held.usedAt = now;
     commands.push_back(command);
--- a/src/session/sessionstate.cpp
+++ b/src/session/sessionstate.cpp
@@ -1,9 +1,35 @@
 #include "nutmegtide/session/sessionstate.h"
 
+#include "nutmegtide/base/text.h"
+
 #include <algorithm>
 
 namespace nutmegtide {
 
+namespace {
+
+std::string hexOf(const std::string &bytes)
+{
+    constexpr std::string_view Digits = "0123456789abcdef";
+    constexpr unsigned Base = 16;
+    std::string text;
+    for (const char c : bytes) {
+        const auto byte = static_cast<unsigned char>(c);
+        text += {Digits[byte / Base], Digits[byte % Base]};
+    }
+    return text;
+}
+
+} // namespace
+
+// A shape that isn't a word, for instance one with blanks, would end within the name.
+std::string PreparedStatement::serverName() const
+{
+    if (isWord(shape))
+        return (isWrite ? "w_" : "r_") + shape;
+    return (isWrite ? "wx_" : "rx_") + hexOf(shape);
+}
+
 void SessionState::prepare(const std::string &name, PreparedStatement statement)
 {
     m_prepared[name] = std::move(statement);
--- a/test/unit/proxy/serverhome_test.cpp
+++ b/test/unit/proxy/serverhome_test.cpp
@@ -104,6 +104,25 @@
     CHECK(fixture.home.connectionCount() == 1);
 }
 
+// Guards against an entry VM of another version, whose name for a statement isn't the one that this
+// home prepares it under.
+TEST_CASE("a statement is executed under the name that it was prepared under on the connection")
+{
+    ServerHomeFixture fixture;
+    ServerCommand prepare = ServerHomeFixture::command(ServerCommandKind::Prepare);
+    prepare.name = "r_select balance";
+    prepare.argument = "select balance";
+    ServerCommand execute = ServerHomeFixture::command(ServerCommandKind::Execute, "e");
+    execute.name = prepare.name;
+    fixture.ask(1, prepare);
+    fixture.ask(1, execute);
+    fixture.openAll();
+    REQUIRE(fixture.sent.size() == 2);
+    const std::string name = fixture.sent.front().command.name;
+    CHECK(name == PreparedStatement {false, "select balance"}.serverName());
+    CHECK(fixture.sent.back().command.name == name);
+}
+
 TEST_CASE("closing a lane closes its connection only if a statement or transaction is open on it")
 {
     enum class When { Waiting, Running, InTransaction, Idle };
--- a/test/unit/session/sessionstate_test.cpp
+++ b/test/unit/session/sessionstate_test.cpp
@@ -1,6 +1,9 @@
 #include "nutmegtide/session/sessionstate.h"
 
+#include "nutmegtide/base/text.h"
+
 #include <doctest/doctest.h>
+#include <set>
 
 using namespace nutmegtide;
 
@@ -57,3 +60,35 @@
     second.prepare("b", {true, "q1"});
     CHECK(first.findPrepared("a")->serverName() != second.findPrepared("b")->serverName());
 }
+
+// Guards against a name with a blank: the server took the rest of it for the shape, and executed
+// another statement under the name.
+TEST_CASE("a prepared statement's name on servers is one word, and no other statement's")
+{
+    const char *const shapes[] = {"stock",
+                                  "stock READ committed",
+                                  "stock ",
+                                  " stock",
+                                  "",
+                                  "select balance",
+                                  "73746f636b",
+                                  "a\nb",
+                                  "a\rb",
+                                  "\xff",
+                                  "x_73746f636b20",
+                                  "x_",
+                                  "a\tb"};
+    std::set<std::string> names;
+    std::size_t count = 0;
+    for (const char *const shape : shapes) {
+        for (const bool isWrite : {false, true}) {
+            const std::string name = PreparedStatement {isWrite, shape}.serverName();
+            CAPTURE(name);
+            CHECK(isWord(name));
+            names.insert(name);
+            ++count;
+        }
+    }
+    CHECK(names.size() == count);
+    CHECK(PreparedStatement {false, "stock"}.serverName() == "r_stock");
+}
