--- a/src/serve/controllog.h
+++ b/src/serve/controllog.h
@@ -111,8 +111,7 @@
     void storeCapturedState();
     std::string machineStates() const;
     void restoreMachines(const std::string &state);
-    template <typename Fault>
-    void failWaiters(WaiterIterator first, WaiterIterator last, const Fault &fault);
+    void failWaiters(WaiterIterator first, WaiterIterator last, const std::exception_ptr &fault);
     void failAll(const std::string &reason);
 
     const NodeSettings &m_settings;
