Serialize JSON that replaces unreadable bytes in one place

Cause: the same call with the same four arguments stood in nine places. Change: encodeJsonLossy(), beside the strict encodeJson(). Result: behaviour unchanged.

--- a/include/nutmegtide/base/text.h
+++ b/include/nutmegtide/base/text.h
@@ -19,7 +19,7 @@
 // where a text in it isn't UTF-8.
 std::string encodeJson(const nlohmann::json &json);
 
-// Serializes JSON for people and for answers: bytes that aren't UTF-8 are replaced.
-std::string displayJson(const nlohmann::json &json);
+// Serializes JSON, and replaces bytes that aren't UTF-8; for text that people read.
+std::string encodeJsonLossy(const nlohmann::json &json);
 
 } // namespace nutmegtide
--- a/src/base/text.cpp
+++ b/src/base/text.cpp
@@ -46,7 +46,7 @@
     }
 }
 
-std::string displayJson(const Json &json)
+std::string encodeJsonLossy(const Json &json)
 {
     return json.dump(Compact, ' ', false, Json::error_handler_t::replace);
 }
--- a/src/cli/applycommand.cpp
+++ b/src/cli/applycommand.cpp
@@ -1,5 +1,6 @@
 #include "cli/commandline.h"
 #include "cli/commands.h"
+#include "nutmegtide/base/text.h"
 #include "nutmegtide/settings/loader.h"
 #include "serve/plainhttpclient.h"
 
@@ -100,7 +101,7 @@
                 static_cast<unsigned long long>(base));
     std::fflush(stdout);
     const Json request = {{"change_id", changeId.text()}, {"base_revision", base}, {"toml", toml}};
-    const std::string body = request.dump(-1, ' ', false, Json::error_handler_t::replace);
+    const std::string body = encodeJsonLossy(request);
     try {
         return exitOf(client.post(ConfigPath, body));
     } catch (const NoAnswerError &error) {
--- a/src/control/configledger.cpp
+++ b/src/control/configledger.cpp
@@ -1,5 +1,6 @@
 #include "nutmegtide/control/configledger.h"
 
+#include "nutmegtide/base/text.h"
 #include "nutmegtide/settings/loader.h"
 
 #include <algorithm>
@@ -42,11 +43,6 @@
     return json;
 }
 
-std::string dump(const Json &json)
-{
-    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 class CompareAndSwapRule : public AcceptanceRule
 {
 public:
@@ -105,10 +101,10 @@
 
 std::string encode(const ConfigSubmission &submission)
 {
-    return dump({{"change_id", submission.changeId.text()},
-                 {"base", submission.baseRevision},
-                 {"toml", submission.toml},
-                 {"operator", submission.operatorName}});
+    return encodeJsonLossy({{"change_id", submission.changeId.text()},
+                            {"base", submission.baseRevision},
+                            {"toml", submission.toml},
+                            {"operator", submission.operatorName}});
 }
 
 ConfigSubmission decodeSubmission(const std::string &payload)
@@ -190,10 +186,10 @@
                            record.outcome == ConfigOutcome::Accepted, record.revision,
                            record.winner.text()});
     }
-    return dump({{"revision", m_latest.revision},
-                 {"toml", m_latest.toml},
-                 {"change_id", m_latest.changeId.text()},
-                 {"decisions", std::move(records)}});
+    return encodeJsonLossy({{"revision", m_latest.revision},
+                            {"toml", m_latest.toml},
+                            {"change_id", m_latest.changeId.text()},
+                            {"decisions", std::move(records)}});
 }
 
 void ConfigLedger::restore(const std::string &snapshot)
--- a/src/events/event.cpp
+++ b/src/events/event.cpp
@@ -1,5 +1,7 @@
 #include "nutmegtide/events/event.h"
 
+#include "nutmegtide/base/text.h"
+
 #include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
@@ -115,7 +117,7 @@
             {"cause", event.cause.text()},
             {"details", event.details},
     };
-    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return encodeJsonLossy(json);
 }
 
 Event eventFromJson(std::string_view json)
--- a/src/serve/callerapi.cpp
+++ b/src/serve/callerapi.cpp
@@ -1,6 +1,7 @@
 #include "serve/callerapi.h"
 
 #include "nutmegtide/base/jsondepth.h"
+#include "nutmegtide/base/text.h"
 #include "serve/exchange.h"
 
 #include <algorithm>
@@ -178,7 +179,7 @@
         body["error"]["request_id"] = id.text();
     HttpResponse response;
     response.status = httpStatus(error.failure());
-    response.body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+    response.body = encodeJsonLossy(body);
     if (error.retryAfter() > 0ms) {
         const auto seconds = std::chrono::ceil<std::chrono::seconds>(error.retryAfter());
         response.headers.push_back({"Retry-After", std::to_string(seconds.count())});
--- a/src/serve/configfile.cpp
+++ b/src/serve/configfile.cpp
@@ -1,5 +1,7 @@
 #include "serve/configfile.h"
 
+#include "nutmegtide/base/text.h"
+
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
@@ -101,7 +103,7 @@
     const std::string temporary = m_path + ".new";
     {
         const Descriptor file(temporary, O_WRONLY | O_CREAT | O_TRUNC);
-        file.write(json.dump(-1, ' ', false, Json::error_handler_t::replace));
+        file.write(encodeJsonLossy(json));
         file.sync();
     }
     if (rename(temporary.c_str(), m_path.c_str()) != 0)
--- a/src/serve/configrole.cpp
+++ b/src/serve/configrole.cpp
@@ -1,6 +1,7 @@
 #include "serve/configrole.h"
 
 #include "base/log.h"
+#include "nutmegtide/base/text.h"
 #include "serve/configwire.h"
 
 #include <algorithm>
@@ -282,7 +283,7 @@
                 {"in_force", m_inForce.revision()}};
     }
     HttpResponse response;
-    response.body = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    response.body = encodeJsonLossy(json);
     return response;
 }
 
--- a/src/serve/configwire.cpp
+++ b/src/serve/configwire.cpp
@@ -1,5 +1,7 @@
 #include "serve/configwire.h"
 
+#include "nutmegtide/base/text.h"
+
 #include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
@@ -158,7 +160,7 @@
                      {"message", decision.message}};
     HttpResponse response;
     response.status = row.status;
-    response.body = json.dump(-1, ' ', false, Json::error_handler_t::replace);
+    response.body = encodeJsonLossy(json);
     return response;
 }
 
--- a/src/serve/controlapi.cpp
+++ b/src/serve/controlapi.cpp
@@ -1,5 +1,7 @@
 #include "serve/controlapi.h"
 
+#include "nutmegtide/base/text.h"
+
 namespace nutmegtide {
 
 namespace {
@@ -8,7 +10,7 @@
 {
     HttpResponse response;
     response.status = status;
-    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    response.body = encodeJsonLossy(body);
     return response;
 }
 
--- a/test/unit/base/text_test.cpp
+++ b/test/unit/base/text_test.cpp
@@ -47,6 +47,6 @@
 {
     const Json json {{"server", "i-\xff"}};
     CHECK_THROWS_AS(encodeJson(json), MessageError);
-    CHECK(displayJson(json) == "{\"server\":\"i-\xef\xbf\xbd\"}");
+    CHECK(encodeJsonLossy(json) == "{\"server\":\"i-\xef\xbf\xbd\"}");
     CHECK(encodeJson(Json {{"server", "i-1"}}) == "{\"server\":\"i-1\"}");
 }
