Name proofs' cache, replication status, member planner and merging as such

Cause: names left from earlier wordings. Change: m_board and board are the ProofCache's cache, lines of ProofCollector are links, standing is the replication status that it holds (parseReplicationStatus, readReplicationStatus), m_crew is the ControlMemberPlanner, and ServerRegistry::take(), which merges a record, is merge().

--- a/include/nutmegtide/failover/semisyncchange.h
+++ b/include/nutmegtide/failover/semisyncchange.h
@@ -102,7 +102,7 @@
 //
 //   SemiSyncChange change(ChangeReason::Lost, servers);
 //   perform(change.start(now));
-//   perform(change.onStatus(server, standing, now));
+//   perform(change.onStatus(server, status, now));
 //   perform(change.tick(now)); // at change.wakeAt()
 class SemiSyncChange
 {
@@ -119,7 +119,7 @@
     // Begins the change and returns its first actions.
     SemiSyncChangeActions start(TimePoint now);
     // The answer to QueryStatus, HoldServer, DemoteServer or ResumeServer.
-    SemiSyncChangeActions onStatus(const ServerId &server, const ServerReplicationStatus &standing,
+    SemiSyncChangeActions onStatus(const ServerId &server, const ServerReplicationStatus &status,
                                    TimePoint now);
     // The server didn't answer or couldn't be connected to.
     SemiSyncChangeActions onUnreachable(const ServerId &server, TimePoint now);
@@ -171,7 +171,7 @@
 
     struct ServerProgress
     {
-        ServerReplicationStatus standing; // its latest status
+        ServerReplicationStatus status; // its latest status
         bool isAnswered = false; // in the present step
         bool isUnreachable = false;
         bool isOverloaded = false;
--- a/include/nutmegtide/proxy/serverregistry.h
+++ b/include/nutmegtide/proxy/serverregistry.h
@@ -57,13 +57,13 @@
 // Directory of all backend servers. An announcement older than the stored one is ignored, so copies
 // of the registry can be merged in any order.
 //
-//   if (registry.take({announcement, false}, now))
+//   if (registry.merge({announcement, false}, now))
 //       tellOthers(registry.find(id));
 class ServerRegistry
 {
 public:
     // Merges a record. Returns whether the stored record changed.
-    bool take(const ServerRecord &record, TimePoint now);
+    bool merge(const ServerRecord &record, TimePoint now);
     // Records that the server has left for good. Returns whether that is a change.
     bool noteDeparture(const ServerId &server, TimePoint now);
     // Records that control confirmed the server as the service's primary in the term.
--- a/include/nutmegtide/site/adapters.h
+++ b/include/nutmegtide/site/adapters.h
@@ -134,7 +134,7 @@
 std::unique_ptr<ControlPort> makeControlPort(const Endpoint &at, ControlRequests &requests);
 std::unique_ptr<Promoter> makePromoter(const Endpoint &at, const std::string &holder);
 // Parses a server's answer to a status request; returns nothing for any other answer.
-std::optional<ServerReplicationStatus> readStanding(const ServerReply &reply);
+std::optional<ServerReplicationStatus> readReplicationStatus(const ServerReply &reply);
 // Parses an operator's configuration. Throws RouteTableError.
 RouteTable readConfiguration(const std::string &text);
 
--- a/src/failover/semisyncchange.cpp
+++ b/src/failover/semisyncchange.cpp
@@ -38,7 +38,7 @@
 Term SemiSyncChange::primaryTerm() const
 {
     const auto found = m_progress.find(m_result);
-    return found == m_progress.end() ? 0 : found->second.standing.term;
+    return found == m_progress.end() ? 0 : found->second.status.term;
 }
 
 SemiSyncChangeActions SemiSyncChange::takeActions()
@@ -100,7 +100,7 @@
 {
     m_openOrders.insert(m_chosen);
     m_orderedAt = now;
-    m_wasChosenPrimary = m_progress[m_chosen].standing.isPrimary;
+    m_wasChosenPrimary = m_progress[m_chosen].status.isPrimary;
     enter(Step::Ordering, now, OrderTime);
     m_actions.emplace_back(OrderPromotion {m_chosen, m_token});
     if (!m_wasChosenPrimary)
@@ -173,13 +173,12 @@
 }
 
 SemiSyncChangeActions SemiSyncChange::onStatus(const ServerId &server,
-                                               const ServerReplicationStatus &standing,
-                                               TimePoint now)
+                                               const ServerReplicationStatus &status, TimePoint now)
 {
     const auto found = m_progress.find(server);
     if (found == m_progress.end() || m_step == Step::Over)
         return {};
-    found->second = {standing, true, false, false};
+    found->second = {status, true, false, false};
     switch (m_step) {
     case Step::Probing:
         if (hasEveryServerResponded())
@@ -196,12 +195,11 @@
         break;
     case Step::Ordering:
         // An open order for another server could still depose it after the held ones were resumed.
-        if (server == m_chosen && standing.isPrimary && !m_wasChosenPrimary
-            && isOnlyOpenOrder(server))
+        if (server == m_chosen && status.isPrimary && !m_wasChosenPrimary && isOnlyOpenOrder(server))
             finishPromoted();
         break;
     case Step::Confirming:
-        if (server == m_chosen && standing.isPrimary)
+        if (server == m_chosen && status.isPrimary)
             finishPromoted();
         break;
     default:
--- a/src/failover/semisyncchangesteps.cpp
+++ b/src/failover/semisyncchangesteps.cpp
@@ -36,13 +36,13 @@
     std::optional<ServerId> primary;
     Term highest = 0;
     for (const auto &[server, progress] : m_progress) {
-        highest = std::max(highest, progress.standing.term);
+        highest = std::max(highest, progress.status.term);
         const bool isHigher = !primary
-                || progress.standing.term > m_progress.at(*primary).standing.term;
-        if (progress.isAnswered && progress.standing.isPrimary && isHigher)
+                || progress.status.term > m_progress.at(*primary).status.term;
+        if (progress.isAnswered && progress.status.isPrimary && isHigher)
             primary = server;
     }
-    if (primary && m_progress.at(*primary).standing.term < highest)
+    if (primary && m_progress.at(*primary).status.term < highest)
         return std::nullopt;
     return primary;
 }
@@ -52,10 +52,10 @@
     std::optional<ServerId> best;
     for (const auto &[server, progress] : m_progress) {
         const bool isCandidate = progress.isAnswered && server != primary && !isLeaving(server)
-                && progress.standing.heldTerm == 0;
+                && progress.status.heldTerm == 0;
         if (!isCandidate)
             continue;
-        if (!best || progress.standing.received > m_progress.at(*best).standing.received)
+        if (!best || progress.status.received > m_progress.at(*best).status.received)
             best = server;
     }
     return best;
@@ -77,10 +77,10 @@
 void SemiSyncChange::evaluateProbe(TimePoint now)
 {
     for (const auto &[server, progress] : m_progress)
-        m_term = std::max({m_term, progress.standing.term + 1, progress.standing.heldTerm + 1});
+        m_term = std::max({m_term, progress.status.term + 1, progress.status.heldTerm + 1});
     const std::optional<ServerId> primary = reachablePrimary();
     const bool isAnyHeld = std::any_of(m_progress.begin(), m_progress.end(), [](const auto &item) {
-        return item.second.standing.heldTerm != 0;
+        return item.second.status.heldTerm != 0;
     });
     const bool keepsPrimary = primary && (m_reason == ChangeReason::Lost || *primary != m_from);
     if (keepsPrimary) {
@@ -178,8 +178,8 @@
     const ServerProgress &progress = m_progress.at(server);
     if (!progress.isAnswered)
         return false;
-    return m_demoted.count(server) != 0 ? !progress.standing.isPrimary
-                                        : progress.standing.heldTerm >= m_term;
+    return m_demoted.count(server) != 0 ? !progress.status.isPrimary
+                                        : progress.status.heldTerm >= m_term;
 }
 
 // Of two servers with equal positions, prefers one that isn't leaving, then one whose promotion may
@@ -199,7 +199,7 @@
         if (!isFenced(server))
             continue;
         ++fenced;
-        highest = std::max(highest, progress.standing.received);
+        highest = std::max(highest, progress.status.received);
     }
     if (m_isGraceful) {
         if (fenced + 2 < groupSize())
@@ -211,7 +211,7 @@
     if (fenced + 1 < groupSize())
         return;
     for (const auto &[server, progress] : m_progress) {
-        const bool isHighest = isFenced(server) && progress.standing.received == highest;
+        const bool isHighest = isFenced(server) && progress.status.received == highest;
         if (isHighest && (m_chosen.isEmpty() || isPreferred(server, m_chosen)))
             m_chosen = server;
     }
@@ -229,7 +229,7 @@
 void SemiSyncChange::evaluateCatchingUp(TimePoint now)
 {
     ServerProgress &chosen = m_progress[m_chosen];
-    if (chosen.isAnswered && chosen.standing.received >= m_target)
+    if (chosen.isAnswered && chosen.status.received >= m_target)
         return reserve(now);
     chosen.isAnswered = false;
     m_wakeAt = std::min(m_deadline, now + QueryInterval);
--- a/src/proxy/serverregistry.cpp
+++ b/src/proxy/serverregistry.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-bool ServerRegistry::take(const ServerRecord &record, TimePoint now)
+bool ServerRegistry::merge(const ServerRecord &record, TimePoint now)
 {
     const auto found = m_entries.find(record.announcement.server);
     if (found == m_entries.end()) {
--- a/src/site/controlnode.cpp
+++ b/src/site/controlnode.cpp
@@ -66,7 +66,7 @@
                       log(LogLevel::Info, isConnected ? "control_regained" : "control_lost",
                           {{"reason", reason}});
               })
-    , m_crew(settings.toleratedLosses)
+    , m_memberPlanner(settings.toleratedLosses)
     , m_proofFetcher(m_peers, m_proofs, [this] { return otherLeader(); })
 {
     m_log.registerMachine(CommandKind::Config, m_ledger);
@@ -159,7 +159,7 @@
     {
         const std::lock_guard lock(m_mutex);
         before = m_registry.version();
-        m_registry.take(record, EventLoop::now());
+        m_registry.merge(record, EventLoop::now());
         after = m_registry.version();
         record.leavingSince = m_registry.find(announcement.server)->leavingSince;
     }
--- a/src/site/controlnode.h
+++ b/src/site/controlnode.h
@@ -118,7 +118,7 @@
     ServerRegistry m_registry;
     // Added to the registry's version, so that versions differ between runs of this process.
     const std::uint32_t m_versionBase = std::random_device()();
-    ControlMemberPlanner m_crew;
+    ControlMemberPlanner m_memberPlanner;
     std::map<Endpoint, FailureDomain> m_seedDomains; // all control VMs heard since the start
     std::map<Endpoint, TimePoint> m_heardAt;
     std::map<std::string, Follower> m_followers; // by name of the entry VM
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -112,7 +112,7 @@
         m_otherFollowers[parseEndpoint(from.vm)] = {news.followers, EventLoop::now(),
                                                     fromWire(news.homes)};
         for (const ServerRecord &record : received.records)
-            m_registry.take(record, EventLoop::now());
+            m_registry.merge(record, EventLoop::now());
     }
     receiveComplaints(news.complaints);
 }
@@ -152,7 +152,7 @@
     if (!view.servers)
         return;
     for (const ServerRecord &record : *view.servers)
-        m_registry.take(record, EventLoop::now());
+        m_registry.merge(record, EventLoop::now());
 }
 
 void ControlNode::setConfiguration(Revision revision, const std::string &text)
@@ -172,7 +172,7 @@
     const std::lock_guard lock(m_mutex);
     for (const ServerAnnouncement &announcement : known) {
         if (m_registry.find(announcement.server) == nullptr)
-            m_registry.take({announcement, false}, EventLoop::now());
+            m_registry.merge({announcement, false}, EventLoop::now());
     }
 }
 
@@ -196,7 +196,7 @@
         return;
     }
     m_heardAt[peers] = now;
-    m_crew.heard({{vm, folder}, known, Clock::now()});
+    m_memberPlanner.heard({{vm, folder}, known, Clock::now()});
 }
 
 void ControlNode::broadcast(const ServerRecord &record)
@@ -327,7 +327,7 @@
     std::optional<ControlMemberChange> change;
     {
         const std::lock_guard lock(m_mutex);
-        change = m_crew.next(status.members, status.heard, m_identity.vm, Clock::now());
+        change = m_memberPlanner.next(status.members, status.heard, m_identity.vm, Clock::now());
     }
     if (!change)
         return;
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -183,7 +183,7 @@
     if (view.servers) {
         bool isChanged = !m_hasServerList;
         for (const ServerRecord &record : *view.servers)
-            isChanged = m_registry.take(record, now) || isChanged;
+            isChanged = m_registry.merge(record, now) || isChanged;
         m_hasServerList = true;
         if (isChanged) {
             const std::vector<ServerRecord> present = m_registry.present();
--- a/src/site/primarychangemanagerlinks.cpp
+++ b/src/site/primarychangemanagerlinks.cpp
@@ -95,8 +95,8 @@
     link.sent.pop_front();
     const ServiceName service = link.service;
     const ServerId server = link.server;
-    const std::optional<ServerReplicationStatus> standing = readStanding(reply);
-    if (!standing) {
+    const std::optional<ServerReplicationStatus> status = readReplicationStatus(reply);
+    if (!status) {
         // A busy server is alive; it is asked again until it has a free slot.
         link.sent.push_back(command);
         m_serverLinks->send(connection, {command});
@@ -105,7 +105,7 @@
     Group &group = m_groups[service];
     if (!group.change)
         return;
-    perform(service, group.change->onStatus(server, *standing, EventLoop::now()));
+    perform(service, group.change->onStatus(server, *status, EventLoop::now()));
     afterStep(service);
 }
 
--- a/src/site/proofcollector.cpp
+++ b/src/site/proofcollector.cpp
@@ -32,8 +32,8 @@
 
 } // namespace
 
-ProofCollector::ProofCollector(const MakeLinks &makeLinks, ProofCache &board)
-    : m_board(board)
+ProofCollector::ProofCollector(const MakeLinks &makeLinks, ProofCache &cache)
+    : m_cache(cache)
     , m_links(makeLinks(*this))
 { }
 
@@ -41,25 +41,25 @@
 {
     const std::map<ServiceName, ServerAnnouncement> primaries = primariesOf(servers);
     std::map<ServiceName, ServerAnnouncement> wanted;
-    for (const ServiceName &service : m_board.wanted(now)) {
+    for (const ServiceName &service : m_cache.wanted(now)) {
         const auto primary = primaries.find(service);
         if (primary != primaries.end())
             wanted[service] = primary->second;
     }
     std::vector<ConnectionKey> useless;
-    for (const auto &[key, line] : m_connections) {
-        const auto primary = wanted.find(line.service);
-        const bool isWanted = primary != wanted.end() && primary->second.server == line.server;
-        const bool isWaiting = !line.isOpen || line.unanswered > 0;
-        if (!isWanted || (isWaiting && now - line.sentAt > AnswerTime))
+    for (const auto &[key, link] : m_connections) {
+        const auto primary = wanted.find(link.service);
+        const bool isWanted = primary != wanted.end() && primary->second.server == link.server;
+        const bool isWaiting = !link.isOpen || link.unanswered > 0;
+        if (!isWanted || (isWaiting && now - link.sentAt > AnswerTime))
             useless.push_back(key);
     }
     for (const ConnectionKey key : useless)
         close(key);
-    for (const auto &[key, line] : m_connections) {
-        if (line.isOpen && line.unanswered == 0 && now - line.askedAt >= ProofInterval)
+    for (const auto &[key, link] : m_connections) {
+        if (link.isOpen && link.unanswered == 0 && now - link.askedAt >= ProofInterval)
             ask(key, now);
-        wanted.erase(line.service);
+        wanted.erase(link.service);
     }
     for (const auto &[service, primary] : wanted)
         open(primary, now);
@@ -78,21 +78,21 @@
         return;
     m_openedAt[primary.service] = now;
     const ConnectionKey key = ++m_lastKey;
-    Connection &line = m_connections[key];
-    line.service = primary.service;
-    line.server = primary.server;
-    line.sentAt = now;
+    Connection &link = m_connections[key];
+    link.service = primary.service;
+    link.server = primary.server;
+    link.sentAt = now;
     m_links->open(key, primary, {});
 }
 
 void ProofCollector::ask(ConnectionKey key, TimePoint now)
 {
-    Connection &line = m_connections.at(key);
-    line.sentAt = now;
-    line.askedAt = now;
-    line.isBeginDue = true;
+    Connection &link = m_connections.at(key);
+    link.sentAt = now;
+    link.askedAt = now;
+    link.isBeginDue = true;
     const std::vector<ServerCommand> commands = proofCommands();
-    line.unanswered = static_cast<int>(commands.size());
+    link.unanswered = static_cast<int>(commands.size());
     m_links->send(key, commands);
 }
 
@@ -124,15 +124,15 @@
     const auto found = m_connections.find(connection);
     if (found == m_connections.end())
         return;
-    Connection &line = found->second;
-    const bool isBegin = std::exchange(line.isBeginDue, false);
-    if (line.unanswered > 0)
-        --line.unanswered;
+    Connection &link = found->second;
+    const bool isBegin = std::exchange(link.isBeginDue, false);
+    if (link.unanswered > 0)
+        --link.unanswered;
     if (!isBegin)
         return;
     if (reply.fault)
         return close(connection);
-    m_board.put(line.service, line.askedAt, reply.position.value_or(LogPosition {}));
+    m_cache.put(link.service, link.askedAt, reply.position.value_or(LogPosition {}));
 }
 
 } // namespace nutmegtide
--- a/src/site/proofcollector.h
+++ b/src/site/proofcollector.h
@@ -18,7 +18,7 @@
 public:
     using MakeLinks = std::function<std::unique_ptr<ServerLinks>(ServerEvents &)>;
 
-    ProofCollector(const MakeLinks &makeLinks, ProofCache &board);
+    ProofCollector(const MakeLinks &makeLinks, ProofCache &cache);
 
     // Requests the proofs that are due.
     void tick(const std::vector<ServerRecord> &servers, TimePoint now);
@@ -47,7 +47,7 @@
     void ask(ConnectionKey key, TimePoint now);
     void close(ConnectionKey key);
 
-    ProofCache &m_board;
+    ProofCache &m_cache;
     std::unique_ptr<ServerLinks> m_links;
     std::map<ConnectionKey, Connection> m_connections;
     std::map<ServiceName, TimePoint> m_openedAt; // the latest attempt
--- a/src/site/prooffetcher.cpp
+++ b/src/site/prooffetcher.cpp
@@ -12,9 +12,9 @@
 
 } // namespace
 
-ProofFetcher::ProofFetcher(PeerClients &peers, ProofCache &board, Leader leader)
+ProofFetcher::ProofFetcher(PeerClients &peers, ProofCache &cache, Leader leader)
     : m_peers(peers)
-    , m_board(board)
+    , m_cache(cache)
     , m_leader(std::move(leader))
 { }
 
@@ -40,7 +40,7 @@
 {
     while (!m_isStopping) {
         m_signal.restUntil(Clock::now() + PullInterval);
-        const std::vector<ServiceName> services = m_board.wanted(EventLoop::now());
+        const std::vector<ServiceName> services = m_cache.wanted(EventLoop::now());
         if (services.empty() || m_isStopping)
             continue;
         if (const auto leader = m_leader())
@@ -63,7 +63,7 @@
             return result;
         });
         for (const AgedProof &proof : fromWire(reply))
-            m_board.put(proof.service, askedAt - proof.age, proof.position);
+            m_cache.put(proof.service, askedAt - proof.age, proof.position);
     } catch (const Error &) {
         return;
     } catch (const wire::PeerRefusal &) {
--- a/src/site/prooffetcher.h
+++ b/src/site/prooffetcher.h
@@ -11,7 +11,7 @@
 
 namespace nutmegtide {
 
-// Fetches the proofs of wanted services from the leading control VM to this VM's board, on a thread
+// Fetches the proofs of wanted services from the leading control VM to this VM's cache, on a thread
 // of its own. A proof's age counts from the start of the request, so a slow call makes the proof
 // look older, never younger.
 class ProofFetcher
@@ -20,7 +20,7 @@
     // Returns the leader's listener for peers; nothing where this VM leads or no leader is known.
     using Leader = std::function<std::optional<Endpoint>()>;
 
-    ProofFetcher(PeerClients &peers, ProofCache &board, Leader leader);
+    ProofFetcher(PeerClients &peers, ProofCache &cache, Leader leader);
     ~ProofFetcher();
     ProofFetcher(const ProofFetcher &) = delete;
     ProofFetcher &operator=(const ProofFetcher &) = delete;
@@ -33,7 +33,7 @@
     void pull(const Endpoint &leader, const std::vector<ServiceName> &services);
 
     PeerClients &m_peers;
-    ProofCache &m_board;
+    ProofCache &m_cache;
     const Leader m_leader;
     Signal m_signal;
     std::atomic<bool> m_isStopping = false;
--- a/test/unit/failover/semisyncgroup.h
+++ b/test/unit/failover/semisyncgroup.h
@@ -249,9 +249,9 @@
                                      : change->onUnreachable(server, now));
             return;
         }
-        const auto standing = group.statusOf(server);
-        perform(standing ? change->onStatus(server, *standing, now)
-                         : change->onUnreachable(server, now));
+        const auto status = group.statusOf(server);
+        perform(status ? change->onStatus(server, *status, now)
+                       : change->onUnreachable(server, now));
     }
     void perform(const QueryStatus &action) { reportStatus(action.server); }
     void perform(const HoldServer &action)
--- a/test/unit/platform/lineprotocol_test.cpp
+++ b/test/unit/platform/lineprotocol_test.cpp
@@ -174,14 +174,14 @@
 {
     ServerReply reply;
     reply.rows = {"replica 3 3.1209 4 12 2 17"};
-    const ServerReplicationStatus standing = parseStanding(reply);
-    CHECK_FALSE(standing.isPrimary);
-    CHECK(standing.term == 3);
-    CHECK(standing.received == LogPosition {3, 1209});
-    CHECK(standing.heldTerm == 4);
-    CHECK(standing.connections == 17);
+    const ServerReplicationStatus status = parseReplicationStatus(reply);
+    CHECK_FALSE(status.isPrimary);
+    CHECK(status.term == 3);
+    CHECK(status.received == LogPosition {3, 1209});
+    CHECK(status.heldTerm == 4);
+    CHECK(status.connections == 17);
     reply.rows = {"replica x"};
-    CHECK_THROWS_AS(parseStanding(reply), LineError);
+    CHECK_THROWS_AS(parseReplicationStatus(reply), LineError);
 }
 
 TEST_CASE("answers to callers are formatted")
--- a/test/unit/proxy/serverregistry_test.cpp
+++ b/test/unit/proxy/serverregistry_test.cpp
@@ -43,26 +43,26 @@
     for (const Row &row : rows) {
         CAPTURE(row.what);
         ServerRegistry registry;
-        registry.take(row.known, TimePoint());
-        CHECK(registry.take(row.comes, TimePoint()) == row.isTaken);
+        registry.merge(row.known, TimePoint());
+        CHECK(registry.merge(row.comes, TimePoint()) == row.isTaken);
     }
 }
 
 TEST_CASE("repeated announcements don't change the registry's version")
 {
     ServerRegistry registry;
-    registry.take(record(1, 1), TimePoint());
+    registry.merge(record(1, 1), TimePoint());
     const std::uint64_t before = registry.version();
-    registry.take(record(1, 2), TimePoint());
+    registry.merge(record(1, 2), TimePoint());
     CHECK(registry.version() == before);
-    registry.take(record(1, 3, true), TimePoint());
+    registry.merge(record(1, 3, true), TimePoint());
     CHECK(registry.version() == before + 1);
 }
 
 TEST_CASE("a server that left is removed after a while")
 {
     ServerRegistry registry;
-    registry.take(record(1, 1), TimePoint());
+    registry.merge(record(1, 1), TimePoint());
     CHECK(registry.noteDeparture(ServerId("s"), TimePoint(1s)));
     CHECK(registry.present().empty());
     registry.forget(60s, TimePoint(30s));
@@ -74,20 +74,20 @@
 TEST_CASE("a primary that control confirmed overrides earlier announcements")
 {
     ServerRegistry leader;
-    leader.take(record(1, 5), TimePoint());
+    leader.merge(record(1, 5), TimePoint());
     leader.confirmPrimary(ServiceName(), ServerId("s"), 4);
     CHECK(leader.find(ServerId("s"))->announcement.isPrimary);
 
     ServerRegistry other;
-    other.take(record(1, 8),
-               TimePoint()); // reaches the other registry before the confirmation does
-    CHECK(other.take(*leader.find(ServerId("s")), TimePoint()));
+    other.merge(record(1, 8),
+                TimePoint()); // reaches the other registry before the confirmation does
+    CHECK(other.merge(*leader.find(ServerId("s")), TimePoint()));
     CHECK(other.find(ServerId("s"))->announcement.isPrimary);
     CHECK(other.find(ServerId("s"))->announcement.sequence == 8);
 
-    other.take(record(1, 9), TimePoint()); // a later announcement that it is no longer the primary
+    other.merge(record(1, 9), TimePoint()); // a later announcement that it is no longer the primary
     CHECK_FALSE(other.find(ServerId("s"))->announcement.isPrimary);
-    CHECK_FALSE(other.take(*leader.find(ServerId("s")), TimePoint()));
+    CHECK_FALSE(other.merge(*leader.find(ServerId("s")), TimePoint()));
 }
 
 TEST_CASE("leavingSince is the earliest time known to any process, until the server restarts")
@@ -122,8 +122,8 @@
     for (const Row &row : rows) {
         CAPTURE(row.what);
         ServerRegistry registry;
-        registry.take(row.known, TimePoint(10s));
-        registry.take(row.comes, TimePoint(12s));
+        registry.merge(row.known, TimePoint(10s));
+        registry.merge(row.comes, TimePoint(12s));
         CHECK(registry.find(ServerId("s"))->leavingSince == row.since);
     }
 }
--- a/test/unit/site/proofcollector_test.cpp
+++ b/test/unit/site/proofcollector_test.cpp
@@ -34,14 +34,14 @@
 
 struct CollectorFixture
 {
-    ProofCache board;
+    ProofCache cache;
     FakeLinks *links = nullptr;
     ProofCollector collector {[this](ServerEvents &events) {
                                   auto made = std::make_unique<FakeLinks>(events);
                                   links = made.get();
                                   return made;
                               },
-                              board};
+                              cache};
     TimePoint now {100s};
 
     static ServerRecord record(const std::string &id, bool isPrimary, Term confirmed)
@@ -56,7 +56,7 @@
     void tick(Duration passed, const std::vector<ServerRecord> &servers)
     {
         now += passed;
-        board.want({Service}, now);
+        cache.want({Service}, now);
         collector.tick(servers, now);
     }
     void answerBegin(std::optional<StatementFault> fault, LogPosition position)
@@ -90,7 +90,7 @@
     CHECK(fixture.links->opened.size() == 1);
     CHECK(fixture.links->sent.size() >= 2 * 10);
     CHECK(fixture.links->sent.size() <= 2 * 12);
-    CHECK(fixture.board.proofs({Service}, fixture.now).size() == 1);
+    CHECK(fixture.cache.proofs({Service}, fixture.now).size() == 1);
 }
 
 TEST_CASE(
@@ -114,7 +114,7 @@
             fixture.answerBegin(row.refusal, {1, 7});
         else
             fixture.tick(600ms, servers);
-        CHECK(fixture.board.proofs({Service}, fixture.now).empty());
+        CHECK(fixture.cache.proofs({Service}, fixture.now).empty());
         CHECK(fixture.links->closed.size() == 1);
         fixture.tick(100ms, servers);
         CHECK(fixture.links->opened.size() == 1); // not reopened at once
