Read the rest of a refused body, so that its sender sees the 413

Callers saw a reset in place of the answer to a body over the limit, now and then (2 of 55 runs of "the operators' listener refuses what it doesn't know" beside busy processes). Cause: the answer was sent and the connection closed with bytes of the body unread, and a kernel answers those with a reset. The rest is now read and dropped after the answer, up to 16 MiB.

--- a/src/serve/httpserver.cpp
+++ b/src/serve/httpserver.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+constexpr std::size_t ChunkBytes = 16'384;
+constexpr std::size_t LargestDiscarded = 16'777'216; // bytes of a refused body
+
 enum class BodyState {
     Whole,
     TooLarge,
@@ -18,7 +21,6 @@
 BodyState readBody(mg_connection *connection, long long length, std::uint64_t largest,
                    std::string &body)
 {
-    constexpr std::size_t ChunkBytes = 16'384;
     if (length > 0 && static_cast<std::uint64_t>(length) > largest)
         return BodyState::TooLarge;
     std::array<char, ChunkBytes> chunk;
@@ -34,6 +36,20 @@
     return isTruncated ? BodyState::Truncated : BodyState::Whole;
 }
 
+// Reads what a refused request still sends. If the connection were closed with bytes unread, its
+// sender would be reset, and might not see the answer.
+void discardBody(mg_connection *connection)
+{
+    std::array<char, ChunkBytes> chunk;
+    std::size_t discarded = 0;
+    while (discarded < LargestDiscarded) {
+        const int count = mg_read(connection, chunk.data(), chunk.size());
+        if (count <= 0)
+            return;
+        discarded += static_cast<std::size_t>(count);
+    }
+}
+
 // Decodes a path. The library's own decoding would hand it over as a C string, which ends at an
 // encoded zero byte.
 std::string decodePath(const char *encoded)
@@ -142,6 +158,8 @@
     if (state != BodyState::Whole)
         mg_disable_connection_keep_alive(connection);
     write(connection, response);
+    if (state == BodyState::TooLarge)
+        discardBody(connection);
     return response.status;
 }
 
