--- a/include/nutmegtide/failover/semisyncchange.h
+++ b/include/nutmegtide/failover/semisyncchange.h
@@ -92,13 +92,14 @@
 // replicas but the chosen one are held, so that once the chosen one has caught up with them its log
 // contains every commit that is acknowledged.
 //
-// An order without an answer may be carried out later. So no server is resumed before a later token
-// has been used; a change that is called off also orders the promotion of the present primary. No
-// server other than the target of an open order is chosen until the time in which the platform
-// could carry that order out has passed. A server that takes the address of one that no longer
-// exists counts as not fenced until it is known, and servers that join are fenced like the others.
-// The chosen server's own status often shows sooner than the platform's answer that an order was
-// carried out. If neither arrives in time, the promotion is ordered again with a higher token.
+// An order without an answer may be carried out later, and an accepted one takes effect only after
+// the time of a promotion. So no server is resumed before a later token has been used, and no
+// server other than the target of an open order is ordered, the present primary included, until the
+// time in which the platform could carry that order out has passed. A server that takes the address
+// of one that no longer exists counts as not fenced until it is known, and servers that join are
+// fenced like the others. The chosen server's own status often shows sooner than the platform's
+// answer that an order was carried out. If neither arrives in time, the promotion is ordered again
+// with a higher token.
 //
 //   SemiSyncChange change(ChangeReason::Lost, servers);
 //   perform(change.start(now));
@@ -146,6 +147,8 @@
     // Returns when tick() is due next; TimePoint::max() once the change is over.
     TimePoint wakeAt() const { return m_wakeAt; }
     bool isOver() const { return m_step == Step::Over; }
+    // Returns whether a server leads, though an order for it may still take effect.
+    bool isSettling() const { return m_step == Step::Settling; }
     // Returns the server that leads in the end; empty if the change had no result.
     const ServerId &primary() const { return m_result; }
     // Returns the term in which primary() leads; 0 without one.
@@ -165,6 +168,7 @@
         Reserving,
         Ordering,
         Confirming,
+        Settling, // until the order of the present primary has taken effect
         Waiting, // before the next attempt
         Over,
     };
@@ -187,12 +191,14 @@
     bool isPreferred(const ServerId &server, const ServerId &other) const;
     void evaluateCatchingUp(TimePoint now);
     bool canMoveGracefully(const ServerId &primary, bool isAnyHeld) const;
-    bool mustWaitForOrders(const ServerId &chosen, TimePoint now) const;
+    bool mustWaitForOrders(const ServerId &chosen) const;
     void reserve(TimePoint now);
     void order(TimePoint now);
     void confirm(TimePoint now);
+    void settle(TimePoint now);
+    void resumeOthers();
     void queryChosen(TimePoint now);
-    void finishPromoted();
+    void finishPromoted(TimePoint now);
     bool isOnlyOpenOrder(const ServerId &server) const;
     void retryLater(const std::string &why, TimePoint now);
     void finish(const std::string &why);
@@ -224,8 +230,11 @@
     bool m_isGraceful = false;
     // It led before the order, so its own status doesn't show whether the order was carried out.
     bool m_wasChosenPrimary = false;
+    bool m_isRepeated = false; // the latest order follows another one for the same server
+    bool m_isAccepted = false; // the latest order
     std::set<ServerId> m_openOrders; // servers whose promotion may still be carried out
     TimePoint m_orderedAt {}; // the latest of these orders
+    TimePoint m_holdingSince {}; // when the holds of this attempt began
     TimePoint m_deadline {}; // of the present step
     TimePoint m_wakeAt {};
     SemiSyncChangeActions m_actions;
--- a/src/failover/semisyncchange.cpp
+++ b/src/failover/semisyncchange.cpp
@@ -10,6 +10,7 @@
 constexpr auto QueryInterval = 60ms; // between queries while waiting for an answer
 constexpr auto OrderTime = 2s; // to wait for the platform's answer before repeating the order
 constexpr auto ConfirmTime = 4s; // from the accepted order until the server reports that it leads
+constexpr auto MaxPromoteTime = 2s; // from an accepted order until it takes effect
 constexpr auto RetryTime = 150ms;
 
 } // namespace
@@ -28,10 +29,11 @@
 
 std::string_view SemiSyncChange::stepName() const
 {
-    static constexpr std::array<std::string_view, 8> Names = {"probing",     "holding",
+    static constexpr std::array<std::string_view, 9> Names = {"probing",     "holding",
                                                               "catching_up", "reserving",
                                                               "ordering",    "confirming",
-                                                              "waiting",     "over"};
+                                                              "settling",    "waiting",
+                                                              "over"};
     return Names.at(static_cast<std::size_t>(m_step));
 }
 
@@ -98,9 +100,10 @@
 
 void SemiSyncChange::order(TimePoint now)
 {
-    m_openOrders.insert(m_chosen);
+    m_isRepeated = !m_openOrders.insert(m_chosen).second;
     m_orderedAt = now;
     m_wasChosenPrimary = m_progress[m_chosen].status.isPrimary;
+    m_isAccepted = false;
     enter(Step::Ordering, now, OrderTime);
     m_actions.emplace_back(OrderPromotion {m_chosen, m_token});
     if (!m_wasChosenPrimary)
@@ -122,8 +125,13 @@
     switch (outcome) {
     case PromotionOutcome::Accepted:
         // The platform refuses all earlier tokens from now on.
-        m_openOrders.clear();
-        confirm(now);
+        m_isAccepted = true;
+        if (m_wasChosenPrimary) {
+            settle(now);
+        } else {
+            m_openOrders.clear();
+            confirm(now);
+        }
         break;
     case PromotionOutcome::OutOfDate:
         retryLater("the platform rejected the token or the server", now);
@@ -142,6 +150,17 @@
     return takeActions();
 }
 
+// Waits until each accepted order of the primary has taken effect: after another change it would
+// depose the next primary. The others replicate meanwhile.
+void SemiSyncChange::settle(TimePoint now)
+{
+    m_openOrders = {m_chosen};
+    m_result = m_chosen;
+    resumeOthers();
+    m_why = "the server leads, and another order for it may take effect";
+    enter(Step::Settling, now, MaxPromoteTime);
+}
+
 void SemiSyncChange::confirm(TimePoint now)
 {
     enter(Step::Confirming, now, ConfirmTime);
@@ -161,15 +180,22 @@
                        [&server](const ServerId &ordered) { return ordered == server; });
 }
 
-// Ends the change, as the chosen server reports that it leads, and resumes all others.
-void SemiSyncChange::finishPromoted()
+// The chosen server reports that it leads: resumes all others, and ends the change.
+void SemiSyncChange::finishPromoted(TimePoint now)
 {
+    if (m_isAccepted && m_isRepeated)
+        return settle(now);
     m_result = m_chosen;
+    resumeOthers();
+    finish("the server leads");
+}
+
+void SemiSyncChange::resumeOthers()
+{
     for (const auto &[other, progress] : m_progress) {
         if (other != m_chosen)
             m_actions.emplace_back(ResumeServer {other});
     }
-    finish("the server leads");
 }
 
 SemiSyncChangeActions SemiSyncChange::onStatus(const ServerId &server,
@@ -196,11 +222,11 @@
     case Step::Ordering:
         // An open order for another server could still depose it after the held ones were resumed.
         if (server == m_chosen && status.isPrimary && !m_wasChosenPrimary && isOnlyOpenOrder(server))
-            finishPromoted();
+            finishPromoted(now);
         break;
     case Step::Confirming:
         if (server == m_chosen && status.isPrimary)
-            finishPromoted();
+            finishPromoted(now);
         break;
     default:
         break;
@@ -292,6 +318,10 @@
     case Step::Confirming:
         retryLater("timeout: the promoted server doesn't report that it leads", now);
         break;
+    case Step::Settling:
+        m_openOrders.clear();
+        finish(m_wasChosenPrimary ? "the primary answers" : "the server leads");
+        break;
     case Step::Waiting:
         probe(now);
         break;
--- a/src/failover/semisyncchangesteps.cpp
+++ b/src/failover/semisyncchangesteps.cpp
@@ -13,7 +13,8 @@
 constexpr auto CatchUpTime = 1500ms; // before a graceful move is handled like a lost primary
 constexpr auto QueryInterval = 60ms; // between queries while waiting for an answer
 constexpr auto ReserveTime = 3s;
-constexpr auto MaxOrderDelay = 12'500ms; // the platform carries an order out by then, or never
+// The platform accepts an order within 12 s or never, and then takes the time of a promotion.
+constexpr auto MaxOrderDelay = 14s;
 
 } // namespace
 
@@ -82,8 +83,8 @@
     const bool isAnyHeld = std::any_of(m_progress.begin(), m_progress.end(), [](const auto &item) {
         return item.second.status.heldTerm != 0;
     });
-    const bool keepsPrimary = primary && (m_reason == ChangeReason::Lost || *primary != m_from);
-    if (keepsPrimary) {
+    const bool isToStay = primary && (m_reason == ChangeReason::Lost || *primary != m_from);
+    if (isToStay && isOnlyOpenOrder(*primary)) {
         m_chosen = *primary;
         m_result = *primary;
         if (!isAnyHeld && m_openOrders.empty())
@@ -139,6 +140,7 @@
         if (server != primary && server != m_chosen)
             hold(server);
     }
+    m_holdingSince = now;
     enter(Step::Holding, now, HoldTime);
     evaluateHolds(now);
 }
@@ -170,6 +172,7 @@
         m_demoted.insert(server);
         m_actions.emplace_back(DemoteServer {server, m_term});
     }
+    m_holdingSince = now;
     enter(Step::Holding, now, HoldTime);
 }
 
@@ -215,15 +218,15 @@
         if (isHighest && (m_chosen.isEmpty() || isPreferred(server, m_chosen)))
             m_chosen = server;
     }
-    if (mustWaitForOrders(m_chosen, now))
+    if (mustWaitForOrders(m_chosen))
         return retryLater("the promotion of another server may still be carried out", now);
     reserve(now);
 }
 
-// An older order that is carried out between the holds and the new order would end the holds.
-bool SemiSyncChange::mustWaitForOrders(const ServerId &chosen, TimePoint now) const
+// An older order that takes effect after the holds began would end them.
+bool SemiSyncChange::mustWaitForOrders(const ServerId &chosen) const
 {
-    return !isOnlyOpenOrder(chosen) && now - m_orderedAt < MaxOrderDelay;
+    return !isOnlyOpenOrder(chosen) && m_holdingSince - m_orderedAt < MaxOrderDelay;
 }
 
 void SemiSyncChange::evaluateCatchingUp(TimePoint now)
--- a/src/site/primarychangemanager.cpp
+++ b/src/site/primarychangemanager.cpp
@@ -163,6 +163,7 @@
                                 std::max(group.orderedAt, m_leadingSince));
     group.startedAt = now;
     group.loggedReason.clear();
+    group.isPublished = false;
     log("primary_change_started",
         {{"service", service.text()},
          {"reason", neededChange.reason == ChangeReason::Lost ? "lost" : "moved"},
@@ -263,6 +264,8 @@
     if (!group.change)
         return;
     const TimePoint now = EventLoop::now();
+    if (group.change->isOver() || group.change->isSettling())
+        publish(service);
     if (!group.change->isOver()) {
         const std::string why = std::string(group.change->stepName()) + ": " + group.change->why();
         if (group.loggedReason == why || group.change->stepName() != "waiting")
@@ -277,14 +280,22 @@
          {"primary", group.change->primary().text()},
          {"took_ms", std::to_string(took.count())},
          {"why", group.change->why()}});
-    if (!group.change->primary().isEmpty())
-        m_onPrimary(service, group.change->primary(), group.change->primaryTerm());
     if (!group.change->hasOpenOrders() && !m_roster.openOrders(service).empty())
         closeOrders(service);
     m_trigger.onChangeEnded(service, group.change->primary(), now);
     group.change.reset();
 }
 
+// Tells who leads as the result of the change, once for each change.
+void PrimaryChangeManager::publish(const ServiceName &service)
+{
+    Group &group = m_groups[service];
+    if (group.isPublished || group.change->primary().isEmpty())
+        return;
+    group.isPublished = true;
+    m_onPrimary(service, group.change->primary(), group.change->primaryTerm());
+}
+
 void PrimaryChangeManager::closeOrders(const ServiceName &service)
 {
     m_groups[service].worker->post([this, service] {
--- a/src/site/primarychangemanager.h
+++ b/src/site/primarychangemanager.h
@@ -56,6 +56,7 @@
         std::map<ServerId, ConnectionKey> links;
         std::string loggedReason; // what the change waits for, as last logged
         TimePoint startedAt {};
+        bool isPublished = false; // the result of the change
         TimePoint orderedAt {}; // the latest promotion order of this process
         std::unique_ptr<TaskWorker> worker;
     };
@@ -88,6 +89,7 @@
     void updateRoster(const std::map<ServiceName, std::vector<ServerRecord>> &services,
                       TimePoint now);
     void afterStep(const ServiceName &service);
+    void publish(const ServiceName &service);
     // Records that no open order for the service can be carried out any more.
     void closeOrders(const ServiceName &service);
     void abandonAll();
--- a/test/unit/failover/semisyncchange_test.cpp
+++ b/test/unit/failover/semisyncchange_test.cpp
@@ -60,6 +60,29 @@
     CHECK(server(rig, 2).heldTerm == 0);
 }
 
+// Guards against a loss where a change is called off while the promotion of another server goes on.
+TEST_CASE("a primary that answers isn't ordered while another server's promotion may take effect")
+{
+    for (unsigned seed = 1; seed <= 300; ++seed) {
+        CAPTURE(seed);
+        SemiSyncRig rig(3, seed);
+        rig.promoteTime = 1s;
+        rig.losesAnswers = true;
+        rig.step();
+        server(rig, 1).isReached = false; // the primary runs, but control can't reach it
+        rig.begin(ChangeReason::Lost);
+        const TimePoint until = rig.now + 25s;
+        while (rig.now < until) {
+            if (rig.generator() % 100 == 0)
+                server(rig, 1).isReached = true;
+            // The old primary may receive nothing after another server has taken over.
+            server(rig, 1).receives = rig.group.primary == ServerId("s1");
+            rig.step();
+        }
+        CHECK(rig.group.lost == 0);
+    }
+}
+
 TEST_CASE("a leaving primary is moved without losing a commit")
 {
     SemiSyncRig rig(3, 1);
@@ -201,13 +224,14 @@
         CAPTURE(seed);
         SemiSyncRig rig(3 + static_cast<int>(seed % 2), seed);
         rig.losesAnswers = seed % 3 == 0;
+        rig.promoteTime = seed % 2 == 0 ? 1s : 0s;
         for (int step = 0; step < 2000; ++step) {
             const int number = 1 + static_cast<int>(rig.generator() % rig.group.servers.size());
             switch (rig.generator() % 80) {
             case 0:
                 // A restart ends a hold. If it happens while an order is in progress and control is
                 // cut off, no component can prevent a loss; docs/PROMISES.md excludes this case.
-                if (!rig.lateOrders.empty())
+                if (rig.hasOrderInProgress())
                     break;
                 server(rig, number).isUp = !server(rig, number).isUp;
                 server(rig, number).heldTerm = 0; // a restart ends the hold
@@ -306,7 +330,11 @@
     probeAndHold(now);
     CHECK(change.chosen() == ServerId("c")); // its position is above the ordered server's
     CHECK((change.stepName() == "waiting"));
-    now += 13s;
+    now += 13s; // it may have been accepted after 12 s, and a promotion takes up to a second
+    change.tick(now);
+    probeAndHold(now);
+    CHECK((change.stepName() == "waiting"));
+    now += 2s;
     change.tick(now);
     change.onUnreachable(ServerId("a"), now);
     for (const Term held : {2, 3}) {
--- a/test/unit/failover/semisyncgroup.h
+++ b/test/unit/failover/semisyncgroup.h
@@ -31,6 +31,15 @@
         std::uint64_t token = 0;
         TimePoint due; // when it is carried out
     };
+    // Checks an order's token as it arrives. It takes effect by takeEffect(), perhaps later.
+    PromotionOutcome accept(const Order &order)
+    {
+        const auto ordered = servers.find(order.server);
+        if (order.token < highestToken || ordered == servers.end() || !ordered->second.isUp)
+            return PromotionOutcome::OutOfDate;
+        highestToken = order.token;
+        return PromotionOutcome::Accepted;
+    }
 
     explicit SemiSyncGroup(int count)
     {
@@ -109,16 +118,15 @@
         replaced[id] = successor;
         return successor;
     }
-    // Carries out an order, and counts the acknowledged commits that the server lacks.
-    PromotionOutcome promote(const Order &order)
+    // Carries out an accepted order, and counts the acknowledged commits that the server lacks.
+    void takeEffect(const ServerId &promoted)
     {
-        const auto ordered = servers.find(order.server);
-        if (order.token < highestToken || ordered == servers.end() || !ordered->second.isUp)
-            return PromotionOutcome::OutOfDate;
-        highestToken = order.token;
+        const auto ordered = servers.find(promoted);
+        if (ordered == servers.end() || !ordered->second.isUp)
+            return;
         Server &chosen = ordered->second;
-        if (order.server == primary && chosen.isPrimary)
-            return PromotionOutcome::Accepted;
+        if (promoted == primary && chosen.isPrimary)
+            return;
         for (const LogPosition &commit : acknowledged) {
             if (std::find(chosen.log.begin(), chosen.log.end(), commit) == chosen.log.end())
                 ++lost;
@@ -127,14 +135,13 @@
         for (const auto &[id, server] : servers)
             term = std::max(term, server.term);
         for (auto &[id, server] : servers) {
-            server.isPrimary = id == order.server;
+            server.isPrimary = id == promoted;
             server.term = term + 1;
             server.heldTerm = 0;
             if (server.log.size() > chosen.log.size())
                 server.log = chosen.log;
         }
-        primary = order.server;
-        return PromotionOutcome::Accepted;
+        primary = promoted;
     }
 
     std::map<ServerId, Server> servers;
@@ -183,9 +190,17 @@
                 ++order;
                 continue;
             }
-            group.promote(*order);
+            promote(*order);
             order = lateOrders.erase(order);
         }
+        for (auto accepted = m_accepted.begin(); accepted != m_accepted.end();) {
+            if (accepted->due > now) {
+                ++accepted;
+                continue;
+            }
+            group.takeEffect(accepted->server);
+            accepted = m_accepted.erase(accepted);
+        }
         for (auto order = overdue.begin(); order != overdue.end();) {
             if (order->due > now) {
                 ++order;
@@ -211,6 +226,8 @@
                 change->onSuccessorKnown(gone);
         }
     }
+    // Returns whether an order may still take effect.
+    bool hasOrderInProgress() const { return !lateOrders.empty() || !m_accepted.empty(); }
     bool runUntilOver(Duration limit)
     {
         const TimePoint until = now + limit;
@@ -225,6 +242,7 @@
     std::vector<SemiSyncGroup::Order> lateOrders;
     std::vector<SemiSyncGroup::Order> overdue; // orders whose answers are lost
     bool losesAnswers = false; // answers to some orders are lost, and these are carried out late
+    Duration promoteTime {}; // from the acceptance of an order until it takes effect
     std::uint64_t token = 0;
     std::set<ServerId> openOrders; // as stored in the control log
     int orders = 0;
@@ -234,6 +252,17 @@
     static constexpr Duration OrderTimeout = 1500ms;
 
 private:
+    PromotionOutcome promote(const SemiSyncGroup::Order &order)
+    {
+        const PromotionOutcome outcome = group.accept(order);
+        if (outcome != PromotionOutcome::Accepted)
+            return outcome;
+        if (promoteTime == Duration::zero())
+            group.takeEffect(order.server);
+        else
+            m_accepted.push_back({order.server, order.token, now + promoteTime});
+        return outcome;
+    }
     void perform(const SemiSyncChangeActions &actions)
     {
         for (const SemiSyncChangeAction &action : actions)
@@ -281,8 +310,10 @@
             overdue.push_back({action.server, action.token, now + OrderTimeout});
             return;
         }
-        perform(change->onPromotionAnswered(action.token, group.promote(order), now));
+        perform(change->onPromotionAnswered(action.token, promote(order), now));
     }
+
+    std::vector<SemiSyncGroup::Order> m_accepted; // due when they take effect
 };
 
 } // namespace nutmegtide::test
