--- a/include/nutmegtide/failover/semisyncchange.h
+++ b/include/nutmegtide/failover/semisyncchange.h
@@ -2,6 +2,7 @@
 
 #include "nutmegtide/base/ids.h"
 #include "nutmegtide/base/time.h"
+#include "nutmegtide/failover/fencereport.h"
 #include "nutmegtide/session/sessionstatement.h"
 
 #include <map>
@@ -154,6 +155,10 @@
     Term term() const { return m_term; }
     // Returns what the change waits for, or why it ended, for the log.
     const std::string &why() const { return m_why; }
+    // Returns whether the server belongs to the group, as far as this change knows.
+    bool covers(const ServerId &server) const;
+    // Returns what the choice of chosen() rests on, for the log.
+    FenceReport fenceReport() const;
     // Returns the name of the present step, for the log.
     std::string_view stepName() const;
 
--- a/src/failover/semisyncchange.cpp
+++ b/src/failover/semisyncchange.cpp
@@ -246,11 +246,7 @@
 
 SemiSyncChangeActions SemiSyncChange::onJoined(const ChangeServer &server, TimePoint now)
 {
-    const bool isKnown = std::any_of(m_servers.begin(), m_servers.end(),
-                                     [&server](const ChangeServer &known) {
-                                         return known.server == server.server;
-                                     });
-    if (isKnown || m_step == Step::Over)
+    if (covers(server.server) || m_step == Step::Over)
         return {};
     m_servers.push_back(server);
     if (m_step == Step::Probing) {
--- a/src/site/controlnode.h
+++ b/src/site/controlnode.h
@@ -67,6 +67,9 @@
     };
 
     void applyView(const ControlView &view);
+    // Merges the records of another control VM or of the control log, and logs each server that
+    // this VM hadn't heard of. Requires m_mutex to be held.
+    void learn(const std::vector<ServerRecord> &records, const std::string &source);
     // Imports the servers of the control log for which nothing newer is known.
     void importRoster();
     void onLedgerChanged();
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -111,8 +111,7 @@
         const std::lock_guard lock(m_mutex);
         m_otherFollowers[parseEndpoint(from.vm)] = {news.followers, EventLoop::now(),
                                                     fromWire(news.homes)};
-        for (const ServerRecord &record : received.records)
-            m_registry.merge(record, EventLoop::now());
+        learn(received.records, from.vm);
     }
     receiveComplaints(news.complaints);
 }
@@ -151,8 +150,24 @@
     m_followedLeader = view.leader;
     if (!view.servers)
         return;
-    for (const ServerRecord &record : *view.servers)
+    learn(*view.servers, view.leader ? toString(*view.leader) : "followed");
+}
+
+void ControlNode::learn(const std::vector<ServerRecord> &records, const std::string &source)
+{
+    for (const ServerRecord &record : records) {
+        const ServerAnnouncement &announcement = record.announcement;
+        const bool isNew = m_registry.find(announcement.server) == nullptr;
         m_registry.merge(record, EventLoop::now());
+        if (!isNew)
+            continue;
+        log(LogLevel::Info, "server_learned",
+            {{"server", announcement.server.text()},
+             {"service", announcement.service.text()},
+             {"source", source},
+             {"primary", announcement.isPrimary ? "yes" : "no"},
+             {"gone", record.isGone ? "yes" : "no"}});
+    }
 }
 
 void ControlNode::setConfiguration(Revision revision, const std::string &text)
@@ -169,11 +184,13 @@
 {
     const std::vector<ServerAnnouncement> known = m_roster.announcements();
     m_hasRoster = !known.empty();
+    std::vector<ServerRecord> unheard;
     const std::lock_guard lock(m_mutex);
     for (const ServerAnnouncement &announcement : known) {
         if (m_registry.find(announcement.server) == nullptr)
-            m_registry.merge({announcement, false}, EventLoop::now());
+            unheard.push_back({announcement, false});
     }
+    learn(unheard, "roster");
 }
 
 void ControlNode::registerControlVm(const Endpoint &peers, const FailureDomain &domain,
--- a/src/site/primarychangemanager.cpp
+++ b/src/site/primarychangemanager.cpp
@@ -1,6 +1,7 @@
 #include "site/primarychangemanager.h"
 
 #include "base/log.h"
+#include "site/changelogfields.h"
 
 #include <algorithm>
 
@@ -73,7 +74,8 @@
         if (!group.change || m_vacatedAddresses.count(announcement.server) != 0)
             continue;
         const ChangeServer member {announcement.server, announcement.isLeaving};
-        perform(announcement.service, group.change->onJoined(member, now));
+        if (!group.change->covers(member.server))
+            join(announcement.service, member, now);
     }
     for (auto vacated = m_vacatedAddresses.begin(); vacated != m_vacatedAddresses.end();) {
         const auto &[gone, last] = *vacated;
@@ -94,6 +96,22 @@
     }
 }
 
+void PrimaryChangeManager::join(const ServiceName &service, const ChangeServer &member,
+                                TimePoint now)
+{
+    SemiSyncChange &change = *m_groups[service].change;
+    const std::string step(change.stepName());
+    const SemiSyncChangeActions actions = change.onJoined(member, now);
+    log("server_joined_in_change",
+        {{"service", service.text()},
+         {"server", member.server.text()},
+         {"step", step},
+         {"next_step", std::string(change.stepName())},
+         {"actions", describe(actions)}});
+    perform(service, actions);
+    afterStep(service);
+}
+
 void PrimaryChangeManager::startWantedChanges(const std::vector<ServerRecord> &present,
                                               TimePoint now)
 {
@@ -202,6 +220,7 @@
 void PrimaryChangeManager::perform(const ServiceName &service, const ReserveToken &action)
 {
     Group &group = m_groups[service];
+    log("primary_change_fenced", fieldsOf(service, group.change->fenceReport()));
     if (!group.worker)
         group.worker = std::make_unique<TaskWorker>();
     group.worker->post([this, service, server = action.server] {
--- a/src/site/primarychangemanager.h
+++ b/src/site/primarychangemanager.h
@@ -67,6 +67,8 @@
 
     // Passes on servers that were announced during a change, and successors of gone servers.
     void updateMembers(const std::vector<ServerRecord> &present, TimePoint now);
+    // Adds a server to the change that is under way.
+    void join(const ServiceName &service, const ChangeServer &member, TimePoint now);
     void startWantedChanges(const std::vector<ServerRecord> &present, TimePoint now);
     void start(const ServiceName &service, const NeededChange &neededChange, TimePoint now);
     void perform(const ServiceName &service, const SemiSyncChangeActions &actions);
