--- a/include/nutmegtide/failover/semisyncchange.h
+++ b/include/nutmegtide/failover/semisyncchange.h
@@ -98,6 +98,8 @@
 // server other than the target of an open order is chosen until the time in which the platform
 // could carry that order out has passed. A server that takes the address of one that no longer
 // exists counts as not fenced until it is known, and servers that join are fenced like the others.
+// While an order may be carried out, replicas that aren't held are held as soon as they answer, and
+// a lost primary that answers is demoted: it may acknowledge through a server that isn't known yet.
 // The chosen server's own status often shows sooner than the platform's answer that an order was
 // carried out. If neither arrives in time, the promotion is ordered again with a higher token.
 //
@@ -116,6 +118,9 @@
     void setOpenOrders(std::set<ServerId> servers, TimePoint orderedBy);
     // Returns whether an order may still be carried out now that the change is over.
     bool hasOpenOrders() const { return !m_openOrders.empty(); }
+    // Returns whether the servers that hold all acknowledged commits are chosen, so that no server
+    // may be recorded as a further one that could acknowledge them.
+    bool hasChosen() const;
 
     // Begins the change and returns its first actions.
     SemiSyncChangeActions start(TimePoint now);
@@ -130,7 +135,7 @@
     // Until that one is known, it may receive from the old primary without being held.
     SemiSyncChangeActions onGone(const ServerId &server, TimePoint now);
     // A server of the group became known. The change starts over with it, unless the promotion is
-    // already ordered. Does nothing for a server that the change covers.
+    // already ordered: then it is only held. Does nothing for a server that the change covers.
     SemiSyncChangeActions onJoined(const ChangeServer &server, TimePoint now);
     // It is known which server uses the gone one's address; if it is one of the group, onJoined()
     // was called with it before.
@@ -180,6 +185,8 @@
         bool isAnswered = false; // in the present step
         bool isUnreachable = false;
         bool isOverloaded = false;
+        bool isAnswerDue = false; // it was asked, held or demoted while an order may be carried out
+        bool isGuarded = false; // it was held or demoted since the last tick
     };
 
     void enter(Step step, TimePoint now, Duration timeout);
@@ -212,6 +219,12 @@
     bool isBeforeOrder() const;
     // Returns the number of servers that may have to be fenced, including unknown ones.
     std::size_t groupSize() const { return m_servers.size() + m_unknownSuccessors.size(); }
+    // Returns whether a promotion may be carried out that would depose the present primary.
+    bool mustGuardOrders() const;
+    // Asks, holds or demotes each server that isn't fenced while an order may be carried out.
+    void guardOrders();
+    void guard(const ServerId &server);
+    bool isPromotionOf(const ServerId &server) const;
     SemiSyncChangeActions takeActions();
 
     const ChangeReason m_reason;
--- a/src/failover/semisyncchange.cpp
+++ b/src/failover/semisyncchange.cpp
@@ -50,7 +50,7 @@
 {
     m_step = step;
     m_deadline = now + timeout;
-    m_wakeAt = m_deadline;
+    m_wakeAt = mustGuardOrders() ? std::min(m_deadline, now + QueryInterval) : m_deadline;
 }
 
 SemiSyncChangeActions SemiSyncChange::start(TimePoint now)
@@ -178,7 +178,7 @@
     const auto found = m_progress.find(server);
     if (found == m_progress.end() || m_step == Step::Over)
         return {};
-    found->second = {status, true, false, false};
+    found->second = {status, true, false, false, false, found->second.isGuarded};
     switch (m_step) {
     case Step::Probing:
         if (hasEveryServerResponded())
@@ -205,6 +205,8 @@
     default:
         break;
     }
+    if (mustGuardOrders())
+        guard(server);
     return takeActions();
 }
 
@@ -215,6 +217,7 @@
         return {};
     found->second.isUnreachable = true;
     found->second.isAnswered = false;
+    found->second.isAnswerDue = false;
     if (m_step == Step::Probing && hasEveryServerResponded())
         evaluateProbe(now);
     return takeActions();
@@ -249,12 +252,11 @@
     if (covers(server.server) || m_step == Step::Over)
         return {};
     m_servers.push_back(server);
-    if (m_step == Step::Probing) {
-        m_progress[server.server] = {};
-        m_actions.emplace_back(QueryStatus {server.server});
-    } else if (isBeforeOrder()) {
+    m_progress[server.server] = {};
+    m_progress[server.server].isAnswerDue = true;
+    m_actions.emplace_back(QueryStatus {server.server});
+    if (isBeforeOrder())
         retryLater(server.server.text() + " joined", now);
-    }
     return takeActions();
 }
 
@@ -267,6 +269,8 @@
                 || (m_step == Step::Ordering && !m_wasChosenPrimary);
         if (isPolled)
             queryChosen(now);
+        guardOrders();
+        m_wakeAt = std::min(m_deadline, now + QueryInterval);
         return takeActions();
     }
     switch (m_step) {
--- a/src/failover/semisyncchangefence.cpp
+++ b/src/failover/semisyncchangefence.cpp
@@ -11,6 +11,68 @@
                        [&server](const ChangeServer &known) { return known.server == server; });
 }
 
+bool SemiSyncChange::hasChosen() const
+{
+    return m_step == Step::CatchingUp || m_step == Step::Reserving || m_step == Step::Ordering
+            || m_step == Step::Confirming;
+}
+
+bool SemiSyncChange::mustGuardOrders() const
+{
+    if (m_term == 0 || m_step == Step::Over || m_step == Step::Holding || m_step == Step::CatchingUp)
+        return false;
+    if (m_step == Step::Ordering || m_step == Step::Confirming)
+        return !m_wasChosenPrimary || !isOnlyOpenOrder(m_chosen);
+    return !isOnlyOpenOrder(reachablePrimary().value_or(ServerId()));
+}
+
+// Returns whether the only promotion that may be carried out is that of the server. All that it
+// receives until then is kept.
+bool SemiSyncChange::isPromotionOf(const ServerId &server) const
+{
+    if (m_step == Step::Ordering || m_step == Step::Confirming)
+        return server == m_chosen;
+    return isOnlyOpenOrder(server);
+}
+
+void SemiSyncChange::guardOrders()
+{
+    if (!mustGuardOrders())
+        return;
+    for (auto &[server, progress] : m_progress) {
+        progress.isGuarded = false;
+        guard(server);
+    }
+}
+
+void SemiSyncChange::guard(const ServerId &server)
+{
+    ServerProgress &progress = m_progress.at(server);
+    if (progress.isAnswerDue || progress.isGuarded || isPromotionOf(server))
+        return;
+    const bool isOrdered = m_step == Step::Ordering || m_step == Step::Confirming;
+    if (!progress.isAnswered) {
+        // The probe has asked all servers itself.
+        if (m_step == Step::Probing)
+            return;
+        m_actions.emplace_back(QueryStatus {server});
+    } else if (progress.status.isPrimary) {
+        // A primary of this term or a later one has been promoted meanwhile.
+        if (!isOrdered || m_isGraceful || progress.status.term >= m_term)
+            return;
+        m_demoted.insert(server);
+        progress.isGuarded = true;
+        m_actions.emplace_back(DemoteServer {server, m_term});
+    } else {
+        if (progress.status.heldTerm != 0 || progress.status.term >= m_term
+            || m_demoted.count(server) != 0)
+            return;
+        progress.isGuarded = true;
+        hold(server);
+    }
+    progress.isAnswerDue = true;
+}
+
 FenceReport SemiSyncChange::fenceReport() const
 {
     FenceReport report;
--- a/test/unit/failover/semisyncgroup.h
+++ b/test/unit/failover/semisyncgroup.h
@@ -109,6 +109,16 @@
         replaced[id] = successor;
         return successor;
     }
+    // A new server starts; it receives the whole log with the next commit.
+    ServerId join()
+    {
+        const ServerId joined("s" + std::to_string(servers.size() + replaced.size() + 1));
+        Server server;
+        server.term = servers.at(primary).term;
+        server.isAnnounced = false;
+        servers[joined] = server;
+        return joined;
+    }
     // Carries out an order, and counts the acknowledged commits that the server lacks.
     PromotionOutcome promote(const Order &order)
     {
@@ -225,6 +235,7 @@
     std::vector<SemiSyncGroup::Order> lateOrders;
     std::vector<SemiSyncGroup::Order> overdue; // orders whose answers are lost
     bool losesAnswers = false; // answers to some orders are lost, and these are carried out late
+    Duration effectDelay {}; // from an accepted order until the server leads
     std::uint64_t token = 0;
     std::set<ServerId> openOrders; // as stored in the control log
     int orders = 0;
@@ -281,6 +292,11 @@
             overdue.push_back({action.server, action.token, now + OrderTimeout});
             return;
         }
+        if (effectDelay != Duration {}) {
+            lateOrders.push_back({action.server, action.token, now + effectDelay});
+            perform(change->onPromotionAnswered(action.token, PromotionOutcome::Accepted, now));
+            return;
+        }
         perform(change->onPromotionAnswered(action.token, group.promote(order), now));
     }
 };
