--- a/src/site/primarychangemanager.cpp
+++ b/src/site/primarychangemanager.cpp
@@ -1,6 +1,7 @@
 #include "site/primarychangemanager.h"
 
 #include "base/log.h"
+#include "nutmegtide/failover/rosterplan.h"
 #include "site/changelogfields.h"
 
 #include <algorithm>
@@ -13,12 +14,6 @@
 constexpr auto OrderTimeout = 1500ms; // longer than a promotion takes
 constexpr auto RosterInterval = 1s;
 
-bool hasSameContent(const ServerAnnouncement &left, ServerAnnouncement right)
-{
-    right.sequence = left.sequence;
-    return left == right;
-}
-
 } // namespace
 
 PrimaryChangeManager::PrimaryChangeManager(EventLoop &loop, const Identity &identity,
@@ -132,6 +127,14 @@
     }
 }
 
+bool PrimaryChangeManager::isPromotionOpen(const ServiceName &service) const
+{
+    const auto found = m_groups.find(service);
+    const bool isChosen = found != m_groups.end() && found->second.change
+            && found->second.change->hasChosen();
+    return isChosen || !m_roster.openOrders(service).empty();
+}
+
 // Adds servers when they are first heard of, and removes them after they announced their departure.
 void PrimaryChangeManager::updateRoster(
         const std::map<ServiceName, std::vector<ServerRecord>> &services, TimePoint now)
@@ -142,16 +145,10 @@
     const std::set<ServerId> departed = m_departed();
     for (const auto &[service, servers] : services) {
         const ServerRoster::Servers before = m_roster.announcementsOf(service);
-        ServerRoster::Servers after = before;
-        for (const ServerRecord &record : servers) {
-            ServerAnnouncement announcement = record.announcement;
-            const auto known = before.find(announcement.server);
-            // A repeated announcement changes nothing.
-            if (known != before.end() && hasSameContent(known->second, announcement))
-                continue;
-            after[announcement.server] = announcement;
-        }
-        std::erase_if(after, [&](const auto &item) { return departed.count(item.first) != 0; });
+        RosterState state {before, {}, departed, isPromotionOpen(service)};
+        for (const ServerRecord &record : servers)
+            state.present.push_back(record.announcement);
+        const ServerRoster::Servers after = RosterPlan(std::move(state)).next();
         if (after == before)
             continue;
         if (!m_rosterWorker)
@@ -219,11 +216,8 @@
 
 void PrimaryChangeManager::perform(const ServiceName &service, const ReserveToken &action)
 {
-    Group &group = m_groups[service];
-    log("primary_change_fenced", fieldsOf(service, group.change->fenceReport()));
-    if (!group.worker)
-        group.worker = std::make_unique<TaskWorker>();
-    group.worker->post([this, service, server = action.server] {
+    log("primary_change_fenced", fieldsOf(service, m_groups[service].change->fenceReport()));
+    workerOf(service).post([this, service, server = action.server] {
         std::optional<std::uint64_t> token;
         try {
             // The index of the log entry is the token: no two entries have the same index,
@@ -255,7 +249,7 @@
          {"server", action.server.text()},
          {"token", std::to_string(action.token)}});
     m_groups[service].orderedAt = EventLoop::now();
-    m_groups[service].worker->post([this, service, action] {
+    workerOf(service).post([this, service, action] {
         const PromotionOutcome outcome = m_promoter.promote(service, action.server, action.token,
                                                             OrderTimeout);
         m_loop.post([this, service, action, outcome] {
@@ -304,9 +298,18 @@
     group.change.reset();
 }
 
+// The first change of a new leader may end with orders of an earlier one open, and none of its own.
+TaskWorker &PrimaryChangeManager::workerOf(const ServiceName &service)
+{
+    std::unique_ptr<TaskWorker> &worker = m_groups[service].worker;
+    if (!worker)
+        worker = std::make_unique<TaskWorker>();
+    return *worker;
+}
+
 void PrimaryChangeManager::closeOrders(const ServiceName &service)
 {
-    m_groups[service].worker->post([this, service] {
+    workerOf(service).post([this, service] {
         try {
             m_log.propose({CommandKind::Group, ServerRoster::encodeOrdersClosed(service)},
                           TokenTimeout);
--- a/src/site/primarychangemanager.h
+++ b/src/site/primarychangemanager.h
@@ -89,6 +89,10 @@
     void checkLinks(TimePoint now);
     void updateRoster(const std::map<ServiceName, std::vector<ServerRecord>> &services,
                       TimePoint now);
+    // Returns whether a promotion is being ordered, or may still be carried out.
+    bool isPromotionOpen(const ServiceName &service) const;
+    // Returns the service's thread for calls that block.
+    TaskWorker &workerOf(const ServiceName &service);
     void afterStep(const ServiceName &service);
     // Records that no open order for the service can be carried out any more.
     void closeOrders(const ServiceName &service);
