--- a/src/site/controlnode.cpp
+++ b/src/site/controlnode.cpp
@@ -317,7 +317,7 @@
         entries = entryCount();
     }
     const TimePoint now = EventLoop::now();
-    m_changes->tick(servers, entries, now);
+    m_changes->tick(servers, entries, m_log.status().isCurrent, now);
     if (m_log.isLeader())
         m_proofCollector->tick(servers, now);
     else
--- a/src/site/primarychangemanager.cpp
+++ b/src/site/primarychangemanager.cpp
@@ -37,10 +37,11 @@
 }
 
 void PrimaryChangeManager::tick(const std::vector<ServerRecord> &servers, int entryCount,
-                                TimePoint now)
+                                bool isLogCurrent, TimePoint now)
 {
     m_trigger.setEntryCount(entryCount);
-    const bool isLeading = m_log.isLeader();
+    // A new leader first applies the rosters and orders that earlier leaders committed.
+    const bool isLeading = m_log.isLeader() && (m_isLeading || isLogCurrent);
     if (!isLeading && m_isLeading)
         abandonAll();
     if (isLeading && !m_isLeading) {
@@ -250,8 +251,10 @@
          {"token", std::to_string(action.token)}});
     m_groups[service].orderedAt = EventLoop::now();
     workerOf(service).post([this, service, action] {
-        const PromotionOutcome outcome = m_promoter.promote(service, action.server, action.token,
-                                                            OrderTimeout);
+        // Another VM may lead since the token was reserved.
+        const PromotionOutcome outcome = m_log.isLeader()
+                ? m_promoter.promote(service, action.server, action.token, OrderTimeout)
+                : PromotionOutcome::Refused;
         m_loop.post([this, service, action, outcome] {
             log("promotion_answered",
                 {{"service", service.text()},
--- a/src/site/primarychangemanager.h
+++ b/src/site/primarychangemanager.h
@@ -36,8 +36,10 @@
 
     // Thread-safe.
     void complain(const EntryComplaint &complaint);
-    // `servers` are the servers that haven't departed, `entryCount` is the number of entry VMs.
-    void tick(const std::vector<ServerRecord> &servers, int entryCount, TimePoint now);
+    // `servers` are the servers that haven't departed, `entryCount` is the number of entry VMs,
+    // `isLogCurrent` states whether all that was committed before this VM led is applied here.
+    void tick(const std::vector<ServerRecord> &servers, int entryCount, bool isLogCurrent,
+              TimePoint now);
 
 private:
     // A connection to one server for the duration of a change.
