--- a/src/site/updatesender.cpp
+++ b/src/site/updatesender.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr CallTimeouts Timeouts {250ms, 800ms};
+constexpr auto IdleTime = 10s;
+constexpr auto RetryTime = 300ms; // after a call that failed
 constexpr std::size_t MostComplaints = 256; // queued for one peer
 
 } // namespace
@@ -75,17 +77,24 @@
     return news;
 }
 
-void UpdateSender::markLost()
+void UpdateSender::keep(const std::vector<wire::ServerRecord> &servers)
 {
     const std::lock_guard lock(m_mutex);
     m_filter.lost();
+    for (const wire::ServerRecord &server : servers)
+        m_servers.emplace(server.server, server);
+    m_isWanted = m_isWanted || !m_servers.empty();
 }
 
-// Updates that can't be delivered are dropped; the next putAll() sends everything again.
+// A VM that was cut off passes on what it heard soon after the cut ends: a leader that doesn't know
+// of a server can't hold it. Complaints that can't be delivered are dropped; the entry VMs repeat
+// them.
 void UpdateSender::run()
 {
+    auto rest = std::chrono::milliseconds(IdleTime);
     while (!m_isStopping) {
-        m_signal.restUntil(Clock::now() + 10s);
+        m_signal.restUntil(Clock::now() + rest);
+        rest = IdleTime;
         {
             const std::lock_guard lock(m_mutex);
             if (!m_isWanted)
@@ -99,9 +108,11 @@
             const std::lock_guard lock(m_mutex);
             m_filter.delivered(news.servers);
         } catch (const PeerError &) {
-            markLost();
+            keep(news.servers);
+            rest = RetryTime;
         } catch (const wire::PeerRefusal &) {
-            markLost();
+            keep(news.servers);
+            rest = RetryTime;
         }
     }
 }
--- a/src/site/updatesender.h
+++ b/src/site/updatesender.h
@@ -36,7 +36,8 @@
 private:
     void run();
     wire::SiteNews drainUpdates();
-    void markLost();
+    // Queues what couldn't be delivered again, except where something newer is queued.
+    void keep(const std::vector<wire::ServerRecord> &servers);
 
     const Endpoint m_peer;
     PeerClients &m_peers;
