--- a/src/site/primarychangemanager.h
+++ b/src/site/primarychangemanager.h
@@ -36,8 +36,10 @@
 
     // Thread-safe.
     void complain(const EntryComplaint &complaint);
-    // `servers` are the servers that haven't departed, `entryCount` is the number of entry VMs.
-    void tick(const std::vector<ServerRecord> &servers, int entryCount, TimePoint now);
+    // `servers` are the servers that haven't departed, `entryCount` is the number of entry VMs,
+    // `isLogCurrent` states whether all that was committed before this VM led is applied here.
+    void tick(const std::vector<ServerRecord> &servers, int entryCount, bool isLogCurrent,
+              TimePoint now);
 
 private:
     // A connection to one server for the duration of a change.
@@ -68,6 +70,8 @@
 
     // Passes on servers that were announced during a change, and successors of gone servers.
     void updateMembers(const std::vector<ServerRecord> &present, TimePoint now);
+    // Adds a server to the change that is under way.
+    void join(const ServiceName &service, const ChangeServer &member, TimePoint now);
     void startWantedChanges(const std::vector<ServerRecord> &present, TimePoint now);
     void start(const ServiceName &service, const NeededChange &neededChange, TimePoint now);
     void perform(const ServiceName &service, const SemiSyncChangeActions &actions);
@@ -88,6 +92,10 @@
     void checkLinks(TimePoint now);
     void updateRoster(const std::map<ServiceName, std::vector<ServerRecord>> &services,
                       TimePoint now);
+    // Returns whether a promotion is being ordered, or may still be carried out.
+    bool isPromotionOpen(const ServiceName &service) const;
+    // Returns the service's thread for calls that block.
+    TaskWorker &workerOf(const ServiceName &service);
     void afterStep(const ServiceName &service);
     void publish(const ServiceName &service);
     // Records that no open order for the service can be carried out any more.
--- a/test/unit/failover/semisyncgroup.h
+++ b/test/unit/failover/semisyncgroup.h
@@ -118,6 +118,16 @@
         replaced[id] = successor;
         return successor;
     }
+    // A new server starts; it receives the whole log with the next commit.
+    ServerId join()
+    {
+        const ServerId joined("s" + std::to_string(servers.size() + replaced.size() + 1));
+        Server server;
+        server.term = servers.at(primary).term;
+        server.isAnnounced = false;
+        servers[joined] = server;
+        return joined;
+    }
     // Carries out an accepted order, and counts the acknowledged commits that the server lacks.
     void takeEffect(const ServerId &promoted)
     {
