--- a/include/nutmegtide/failover/changetrigger.h
+++ b/include/nutmegtide/failover/changetrigger.h
@@ -34,6 +34,8 @@
 {
     std::set<ServerId> servers; // all known ones, including those that haven't announced themselves
     bool hasOpenOrders = false; // promotions that the platform may still carry out
+    // Those that have departed, and no other one is known to have all that they received.
+    std::set<ServerId> departed {};
 };
 
 // Decides when to change the primary of a service. It does so if the primary is leaving, no server
--- a/include/nutmegtide/failover/semisyncchange.h
+++ b/include/nutmegtide/failover/semisyncchange.h
@@ -18,6 +18,8 @@
 {
     ServerId server;
     bool isLeaving = false;
+    // It no longer exists, and no other server is known to have all that it received.
+    bool isDeparted = false;
 };
 
 // Why the primary is changed.
@@ -97,6 +99,8 @@
 // server other than the target of an open order is chosen until the time in which the platform
 // could carry that order out has passed. A server that takes the address of one that no longer
 // exists counts as not fenced until it is known, and servers that join are fenced like the others.
+// A departed server that isn't covered (see DepartureTracker) can't be fenced, so all others have to
+// be, the old primary included: it may be the only one left with an acknowledged commit.
 // The chosen server's own status often shows sooner than the platform's answer that an order was
 // carried out. If neither arrives in time, the promotion is ordered again with a higher token.
 //
@@ -131,6 +135,12 @@
     // A server of the group became known. The change starts over with it, unless the promotion is
     // already ordered. Does nothing for a server that the change covers.
     SemiSyncChangeActions onJoined(const ChangeServer &server, TimePoint now);
+    // The server has departed, and it isn't known that another one has all that it received.
+    SemiSyncChangeActions onDeparted(const ServerId &server, TimePoint now);
+    // Another server has all that the departed one received.
+    void onCovered(const ServerId &server);
+    // Returns the departed servers that may have held commits which no fenced server has.
+    std::vector<ServerId> uncoveredDepartures() const;
     // It is known which server uses the gone one's address; if it is one of the group, onJoined()
     // was called with it before.
     void onSuccessorKnown(const ServerId &gone) { m_unknownSuccessors.erase(gone); }
@@ -177,6 +187,13 @@
         bool isOverloaded = false;
     };
 
+    // How many servers a set of answering or fenced servers lacks.
+    struct Missing
+    {
+        std::size_t present = 0;
+        std::size_t departed = 0;
+    };
+
     void enter(Step step, TimePoint now, Duration timeout);
     void probe(TimePoint now);
     void shortenProbe(TimePoint now);
@@ -205,6 +222,15 @@
     bool hasEveryServerResponded() const;
     // Returns whether servers are being held, but no promotion is ordered yet.
     bool isBeforeOrder() const;
+    bool isDeparted(const ServerId &server) const;
+    bool hasDepartures() const;
+    // Counts the servers for which `isCounted` isn't true.
+    Missing missing(bool (SemiSyncChange::*isCounted)(const ServerId &) const) const;
+    bool isAnswering(const ServerId &server) const { return m_progress.at(server).isAnswered; }
+    // Returns whether every acknowledged commit is on a server other than the missing ones, as far
+    // as any server can still show it.
+    bool isSafeWithout(const Missing &missing) const;
+    std::string describeMissing(const Missing &missing) const;
     // Returns the number of servers that may have to be fenced, including unknown ones.
     std::size_t groupSize() const { return m_servers.size() + m_unknownSuccessors.size(); }
     SemiSyncChangeActions takeActions();
@@ -216,6 +242,7 @@
     std::set<ServerId> m_unknownSuccessors; // by the gone server whose address they use
     std::map<ServerId, ServerProgress> m_progress;
     std::set<ServerId> m_demoted;
+    TimePoint m_coverUntil {}; // how long a graceful move waits for departures to be covered
     Term m_term = 0;
     ServerId m_chosen;
     ServerId m_result;
--- a/include/nutmegtide/failover/serverroster.h
+++ b/include/nutmegtide/failover/serverroster.h
@@ -28,7 +28,9 @@
 
     // The functions that return a log entry throw MessageError for a name that isn't UTF-8.
     // Returns the log entry that replaces the servers of the service.
-    static std::string encode(const ServiceName &service, const Servers &servers);
+    // `departed` are those of them that have departed, but whose log may be needed.
+    static std::string encode(const ServiceName &service, const Servers &servers,
+                              const std::set<ServerId> &departed = {});
     // Returns the log entry for a promotion about to be ordered. Its index is the fencing token.
     static std::string encodeOrder(const ServiceName &service, const ServerId &server);
     // Returns the log entry which says that no earlier promotion order can be carried out any more.
@@ -41,6 +43,10 @@
 
     std::set<ServerId> serversOf(const ServiceName &service) const;
     Servers announcementsOf(const ServiceName &service) const;
+    // Returns the servers of the service that have departed, but are still listed.
+    std::set<ServerId> departedOf(const ServiceName &service) const;
+    // Returns those of all services.
+    std::set<ServerId> departed() const;
     // Returns the servers whose promotion may still be carried out.
     std::set<ServerId> openOrders(const ServiceName &service) const;
     // Returns the announcements of the servers of all services.
@@ -52,6 +58,7 @@
 
     mutable std::mutex m_mutex;
     std::map<ServiceName, Servers> m_services;
+    std::map<ServiceName, std::set<ServerId>> m_departed;
     std::map<ServiceName, std::set<ServerId>> m_openOrders;
 };
 
--- a/src/failover/changetrigger.cpp
+++ b/src/failover/changetrigger.cpp
@@ -86,7 +86,7 @@
                                              return named.server == server;
                                          });
         if (!isNamed)
-            neededChange.servers.push_back({server, true});
+            neededChange.servers.push_back({server, true, roster.departed.count(server) != 0});
     }
     if (primary != nullptr)
         state.primaryMissingSince.reset();
--- a/src/failover/semisyncchange.cpp
+++ b/src/failover/semisyncchange.cpp
@@ -11,6 +11,7 @@
 constexpr auto OrderTime = 2s; // to wait for the platform's answer before repeating the order
 constexpr auto ConfirmTime = 4s; // from the accepted order until the server reports that it leads
 constexpr auto RetryTime = 150ms;
+constexpr auto CoverTime = 900ms; // in which a departure is covered while replication works
 
 } // namespace
 
@@ -55,6 +56,7 @@
 
 SemiSyncChangeActions SemiSyncChange::start(TimePoint now)
 {
+    m_coverUntil = now + CoverTime;
     probe(now);
     return takeActions();
 }
--- a/src/failover/semisyncchangesteps.cpp
+++ b/src/failover/semisyncchangesteps.cpp
@@ -24,7 +24,9 @@
     m_isGraceful = false;
     for (const ChangeServer &server : m_servers) {
         m_progress[server.server] = {};
-        m_actions.emplace_back(QueryStatus {server.server});
+        m_progress[server.server].isUnreachable = server.isDeparted;
+        if (!server.isDeparted)
+            m_actions.emplace_back(QueryStatus {server.server});
     }
     enter(Step::Probing, now, ProbeTime);
 }
@@ -131,6 +133,8 @@
                                                });
     if (!chosen)
         return retryLater("no replica can take over", now);
+    if (hasDepartures() && now < m_coverUntil)
+        return retryLater("no replica is known to have all that a departed one received", now);
     if (!isEveryoneReached)
         return holdForLost(now);
     m_isGraceful = true;
@@ -145,13 +149,10 @@
 
 void SemiSyncChange::holdForLost(TimePoint now)
 {
-    std::size_t reached = 0;
-    for (const auto &[server, progress] : m_progress)
-        reached += progress.isAnswered ? 1 : 0;
-    if (reached + 1 < m_servers.size())
-        return retryLater("only " + std::to_string(reached) + " of "
-                                  + std::to_string(m_servers.size()) + " servers answer",
-                          now);
+    const Missing unreached = missing(&SemiSyncChange::isAnswering);
+    const bool isEveryoneReached = unreached.present + unreached.departed == 0;
+    if (!isSafeWithout(unreached))
+        return retryLater(describeMissing(unreached), now);
     m_isGraceful = false;
     m_chosen = ServerId();
     const std::optional<ServerId> primary = reachablePrimary();
@@ -164,7 +165,7 @@
             hold(server);
             continue;
         }
-        if (reached == m_servers.size())
+        if (isEveryoneReached)
             continue;
         progress.isAnswered = false;
         m_demoted.insert(server);
@@ -182,10 +183,12 @@
                                         : progress.status.heldTerm >= m_term;
 }
 
-// Of two servers with equal positions, prefers one that isn't leaving, then one whose promotion may
-// still be carried out anyway.
+// Of two servers with equal positions, prefers one that still exists, then one that isn't leaving,
+// then one whose promotion may still be carried out anyway.
 bool SemiSyncChange::isPreferred(const ServerId &server, const ServerId &other) const
 {
+    if (isDeparted(server) != isDeparted(other))
+        return isDeparted(other);
     if (isLeaving(server) != isLeaving(other))
         return isLeaving(other);
     return m_openOrders.count(server) > m_openOrders.count(other);
@@ -208,13 +211,17 @@
         enter(Step::CatchingUp, now, CatchUpTime);
         return evaluateCatchingUp(now);
     }
-    if (fenced + 1 < groupSize())
+    Missing unfenced = missing(&SemiSyncChange::isFenced);
+    unfenced.present += m_unknownSuccessors.size();
+    if (!isSafeWithout(unfenced))
         return;
     for (const auto &[server, progress] : m_progress) {
         const bool isHighest = isFenced(server) && progress.status.received == highest;
         if (isHighest && (m_chosen.isEmpty() || isPreferred(server, m_chosen)))
             m_chosen = server;
     }
+    if (isDeparted(m_chosen))
+        return retryLater(m_chosen.text() + " has departed with the latest commits", now);
     if (mustWaitForOrders(m_chosen, now))
         return retryLater("the promotion of another server may still be carried out", now);
     reserve(now);
--- a/src/failover/serverroster.cpp
+++ b/src/failover/serverroster.cpp
@@ -14,8 +14,9 @@
 constexpr const char *ServiceKey = "roster_of";
 constexpr const char *OrderKey = "order_of";
 constexpr const char *ClosedKey = "orders_closed_of";
+constexpr const char *DepartedKey = "departed"; // absent for a server that is present
 
-Json toJson(const ServerRoster::Servers &servers)
+Json toJson(const ServerRoster::Servers &servers, const std::set<ServerId> &departed)
 {
     Json list = Json::array();
     for (const auto &[id, announcement] : servers) {
@@ -27,6 +28,8 @@
                         {"primary", announcement.isPrimary},
                         {"lifetime", announcement.lifetime},
                         {"sequence", announcement.sequence}});
+        if (departed.count(id) != 0)
+            list.back()[DepartedKey] = true;
     }
     return list;
 }
@@ -51,11 +54,23 @@
     return servers;
 }
 
+// Throws Json::exception.
+std::set<ServerId> departedFrom(const Json &list)
+{
+    std::set<ServerId> departed;
+    for (const Json &item : list) {
+        if (item.value(DepartedKey, false))
+            departed.emplace(item.at("server").get<std::string>());
+    }
+    return departed;
+}
+
 } // namespace
 
-std::string ServerRoster::encode(const ServiceName &service, const Servers &servers)
+std::string ServerRoster::encode(const ServiceName &service, const Servers &servers,
+                                 const std::set<ServerId> &departed)
 {
-    return encodeJson({{ServiceKey, service.text()}, {"servers", toJson(servers)}});
+    return encodeJson({{ServiceKey, service.text()}, {"servers", toJson(servers, departed)}});
 }
 
 std::string ServerRoster::encodeOrder(const ServiceName &service, const ServerId &server)
@@ -98,8 +113,10 @@
     } else if (json.contains(ServiceKey)) {
         const ServiceName service(json.at(ServiceKey).get<std::string>());
         Servers servers = serversFrom(service, json.at("servers"));
+        std::set<ServerId> departed = departedFrom(json.at("servers"));
         const std::lock_guard lock(m_mutex);
         m_services[service] = std::move(servers);
+        m_departed[service] = std::move(departed);
     }
 }
 
@@ -107,8 +124,12 @@
 {
     const std::lock_guard lock(m_mutex);
     Json services = Json::object();
-    for (const auto &[service, servers] : m_services)
-        services[service.text()] = toJson(servers);
+    for (const auto &[service, servers] : m_services) {
+        const auto departed = m_departed.find(service);
+        services[service.text()] = toJson(servers,
+                                          departed == m_departed.end() ? std::set<ServerId>()
+                                                                       : departed->second);
+    }
     Json orders = Json::object();
     for (const auto &[service, servers] : m_openOrders) {
         for (const ServerId &server : servers)
@@ -120,11 +141,14 @@
 void ServerRoster::restore(const std::string &snapshot)
 {
     std::map<ServiceName, Servers> services;
+    std::map<ServiceName, std::set<ServerId>> departed;
     std::map<ServiceName, std::set<ServerId>> orders;
     try {
         const Json json = Json::parse(snapshot);
-        for (const auto &[service, list] : json.at("services").items())
+        for (const auto &[service, list] : json.at("services").items()) {
             services[ServiceName(service)] = serversFrom(ServiceName(service), list);
+            departed[ServiceName(service)] = departedFrom(list);
+        }
         for (const auto &[service, list] : json.at("orders").items()) {
             for (const Json &server : list)
                 orders[ServiceName(service)].emplace(server.get<std::string>());
@@ -136,6 +160,7 @@
     }
     const std::lock_guard lock(m_mutex);
     m_services = std::move(services);
+    m_departed = std::move(departed);
     m_openOrders = std::move(orders);
 }
 
@@ -161,6 +186,22 @@
     return found == m_services.end() ? Servers() : found->second;
 }
 
+std::set<ServerId> ServerRoster::departedOf(const ServiceName &service) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_departed.find(service);
+    return found == m_departed.end() ? std::set<ServerId>() : found->second;
+}
+
+std::set<ServerId> ServerRoster::departed() const
+{
+    std::set<ServerId> all;
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[service, departed] : m_departed)
+        all.insert(departed.begin(), departed.end());
+    return all;
+}
+
 std::vector<ServerAnnouncement> ServerRoster::announcements() const
 {
     std::vector<ServerAnnouncement> all;
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -168,11 +168,13 @@
 void ControlNode::importRoster()
 {
     const std::vector<ServerAnnouncement> known = m_roster.announcements();
+    const std::set<ServerId> departed = m_roster.departed();
     m_hasRoster = !known.empty();
     const std::lock_guard lock(m_mutex);
     for (const ServerAnnouncement &announcement : known) {
-        if (m_registry.find(announcement.server) == nullptr)
-            m_registry.merge({announcement, false}, EventLoop::now());
+        const bool isDeparted = departed.count(announcement.server) != 0;
+        if (isDeparted || m_registry.find(announcement.server) == nullptr)
+            m_registry.merge({announcement, isDeparted}, EventLoop::now());
     }
 }
 
--- a/src/site/primarychangemanager.cpp
+++ b/src/site/primarychangemanager.cpp
@@ -87,6 +87,8 @@
             ++vacated;
             continue;
         }
+        m_succeeded.insert(gone);
+        m_rosterDueAt = now;
         m_onGone(gone);
         if (const auto &change = m_groups[last.service].change)
             change->onSuccessorKnown(gone);
@@ -103,18 +105,20 @@
         services[record.announcement.service].push_back(record);
         m_announcements[record.announcement.server] = record.announcement;
     }
+    followDepartures(services, now);
     updateRoster(services, now);
     maintainLinks(now);
     for (const auto &[service, servers] : services) {
         if (m_groups[service].change)
             continue;
-        const RosterView roster {m_roster.serversOf(service), !m_roster.openOrders(service).empty()};
+        const RosterView roster = rosterOf(service);
         if (const auto neededChange = m_trigger.neededChange(service, servers, roster, now))
             start(service, *neededChange, now);
     }
 }
 
-// Adds servers when they are first heard of, and removes them after they announced their departure.
+// Adds servers when they are first heard of. Those that announced their departure are listed as
+// departed, and removed once they are covered.
 void PrimaryChangeManager::updateRoster(
         const std::map<ServiceName, std::vector<ServerRecord>> &services, TimePoint now)
 {
@@ -133,14 +137,17 @@
                 continue;
             after[announcement.server] = announcement;
         }
-        std::erase_if(after, [&](const auto &item) { return departed.count(item.first) != 0; });
-        if (after == before)
+        const RosterView roster = rosterOf(service);
+        std::erase_if(after, [&](const auto &item) {
+            return departed.count(item.first) != 0 && roster.departed.count(item.first) == 0;
+        });
+        if (after == before && roster.departed == m_roster.departedOf(service))
             continue;
         if (!m_rosterWorker)
             m_rosterWorker = std::make_unique<TaskWorker>();
-        m_rosterWorker->post([this, service = service, after] {
+        m_rosterWorker->post([this, service = service, after, listed = roster.departed] {
             try {
-                m_log.propose({CommandKind::Group, ServerRoster::encode(service, after)},
+                m_log.propose({CommandKind::Group, ServerRoster::encode(service, after, listed)},
                               TokenTimeout);
             } catch (const Error &fault) {
                 // It is proposed again as long as the roster differs.
@@ -235,6 +242,7 @@
         {{"service", service.text()},
          {"server", action.server.text()},
          {"token", std::to_string(action.token)}});
+    warnOfDepartures(service, action.server);
     m_groups[service].orderedAt = EventLoop::now();
     m_groups[service].worker->post([this, service, action] {
         const PromotionOutcome outcome = m_promoter.promote(service, action.server, action.token,
@@ -307,8 +315,10 @@
         if (group.change)
             log("primary_change_abandoned", {{"service", service.text()}});
         group.change.reset();
+        group.departures = {};
     }
     m_vacatedAddresses.clear();
+    m_succeeded.clear();
 }
 
 void PrimaryChangeManager::log(const std::string &event, const std::vector<LogField> &fields) const
--- a/src/site/primarychangemanager.h
+++ b/src/site/primarychangemanager.h
@@ -4,6 +4,7 @@
 #include "base/taskworker.h"
 #include "nutmegtide/control/replicatedlog.h"
 #include "nutmegtide/failover/changetrigger.h"
+#include "nutmegtide/failover/departuretracker.h"
 #include "nutmegtide/failover/serverroster.h"
 #include "nutmegtide/site/adapters.h"
 #include "serve/identity.h"
@@ -48,6 +49,7 @@
         bool isOpen = false;
         std::deque<ServerCommand> queued; // until the connection is open
         std::deque<ServerCommand> sent; // not answered yet
+        std::deque<TimePoint> sentAt; // of each of them
         TimePoint activeAt;
     };
     struct Group
@@ -55,6 +57,7 @@
         std::unique_ptr<SemiSyncChange> change;
         std::map<ServerId, ConnectionKey> links;
         std::string loggedReason; // what the change waits for, as last logged
+        DepartureTracker departures;
         TimePoint startedAt {};
         TimePoint orderedAt {}; // the latest promotion order of this process
         std::unique_ptr<TaskWorker> worker;
@@ -78,7 +81,7 @@
     void perform(const ServiceName &service, const OrderPromotion &action);
     void ask(const ServiceName &service, const ServerId &server, ServerCommandKind kind, Term term);
     // Why a connection to a server failed.
-    enum class LinkFault { Unreachable, Overloaded, Gone };
+    enum class LinkFault { Unreachable, Silent, Overloaded, Gone };
     void failLink(ConnectionKey key, LinkFault fault);
     ConnectionKey openLink(const ServiceName &service, const ServerId &server, TimePoint now);
     // Keeps a connection to each server open, because an overloaded server would accept no new
@@ -87,6 +90,18 @@
     void checkLinks(TimePoint now);
     void updateRoster(const std::map<ServiceName, std::vector<ServerRecord>> &services,
                       TimePoint now);
+    // Finds out which departed servers are covered, and passes it on to the change.
+    void followDepartures(const std::map<ServiceName, std::vector<ServerRecord>> &services,
+                          TimePoint now);
+    void followDepartures(const ServiceName &service, const std::vector<ServerRecord> &servers,
+                          TimePoint now);
+    // Sends the query if there is an open connection.
+    void askForDeparture(const ServiceName &service, const ServerId &server, TimePoint now);
+    void noteStatus(const ServiceName &service, const ServerId &server,
+                    const ServerReplicationStatus &status, TimePoint askedAt);
+    RosterView rosterOf(const ServiceName &service) const;
+    void warnOfDepartures(const ServiceName &service, const ServerId &promoted) const;
+    void sendOn(ConnectionKey key, Link &link, const ServerCommand &command, TimePoint now);
     void afterStep(const ServiceName &service);
     // Records that no open order for the service can be carried out any more.
     void closeOrders(const ServiceName &service);
@@ -111,6 +126,8 @@
     std::map<ServerId, ServerAnnouncement> m_announcements;
     // Gone servers with the addresses that servers which haven't announced themselves use now.
     std::map<ServerId, ServerAnnouncement> m_vacatedAddresses;
+    // Gone servers whose address and log another server has, which is known.
+    std::set<ServerId> m_succeeded;
     std::map<ServerId, TimePoint> m_triedAt; // latest attempt to open a link
     TimePoint m_rosterDueAt {};
     std::unique_ptr<TaskWorker> m_rosterWorker;
--- /dev/null
+++ b/src/site/primarychangemanagerdepartures.cpp
@@ -0,0 +1,119 @@
+// What PrimaryChangeManager does about recorded servers that have departed.
+#include "site/primarychangemanager.h"
+
+#include <algorithm>
+
+namespace nutmegtide {
+
+// Returns the recorded servers without those that have departed and are covered.
+RosterView PrimaryChangeManager::rosterOf(const ServiceName &service) const
+{
+    RosterView roster;
+    roster.servers = m_roster.serversOf(service);
+    roster.hasOpenOrders = !m_roster.openOrders(service).empty();
+    const auto found = m_groups.find(service);
+    if (found == m_groups.end())
+        return roster;
+    const DepartureTracker &departures = found->second.departures;
+    std::erase_if(roster.servers, [&](const ServerId &server) {
+        return departures.covered().count(server) != 0 || m_succeeded.count(server) != 0;
+    });
+    for (const auto &[server, notedAt] : departures.uncovered())
+        roster.departed.insert(server);
+    return roster;
+}
+
+void PrimaryChangeManager::followDepartures(
+        const std::map<ServiceName, std::vector<ServerRecord>> &services, TimePoint now)
+{
+    for (const auto &[service, servers] : services)
+        followDepartures(service, servers, now);
+}
+
+void PrimaryChangeManager::followDepartures(const ServiceName &service,
+                                            const std::vector<ServerRecord> &servers, TimePoint now)
+{
+    const std::set<ServerId> recorded = m_roster.serversOf(service);
+    const std::set<ServerId> allDeparted = m_departed();
+    std::set<ServerId> present;
+    std::set<ServerId> departed;
+    for (const ServerRecord &record : servers) {
+        if (recorded.count(record.announcement.server) != 0)
+            present.insert(record.announcement.server);
+    }
+    for (const ServerId &server : recorded) {
+        if (allDeparted.count(server) != 0 && m_succeeded.count(server) == 0)
+            departed.insert(server);
+    }
+    Group &group = m_groups[service];
+    const std::map<ServerId, TimePoint> before = group.departures.uncovered();
+    group.departures.setServers(present, departed, now);
+    for (const auto &[server, notedAt] : group.departures.uncovered()) {
+        if (before.count(server) == 0)
+            log("departure_noted", {{"service", service.text()}, {"server", server.text()}});
+        if (group.change)
+            perform(service, group.change->onDeparted(server, now));
+    }
+    for (const QueryStatus &query : group.departures.tick(now))
+        askForDeparture(service, query.server, now);
+}
+
+void PrimaryChangeManager::askForDeparture(const ServiceName &service, const ServerId &server,
+                                           TimePoint now)
+{
+    const Group &group = m_groups[service];
+    const auto known = group.links.find(server);
+    if (known == group.links.end())
+        return;
+    Link &link = m_links.at(known->second);
+    const bool isAsked = !link.sent.empty();
+    if (!link.isOpen || isAsked)
+        return;
+    ServerCommand command;
+    command.kind = ServerCommandKind::Status;
+    sendOn(known->second, link, command, now);
+}
+
+void PrimaryChangeManager::noteStatus(const ServiceName &service, const ServerId &server,
+                                      const ServerReplicationStatus &status, TimePoint askedAt)
+{
+    Group &group = m_groups[service];
+    const TimePoint now = EventLoop::now();
+    for (const CoveredDeparture &covered : group.departures.onStatus(server, status, askedAt, now)) {
+        const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(covered.took);
+        log("departure_covered",
+            {{"service", service.text()},
+             {"server", covered.server.text()},
+             {"primary", covered.primary.text()},
+             {"replica", covered.replica.text()},
+             {"position",
+              std::to_string(covered.position.term) + '.' + std::to_string(covered.position.index)},
+             {"received",
+              std::to_string(status.received.term) + '.' + std::to_string(status.received.index)},
+             {"took_ms", std::to_string(took.count())}});
+        m_rosterDueAt = now;
+        if (group.change)
+            group.change->onCovered(covered.server);
+    }
+}
+
+void PrimaryChangeManager::warnOfDepartures(const ServiceName &service,
+                                            const ServerId &promoted) const
+{
+    const auto found = m_groups.find(service);
+    if (found == m_groups.end() || !found->second.change)
+        return;
+    std::string servers;
+    for (const ServerId &server : found->second.change->uncoveredDepartures())
+        servers += (servers.empty() ? "" : ",") + server.text();
+    if (servers.empty())
+        return;
+    logEvent(LogLevel::Warning, "promotion_without_departed",
+             {m_identity.vm, m_identity.failureDomain, "control"},
+             {{"service", service.text()},
+              {"server", promoted.text()},
+              {"departed", servers},
+              {"why", "no server that could return has what they received"}});
+}
+
+} // namespace nutmegtide
--- a/src/site/primarychangemanagerlinks.cpp
+++ b/src/site/primarychangemanagerlinks.cpp
@@ -26,10 +26,7 @@
             link.queued.push_back(command);
             return;
         }
-        if (link.sent.empty())
-            link.activeAt = now;
-        link.sent.push_back(command);
-        m_serverLinks->send(known->second, {command});
+        sendOn(known->second, link, command, now);
         return;
     }
     if (m_announcements.count(server) == 0) {
@@ -46,6 +43,16 @@
     m_links.at(openLink(service, server, now)).queued.push_back(command);
 }
 
+void PrimaryChangeManager::sendOn(ConnectionKey key, Link &link, const ServerCommand &command,
+                                  TimePoint now)
+{
+    if (link.sent.empty())
+        link.activeAt = now;
+    link.sent.push_back(command);
+    link.sentAt.push_back(now);
+    m_serverLinks->send(key, {command});
+}
+
 ConnectionKey PrimaryChangeManager::openLink(const ServiceName &service, const ServerId &server,
                                              TimePoint now)
 {
@@ -68,6 +75,7 @@
     link.isOpen = true;
     link.activeAt = EventLoop::now();
     link.sent = std::exchange(link.queued, {});
+    link.sentAt.assign(link.sent.size(), link.activeAt);
     m_serverLinks->send(connection, {link.sent.begin(), link.sent.end()});
 }
 
@@ -92,16 +100,20 @@
     Link &link = found->second;
     link.activeAt = EventLoop::now();
     const ServerCommand command = link.sent.front();
+    const TimePoint askedAt = link.sentAt.front();
     link.sent.pop_front();
+    link.sentAt.pop_front();
     const ServiceName service = link.service;
     const ServerId server = link.server;
     const std::optional<ServerReplicationStatus> status = readReplicationStatus(reply);
     if (!status) {
         // A busy server is alive; it is asked again until it has a free slot.
         link.sent.push_back(command);
+        link.sentAt.push_back(link.activeAt);
         m_serverLinks->send(connection, {command});
         return;
     }
+    noteStatus(service, server, *status, askedAt);
     Group &group = m_groups[service];
     if (!group.change)
         return;
@@ -124,8 +136,11 @@
     if (fault == LinkFault::Gone && announced != m_announcements.end())
         m_vacatedAddresses[link.server] = announced->second;
     if (!group.change) {
-        // A broken connection is reported like a complaint of an entry VM.
-        if (link.isOpen && m_isLeading)
+        // A broken connection is reported like a complaint of an entry VM. A status that a busy
+        // server owes is not.
+        const bool owesStatus = fault == LinkFault::Silent && !link.sent.empty()
+                && link.sent.front().kind == ServerCommandKind::Status;
+        if (link.isOpen && m_isLeading && !owesStatus)
             m_trigger.complain({m_identity.vm.text(), link.service, link.server, 0ms}, now);
         return;
     }
@@ -148,7 +163,7 @@
             silent.push_back(key);
     }
     for (const ConnectionKey key : silent)
-        failLink(key, LinkFault::Unreachable);
+        failLink(key, LinkFault::Silent);
 }
 
 void PrimaryChangeManager::maintainLinks(TimePoint now)
--- a/test/unit/failover/semisyncgroup.h
+++ b/test/unit/failover/semisyncgroup.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "nutmegtide/failover/departuretracker.h"
 #include "nutmegtide/failover/semisyncchange.h"
 
 #include <algorithm>
@@ -42,6 +43,8 @@
 
     void commit()
     {
+        if (servers.count(primary) == 0)
+            return;
         Server &leader = servers.at(primary);
         if (!leader.isUp || !leader.isPrimary)
             return;
@@ -96,10 +99,17 @@
         if (server.isUp && server.isReached)
             server.heldTerm = 0;
     }
+    // The server ends, and its log with it.
+    void depart(const ServerId &id)
+    {
+        servers.erase(id);
+        departed.insert(id);
+    }
     // Another server takes over the log and the address of a replica that leaves.
     ServerId replace(const ServerId &id)
     {
-        const ServerId successor("s" + std::to_string(servers.size() + replaced.size() + 1));
+        const ServerId successor(
+                "s" + std::to_string(servers.size() + replaced.size() + departed.size() + 1));
         Server server = servers.at(id);
         server.isUp = true;
         server.heldTerm = 0;
@@ -139,6 +149,7 @@
 
     std::map<ServerId, Server> servers;
     std::map<ServerId, ServerId> replaced; // successors by the servers that are gone
+    std::set<ServerId> departed;
     ServerId primary;
     std::set<LogPosition> acknowledged;
     std::uint64_t highestToken = 0;
@@ -167,6 +178,11 @@
             if (found != group.servers.end() && !found->second.isAnnounced)
                 servers.push_back({gone, true});
         }
+        if (isNewLeader)
+            departures = {};
+        updateDepartures();
+        for (const auto &[server, notedAt] : departures.uncovered())
+            servers.push_back({server, true, true});
         if (change && !isNewLeader && !change->hasOpenOrders())
             openOrders.clear();
         change.emplace(reason, servers, from);
@@ -178,6 +194,7 @@
     {
         now += 10ms;
         group.commit();
+        askForDepartures();
         for (auto order = lateOrders.begin(); order != lateOrders.end();) {
             if (order->due > now) {
                 ++order;
@@ -222,6 +239,9 @@
     SemiSyncGroup group;
     std::mt19937 generator;
     std::optional<SemiSyncChange> change;
+    DepartureTracker departures;
+    std::set<ServerId> covered; // removed from the roster
+    bool forgetsDepartures = false; // a server that departs is removed from the roster at once
     std::vector<SemiSyncGroup::Order> lateOrders;
     std::vector<SemiSyncGroup::Order> overdue; // orders whose answers are lost
     bool losesAnswers = false; // answers to some orders are lost, and these are carried out late
@@ -239,6 +259,40 @@
         for (const SemiSyncChangeAction &action : actions)
             std::visit([this](const auto &kind) { perform(kind); }, action);
     }
+    void updateDepartures()
+    {
+        std::set<ServerId> present;
+        for (const auto &[id, server] : group.servers) {
+            if (server.isAnnounced)
+                present.insert(id);
+        }
+        std::set<ServerId> listed;
+        for (const ServerId &id : group.departed) {
+            if (!forgetsDepartures && covered.count(id) == 0)
+                listed.insert(id);
+        }
+        departures.setServers(present, listed, now);
+        for (const auto &[id, notedAt] : departures.uncovered()) {
+            if (change)
+                perform(change->onDeparted(id, now));
+        }
+    }
+    void askForDepartures()
+    {
+        updateDepartures();
+        for (const QueryStatus &query : departures.tick(now)) {
+            if (const auto status = group.statusOf(query.server))
+                noteStatus(query.server, *status);
+        }
+    }
+    void noteStatus(const ServerId &server, const ServerReplicationStatus &status)
+    {
+        for (const CoveredDeparture &departure : departures.onStatus(server, status, now, now)) {
+            covered.insert(departure.server);
+            if (change)
+                change->onCovered(departure.server);
+        }
+    }
     void reportStatus(const ServerId &server)
     {
         const auto successor = group.replaced.find(server);
@@ -250,6 +304,8 @@
             return;
         }
         const auto status = group.statusOf(server);
+        if (status)
+            noteStatus(server, *status);
         perform(status ? change->onStatus(server, *status, now)
                        : change->onUnreachable(server, now));
     }
--- a/test/unit/failover/serverroster_test.cpp
+++ b/test/unit/failover/serverroster_test.cpp
@@ -96,3 +96,28 @@
     copy.apply(2, ServerRoster::encodeOrdersClosed(service));
     CHECK(copy.openOrders(service).empty());
 }
+
+// Guards against a departed server that a restarted control VM takes for one that is present.
+TEST_CASE("a departed server stays listed as departed, also after restoring a snapshot")
+{
+    const ServiceName service("db");
+    const ServerRoster::Servers servers {{ServerId("s1"), announcement("s1")},
+                                         {ServerId("s2"), announcement("s2")}};
+    ServerRoster roster;
+    roster.apply(1, ServerRoster::encode(service, servers, {ServerId("s2")}));
+    CHECK((roster.announcementsOf(service) == servers));
+    CHECK((roster.departedOf(service) == std::set<ServerId> {ServerId("s2")}));
+    ServerRoster copy;
+    copy.restore(roster.snapshot());
+    CHECK((copy.departed() == std::set<ServerId> {ServerId("s2")}));
+    CHECK(copy.snapshot() == roster.snapshot());
+
+    // An entry of a version that doesn't know departures.
+    roster.apply(2, ServerRoster::encode(service, servers));
+    CHECK(roster.departedOf(service).empty());
+    const std::string before = roster.snapshot();
+    std::string entry = ServerRoster::encode(service, servers, {ServerId("s2")});
+    entry.replace(entry.find("\"departed\":true"), 15, "\"departed\":\"x\"");
+    roster.apply(3, entry);
+    CHECK(roster.snapshot() == before);
+}
