Merge the departed replicas that stay recorded until another one has their commits

A gone server whose log its successor has leaves the roster with the entry of that successor, so not while a promotion is open: else the log would be at no recorded server.

--- a/src/failover/semisyncchange.cpp
+++ b/src/failover/semisyncchange.cpp
@@ -12,6 +12,7 @@
 constexpr auto ConfirmTime = 4s; // from the accepted order until the server reports that it leads
 constexpr auto MaxPromoteTime = 2s; // from an accepted order until it takes effect
 constexpr auto RetryTime = 150ms;
+constexpr auto CoverTime = 900ms; // in which a departure is covered while replication works
 
 } // namespace
 
@@ -57,6 +58,7 @@
 
 SemiSyncChangeActions SemiSyncChange::start(TimePoint now)
 {
+    m_coverUntil = now + CoverTime;
     probe(now);
     return takeActions();
 }
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -183,12 +183,14 @@
 void ControlNode::importRoster()
 {
     const std::vector<ServerAnnouncement> known = m_roster.announcements();
+    const std::set<ServerId> departed = m_roster.departed();
     m_hasRoster = !known.empty();
     std::vector<ServerRecord> unheard;
     const std::lock_guard lock(m_mutex);
     for (const ServerAnnouncement &announcement : known) {
-        if (m_registry.find(announcement.server) == nullptr)
-            unheard.push_back({announcement, false});
+        const bool isDeparted = departed.count(announcement.server) != 0;
+        if (isDeparted || m_registry.find(announcement.server) == nullptr)
+            unheard.push_back({announcement, isDeparted});
     }
     learn(unheard, "roster");
 }
--- a/src/site/primarychangemanager.cpp
+++ b/src/site/primarychangemanager.cpp
@@ -85,6 +85,8 @@
             ++vacated;
             continue;
         }
+        m_succeeded.insert(gone);
+        m_rosterDueAt = now;
         m_onGone(gone);
         if (const auto &change = m_groups[last.service].change)
             change->onSuccessorKnown(gone);
@@ -117,12 +119,13 @@
         services[record.announcement.service].push_back(record);
         m_announcements[record.announcement.server] = record.announcement;
     }
+    followDepartures(services, now);
     updateRoster(services, now);
     maintainLinks(now);
     for (const auto &[service, servers] : services) {
         if (m_groups[service].change)
             continue;
-        const RosterView roster {m_roster.serversOf(service), !m_roster.openOrders(service).empty()};
+        const RosterView roster = rosterOf(service);
         if (const auto neededChange = m_trigger.neededChange(service, servers, roster, now))
             start(service, *neededChange, now);
     }
@@ -136,27 +139,41 @@
     return isChosen || !m_roster.openOrders(service).empty();
 }
 
-// Adds servers when they are first heard of, and removes them after they announced their departure.
+// Returns the departed servers of the service that may leave the roster. One whose log its
+// successor has leaves together with the entry of that one, which waits for open promotions.
+std::set<ServerId> PrimaryChangeManager::leavingServers(const ServiceName &service) const
+{
+    std::set<ServerId> leaving = m_departed();
+    const RosterView roster = rosterOf(service);
+    const bool isOpen = isPromotionOpen(service);
+    std::erase_if(leaving, [&](const ServerId &server) {
+        return roster.departed.count(server) != 0 || (isOpen && m_succeeded.count(server) != 0);
+    });
+    return leaving;
+}
+
+// Adds servers when they are first heard of. Those that announced their departure are listed as
+// departed, and removed once they are covered.
 void PrimaryChangeManager::updateRoster(
         const std::map<ServiceName, std::vector<ServerRecord>> &services, TimePoint now)
 {
     if (now < m_rosterDueAt)
         return;
     m_rosterDueAt = now + RosterInterval;
-    const std::set<ServerId> departed = m_departed();
     for (const auto &[service, servers] : services) {
         const ServerRoster::Servers before = m_roster.announcementsOf(service);
-        RosterState state {before, {}, departed, isPromotionOpen(service)};
+        const std::set<ServerId> uncovered = rosterOf(service).departed;
+        RosterState state {before, {}, leavingServers(service), isPromotionOpen(service)};
         for (const ServerRecord &record : servers)
             state.present.push_back(record.announcement);
         const ServerRoster::Servers after = RosterPlan(std::move(state)).next();
-        if (after == before)
+        if (after == before && uncovered == m_roster.departedOf(service))
             continue;
         if (!m_rosterWorker)
             m_rosterWorker = std::make_unique<TaskWorker>();
-        m_rosterWorker->post([this, service = service, after] {
+        m_rosterWorker->post([this, service = service, after, uncovered] {
             try {
-                m_log.propose({CommandKind::Group, ServerRoster::encode(service, after)},
+                m_log.propose({CommandKind::Group, ServerRoster::encode(service, after, uncovered)},
                               TokenTimeout);
             } catch (const Error &fault) {
                 // It is proposed again as long as the roster differs.
@@ -250,6 +267,7 @@
         {{"service", service.text()},
          {"server", action.server.text()},
          {"token", std::to_string(action.token)}});
+    warnOfDepartures(service, action.server);
     m_groups[service].orderedAt = EventLoop::now();
     workerOf(service).post([this, service, action] {
         // Another VM may lead since the token was reserved.
@@ -343,8 +361,10 @@
         if (group.change)
             log("primary_change_abandoned", {{"service", service.text()}});
         group.change.reset();
+        group.departures = {};
     }
     m_vacatedAddresses.clear();
+    m_succeeded.clear();
 }
 
 void PrimaryChangeManager::log(const std::string &event, const std::vector<LogField> &fields) const
