--- a/src/failover/semisyncchangesteps.cpp
+++ b/src/failover/semisyncchangesteps.cpp
@@ -82,7 +82,9 @@
     const bool isAnyHeld = std::any_of(m_progress.begin(), m_progress.end(), [](const auto &item) {
         return item.second.status.heldTerm != 0;
     });
-    const bool keepsPrimary = primary && (m_reason == ChangeReason::Lost || *primary != m_from);
+    // Ordered beside an open order for another server, it could depose that one and its commits.
+    const bool keepsPrimary = primary && (m_reason == ChangeReason::Lost || *primary != m_from)
+            && !mustWaitForOrders(*primary, now);
     if (keepsPrimary) {
         m_chosen = *primary;
         m_result = *primary;
