--- a/src/failover/semisyncchangesteps.cpp
+++ b/src/failover/semisyncchangesteps.cpp
@@ -85,8 +85,9 @@
     const bool isAnyHeld = std::any_of(m_progress.begin(), m_progress.end(), [](const auto &item) {
         return item.second.status.heldTerm != 0;
     });
+    // Ordered beside an open order for another server, it could depose that one and its commits.
     const bool isToStay = primary && (m_reason == ChangeReason::Lost || *primary != m_from);
-    if (isToStay && isOnlyOpenOrder(*primary)) {
+    if (isToStay && (isOnlyOpenOrder(*primary) || now - m_orderedAt >= MaxOrderDelay)) {
         m_chosen = *primary;
         m_result = *primary;
         if (!isAnyHeld && m_openOrders.empty())
