--- a/include/nutmegtide/failover/semisyncchange.h
+++ b/include/nutmegtide/failover/semisyncchange.h
@@ -196,6 +196,7 @@
     void holdForLost(TimePoint now);
     void holdForMove(TimePoint now);
     void evaluateHolds(TimePoint now);
+    bool hasAllAcknowledged(const ServerId &server) const;
     bool isPreferred(const ServerId &server, const ServerId &other) const;
     void evaluateCatchingUp(TimePoint now);
     bool canMoveGracefully(const ServerId &primary, bool isAnyHeld) const;
--- a/src/failover/semisyncchangesteps.cpp
+++ b/src/failover/semisyncchangesteps.cpp
@@ -210,14 +210,35 @@
     }
     if (fenced + 1 < groupSize())
         return;
+    m_chosen = ServerId();
     for (const auto &[server, progress] : m_progress) {
         const bool isHighest = isFenced(server) && progress.status.received == highest;
         if (isHighest && (m_chosen.isEmpty() || isPreferred(server, m_chosen)))
             m_chosen = server;
     }
-    if (mustWaitForOrders(m_chosen, now))
-        return retryLater("the promotion of another server may still be carried out", now);
-    reserve(now);
+    if (!mustWaitForOrders(m_chosen, now))
+        return reserve(now);
+    for (const ServerId &ordered : m_openOrders) {
+        if (!isOnlyOpenOrder(ordered) || !hasAllAcknowledged(ordered))
+            continue;
+        m_chosen = ordered;
+        return reserve(now);
+    }
+    if (hasEveryServerResponded())
+        retryLater("the promotion of another server may still be carried out", now);
+}
+
+// Returns whether the server has received as much as all fenced servers but one, and no server is
+// missing besides. Each acknowledged commit is on two servers, so on one of these.
+bool SemiSyncChange::hasAllAcknowledged(const ServerId &server) const
+{
+    if (m_progress.count(server) == 0 || !isFenced(server))
+        return false;
+    const LogPosition position = m_progress.at(server).status.received;
+    std::size_t covered = 0;
+    for (const auto &[other, progress] : m_progress)
+        covered += isFenced(other) && progress.status.received <= position ? 1 : 0;
+    return covered + 1 >= groupSize();
 }
 
 // An older order that is carried out between the holds and the new order would end the holds.
--- a/test/unit/failover/semisyncjoin_test.cpp
+++ b/test/unit/failover/semisyncjoin_test.cpp
@@ -112,6 +112,33 @@
     CHECK(open > 0);
 }
 
+// Guards against a change that waits out an order because the demoted primary is ahead of its server.
+TEST_CASE("an order without an answer is repeated when the primary has returned and was demoted")
+{
+    constexpr auto Limit = 3s; // the order's own time is 2 s
+    unsigned open = 0;
+    for (unsigned seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        SemiSyncRig rig(3, seed);
+        run(rig, 100ms);
+        server(rig, 1).isReached = false; // it still leads, and commits what nobody receives
+        rig.losesAnswers = true;
+        rig.begin(ChangeReason::Lost);
+        run(rig, 500ms);
+        if (rig.lateOrders.empty())
+            continue; // carried out at once
+        ++open;
+        rig.lateOrders.clear(); // lost
+        rig.losesAnswers = false;
+        server(rig, 1).isReached = true;
+        run(rig, ControlTime);
+        CHECK_FALSE(server(rig, 1).isPrimary);
+        CHECK(rig.runUntilOver(Limit));
+        CHECK(rig.group.lost == 0);
+    }
+    CHECK(open > 0);
+}
+
 TEST_CASE("servers that join at random times during a change lose no commit")
 {
     constexpr unsigned Runs = 300;
