--- a/include/nutmegtide/failover/semisyncchange.h
+++ b/include/nutmegtide/failover/semisyncchange.h
@@ -118,8 +118,8 @@
     void setOpenOrders(std::set<ServerId> servers, TimePoint orderedBy);
     // Returns whether an order may still be carried out now that the change is over.
     bool hasOpenOrders() const { return !m_openOrders.empty(); }
-    // Returns whether the servers that hold all acknowledged commits are chosen, so that no server
-    // may be recorded as a further one that could acknowledge them.
+    // Returns whether the fence is complete and the new primary is chosen. From then on no server
+    // may be recorded, since the choice doesn't cover what it acknowledges.
     bool hasChosen() const;
 
     // Begins the change and returns its first actions.
