--- a/src/failover/semisyncchangesteps.cpp
+++ b/src/failover/semisyncchangesteps.cpp
@@ -219,6 +219,7 @@
     unfenced.present += m_unknownSuccessors.size();
     if (!isSafeWithout(unfenced))
         return;
+    m_chosen = ServerId();
     for (const auto &[server, progress] : m_progress) {
         const bool isHighest = isFenced(server) && progress.status.received == highest;
         if (isHighest && (m_chosen.isEmpty() || isPreferred(server, m_chosen)))
@@ -226,9 +227,29 @@
     }
     if (isDeparted(m_chosen))
         return retryLater(m_chosen.text() + " has departed with the latest commits", now);
-    if (mustWaitForOrders(m_chosen))
-        return retryLater("the promotion of another server may still be carried out", now);
-    reserve(now);
+    if (!mustWaitForOrders(m_chosen))
+        return reserve(now);
+    for (const ServerId &ordered : m_openOrders) {
+        if (!isOnlyOpenOrder(ordered) || !hasAllAcknowledged(ordered))
+            continue;
+        m_chosen = ordered;
+        return reserve(now);
+    }
+    if (hasEveryServerResponded())
+        retryLater("the promotion of another server may still be carried out", now);
+}
+
+// Returns whether the server has received as much as all fenced servers but one, and no server is
+// missing besides. Each acknowledged commit is on two servers, so on one of these.
+bool SemiSyncChange::hasAllAcknowledged(const ServerId &server) const
+{
+    if (m_progress.count(server) == 0 || !isFenced(server))
+        return false;
+    const LogPosition position = m_progress.at(server).status.received;
+    std::size_t covered = 0;
+    for (const auto &[other, progress] : m_progress)
+        covered += isFenced(other) && progress.status.received <= position ? 1 : 0;
+    return covered + 1 >= groupSize();
 }
 
 // An older order that takes effect after the holds began would end them.
