--- a/include/nutmegtide/failover/semisyncchange.h
+++ b/include/nutmegtide/failover/semisyncchange.h
@@ -135,14 +135,15 @@
     // A server of the group became known. The change starts over with it, unless the promotion is
     // already ordered. Does nothing for a server that the change covers.
     SemiSyncChangeActions onJoined(const ChangeServer &server, TimePoint now);
-    // The server has departed, and it isn't known that another one has all that it received.
+    // The server has departed, and it isn't known that another one has all that it received. Also
+    // for a gone one whose address a server of another group uses.
     SemiSyncChangeActions onDeparted(const ServerId &server, TimePoint now);
     // Another server has all that the departed one received.
     void onCovered(const ServerId &server);
     // Returns the departed servers that may have held commits which no fenced server has.
     std::vector<ServerId> uncoveredDepartures() const;
-    // It is known which server uses the gone one's address; if it is one of the group, onJoined()
-    // was called with it before.
+    // A server of the group uses the gone one's address and has its log; onJoined() was called with
+    // it before.
     void onSuccessorKnown(const ServerId &gone) { m_unknownSuccessors.erase(gone); }
     // The answers to ReserveToken.
     SemiSyncChangeActions onToken(std::uint64_t token, TimePoint now);
--- a/src/failover/semisyncchangedepartures.cpp
+++ b/src/failover/semisyncchangedepartures.cpp
@@ -56,6 +56,11 @@
 
 SemiSyncChangeActions SemiSyncChange::onDeparted(const ServerId &server, TimePoint now)
 {
+    // No server of the group has taken the gone one's place.
+    if (m_unknownSuccessors.erase(server) != 0) {
+        m_servers.push_back({server, true, true});
+        return {};
+    }
     const auto found = std::find_if(m_servers.begin(), m_servers.end(),
                                     [&server](const ChangeServer &known) {
                                         return known.server == server;
--- a/src/site/primarychangemanager.cpp
+++ b/src/site/primarychangemanager.cpp
@@ -77,21 +77,26 @@
     }
     for (auto vacated = m_vacatedAddresses.begin(); vacated != m_vacatedAddresses.end();) {
         const auto &[gone, last] = *vacated;
-        const bool isSuccessorKnown = std::any_of(present.begin(), present.end(),
-                                                  [&gone = gone, &last = last](const auto &record) {
-                                                      return record.announcement.address
-                                                              == last.address
-                                                              && record.announcement.server != gone;
-                                                  });
-        if (!isSuccessorKnown) {
+        const auto successor = std::find_if(present.begin(), present.end(),
+                                            [&gone = gone, &last = last](const auto &record) {
+                                                return record.announcement.address == last.address
+                                                        && record.announcement.server != gone;
+                                            });
+        if (successor == present.end()) {
             ++vacated;
             continue;
         }
-        m_succeeded.insert(gone);
+        // One of another service has only the address, not the log.
+        const bool hasLog = successor->announcement.service == last.service;
+        if (hasLog)
+            m_succeeded.insert(gone);
         m_rosterDueAt = now;
         m_onGone(gone);
-        if (const auto &change = m_groups[last.service].change)
+        const auto &change = m_groups[last.service].change;
+        if (change && hasLog)
             change->onSuccessorKnown(gone);
+        else if (change)
+            perform(last.service, change->onDeparted(gone, now));
         vacated = m_vacatedAddresses.erase(vacated);
     }
 }
--- a/test/unit/failover/departuretracker_test.cpp
+++ b/test/unit/failover/departuretracker_test.cpp
@@ -255,6 +255,27 @@
     CHECK(change.why() == "s4 has departed with the latest commits");
 }
 
+// Guards against a promotion without a gone server's log, as its address was in use again.
+TEST_CASE("a gone server whose address a server of another group uses counts as departed")
+{
+    SemiSyncChange change(ChangeReason::Lost,
+                          {{Primary, false}, {Replica, false}, {ServerId("s3"), false}});
+    TimePoint now(1s);
+    change.start(now);
+    change.onUnreachable(Primary, now);
+    change.onGone(ServerId("s3"), now);
+    change.onDeparted(ServerId("s3"), now);
+    change.onStatus(Replica, {false, 1, {1, 5}, 0, 3}, now);
+    change.onStatus(Replica, {false, 1, {1, 5}, 2, 3}, now);
+    CHECK((change.stepName() == "waiting"));
+    CHECK(change.why() == "only 1 of 3 servers answer; not covered since they departed: s3");
+    now += 200ms;
+    change.tick(now);
+    change.onUnreachable(Primary, now);
+    change.onStatus(Replica, {false, 1, {1, 5}, 0, 3}, now);
+    CHECK((change.stepName() == "waiting"));
+}
+
 TEST_CASE("replicas that depart at random beside crashes and cuts lose no commit")
 {
     constexpr unsigned Runs = 700;
