--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -6117,6 +6117,11 @@
 void FollowRequest::__set_homesVersion(const int64_t val) {
   this->homesVersion = val;
 }
+
+void FollowRequest::__set_recordedVersion(const int64_t val) {
+  this->recordedVersion = val;
+__isset.recordedVersion = true;
+}
 std::ostream& operator<<(std::ostream& out, const FollowRequest& obj)
 {
   obj.printTo(out);
@@ -6225,6 +6230,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->recordedVersion);
+          this->__isset.recordedVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6286,6 +6299,11 @@
   xfer += oprot->writeI64(this->homesVersion);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.recordedVersion) {
+    xfer += oprot->writeFieldBegin("recordedVersion", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->recordedVersion);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6300,6 +6318,7 @@
   swap(a.agedServices, b.agedServices);
   swap(a.lanes, b.lanes);
   swap(a.homesVersion, b.homesVersion);
+  swap(a.recordedVersion, b.recordedVersion);
   swap(a.__isset, b.__isset);
 }
 
@@ -6311,6 +6330,7 @@
   agedServices = other177.agedServices;
   lanes = other177.lanes;
   homesVersion = other177.homesVersion;
+  recordedVersion = other177.recordedVersion;
   __isset = other177.__isset;
 }
 FollowRequest& FollowRequest::operator=(const FollowRequest& other178) {
@@ -6321,6 +6341,7 @@
   agedServices = other178.agedServices;
   lanes = other178.lanes;
   homesVersion = other178.homesVersion;
+  recordedVersion = other178.recordedVersion;
   __isset = other178.__isset;
   return *this;
 }
@@ -6334,6 +6355,7 @@
   out << ", " << "agedServices=" << to_string(agedServices);
   out << ", " << "lanes=" << to_string(lanes);
   out << ", " << "homesVersion=" << to_string(homesVersion);
+  out << ", " << "recordedVersion="; (__isset.recordedVersion ? (out << to_string(recordedVersion)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6632,6 +6654,16 @@
   this->homes = val;
 __isset.homes = true;
 }
+
+void FollowReply::__set_recordedServers(const std::vector<std::string> & val) {
+  this->recordedServers = val;
+__isset.recordedServers = true;
+}
+
+void FollowReply::__set_recordedVersion(const int64_t val) {
+  this->recordedVersion = val;
+__isset.recordedVersion = true;
+}
 std::ostream& operator<<(std::ostream& out, const FollowReply& obj)
 {
   obj.printTo(out);
@@ -6796,6 +6828,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->recordedServers.clear();
+            uint32_t _size203;
+            ::apache::thrift::protocol::TType _etype206;
+            xfer += iprot->readListBegin(_etype206, _size203);
+            this->recordedServers.resize(_size203);
+            uint32_t _i207;
+            for (_i207 = 0; _i207 < _size203; ++_i207)
+            {
+              xfer += iprot->readString(this->recordedServers[_i207]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.recordedServers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->recordedVersion);
+          this->__isset.recordedVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6830,10 +6890,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-      std::vector<ServerRecord> ::const_iterator _iter203;
-      for (_iter203 = this->servers.begin(); _iter203 != this->servers.end(); ++_iter203)
+      std::vector<ServerRecord> ::const_iterator _iter208;
+      for (_iter208 = this->servers.begin(); _iter208 != this->servers.end(); ++_iter208)
       {
-        xfer += (*_iter203).write(oprot);
+        xfer += (*_iter208).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -6842,10 +6902,10 @@
   xfer += oprot->writeFieldBegin("controls", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->controls.size()));
-    std::vector<ControlVm> ::const_iterator _iter204;
-    for (_iter204 = this->controls.begin(); _iter204 != this->controls.end(); ++_iter204)
+    std::vector<ControlVm> ::const_iterator _iter209;
+    for (_iter209 = this->controls.begin(); _iter209 != this->controls.end(); ++_iter209)
     {
-      xfer += (*_iter204).write(oprot);
+      xfer += (*_iter209).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6866,10 +6926,10 @@
   xfer += oprot->writeFieldBegin("proofs", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->proofs.size()));
-    std::vector<AgedProof> ::const_iterator _iter205;
-    for (_iter205 = this->proofs.begin(); _iter205 != this->proofs.end(); ++_iter205)
+    std::vector<AgedProof> ::const_iterator _iter210;
+    for (_iter210 = this->proofs.begin(); _iter210 != this->proofs.end(); ++_iter210)
     {
-      xfer += (*_iter205).write(oprot);
+      xfer += (*_iter210).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6883,15 +6943,33 @@
     xfer += oprot->writeFieldBegin("homes", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->homes.size()));
-      std::vector<ServerHome> ::const_iterator _iter206;
-      for (_iter206 = this->homes.begin(); _iter206 != this->homes.end(); ++_iter206)
+      std::vector<ServerHome> ::const_iterator _iter211;
+      for (_iter211 = this->homes.begin(); _iter211 != this->homes.end(); ++_iter211)
+      {
+        xfer += (*_iter211).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.recordedServers) {
+    xfer += oprot->writeFieldBegin("recordedServers", ::apache::thrift::protocol::T_LIST, 12);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->recordedServers.size()));
+      std::vector<std::string> ::const_iterator _iter212;
+      for (_iter212 = this->recordedServers.begin(); _iter212 != this->recordedServers.end(); ++_iter212)
       {
-        xfer += (*_iter206).write(oprot);
+        xfer += oprot->writeString((*_iter212));
       }
       xfer += oprot->writeListEnd();
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.recordedVersion) {
+    xfer += oprot->writeFieldBegin("recordedVersion", ::apache::thrift::protocol::T_I64, 13);
+    xfer += oprot->writeI64(this->recordedVersion);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6910,36 +6988,42 @@
   swap(a.proofs, b.proofs);
   swap(a.homesVersion, b.homesVersion);
   swap(a.homes, b.homes);
+  swap(a.recordedServers, b.recordedServers);
+  swap(a.recordedVersion, b.recordedVersion);
   swap(a.__isset, b.__isset);
 }
 
-FollowReply::FollowReply(const FollowReply& other207) {
-  isCurrent = other207.isCurrent;
-  configuration = other207.configuration;
-  directoryVersion = other207.directoryVersion;
-  servers = other207.servers;
-  controls = other207.controls;
-  leader = other207.leader;
-  isMember = other207.isMember;
-  entryCount = other207.entryCount;
-  proofs = other207.proofs;
-  homesVersion = other207.homesVersion;
-  homes = other207.homes;
-  __isset = other207.__isset;
-}
-FollowReply& FollowReply::operator=(const FollowReply& other208) {
-  isCurrent = other208.isCurrent;
-  configuration = other208.configuration;
-  directoryVersion = other208.directoryVersion;
-  servers = other208.servers;
-  controls = other208.controls;
-  leader = other208.leader;
-  isMember = other208.isMember;
-  entryCount = other208.entryCount;
-  proofs = other208.proofs;
-  homesVersion = other208.homesVersion;
-  homes = other208.homes;
-  __isset = other208.__isset;
+FollowReply::FollowReply(const FollowReply& other213) {
+  isCurrent = other213.isCurrent;
+  configuration = other213.configuration;
+  directoryVersion = other213.directoryVersion;
+  servers = other213.servers;
+  controls = other213.controls;
+  leader = other213.leader;
+  isMember = other213.isMember;
+  entryCount = other213.entryCount;
+  proofs = other213.proofs;
+  homesVersion = other213.homesVersion;
+  homes = other213.homes;
+  recordedServers = other213.recordedServers;
+  recordedVersion = other213.recordedVersion;
+  __isset = other213.__isset;
+}
+FollowReply& FollowReply::operator=(const FollowReply& other214) {
+  isCurrent = other214.isCurrent;
+  configuration = other214.configuration;
+  directoryVersion = other214.directoryVersion;
+  servers = other214.servers;
+  controls = other214.controls;
+  leader = other214.leader;
+  isMember = other214.isMember;
+  entryCount = other214.entryCount;
+  proofs = other214.proofs;
+  homesVersion = other214.homesVersion;
+  homes = other214.homes;
+  recordedServers = other214.recordedServers;
+  recordedVersion = other214.recordedVersion;
+  __isset = other214.__isset;
   return *this;
 }
 void FollowReply::printTo(std::ostream& out) const {
@@ -6956,6 +7040,8 @@
   out << ", " << "proofs=" << to_string(proofs);
   out << ", " << "homesVersion=" << to_string(homesVersion);
   out << ", " << "homes="; (__isset.homes ? (out << to_string(homes)) : (out << "<null>"));
+  out << ", " << "recordedServers="; (__isset.recordedServers ? (out << to_string(recordedServers)) : (out << "<null>"));
+  out << ", " << "recordedVersion="; (__isset.recordedVersion ? (out << to_string(recordedVersion)) : (out << "<null>"));
   out << ")";
 }
 
@@ -7122,23 +7208,23 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneCommand::LaneCommand(const LaneCommand& other209) {
-  kind = other209.kind;
-  requestId = other209.requestId;
-  after = other209.after;
-  name = other209.name;
-  argument = other209.argument;
-  preparesWrite = other209.preparesWrite;
-  __isset = other209.__isset;
-}
-LaneCommand& LaneCommand::operator=(const LaneCommand& other210) {
-  kind = other210.kind;
-  requestId = other210.requestId;
-  after = other210.after;
-  name = other210.name;
-  argument = other210.argument;
-  preparesWrite = other210.preparesWrite;
-  __isset = other210.__isset;
+LaneCommand::LaneCommand(const LaneCommand& other215) {
+  kind = other215.kind;
+  requestId = other215.requestId;
+  after = other215.after;
+  name = other215.name;
+  argument = other215.argument;
+  preparesWrite = other215.preparesWrite;
+  __isset = other215.__isset;
+}
+LaneCommand& LaneCommand::operator=(const LaneCommand& other216) {
+  kind = other216.kind;
+  requestId = other216.requestId;
+  after = other216.after;
+  name = other216.name;
+  argument = other216.argument;
+  preparesWrite = other216.preparesWrite;
+  __isset = other216.__isset;
   return *this;
 }
 void LaneCommand::printTo(std::ostream& out) const {
@@ -7238,14 +7324,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->commands.clear();
-            uint32_t _size211;
-            ::apache::thrift::protocol::TType _etype214;
-            xfer += iprot->readListBegin(_etype214, _size211);
-            this->commands.resize(_size211);
-            uint32_t _i215;
-            for (_i215 = 0; _i215 < _size211; ++_i215)
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->commands.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
             {
-              xfer += this->commands[_i215].read(iprot);
+              xfer += this->commands[_i221].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7322,10 +7408,10 @@
   xfer += oprot->writeFieldBegin("commands", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->commands.size()));
-    std::vector<LaneCommand> ::const_iterator _iter216;
-    for (_iter216 = this->commands.begin(); _iter216 != this->commands.end(); ++_iter216)
+    std::vector<LaneCommand> ::const_iterator _iter222;
+    for (_iter222 = this->commands.begin(); _iter222 != this->commands.end(); ++_iter222)
     {
-      xfer += (*_iter216).write(oprot);
+      xfer += (*_iter222).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7370,27 +7456,27 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneRequest::LaneRequest(const LaneRequest& other217) {
-  lane = other217.lane;
-  server = other217.server;
-  commands = other217.commands;
-  rank = other217.rank;
-  patienceMicroseconds = other217.patienceMicroseconds;
-  isClosed = other217.isClosed;
-  workMicroseconds = other217.workMicroseconds;
-  workspace = other217.workspace;
-  __isset = other217.__isset;
-}
-LaneRequest& LaneRequest::operator=(const LaneRequest& other218) {
-  lane = other218.lane;
-  server = other218.server;
-  commands = other218.commands;
-  rank = other218.rank;
-  patienceMicroseconds = other218.patienceMicroseconds;
-  isClosed = other218.isClosed;
-  workMicroseconds = other218.workMicroseconds;
-  workspace = other218.workspace;
-  __isset = other218.__isset;
+LaneRequest::LaneRequest(const LaneRequest& other223) {
+  lane = other223.lane;
+  server = other223.server;
+  commands = other223.commands;
+  rank = other223.rank;
+  patienceMicroseconds = other223.patienceMicroseconds;
+  isClosed = other223.isClosed;
+  workMicroseconds = other223.workMicroseconds;
+  workspace = other223.workspace;
+  __isset = other223.__isset;
+}
+LaneRequest& LaneRequest::operator=(const LaneRequest& other224) {
+  lane = other224.lane;
+  server = other224.server;
+  commands = other224.commands;
+  rank = other224.rank;
+  patienceMicroseconds = other224.patienceMicroseconds;
+  isClosed = other224.isClosed;
+  workMicroseconds = other224.workMicroseconds;
+  workspace = other224.workspace;
+  __isset = other224.__isset;
   return *this;
 }
 void LaneRequest::printTo(std::ostream& out) const {
@@ -7484,14 +7570,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size219;
-            ::apache::thrift::protocol::TType _etype222;
-            xfer += iprot->readListBegin(_etype222, _size219);
-            this->rows.resize(_size219);
-            uint32_t _i223;
-            for (_i223 = 0; _i223 < _size219; ++_i223)
+            uint32_t _size225;
+            ::apache::thrift::protocol::TType _etype228;
+            xfer += iprot->readListBegin(_etype228, _size225);
+            this->rows.resize(_size225);
+            uint32_t _i229;
+            for (_i229 = 0; _i229 < _size225; ++_i229)
             {
-              xfer += iprot->readString(this->rows[_i223]);
+              xfer += iprot->readString(this->rows[_i229]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7572,10 +7658,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->rows.size()));
-    std::vector<std::string> ::const_iterator _iter224;
-    for (_iter224 = this->rows.begin(); _iter224 != this->rows.end(); ++_iter224)
+    std::vector<std::string> ::const_iterator _iter230;
+    for (_iter230 = this->rows.begin(); _iter230 != this->rows.end(); ++_iter230)
     {
-      xfer += oprot->writeString((*_iter224));
+      xfer += oprot->writeString((*_iter230));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7624,27 +7710,27 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneReply::LaneReply(const LaneReply& other225) {
-  lane = other225.lane;
-  rows = other225.rows;
-  fault = other225.fault;
-  detail = other225.detail;
-  state = other225.state;
-  position = other225.position;
-  isLost = other225.isLost;
-  ranMicroseconds = other225.ranMicroseconds;
-  __isset = other225.__isset;
-}
-LaneReply& LaneReply::operator=(const LaneReply& other226) {
-  lane = other226.lane;
-  rows = other226.rows;
-  fault = other226.fault;
-  detail = other226.detail;
-  state = other226.state;
-  position = other226.position;
-  isLost = other226.isLost;
-  ranMicroseconds = other226.ranMicroseconds;
-  __isset = other226.__isset;
+LaneReply::LaneReply(const LaneReply& other231) {
+  lane = other231.lane;
+  rows = other231.rows;
+  fault = other231.fault;
+  detail = other231.detail;
+  state = other231.state;
+  position = other231.position;
+  isLost = other231.isLost;
+  ranMicroseconds = other231.ranMicroseconds;
+  __isset = other231.__isset;
+}
+LaneReply& LaneReply::operator=(const LaneReply& other232) {
+  lane = other232.lane;
+  rows = other232.rows;
+  fault = other232.fault;
+  detail = other232.detail;
+  state = other232.state;
+  position = other232.position;
+  isLost = other232.isLost;
+  ranMicroseconds = other232.ranMicroseconds;
+  __isset = other232.__isset;
   return *this;
 }
 void LaneReply::printTo(std::ostream& out) const {
@@ -7754,15 +7840,15 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneEvidence::LaneEvidence(const LaneEvidence& other227) {
-  server = other227.server;
-  evidence = other227.evidence;
-  __isset = other227.__isset;
+LaneEvidence::LaneEvidence(const LaneEvidence& other233) {
+  server = other233.server;
+  evidence = other233.evidence;
+  __isset = other233.__isset;
 }
-LaneEvidence& LaneEvidence::operator=(const LaneEvidence& other228) {
-  server = other228.server;
-  evidence = other228.evidence;
-  __isset = other228.__isset;
+LaneEvidence& LaneEvidence::operator=(const LaneEvidence& other234) {
+  server = other234.server;
+  evidence = other234.evidence;
+  __isset = other234.__isset;
   return *this;
 }
 void LaneEvidence::printTo(std::ostream& out) const {
@@ -7883,17 +7969,17 @@
   swap(a.__isset, b.__isset);
 }
 
-LoanRequest::LoanRequest(const LoanRequest& other229) {
-  workspace = other229.workspace;
-  wanted = other229.wanted;
-  isForStandIn = other229.isForStandIn;
-  __isset = other229.__isset;
+LoanRequest::LoanRequest(const LoanRequest& other235) {
+  workspace = other235.workspace;
+  wanted = other235.wanted;
+  isForStandIn = other235.isForStandIn;
+  __isset = other235.__isset;
 }
-LoanRequest& LoanRequest::operator=(const LoanRequest& other230) {
-  workspace = other230.workspace;
-  wanted = other230.wanted;
-  isForStandIn = other230.isForStandIn;
-  __isset = other230.__isset;
+LoanRequest& LoanRequest::operator=(const LoanRequest& other236) {
+  workspace = other236.workspace;
+  wanted = other236.wanted;
+  isForStandIn = other236.isForStandIn;
+  __isset = other236.__isset;
   return *this;
 }
 void LoanRequest::printTo(std::ostream& out) const {
@@ -8032,19 +8118,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Loan::Loan(const Loan& other231) {
-  workspace = other231.workspace;
-  granted = other231.granted;
-  retryMilliseconds = other231.retryMilliseconds;
-  isFromStandIn = other231.isFromStandIn;
-  __isset = other231.__isset;
+Loan::Loan(const Loan& other237) {
+  workspace = other237.workspace;
+  granted = other237.granted;
+  retryMilliseconds = other237.retryMilliseconds;
+  isFromStandIn = other237.isFromStandIn;
+  __isset = other237.__isset;
 }
-Loan& Loan::operator=(const Loan& other232) {
-  workspace = other232.workspace;
-  granted = other232.granted;
-  retryMilliseconds = other232.retryMilliseconds;
-  isFromStandIn = other232.isFromStandIn;
-  __isset = other232.__isset;
+Loan& Loan::operator=(const Loan& other238) {
+  workspace = other238.workspace;
+  granted = other238.granted;
+  retryMilliseconds = other238.retryMilliseconds;
+  isFromStandIn = other238.isFromStandIn;
+  __isset = other238.__isset;
   return *this;
 }
 void Loan::printTo(std::ostream& out) const {
@@ -8135,14 +8221,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size233;
-            ::apache::thrift::protocol::TType _etype236;
-            xfer += iprot->readListBegin(_etype236, _size233);
-            this->requests.resize(_size233);
-            uint32_t _i237;
-            for (_i237 = 0; _i237 < _size233; ++_i237)
+            uint32_t _size239;
+            ::apache::thrift::protocol::TType _etype242;
+            xfer += iprot->readListBegin(_etype242, _size239);
+            this->requests.resize(_size239);
+            uint32_t _i243;
+            for (_i243 = 0; _i243 < _size239; ++_i243)
             {
-              xfer += this->requests[_i237].read(iprot);
+              xfer += this->requests[_i243].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8155,14 +8241,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replies.clear();
-            uint32_t _size238;
-            ::apache::thrift::protocol::TType _etype241;
-            xfer += iprot->readListBegin(_etype241, _size238);
-            this->replies.resize(_size238);
-            uint32_t _i242;
-            for (_i242 = 0; _i242 < _size238; ++_i242)
+            uint32_t _size244;
+            ::apache::thrift::protocol::TType _etype247;
+            xfer += iprot->readListBegin(_etype247, _size244);
+            this->replies.resize(_size244);
+            uint32_t _i248;
+            for (_i248 = 0; _i248 < _size244; ++_i248)
             {
-              xfer += this->replies[_i242].read(iprot);
+              xfer += this->replies[_i248].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8175,14 +8261,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size243;
-            ::apache::thrift::protocol::TType _etype246;
-            xfer += iprot->readListBegin(_etype246, _size243);
-            this->evidence.resize(_size243);
-            uint32_t _i247;
-            for (_i247 = 0; _i247 < _size243; ++_i247)
+            uint32_t _size249;
+            ::apache::thrift::protocol::TType _etype252;
+            xfer += iprot->readListBegin(_etype252, _size249);
+            this->evidence.resize(_size249);
+            uint32_t _i253;
+            for (_i253 = 0; _i253 < _size249; ++_i253)
             {
-              xfer += this->evidence[_i247].read(iprot);
+              xfer += this->evidence[_i253].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8235,14 +8321,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loanRequests.clear();
-            uint32_t _size248;
-            ::apache::thrift::protocol::TType _etype251;
-            xfer += iprot->readListBegin(_etype251, _size248);
-            this->loanRequests.resize(_size248);
-            uint32_t _i252;
-            for (_i252 = 0; _i252 < _size248; ++_i252)
+            uint32_t _size254;
+            ::apache::thrift::protocol::TType _etype257;
+            xfer += iprot->readListBegin(_etype257, _size254);
+            this->loanRequests.resize(_size254);
+            uint32_t _i258;
+            for (_i258 = 0; _i258 < _size254; ++_i258)
             {
-              xfer += this->loanRequests[_i252].read(iprot);
+              xfer += this->loanRequests[_i258].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8255,14 +8341,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loans.clear();
-            uint32_t _size253;
-            ::apache::thrift::protocol::TType _etype256;
-            xfer += iprot->readListBegin(_etype256, _size253);
-            this->loans.resize(_size253);
-            uint32_t _i257;
-            for (_i257 = 0; _i257 < _size253; ++_i257)
+            uint32_t _size259;
+            ::apache::thrift::protocol::TType _etype262;
+            xfer += iprot->readListBegin(_etype262, _size259);
+            this->loans.resize(_size259);
+            uint32_t _i263;
+            for (_i263 = 0; _i263 < _size259; ++_i263)
             {
-              xfer += this->loans[_i257].read(iprot);
+              xfer += this->loans[_i263].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8291,10 +8377,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<LaneRequest> ::const_iterator _iter258;
-    for (_iter258 = this->requests.begin(); _iter258 != this->requests.end(); ++_iter258)
+    std::vector<LaneRequest> ::const_iterator _iter264;
+    for (_iter264 = this->requests.begin(); _iter264 != this->requests.end(); ++_iter264)
     {
-      xfer += (*_iter258).write(oprot);
+      xfer += (*_iter264).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8303,10 +8389,10 @@
   xfer += oprot->writeFieldBegin("replies", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replies.size()));
-    std::vector<LaneReply> ::const_iterator _iter259;
-    for (_iter259 = this->replies.begin(); _iter259 != this->replies.end(); ++_iter259)
+    std::vector<LaneReply> ::const_iterator _iter265;
+    for (_iter265 = this->replies.begin(); _iter265 != this->replies.end(); ++_iter265)
     {
-      xfer += (*_iter259).write(oprot);
+      xfer += (*_iter265).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8315,10 +8401,10 @@
   xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-    std::vector<LaneEvidence> ::const_iterator _iter260;
-    for (_iter260 = this->evidence.begin(); _iter260 != this->evidence.end(); ++_iter260)
+    std::vector<LaneEvidence> ::const_iterator _iter266;
+    for (_iter266 = this->evidence.begin(); _iter266 != this->evidence.end(); ++_iter266)
     {
-      xfer += (*_iter260).write(oprot);
+      xfer += (*_iter266).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8348,10 +8434,10 @@
     xfer += oprot->writeFieldBegin("loanRequests", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loanRequests.size()));
-      std::vector<LoanRequest> ::const_iterator _iter261;
-      for (_iter261 = this->loanRequests.begin(); _iter261 != this->loanRequests.end(); ++_iter261)
+      std::vector<LoanRequest> ::const_iterator _iter267;
+      for (_iter267 = this->loanRequests.begin(); _iter267 != this->loanRequests.end(); ++_iter267)
       {
-        xfer += (*_iter261).write(oprot);
+        xfer += (*_iter267).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -8361,10 +8447,10 @@
     xfer += oprot->writeFieldBegin("loans", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loans.size()));
-      std::vector<Loan> ::const_iterator _iter262;
-      for (_iter262 = this->loans.begin(); _iter262 != this->loans.end(); ++_iter262)
+      std::vector<Loan> ::const_iterator _iter268;
+      for (_iter268 = this->loans.begin(); _iter268 != this->loans.end(); ++_iter268)
       {
-        xfer += (*_iter262).write(oprot);
+        xfer += (*_iter268).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -8390,31 +8476,31 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneFrame::LaneFrame(const LaneFrame& other263) {
-  requests = other263.requests;
-  replies = other263.replies;
-  evidence = other263.evidence;
-  isQuestion = other263.isQuestion;
-  isAnswer = other263.isAnswer;
-  isLeaving = other263.isLeaving;
-  failureDomain = other263.failureDomain;
-  isReachDoubted = other263.isReachDoubted;
-  loanRequests = other263.loanRequests;
-  loans = other263.loans;
-  __isset = other263.__isset;
-}
-LaneFrame& LaneFrame::operator=(const LaneFrame& other264) {
-  requests = other264.requests;
-  replies = other264.replies;
-  evidence = other264.evidence;
-  isQuestion = other264.isQuestion;
-  isAnswer = other264.isAnswer;
-  isLeaving = other264.isLeaving;
-  failureDomain = other264.failureDomain;
-  isReachDoubted = other264.isReachDoubted;
-  loanRequests = other264.loanRequests;
-  loans = other264.loans;
-  __isset = other264.__isset;
+LaneFrame::LaneFrame(const LaneFrame& other269) {
+  requests = other269.requests;
+  replies = other269.replies;
+  evidence = other269.evidence;
+  isQuestion = other269.isQuestion;
+  isAnswer = other269.isAnswer;
+  isLeaving = other269.isLeaving;
+  failureDomain = other269.failureDomain;
+  isReachDoubted = other269.isReachDoubted;
+  loanRequests = other269.loanRequests;
+  loans = other269.loans;
+  __isset = other269.__isset;
+}
+LaneFrame& LaneFrame::operator=(const LaneFrame& other270) {
+  requests = other270.requests;
+  replies = other270.replies;
+  evidence = other270.evidence;
+  isQuestion = other270.isQuestion;
+  isAnswer = other270.isAnswer;
+  isLeaving = other270.isLeaving;
+  failureDomain = other270.failureDomain;
+  isReachDoubted = other270.isReachDoubted;
+  loanRequests = other270.loanRequests;
+  loans = other270.loans;
+  __isset = other270.__isset;
   return *this;
 }
 void LaneFrame::printTo(std::ostream& out) const {
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -2470,7 +2470,7 @@
 std::ostream& operator<<(std::ostream& out, const SiteNews& obj);
 
 typedef struct _FollowRequest__isset {
-  _FollowRequest__isset() : revision(false), directoryVersion(false), complaints(false), folder(false), agedServices(false), lanes(false), homesVersion(false) {}
+  _FollowRequest__isset() : revision(false), directoryVersion(false), complaints(false), folder(false), agedServices(false), lanes(false), homesVersion(false), recordedVersion(false) {}
   bool revision :1;
   bool directoryVersion :1;
   bool complaints :1;
@@ -2478,6 +2478,7 @@
   bool agedServices :1;
   bool lanes :1;
   bool homesVersion :1;
+  bool recordedVersion :1;
 } _FollowRequest__isset;
 
 class FollowRequest : public virtual ::apache::thrift::TBase {
@@ -2490,7 +2491,8 @@
                   directoryVersion(0),
                   folder(),
                   lanes(),
-                  homesVersion(0) {
+                  homesVersion(0),
+                  recordedVersion(0) {
   }
 
   virtual ~FollowRequest() noexcept;
@@ -2501,6 +2503,7 @@
   std::vector<std::string>  agedServices;
   std::string lanes;
   int64_t homesVersion;
+  int64_t recordedVersion;
 
   _FollowRequest__isset __isset;
 
@@ -2518,6 +2521,8 @@
 
   void __set_homesVersion(const int64_t val);
 
+  void __set_recordedVersion(const int64_t val);
+
   bool operator == (const FollowRequest & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -2534,6 +2539,10 @@
       return false;
     if (!(homesVersion == rhs.homesVersion))
       return false;
+    if (__isset.recordedVersion != rhs.__isset.recordedVersion)
+      return false;
+    else if (__isset.recordedVersion && !(recordedVersion == rhs.recordedVersion))
+      return false;
     return true;
   }
   bool operator != (const FollowRequest &rhs) const {
@@ -2659,7 +2668,7 @@
 std::ostream& operator<<(std::ostream& out, const ControlVm& obj);
 
 typedef struct _FollowReply__isset {
-  _FollowReply__isset() : isCurrent(false), configuration(false), directoryVersion(false), servers(false), controls(false), leader(false), isMember(false), entryCount(false), proofs(false), homesVersion(false), homes(false) {}
+  _FollowReply__isset() : isCurrent(false), configuration(false), directoryVersion(false), servers(false), controls(false), leader(false), isMember(false), entryCount(false), proofs(false), homesVersion(false), homes(false), recordedServers(false), recordedVersion(false) {}
   bool isCurrent :1;
   bool configuration :1;
   bool directoryVersion :1;
@@ -2671,6 +2680,8 @@
   bool proofs :1;
   bool homesVersion :1;
   bool homes :1;
+  bool recordedServers :1;
+  bool recordedVersion :1;
 } _FollowReply__isset;
 
 class FollowReply : public virtual ::apache::thrift::TBase {
@@ -2684,7 +2695,8 @@
                 leader(),
                 isMember(0),
                 entryCount(0),
-                homesVersion(0) {
+                homesVersion(0),
+                recordedVersion(0) {
   }
 
   virtual ~FollowReply() noexcept;
@@ -2699,6 +2711,8 @@
   std::vector<AgedProof>  proofs;
   int64_t homesVersion;
   std::vector<ServerHome>  homes;
+  std::vector<std::string>  recordedServers;
+  int64_t recordedVersion;
 
   _FollowReply__isset __isset;
 
@@ -2724,6 +2738,10 @@
 
   void __set_homes(const std::vector<ServerHome> & val);
 
+  void __set_recordedServers(const std::vector<std::string> & val);
+
+  void __set_recordedVersion(const int64_t val);
+
   bool operator == (const FollowReply & rhs) const
   {
     if (!(isCurrent == rhs.isCurrent))
@@ -2754,6 +2772,14 @@
       return false;
     else if (__isset.homes && !(homes == rhs.homes))
       return false;
+    if (__isset.recordedServers != rhs.__isset.recordedServers)
+      return false;
+    else if (__isset.recordedServers && !(recordedServers == rhs.recordedServers))
+      return false;
+    if (__isset.recordedVersion != rhs.__isset.recordedVersion)
+      return false;
+    else if (__isset.recordedVersion && !(recordedVersion == rhs.recordedVersion))
+      return false;
     return true;
   }
   bool operator != (const FollowReply &rhs) const {
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -330,6 +330,7 @@
   5: list<string> agedServices,         // whose reads may be of some age, so that proofs are wanted
   6: string lanes,                      // listener for lanes, empty where none are taken
   7: i64 homesVersion,                  // from the last answer
+  8: optional i64 recordedVersion,      // of the recorded servers that the sender was told last
 }
 
 // A position that a primary gave which proved that it leads.
@@ -356,6 +357,10 @@
   9: list<AgedProof> proofs,            // of the services that the request names
   10: i64 homesVersion,
   11: optional list<ServerHome> homes,  // where the sender's version is another one
+  // The servers that the control log's rosters name, where the sender's version is another one.
+  // Absent where the answering VM can't tell.
+  12: optional list<string> recordedServers,
+  13: optional i64 recordedVersion,
 }
 
 // Lanes: what entry VMs use in place of connections of their own to a backend server. Both sides
--- a/include/nutmegtide/failover/serverroster.h
+++ b/include/nutmegtide/failover/serverroster.h
@@ -43,6 +43,8 @@
     Servers announcementsOf(const ServiceName &service) const;
     // Returns the servers whose promotion may still be carried out.
     std::set<ServerId> openOrders(const ServiceName &service) const;
+    // Returns the servers of all services.
+    std::set<ServerId> servers() const;
     // Returns the announcements of the servers of all services.
     std::vector<ServerAnnouncement> announcements() const;
 
--- /dev/null
+++ b/include/nutmegtide/proxy/commitconfirmations.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "nutmegtide/base/ids.h"
+#include "nutmegtide/base/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace nutmegtide {
+
+using SessionKey = std::uint64_t; // identifies a caller's session in this process; 0 for none
+
+// A commit that its primary acknowledged, and whose answer is withheld from the caller.
+struct UnconfirmedCommit
+{
+    LogPosition position;
+    ServerId primary; // the server that acknowledged it
+    TimePoint since; // when it was acknowledged
+};
+
+// A question to a server: does its log hold the position?
+struct ConfirmationQuestion
+{
+    ServerId server;
+    LogPosition position;
+};
+
+// Why a question wasn't answered with yes.
+enum class ConfirmationMiss {
+    Lags, // the server's log doesn't hold the position yet
+    Failed, // no reply, or one that says nothing
+};
+
+// Decides when the commits of one service are confirmed. A change of primary fences all recorded
+// servers but one. A commit that two recorded servers hold is therefore in the log of a fenced one.
+// The primary that acknowledged a commit is one of the two if it is recorded itself.
+//
+// A server holds a commit if it reports a position of the same term that isn't lower, or if it
+// confirms that its log holds such a position. One question is outstanding at a time, and covers
+// all commits of its term that were waiting when it was asked. After a server that lags, another
+// one is asked after a short pause.
+//
+//   confirmations.add(session, {reply.position, primary, now});
+//   const auto question = confirmations.next(askableServers, now);
+//   ... confirmations.noteHeld(question->server, question->position) returns the sessions to answer
+class CommitConfirmations
+{
+public:
+    // Sets the servers of all services that the control log records.
+    void setRecorded(std::set<ServerId> recorded) { m_recorded = std::move(recorded); }
+
+    void add(SessionKey session, const UnconfirmedCommit &commit);
+    void remove(SessionKey session);
+    // Records that the server's log holds a position. Returns the sessions whose commit is
+    // confirmed by it, and removes them.
+    std::vector<SessionKey> noteHeld(const ServerId &server, const LogPosition &position);
+
+    // Returns the next question, which is then outstanding, or nullopt if none is due. `askable` is
+    // sorted by preference.
+    std::optional<ConfirmationQuestion> next(const std::vector<ServerId> &askable, TimePoint now);
+    // Ends the outstanding question after the server confirmed it.
+    void confirmed();
+    // Ends the outstanding question.
+    void missed(ConfirmationMiss miss, TimePoint now);
+    const std::optional<ConfirmationQuestion> &asked() const { return m_asked; }
+
+    // Returns when next() is due or the outstanding question is overdue, or nullopt if no commit
+    // waits.
+    std::optional<TimePoint> dueAt() const;
+    bool isOverdue(TimePoint now) const;
+    bool isWaiting() const { return !m_commits.empty(); }
+    // Returns since when the oldest commit waits.
+    std::optional<TimePoint> waitingSince() const;
+
+private:
+    struct Waiting
+    {
+        UnconfirmedCommit commit;
+        std::set<ServerId> holders;
+    };
+
+    bool isConfirmed(const Waiting &waiting) const;
+    const UnconfirmedCommit *oldest() const;
+    // Returns the highest commit of the oldest one's term.
+    const UnconfirmedCommit &highestOfOldestTerm() const;
+
+    std::set<ServerId> m_recorded;
+    std::map<SessionKey, Waiting> m_commits;
+    std::optional<ConfirmationQuestion> m_asked;
+    TimePoint m_askedAt {};
+    TimePoint m_pausedUntil {};
+    std::set<ServerId> m_missed; // servers that gave no confirmation since the latest one
+};
+
+} // namespace nutmegtide
--- a/include/nutmegtide/proxy/serverpool.h
+++ b/include/nutmegtide/proxy/serverpool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegtide/proxy/averagetime.h"
+#include "nutmegtide/proxy/commitconfirmations.h"
 #include "nutmegtide/proxy/replicalag.h"
 #include "nutmegtide/proxy/serverregistry.h"
 #include "nutmegtide/session/sessionstate.h"
@@ -14,18 +15,19 @@
 
 namespace nutmegtide {
 
-using SessionKey = std::uint64_t; // identifies a caller's session in this process; 0 for none
 using ConnectionKey = std::uint64_t; // identifies a connection to a backend server; 0 for none
 
 // Pause before the next connection attempt to a server that had no connection left.
 constexpr Duration ConnectionLimitPause = 60ms;
 
-// User of a connection: a session, or the proxy itself to get a proof of position.
+// User of a connection: a session, or the proxy itself to get a proof of position or to ask whether
+// a replica holds a commit.
 struct Borrower
 {
     SessionKey session = 0;
-    ServiceName proofOf; // service to be proved; set if session is 0
-    WorkspaceName workspace {}; // of the session; empty for a proof
+    ServiceName proofOf; // service to be asked; set if session is 0
+    WorkspaceName workspace {}; // of the session; empty for the proxy itself
+    bool isConfirmation = false; // asks for a commit
 
     auto operator<=>(const Borrower &) const = default;
 };
@@ -37,6 +39,7 @@
     Statement,
     Rollback,
     Proof, // to the begin of a proof of position, an empty transaction
+    Confirmation, // to the begin that asks for a commit, an empty transaction
 };
 
 // Connection to a backend server, either direct or through the server's home.
@@ -126,6 +129,9 @@
     std::optional<ServerId> chooseReader(const ServiceName &service, const ReadNeed &need,
                                          const std::set<ServerId> &tried, TimePoint now) const;
     std::vector<ServerId> serversOf(const ServiceName &service) const;
+    // Returns the service's servers that can be asked for a commit, preferring those of the own
+    // failure domain and among these the one that replied last.
+    std::vector<ServerId> askableServers(const ServiceName &service, TimePoint now) const;
 
     PooledServer *find(const ServerId &server);
     const PooledServer *find(const ServerId &server) const;
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -129,6 +129,9 @@
     // Adds a position that another process got from a confirmed primary.
     void takeProof(const ServiceName &service, TimePoint askedAt, const LogPosition &position,
                    TimePoint now);
+    // Sets the servers that the control log records. From then on a commit is answered once another
+    // recorded server than the primary is known to hold it.
+    void setRecordedServers(std::set<ServerId> recorded);
     // Returns the services with recent reads that allow bounded staleness.
     std::vector<ServiceName> agedServices(TimePoint now) const;
     // Sets the number of entry proxies that share the servers' connections.
@@ -197,6 +200,7 @@
         Connection,
         Begin, // waits for the reply to its transaction's begin
         Answer,
+        Confirm, // has run; waits until its commit is confirmed
         Pause, // waits before the next attempt
     };
 
@@ -220,6 +224,7 @@
         ConnectionKey connection = 0;
         int attempts = 0;
         std::optional<StatementFault> lastFault;
+        SessionAnswer withheld; // in the phase Confirm
     };
 
     struct Session
@@ -267,6 +272,13 @@
         PositionProofs proofs;
     };
 
+    struct ConfirmationState
+    {
+        CommitConfirmations commits;
+        ConnectionKey connection = 0; // of the outstanding question; 0 while it waits for one
+        bool isStalled = false; // no recorded replica could be asked for too long
+    };
+
     // Callers (sessionproxy.cpp).
     void startSession(SessionKey key, const DatabaseName &database, const KeyDigest &credential,
                       TimePoint now);
@@ -346,13 +358,14 @@
                         std::string_view reason, TimePoint now);
     void retryLater(SessionKey key, std::string_view reason, TimePoint now);
     void retryElsewhere(SessionKey key, std::string_view reason, TimePoint now);
+    void takeReply(ConnectionKey key, const ServerReply &reply, TimePoint now);
     void onStatement(SessionKey key, const ServerReply &reply, TimePoint now);
     void onBegun(SessionKey key, const ServerReply &reply, TimePoint now);
     void onRefusal(SessionKey key, const ServerReply &reply, TimePoint now);
     void onOverdueReply(SessionKey key, TimePoint now);
     void onLoss(SessionKey key, TimePoint now);
     void noteRunTime(SessionKey key, const ServerReply &reply);
-    void noteSuccess(Session &session, const Work &work, const ServerReply &reply, TimePoint now);
+    bool noteSuccess(Session &session, const Work &work, const ServerReply &reply, TimePoint now);
     void noteHeld(const Work &work, const ServerReply &reply);
     const PreparedStatement *preparedOf(const Session &session, const SessionStatement &s) const;
 
@@ -363,6 +376,21 @@
     void proofFailed(const ServiceName &service, TimePoint now);
     void routeProved(const ServiceName &service, TimePoint now);
 
+    // Confirmation of commits (sessionconfirmations.cpp).
+    bool needsConfirmation(const ServiceName &service) const;
+    void withhold(SessionKey key, const SessionAnswer &answer, TimePoint now);
+    void askConfirmation(const ServiceName &service, TimePoint now);
+    void sendQuestion(const ServiceName &service, ConnectionKey connection, TimePoint now);
+    void onConfirmation(ConnectionKey key, const ServiceName &service, const ServerReply &reply,
+                        TimePoint now);
+    void questionFailed(const ServiceName &service, TimePoint now);
+    void noteReplicated(const ServerId &server, const LogPosition &position, TimePoint now);
+    void deliver(const std::vector<SessionKey> &sessions, TimePoint now);
+    void failUnconfirmed(SessionKey key, TimePoint now);
+    void tickConfirmations(TimePoint now);
+    bool canAskReplica(const ServiceName &service, TimePoint now) const;
+    bool isStalled(const ServiceName &service, TimePoint now) const;
+
     SessionProxyDelegate &m_delegate;
     std::shared_ptr<const RouteTable> m_routes;
     ServerPool m_pool;
@@ -370,6 +398,9 @@
     std::map<SessionKey, PendingSession> m_pendingSessions;
     TimePoint m_startsUntil {};
     std::map<ServiceName, ProofState> m_proofs;
+    // Unknown while control tells none, as one of an older version.
+    std::optional<std::set<ServerId>> m_recorded;
+    std::map<ServiceName, ConfirmationState> m_confirmations;
     std::map<DatabaseName, AverageTime> m_runTimes; // run time of statements, by route
     std::set<std::pair<TimePoint, SessionKey>> m_timers;
     TimePoint m_poolDueAt;
--- a/src/failover/serverroster.cpp
+++ b/src/failover/serverroster.cpp
@@ -161,6 +161,17 @@
     return found == m_services.end() ? Servers() : found->second;
 }
 
+std::set<ServerId> ServerRoster::servers() const
+{
+    std::set<ServerId> all;
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[service, servers] : m_services) {
+        for (const auto &[id, announcement] : servers)
+            all.insert(id);
+    }
+    return all;
+}
+
 std::vector<ServerAnnouncement> ServerRoster::announcements() const
 {
     std::vector<ServerAnnouncement> all;
--- /dev/null
+++ b/src/proxy/commitconfirmations.cpp
@@ -0,0 +1,145 @@
+#include "nutmegtide/proxy/commitconfirmations.h"
+
+#include <algorithm>
+
+namespace nutmegtide {
+
+namespace {
+
+constexpr auto LagPause = 4ms; // before the next question after one to a server that lags
+constexpr auto FailurePause = 20ms; // before the next question after one that failed
+constexpr auto QuestionTimeout = 150ms; // for the reply to a question
+constexpr std::size_t HoldersNeeded = 2; // recorded servers that hold a confirmed commit
+
+bool covers(const LogPosition &held, const LogPosition &commit)
+{
+    return held.term == commit.term && held.index >= commit.index;
+}
+
+} // namespace
+
+void CommitConfirmations::add(SessionKey session, const UnconfirmedCommit &commit)
+{
+    m_commits[session] = {commit, {commit.primary}};
+}
+
+void CommitConfirmations::remove(SessionKey session)
+{
+    m_commits.erase(session);
+}
+
+std::vector<SessionKey> CommitConfirmations::noteHeld(const ServerId &server,
+                                                      const LogPosition &position)
+{
+    std::vector<SessionKey> confirmed;
+    if (m_commits.empty() || m_recorded.count(server) == 0)
+        return confirmed;
+    for (auto &[session, waiting] : m_commits) {
+        if (!covers(position, waiting.commit.position))
+            continue;
+        waiting.holders.insert(server);
+        if (isConfirmed(waiting))
+            confirmed.push_back(session);
+    }
+    for (const SessionKey session : confirmed)
+        m_commits.erase(session);
+    if (!confirmed.empty())
+        m_missed.clear();
+    return confirmed;
+}
+
+bool CommitConfirmations::isConfirmed(const Waiting &waiting) const
+{
+    const auto recorded = std::count_if(waiting.holders.begin(), waiting.holders.end(),
+                                        [this](const ServerId &server) {
+                                            return m_recorded.count(server) != 0;
+                                        });
+    return static_cast<std::size_t>(recorded) >= HoldersNeeded;
+}
+
+const UnconfirmedCommit *CommitConfirmations::oldest() const
+{
+    const auto found = std::min_element(m_commits.begin(), m_commits.end(),
+                                        [](const auto &a, const auto &b) {
+                                            return a.second.commit.since < b.second.commit.since;
+                                        });
+    return found == m_commits.end() ? nullptr : &found->second.commit;
+}
+
+const UnconfirmedCommit &CommitConfirmations::highestOfOldestTerm() const
+{
+    const UnconfirmedCommit *highest = oldest();
+    for (const auto &[session, waiting] : m_commits) {
+        const LogPosition &position = waiting.commit.position;
+        if (position.term == highest->position.term && position > highest->position)
+            highest = &waiting.commit;
+    }
+    return *highest;
+}
+
+std::optional<ConfirmationQuestion> CommitConfirmations::next(const std::vector<ServerId> &askable,
+                                                              TimePoint now)
+{
+    if (m_asked || m_commits.empty() || now < m_pausedUntil)
+        return std::nullopt;
+    const UnconfirmedCommit &highest = highestOfOldestTerm();
+    std::vector<ServerId> candidates;
+    std::copy_if(askable.begin(), askable.end(), std::back_inserter(candidates),
+                 [&](const ServerId &server) {
+                     return server != highest.primary && m_recorded.count(server) != 0;
+                 });
+    if (candidates.empty()) {
+        m_pausedUntil = now + FailurePause;
+        return std::nullopt;
+    }
+    auto chosen = std::find_if(candidates.begin(), candidates.end(), [this](const ServerId &server) {
+        return m_missed.count(server) == 0;
+    });
+    if (chosen == candidates.end()) {
+        m_missed.clear();
+        chosen = candidates.begin();
+    }
+    m_asked = ConfirmationQuestion {*chosen, highest.position};
+    m_askedAt = now;
+    return m_asked;
+}
+
+void CommitConfirmations::confirmed()
+{
+    // Another server is asked next if this one doesn't suffice.
+    m_missed.insert(m_asked->server);
+    m_asked.reset();
+}
+
+void CommitConfirmations::missed(ConfirmationMiss miss, TimePoint now)
+{
+    if (!m_asked)
+        return;
+    m_missed.insert(m_asked->server);
+    m_asked.reset();
+    m_pausedUntil = now + (miss == ConfirmationMiss::Lags ? Duration(LagPause) : FailurePause);
+}
+
+std::optional<TimePoint> CommitConfirmations::dueAt() const
+{
+    if (m_asked)
+        return m_askedAt + QuestionTimeout;
+    if (m_commits.empty())
+        return std::nullopt;
+    return m_pausedUntil;
+}
+
+bool CommitConfirmations::isOverdue(TimePoint now) const
+{
+    return m_asked && now >= m_askedAt + QuestionTimeout;
+}
+
+std::optional<TimePoint> CommitConfirmations::waitingSince() const
+{
+    const UnconfirmedCommit *first = oldest();
+    if (first == nullptr)
+        return std::nullopt;
+    return first->since;
+}
+
+} // namespace nutmegtide
--- a/src/proxy/serverhome.cpp
+++ b/src/proxy/serverhome.cpp
@@ -29,12 +29,14 @@
 
 } // namespace
 
-// Returns whether the lane's commands are a proof of position: an empty transaction, which takes a
-// connection for one exchange and no slot.
+// Returns whether the lane's commands are a proof of position or a question for a commit: an empty
+// transaction of an entry VM itself, which takes a connection for one exchange and no slot.
 bool ServerHome::isProof(const Lane &lane)
 {
-    return lane.pending.size() == 2 && lane.pending[0].kind == ServerCommandKind::Begin
-            && lane.pending[1].kind == ServerCommandKind::Rollback;
+    if (lane.pending.size() != 2 || lane.pending[1].kind != ServerCommandKind::Rollback)
+        return false;
+    const ServerCommandKind first = lane.pending[0].kind;
+    return first == ServerCommandKind::Begin || first == ServerCommandKind::BeginReadOnly;
 }
 
 int ServerHome::homeCount(const ServerId &server) const
--- a/src/proxy/serverpool.cpp
+++ b/src/proxy/serverpool.cpp
@@ -178,6 +178,27 @@
     return servers;
 }
 
+std::vector<ServerId> ServerPool::askableServers(const ServiceName &service, TimePoint now) const
+{
+    std::vector<const PooledServer *> askable;
+    for (const auto &[server, state] : m_servers) {
+        const bool isCandidate = state.record.announcement.service == service
+                && !state.record.isGone && !state.hasWrongAddress && !state.failingSince;
+        if (isCandidate && (!state.idle.empty() || state.connectionLimitUntil <= now))
+            askable.push_back(&state);
+    }
+    const auto rank = [this](const PooledServer *state) {
+        const bool isOwn = state->record.announcement.failureDomain == m_own;
+        return std::make_pair(isOwn, state->answeredAt);
+    };
+    std::sort(askable.begin(), askable.end(),
+              [&rank](const auto *a, const auto *b) { return rank(a) > rank(b); });
+    std::vector<ServerId> servers;
+    for (const PooledServer *state : askable)
+        servers.push_back(state->record.announcement.server);
+    return servers;
+}
+
 PooledServer *ServerPool::find(const ServerId &server)
 {
     const auto found = m_servers.find(server);
--- a/src/proxy/sessionproxy.cpp
+++ b/src/proxy/sessionproxy.cpp
@@ -276,6 +276,8 @@
         std::erase(m_capQueues[m_sessions.at(key).workspace].waiting, key);
     if (work.phase == Phase::Proof)
         m_proofs[work.route.service].waiting.erase(key);
+    if (work.phase == Phase::Confirm)
+        m_confirmations[work.route.service].commits.remove(key);
 }
 
 void SessionProxy::callerLeft(SessionKey key, TimePoint now)
@@ -336,6 +338,7 @@
         clearTimer(key);
         onTimer(key, now);
     }
+    tickConfirmations(now);
     if (now < m_poolDueAt)
         return;
     m_poolDueAt = now + PoolInterval;
@@ -359,9 +362,12 @@
 
 TimePoint SessionProxy::wakeAt() const
 {
-    if (m_timers.empty())
-        return m_poolDueAt;
-    return std::min(m_poolDueAt, m_timers.begin()->first);
+    TimePoint wake = m_poolDueAt;
+    if (!m_timers.empty())
+        wake = std::min(wake, m_timers.begin()->first);
+    for (const auto &[service, state] : m_confirmations)
+        wake = std::min(wake, state.commits.dueAt().value_or(wake));
+    return wake;
 }
 
 void SessionProxy::onTimer(SessionKey key, TimePoint now)
@@ -379,6 +385,8 @@
     if (work.phase == Phase::Answer || work.phase == Phase::Begin)
         return onOverdueReply(key, now);
     stopWaiting(key, work);
+    if (work.phase == Phase::Confirm)
+        return failUnconfirmed(key, now);
     if (now >= work.sendDeadline || work.phase == Phase::Cap)
         return fail(key, work.lastFault.value_or(StatementFault::Busy), "not sent in time", now);
     route(key, now);
--- a/src/proxy/sessionreplies.cpp
+++ b/src/proxy/sessionreplies.cpp
@@ -59,6 +59,11 @@
     const bool mayBecomeFree = !m_pool.find(server)->connections.empty();
     const std::deque<Borrower> waiting = m_pool.find(server)->waiting;
     for (const Borrower &borrower : waiting) {
+        if (borrower.isConfirmation) {
+            leaveQueue(borrower, server);
+            questionFailed(borrower.proofOf, now);
+            continue;
+        }
         const bool isProof = borrower.session == 0;
         Work *work = isProof ? nullptr : &*m_sessions.at(borrower.session).work;
         const bool needsThisServer = isProof
@@ -110,6 +115,9 @@
     }
     if (wasProof)
         proofFailed(service, now);
+    const auto confirmations = m_confirmations.find(service);
+    if (confirmations != m_confirmations.end() && confirmations->second.connection == key)
+        questionFailed(service, now);
     if (borrower && borrower->session != 0)
         onLoss(borrower->session, now);
     PooledServer &state = *m_pool.find(server);
@@ -168,9 +176,18 @@
 
 void SessionProxy::replied(ConnectionKey key, const ServerReply &reply, TimePoint now)
 {
-    ServerConnection *connection = m_pool.connection(key);
+    const ServerConnection *connection = m_pool.connection(key);
     if (connection == nullptr)
         return;
+    const ServerId server = connection->server;
+    takeReply(key, reply, now);
+    if (reply.position)
+        noteReplicated(server, *reply.position, now);
+}
+
+void SessionProxy::takeReply(ConnectionKey key, const ServerReply &reply, TimePoint now)
+{
+    ServerConnection *connection = m_pool.connection(key);
     connection->usedAt = now;
     m_pool.noteAlive(connection->server, now);
     if (connection->expected.empty())
@@ -205,7 +222,7 @@
         return onStatement(borrower->session, reply, now);
     case Expectation::Rollback:
         if (borrower)
-            return; // the reply belongs to a proof of position
+            return; // the reply belongs to a proof of position or a question for a commit
         if (reply.state != TransactionState::Idle)
             return drop(key);
         return release(key, now);
@@ -213,6 +230,10 @@
         if (borrower)
             onProof(borrower->proofOf, reply, now);
         return;
+    case Expectation::Confirmation:
+        if (borrower)
+            onConfirmation(key, borrower->proofOf, reply, now);
+        return;
     }
 }
 
@@ -250,8 +271,7 @@
         release(connection, now);
         return onRefusal(key, reply, now);
     }
-    if (!reply.fault)
-        noteSuccess(session, work, reply, now);
+    const bool isOwnCommit = !reply.fault && noteSuccess(session, work, reply, now);
     if (reply.fault == StatementFault::Busy && reply.state == TransactionState::Open) {
         work.lastFault = reply.fault;
         return retryLater(key, "the server is busy", now);
@@ -281,8 +301,12 @@
         work.connection = 0;
         release(connection, now);
     }
+    const SessionAnswer answer {reply.rows, reply.fault, reply.detail, session.state,
+                                reply.position};
+    if (isOwnCommit && needsConfirmation(work.route.service))
+        return withhold(key, answer, now);
     session.lastPosition = reply.position;
-    finish(key, {reply.rows, reply.fault, reply.detail, session.state, session.lastPosition}, now);
+    finish(key, answer, now);
 }
 
 // Records how long the statement ran. Statements of one route take about the same time on any
@@ -293,12 +317,12 @@
         m_runTimes[m_sessions.at(key).work->route.database].note(reply.ran);
 }
 
-// Updates the session and the proofs after a success.
-void SessionProxy::noteSuccess(Session &session, const Work &work, const ServerReply &reply,
+// Updates the session and the proofs after a success. Returns whether it committed a write.
+bool SessionProxy::noteSuccess(Session &session, const Work &work, const ServerReply &reply,
                                TimePoint now)
 {
     if (!reply.position)
-        return;
+        return false;
     noteHeld(work, reply);
     const bool isInTransaction = session.state == TransactionState::Open;
     const bool isCommit = work.statement.kind == StatementKind::Commit;
@@ -306,12 +330,13 @@
         session.hasWritten = true;
     const bool isOwnCommit = isCommit ? session.hasWritten : (work.isWrite && !isInTransaction);
     if (!isOwnCommit)
-        return;
+        return false;
     ReadNeed &latestCommit = session.latestCommit[work.route.service];
     if (*reply.position > latestCommit.position)
         latestCommit = {*reply.position, now};
     const ServerConnection *connection = m_pool.connection(work.connection);
     m_proofs[work.route.service].proofs.add(connection->sentAt, *reply.position);
+    return true;
 }
 
 void SessionProxy::noteHeld(const Work &work, const ServerReply &reply)
--- a/src/proxy/sessionrouting.cpp
+++ b/src/proxy/sessionrouting.cpp
@@ -26,6 +26,7 @@
 constexpr auto MaxQueueWait = 150ms;
 
 constexpr std::string_view PastLeaveTimeReason = "the server's time to leave is over";
+constexpr std::string_view StalledReason = "no recorded replica can confirm commits";
 constexpr std::string_view CutOffReason = "this VM is cut off from the primary";
 
 // Returns the position that the server must have reached. The position of an empty log needs no
@@ -65,6 +66,8 @@
     if (needsPrimary(session, work)) {
         if (m_isIsolated)
             return fail(key, StatementFault::Busy, CutOffReason, now);
+        if (session.state != TransactionState::Open && isStalled(work.route.service, now))
+            return fail(key, StatementFault::Busy, StalledReason, now);
         server = m_pool.primary(work.route.service, now);
         extendForPrimaryChange(work, now);
         if (!server)
@@ -184,6 +187,8 @@
 {
     if (borrower.session == 0) {
         m_pool.connection(connection)->borrower = borrower;
+        if (borrower.isConfirmation)
+            return sendQuestion(borrower.proofOf, connection, now);
         return sendProof(borrower.proofOf, connection, now);
     }
     if (m_pool.isPastLeaveTime(m_pool.connection(connection)->server, now)) {
--- a/src/proxy/sessionstop.cpp
+++ b/src/proxy/sessionstop.cpp
@@ -88,7 +88,7 @@
         if (!session.work)
             continue;
         const Work &work = *session.work;
-        const bool isSent = work.phase == Phase::Answer;
+        const bool isSent = work.phase == Phase::Answer || work.phase == Phase::Confirm;
         const bool isCommit = work.statement.kind == StatementKind::Commit;
         StatementFault fault = isSent ? StatementFault::Timeout : StatementFault::Busy;
         if (session.state == TransactionState::Open && !isCommit)
--- a/src/site/controlfollower.cpp
+++ b/src/site/controlfollower.cpp
@@ -121,6 +121,8 @@
     request.folder = m_folder;
     request.lanes = m_lanes;
     request.homesVersion = m_homesVersion;
+    if (m_recordedVersion)
+        request.__set_recordedVersion(*m_recordedVersion);
     for (const ServiceName &service : m_agedServices)
         request.agedServices.push_back(service.text());
     for (const PrimaryComplaint &complaint : m_complaints) {
@@ -203,6 +205,7 @@
     }
     if (reply.__isset.homes)
         view.homes = fromWire(reply.homes);
+    view.recorded = recordedServersOf(reply);
     bool isTrusted = false;
     {
         const std::lock_guard lock(m_mutex);
@@ -216,6 +219,8 @@
             m_revision = view.revision;
         if (isTrusted && view.homes)
             m_homesVersion = reply.homesVersion;
+        if (isTrusted && view.recorded)
+            m_recordedVersion = view.recorded->version;
         if (isTrusted)
             m_selector.succeeded(from);
     }
--- a/src/site/controlfollower.h
+++ b/src/site/controlfollower.h
@@ -28,6 +28,8 @@
     int entryCount = 0; // known entry VMs of the site
     std::vector<AgedProof> proofs;
     std::optional<ServerHomes> homes; // set where they changed
+    // Set where they changed, by control VMs that tell them.
+    std::optional<RecordedServers> recorded;
     TimePoint askedAt; // when the request was sent; the ages of proofs count from here
 };
 
@@ -93,6 +95,7 @@
     std::vector<ServiceName> m_agedServices;
     std::string m_lanes;
     std::int64_t m_homesVersion = 0;
+    std::optional<std::int64_t> m_recordedVersion;
     std::string m_folder;
     Revision m_revision = 0;
     std::map<Endpoint, std::int64_t> m_directoryVersions; // by answering control VM
--- a/src/site/controlnode.h
+++ b/src/site/controlnode.h
@@ -48,6 +48,7 @@
 
     // Requests of other processes.
     wire::FollowReply answerFollow(const wire::Header &from, const wire::FollowRequest &request);
+    std::optional<RecordedServers> knownRecordedServers() const;
     std::vector<wire::AgedProof> answerProofs(const std::vector<std::string> &services);
     void receiveUpdates(const wire::Header &from, const wire::SiteNews &news);
     void receiveComplaints(const std::vector<wire::PrimaryComplaint> &complaints);
@@ -132,6 +133,7 @@
     std::string m_compressed; // m_configuration, compressed
     bool m_isFollowerConnected = false;
     std::optional<Endpoint> m_followedLeader;
+    std::optional<RecordedServers> m_followedRecorded; // as a member told them
     std::map<Endpoint, std::unique_ptr<UpdateSender>> m_updateSenders;
 
     ProofCache m_proofs;
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -44,6 +44,9 @@
     reply.isCurrent = isConnected();
     reply.isMember = reply.isCurrent && hearsLeader();
     reply.leader = leaderName().text();
+    const std::optional<RecordedServers> recorded = knownRecordedServers();
+    if (recorded)
+        putRecordedServers(*recorded, request, reply);
     const std::lock_guard lock(m_mutex);
     if (request.folder.empty())
         m_followers[from.vm] = {EventLoop::now(), homeOf(from, request.lanes)};
@@ -77,6 +80,18 @@
     return reply;
 }
 
+// Returns the servers that the control log's rosters name: from the own copy of the log where that
+// is current, otherwise as a member told them last. An outdated set does no harm.
+std::optional<RecordedServers> ControlNode::knownRecordedServers() const
+{
+    if (!m_settings.promotions || !isConnected())
+        return std::nullopt;
+    if (hearsLeader())
+        return recordedServers(m_roster.servers());
+    const std::lock_guard lock(m_mutex);
+    return m_followedRecorded;
+}
+
 std::vector<wire::AgedProof> ControlNode::answerProofs(const std::vector<std::string> &services)
 {
     const TimePoint now = EventLoop::now();
@@ -149,6 +164,8 @@
         setConfiguration(view.revision, *view.configuration);
     const std::lock_guard lock(m_mutex);
     m_followedLeader = view.leader;
+    if (view.recorded)
+        m_followedRecorded = view.recorded;
     if (!view.servers)
         return;
     for (const ServerRecord &record : *view.servers)
--- a/src/site/sitewire.cpp
+++ b/src/site/sitewire.cpp
@@ -168,4 +168,36 @@
     return result;
 }
 
+RecordedServers recordedServers(std::set<ServerId> servers)
+{
+    std::string names;
+    for (const ServerId &server : servers)
+        names += server.text() + '\n';
+    const auto version = static_cast<std::int64_t>(std::hash<std::string>()(names));
+    return {std::move(servers), version};
+}
+
+void putRecordedServers(const RecordedServers &recorded, const wire::FollowRequest &request,
+                        wire::FollowReply &reply)
+{
+    if (request.__isset.recordedVersion && request.recordedVersion == recorded.version)
+        return;
+    reply.__set_recordedVersion(recorded.version);
+    std::vector<std::string> names;
+    for (const ServerId &server : recorded.servers)
+        names.push_back(server.text());
+    reply.__set_recordedServers(names);
+}
+
+std::optional<RecordedServers> recordedServersOf(const wire::FollowReply &reply)
+{
+    if (!reply.__isset.recordedServers)
+        return std::nullopt;
+    RecordedServers recorded;
+    for (const std::string &server : reply.recordedServers)
+        recorded.servers.insert(ServerId(server));
+    recorded.version = reply.recordedVersion;
+    return recorded;
+}
+
 } // namespace nutmegtide
--- a/src/site/sitewire.h
+++ b/src/site/sitewire.h
@@ -6,6 +6,8 @@
 #include "site/homedirectory.h"
 
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,19 @@
 // Leaves out each record that can't be read, so that the others hold: the peer may be of an older
 // version, which passes on whatever a server announced.
 ReceivedServers fromWire(const std::vector<wire::ServerRecord> &records, TimePoint now);
+// The servers that the control log's rosters name. The version differs whenever the servers do.
+struct RecordedServers
+{
+    std::set<ServerId> servers;
+    std::int64_t version = 0;
+};
+
+RecordedServers recordedServers(std::set<ServerId> servers);
+// Puts the servers into the reply, unless the request names their version.
+void putRecordedServers(const RecordedServers &recorded, const wire::FollowRequest &request,
+                        wire::FollowReply &reply);
+// Returns nothing if the reply tells none, as that of an older version.
+std::optional<RecordedServers> recordedServersOf(const wire::FollowReply &reply);
 // Writes a log line if records of the peer's message were left out.
 void logRefusedServers(const ReceivedServers &received, const std::string &peer);
 
