--- /dev/null
+++ b/test/unit/proxy/commitconfirmations_test.cpp
@@ -0,0 +1,125 @@
+#include "nutmegtide/proxy/commitconfirmations.h"
+
+#include <doctest/doctest.h>
+
+using namespace nutmegtide;
+
+namespace {
+
+const ServerId Primary("p");
+const ServerId Replica("r1");
+const ServerId OtherReplica("r2");
+const ServerId Unrecorded("n");
+const TimePoint Start {100s};
+constexpr SessionKey Caller = 7;
+
+CommitConfirmations confirmations()
+{
+    CommitConfirmations commits;
+    commits.setRecorded({Primary, Replica, OtherReplica});
+    return commits;
+}
+
+} // namespace
+
+TEST_CASE("only a recorded server other than the primary confirms, by a position of the same term")
+{
+    struct Row
+    {
+        const char *name;
+        ServerId server;
+        LogPosition held;
+        bool isConfirmed;
+    };
+    const Row rows[] = {
+            {"the same position", Replica, {3, 20}, true},
+            {"a higher position", Replica, {3, 25}, true},
+            {"a lower position", Replica, {3, 19}, false},
+            {"a later term", Replica, {4, 30}, false},
+            {"an earlier term", Replica, {2, 30}, false},
+            {"a server that isn't recorded", Unrecorded, {3, 25}, false},
+            {"the primary that acknowledged it", Primary, {3, 25}, false},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        CommitConfirmations commits = confirmations();
+        commits.add(Caller, {{3, 20}, Primary, Start});
+        const bool isConfirmed = !commits.noteHeld(row.server, row.held).empty();
+        CHECK(isConfirmed == row.isConfirmed);
+        CHECK(commits.isWaiting() != row.isConfirmed);
+    }
+}
+
+TEST_CASE("a commit of a primary that isn't recorded needs two recorded replicas")
+{
+    CommitConfirmations commits = confirmations();
+    commits.add(Caller, {{3, 20}, Unrecorded, Start});
+    CHECK(commits.noteHeld(Replica, {3, 20}).empty());
+    CHECK(commits.noteHeld(Replica, {3, 21}).empty());
+    CHECK(commits.noteHeld(OtherReplica, {3, 20}) == std::vector<SessionKey> {Caller});
+}
+
+TEST_CASE("a server that is recorded later counts from then on")
+{
+    CommitConfirmations commits = confirmations();
+    commits.add(Caller, {{3, 20}, Primary, Start});
+    CHECK(commits.noteHeld(Unrecorded, {3, 20}).empty());
+    commits.setRecorded({Primary, Unrecorded});
+    CHECK(commits.noteHeld(Unrecorded, {3, 20}) == std::vector<SessionKey> {Caller});
+}
+
+TEST_CASE("one question at a time asks for the highest commit of the oldest one's term")
+{
+    CommitConfirmations commits = confirmations();
+    CHECK_FALSE(commits.next({Replica}, Start));
+    commits.add(1, {{3, 20}, Primary, Start});
+    commits.add(2, {{3, 22}, Primary, Start + 1ms});
+    commits.add(3, {{4, 5}, OtherReplica, Start + 2ms});
+    const auto first = commits.next({Replica, OtherReplica}, Start + 2ms);
+    REQUIRE(first);
+    CHECK(first->position == LogPosition {3, 22});
+    CHECK_FALSE(commits.next({Replica, OtherReplica}, Start + 3ms));
+    commits.confirmed();
+    CHECK(commits.noteHeld(first->server, first->position) == std::vector<SessionKey> {1, 2});
+    const auto second = commits.next({OtherReplica, Replica}, Start + 3ms);
+    REQUIRE(second);
+    CHECK(second->position == LogPosition {4, 5});
+    CHECK(second->server == Replica); // the other one acknowledged it
+}
+
+TEST_CASE("a question that isn't confirmed is asked again after a pause, at another server")
+{
+    struct Row
+    {
+        ConfirmationMiss miss;
+        Duration pause;
+    };
+    const Row rows[] = {{ConfirmationMiss::Lags, 4ms}, {ConfirmationMiss::Failed, 20ms}};
+    for (const Row &row : rows) {
+        CAPTURE(row.pause.count());
+        CommitConfirmations commits = confirmations();
+        commits.add(Caller, {{3, 20}, Primary, Start});
+        const std::vector<ServerId> askable {Primary, Unrecorded, Replica, OtherReplica};
+        CHECK(commits.next(askable, Start)->server == Replica);
+        commits.missed(row.miss, Start);
+        CHECK_FALSE(commits.next(askable, Start + row.pause - 1ms));
+        CHECK(commits.dueAt() == Start + row.pause);
+        CHECK(commits.next(askable, Start + row.pause)->server == OtherReplica);
+        commits.missed(row.miss, Start + row.pause);
+        CHECK(commits.next(askable, Start + 2 * row.pause)->server == Replica);
+    }
+}
+
+TEST_CASE("a question is overdue after its time, and none is due without a commit that waits")
+{
+    CommitConfirmations commits = confirmations();
+    CHECK_FALSE(commits.dueAt());
+    commits.add(Caller, {{3, 20}, Primary, Start});
+    CHECK(commits.next({Replica}, Start));
+    CHECK_FALSE(commits.isOverdue(Start + 149ms));
+    CHECK(commits.isOverdue(Start + 150ms));
+    commits.missed(ConfirmationMiss::Failed, Start + 150ms);
+    commits.remove(Caller);
+    CHECK_FALSE(commits.dueAt());
+    CHECK_FALSE(commits.waitingSince());
+}
--- a/test/unit/proxy/sessionproxyfixture.h
+++ b/test/unit/proxy/sessionproxyfixture.h
@@ -21,6 +21,7 @@
     bool provesAnswers = true;
     std::optional<StatementFault> refusal; // reply to every statement
     LogPosition applied {1, 0};
+    bool receives = false; // its log follows each commit of the primary at once
     Duration ran {}; // run time of a statement as its home reports it
     int statements = 0; // number of statements that it ran
 };
@@ -115,6 +116,15 @@
         }
         now = until;
     }
+    // Advances the time in small steps, and replies to all commands after each.
+    void serveFor(Duration time)
+    {
+        const TimePoint until = now + time;
+        while (now < until) {
+            advanceTime(std::min(Duration(2ms), until - now));
+            serve();
+        }
+    }
     // Replies to all commands, including those that the replies lead to.
     void serve()
     {
@@ -192,6 +202,14 @@
         table.routes[route.database] = route;
     }
 
+    void commitAt(ScriptedServer &primary)
+    {
+        ++primary.applied.index;
+        for (auto &[id, server] : servers) {
+            if (server.receives)
+                server.applied = primary.applied;
+        }
+    }
     ServerReply replyOf(const SentCommand &sent)
     {
         ScriptedServer &server = servers.at(sent.server);
@@ -222,7 +240,7 @@
             if (kind == Kind::Write && state == TransactionState::Open)
                 m_wrote.insert(sent.connection);
             if (isCommit)
-                ++server.applied.index;
+                commitAt(server);
             reply.position = server.applied;
             if (kind == Kind::Begin || kind == Kind::BeginReadOnly)
                 state = TransactionState::Open;
