--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -7074,6 +7074,11 @@
 void LaneCommand::__set_preparesWrite(const bool val) {
   this->preparesWrite = val;
 }
+
+void LaneCommand::__set_asksStatus(const bool val) {
+  this->asksStatus = val;
+__isset.asksStatus = true;
+}
 std::ostream& operator<<(std::ostream& out, const LaneCommand& obj)
 {
   obj.printTo(out);
@@ -7150,6 +7155,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->asksStatus);
+          this->__isset.asksStatus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7192,6 +7205,11 @@
   xfer += oprot->writeBool(this->preparesWrite);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.asksStatus) {
+    xfer += oprot->writeFieldBegin("asksStatus", ::apache::thrift::protocol::T_BOOL, 7);
+    xfer += oprot->writeBool(this->asksStatus);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7205,6 +7223,7 @@
   swap(a.name, b.name);
   swap(a.argument, b.argument);
   swap(a.preparesWrite, b.preparesWrite);
+  swap(a.asksStatus, b.asksStatus);
   swap(a.__isset, b.__isset);
 }
 
@@ -7215,6 +7234,7 @@
   name = other215.name;
   argument = other215.argument;
   preparesWrite = other215.preparesWrite;
+  asksStatus = other215.asksStatus;
   __isset = other215.__isset;
 }
 LaneCommand& LaneCommand::operator=(const LaneCommand& other216) {
@@ -7224,6 +7244,7 @@
   name = other216.name;
   argument = other216.argument;
   preparesWrite = other216.preparesWrite;
+  asksStatus = other216.asksStatus;
   __isset = other216.__isset;
   return *this;
 }
@@ -7236,6 +7257,7 @@
   out << ", " << "name=" << to_string(name);
   out << ", " << "argument=" << to_string(argument);
   out << ", " << "preparesWrite=" << to_string(preparesWrite);
+  out << ", " << "asksStatus="; (__isset.asksStatus ? (out << to_string(asksStatus)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -2799,13 +2799,14 @@
 std::ostream& operator<<(std::ostream& out, const FollowReply& obj);
 
 typedef struct _LaneCommand__isset {
-  _LaneCommand__isset() : kind(false), requestId(false), after(false), name(false), argument(false), preparesWrite(false) {}
+  _LaneCommand__isset() : kind(false), requestId(false), after(false), name(false), argument(false), preparesWrite(false), asksStatus(false) {}
   bool kind :1;
   bool requestId :1;
   bool after :1;
   bool name :1;
   bool argument :1;
   bool preparesWrite :1;
+  bool asksStatus :1;
 } _LaneCommand__isset;
 
 class LaneCommand : public virtual ::apache::thrift::TBase {
@@ -2818,7 +2819,8 @@
                 requestId(),
                 name(),
                 argument(),
-                preparesWrite(0) {
+                preparesWrite(0),
+                asksStatus(0) {
   }
 
   virtual ~LaneCommand() noexcept;
@@ -2828,6 +2830,7 @@
   std::string name;
   std::string argument;
   bool preparesWrite;
+  bool asksStatus;
 
   _LaneCommand__isset __isset;
 
@@ -2843,6 +2846,8 @@
 
   void __set_preparesWrite(const bool val);
 
+  void __set_asksStatus(const bool val);
+
   bool operator == (const LaneCommand & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -2859,6 +2864,10 @@
       return false;
     if (!(preparesWrite == rhs.preparesWrite))
       return false;
+    if (__isset.asksStatus != rhs.__isset.asksStatus)
+      return false;
+    else if (__isset.asksStatus && !(asksStatus == rhs.asksStatus))
+      return false;
     return true;
   }
   bool operator != (const LaneCommand &rhs) const {
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -374,6 +374,7 @@
   4: string name,
   5: string argument,
   6: bool preparesWrite,
+  7: optional bool asksStatus,          // for the server's status in place of a read-only begin
 }
 
 // Commands for one lane. A lane begins with its first ones.
--- a/include/nutmegtide/proxy/commitconfirmations.h
+++ b/include/nutmegtide/proxy/commitconfirmations.h
@@ -21,11 +21,18 @@
     TimePoint since; // when it was acknowledged
 };
 
+// How a server is asked.
+enum class QuestionKind {
+    Applied, // whether it has applied the position, which takes no slot
+    Received, // what it has received, by its status
+};
+
 // A question to a server: does its log hold the position?
 struct ConfirmationQuestion
 {
     ServerId server;
     LogPosition position;
+    QuestionKind kind = QuestionKind::Applied;
 };
 
 // Why a question wasn't answered with yes.
@@ -41,7 +48,8 @@
 // A server holds a commit if it reports a position of the same term that isn't lower, or if it
 // confirms that its log holds such a position. One question is outstanding at a time, and covers
 // all commits of its term that were waiting when it was asked. After a server that lags, another
-// one is asked after a short pause.
+// one is asked after a short pause. A server applies what it receives later, so the servers are
+// asked for their status once a commit has waited for long.
 //
 //   confirmations.add(session, {reply.position, primary, now});
 //   const auto question = confirmations.next(askableServers, now);
@@ -92,6 +100,7 @@
     std::optional<ConfirmationQuestion> m_asked;
     TimePoint m_askedAt {};
     TimePoint m_pausedUntil {};
+    bool m_hasLagged = false; // a server lagged since the latest confirmation
     std::set<ServerId> m_missed; // servers that gave no confirmation since the latest one
 };
 
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -70,6 +70,8 @@
     // Requests operations of a workspace with a cap, one request at a time for each workspace. The
     // answer is passed to SessionProxy::lent().
     virtual void borrow(const WorkspaceName &workspace, int wanted) = 0;
+    // Returns nothing for a reply that isn't one to ServerCommandKind::Status.
+    virtual std::optional<ServerReplicationStatus> readStatus(const ServerReply &reply) = 0;
     virtual void requestDecided(const RequestDecision &decision) = 0;
     // A session was refused or is ended, as no workspace that may use the route holds its key.
     virtual void keyRefused(const KeyRefusal &refusal) = 0;
@@ -383,6 +385,8 @@
     void sendQuestion(const ServiceName &service, ConnectionKey connection, TimePoint now);
     void onConfirmation(ConnectionKey key, const ServiceName &service, const ServerReply &reply,
                         TimePoint now);
+    std::optional<LogPosition> heldPosition(const ConfirmationQuestion &question,
+                                            const ServerReply &reply);
     void questionFailed(const ServiceName &service, TimePoint now);
     void noteReplicated(const ServerId &server, const LogPosition &position, TimePoint now);
     void deliver(const std::vector<SessionKey> &sessions, TimePoint now);
--- a/src/proxy/commitconfirmations.cpp
+++ b/src/proxy/commitconfirmations.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr auto LagPause = 4ms; // before the next question after one to a server that lags
+constexpr auto StatusPause = 25ms; // the same after a status, which takes a slot
+// A commit that has waited for so long, as servers lag, is asked for by their status.
+constexpr auto StatusAfter = 40ms;
 constexpr auto FailurePause = 20ms; // before the next question after one that failed
 constexpr auto QuestionTimeout = 150ms; // for the reply to a question
 constexpr std::size_t HoldersNeeded = 2; // recorded servers that hold a confirmed commit
@@ -43,8 +46,10 @@
     }
     for (const SessionKey session : confirmed)
         m_commits.erase(session);
-    if (!confirmed.empty())
+    if (!confirmed.empty()) {
         m_missed.clear();
+        m_hasLagged = false;
+    }
     return confirmed;
 }
 
@@ -99,15 +104,15 @@
         m_missed.clear();
         chosen = candidates.begin();
     }
-    m_asked = ConfirmationQuestion {*chosen, highest.position};
+    const bool isLong = m_hasLagged && now - oldest()->since >= StatusAfter;
+    m_asked = ConfirmationQuestion {*chosen, highest.position,
+                                    isLong ? QuestionKind::Received : QuestionKind::Applied};
     m_askedAt = now;
     return m_asked;
 }
 
 void CommitConfirmations::confirmed()
 {
-    // Another server is asked next if this one doesn't suffice.
-    m_missed.insert(m_asked->server);
     m_asked.reset();
 }
 
@@ -115,9 +120,13 @@
 {
     if (!m_asked)
         return;
+    Duration pause = FailurePause;
+    if (miss == ConfirmationMiss::Lags)
+        pause = m_asked->kind == QuestionKind::Received ? Duration(StatusPause) : LagPause;
+    m_hasLagged = m_hasLagged || miss == ConfirmationMiss::Lags;
     m_missed.insert(m_asked->server);
     m_asked.reset();
-    m_pausedUntil = now + (miss == ConfirmationMiss::Lags ? Duration(LagPause) : FailurePause);
+    m_pausedUntil = now + pause;
 }
 
 std::optional<TimePoint> CommitConfirmations::dueAt() const
--- a/src/proxy/serverhome.cpp
+++ b/src/proxy/serverhome.cpp
@@ -36,7 +36,8 @@
     if (lane.pending.size() != 2 || lane.pending[1].kind != ServerCommandKind::Rollback)
         return false;
     const ServerCommandKind first = lane.pending[0].kind;
-    return first == ServerCommandKind::Begin || first == ServerCommandKind::BeginReadOnly;
+    return first == ServerCommandKind::Begin || first == ServerCommandKind::BeginReadOnly
+            || first == ServerCommandKind::Status;
 }
 
 int ServerHome::homeCount(const ServerId &server) const
--- a/src/proxy/sessionconfirmations.cpp
+++ b/src/proxy/sessionconfirmations.cpp
@@ -12,12 +12,12 @@
 constexpr auto StallTime = 300ms;
 constexpr std::string_view UnconfirmedReason = "no recorded replica is known to hold the commit";
 
-// Returns the commands that ask whether the server's log holds the position.
-std::vector<ServerCommand> questionCommands(const LogPosition &position)
+std::vector<ServerCommand> questionCommands(const ConfirmationQuestion &question)
 {
     ServerCommand begin;
-    begin.kind = ServerCommandKind::BeginReadOnly;
-    begin.after = position;
+    begin.kind = question.kind == QuestionKind::Received ? ServerCommandKind::Status
+                                                         : ServerCommandKind::BeginReadOnly;
+    begin.after = question.position;
     ServerCommand rollback;
     rollback.kind = ServerCommandKind::Rollback;
     return {begin, rollback};
@@ -73,29 +73,45 @@
     ServerConnection &held = *m_pool.connection(connection);
     held.expected.push_back(Expectation::Confirmation);
     held.expected.push_back(Expectation::Rollback);
-    sendCommands(connection, questionCommands(state.commits.asked()->position),
-                 {0, QuestionMaxWait}, now);
+    sendCommands(connection, questionCommands(*state.commits.asked()), {0, QuestionMaxWait}, now);
 }
 
 void SessionProxy::onConfirmation(ConnectionKey key, const ServiceName &service,
                                   const ServerReply &reply, TimePoint now)
 {
-    m_pool.connection(key)->borrower.reset(); // it becomes free with the reply to the rollback
     ConfirmationState &state = m_confirmations.at(service);
+    m_pool.connection(key)->borrower.reset(); // it becomes free with the reply to the rollback
     if (state.connection != key)
         return; // the question was given up
     state.connection = 0;
     const ConfirmationQuestion question = *state.commits.asked();
-    if (reply.fault) {
+    const std::optional<LogPosition> known = heldPosition(question, reply);
+    if (!known) {
         const bool isBehind = reply.fault == StatementFault::Lagging;
         return state.commits.missed(isBehind ? ConfirmationMiss::Lags : ConfirmationMiss::Failed,
                                     now);
     }
-    state.commits.confirmed();
-    deliver(state.commits.noteHeld(question.server, question.position), now);
+    const std::vector<SessionKey> confirmed = state.commits.noteHeld(question.server, *known);
+    if (confirmed.empty())
+        state.commits.missed(ConfirmationMiss::Lags, now);
+    else
+        state.commits.confirmed();
+    deliver(confirmed, now);
     askConfirmation(service, now);
 }
 
+// Returns a position that the server's log holds by its reply, if it tells one.
+std::optional<LogPosition> SessionProxy::heldPosition(const ConfirmationQuestion &question,
+                                                      const ServerReply &reply)
+{
+    if (reply.fault)
+        return std::nullopt;
+    if (question.kind == QuestionKind::Applied)
+        return question.position;
+    const auto status = m_delegate.readStatus(reply);
+    return status ? std::optional(status->received) : std::nullopt;
+}
+
 void SessionProxy::questionFailed(const ServiceName &service, TimePoint now)
 {
     ConfirmationState &state = m_confirmations.at(service);
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -68,6 +68,7 @@
     void requestLoan(const Endpoint &lender, const WorkspaceName &workspace, LenderRole role,
                      int wanted) override;
     void lent(const WorkspaceName &workspace, const CapLoan &loan) override;
+    std::optional<ServerReplicationStatus> readStatus(const ServerReply &reply) override;
     void requestDecided(const RequestDecision &decision) override;
     void keyRefused(const KeyRefusal &refusal) override;
     void serverAssessed(const ServerAssessment &serverAssessment) override;
--- a/src/site/entrynodeevents.cpp
+++ b/src/site/entrynodeevents.cpp
@@ -80,6 +80,11 @@
     m_borrower.borrow(workspace, wanted, EventLoop::now());
 }
 
+std::optional<ServerReplicationStatus> EntryNode::readStatus(const ServerReply &reply)
+{
+    return readReplicationStatus(reply);
+}
+
 bool EntryNode::isReachable(const Endpoint &lender)
 {
     return m_links.isHomeReachable(lender);
--- a/src/site/lanewire.cpp
+++ b/src/site/lanewire.cpp
@@ -93,7 +93,12 @@
 wire::LaneCommand toWire(const ServerCommand &command)
 {
     wire::LaneCommand result;
-    result.kind = static_cast<std::int32_t>(command.kind);
+    // An older version takes the request for a status as the begin, which harms nothing.
+    const bool asksStatus = command.kind == ServerCommandKind::Status;
+    result.kind = static_cast<std::int32_t>(asksStatus ? ServerCommandKind::BeginReadOnly
+                                                       : command.kind);
+    if (asksStatus)
+        result.__set_asksStatus(true);
     result.requestId = command.request.text();
     if (command.after)
         result.__set_after(toWire(*command.after));
@@ -107,6 +112,8 @@
 {
     ServerCommand result;
     result.kind = checked(command.kind, LastKind, "command");
+    if (result.kind == ServerCommandKind::BeginReadOnly && command.asksStatus)
+        result.kind = ServerCommandKind::Status;
     result.request = RequestId(command.requestId);
     if (command.__isset.after)
         result.after = fromWire(command.after);
--- a/test/unit/proxy/sessionproxyfixture.h
+++ b/test/unit/proxy/sessionproxyfixture.h
@@ -21,6 +21,7 @@
     bool provesAnswers = true;
     std::optional<StatementFault> refusal; // reply to every statement
     LogPosition applied {1, 0};
+    LogPosition received {}; // may be ahead of `applied`
     bool receives = false; // its log follows each commit of the primary at once
     Duration ran {}; // run time of a statement as its home reports it
     int statements = 0; // number of statements that it ran
@@ -216,6 +217,10 @@
         TransactionState &state = m_states[sent.connection];
         ServerReply reply;
         reply.position = server.applied;
+        if (sent.command.kind == ServerCommandKind::Status) {
+            reply.rows = {sent.server.text()};
+            return reply;
+        }
         using Kind = ServerCommandKind;
         const Kind kind = sent.command.kind;
         const bool isStatement = kind == Kind::Read || kind == Kind::Write || kind == Kind::Execute
@@ -295,6 +300,14 @@
     {
         loanRequests.emplace_back(workspace, wanted);
     }
+    std::optional<ServerReplicationStatus> readStatus(const ServerReply &reply) override
+    {
+        if (reply.fault || reply.rows.empty())
+            return std::nullopt;
+        ServerReplicationStatus status;
+        status.received = servers.at(ServerId(reply.rows.front())).received;
+        return status;
+    }
     void requestDecided(const RequestDecision & /*decision*/) override { }
     void keyRefused(const KeyRefusal &refusal) override { refusals.push_back(refusal); }
     void serverAssessed(const ServerAssessment & /*judgement*/) override { }
