--- a/test/unit/proxy/commitconfirmations_test.cpp
+++ b/test/unit/proxy/commitconfirmations_test.cpp
@@ -123,3 +123,45 @@
     CHECK_FALSE(commits.dueAt());
     CHECK_FALSE(commits.waitingSince());
 }
+
+TEST_CASE("servers that lag are asked for their status once a commit has waited for long")
+{
+    struct Row
+    {
+        ConfirmationMiss miss;
+        Duration waited;
+        QuestionKind asked;
+    };
+    const Row rows[] = {{ConfirmationMiss::Lags, 39ms, QuestionKind::Applied},
+                        {ConfirmationMiss::Lags, 40ms, QuestionKind::Received},
+                        {ConfirmationMiss::Failed, 40ms, QuestionKind::Applied}};
+    for (const Row &row : rows) {
+        CAPTURE(row.waited.count());
+        CommitConfirmations commits = confirmations();
+        commits.add(Caller, {{3, 20}, Primary, Start});
+        CHECK(commits.next({Replica}, Start)->kind == QuestionKind::Applied);
+        commits.missed(row.miss, Start);
+        const auto second = commits.next({Replica}, Start + row.waited);
+        REQUIRE(second);
+        CHECK(second->kind == row.asked);
+    }
+}
+
+TEST_CASE(
+        "after a status that doesn't confirm there is a longer pause, and after one that does none")
+{
+    CommitConfirmations commits = confirmations();
+    commits.add(1, {{3, 20}, Primary, Start});
+    commits.next({Replica}, Start);
+    commits.missed(ConfirmationMiss::Lags, Start);
+    REQUIRE(commits.next({Replica}, Start + 40ms)->kind == QuestionKind::Received);
+    commits.missed(ConfirmationMiss::Lags, Start + 41ms);
+    CHECK(commits.dueAt() == Start + 66ms);
+    REQUIRE(commits.next({Replica}, Start + 66ms));
+    commits.add(2, {{3, 21}, Primary, Start + 66ms});
+    CHECK(commits.noteHeld(Replica, {3, 20}) == std::vector<SessionKey> {1});
+    commits.confirmed();
+    const auto next = commits.next({Replica}, Start + 67ms);
+    REQUIRE(next);
+    CHECK(next->kind == QuestionKind::Applied);
+}
--- a/test/unit/proxy/serverhome_test.cpp
+++ b/test/unit/proxy/serverhome_test.cpp
@@ -245,6 +245,22 @@
     CHECK(fixture.wasSent("b2"));
 }
 
+TEST_CASE("questions for a commit don't wait for a slot of a saturated server")
+{
+    for (const ServerCommandKind kind :
+         {ServerCommandKind::BeginReadOnly, ServerCommandKind::Status}) {
+        CAPTURE(static_cast<int>(kind));
+        ServerHomeFixture fixture;
+        fixture.askReads(12, {2, 150ms});
+        fixture.home.take({2, 1}, {ServerHomeFixture::Server, {}},
+                          {ServerHomeFixture::command(kind, "b"),
+                           ServerHomeFixture::command(ServerCommandKind::Rollback, "r")},
+                          {0, 100ms}, fixture.now);
+        fixture.openAll();
+        CHECK(fixture.wasSent("b"));
+    }
+}
+
 TEST_CASE("a transaction waits for a slot of a saturated primary before it begins")
 {
     ServerHomeFixture fixture;
--- a/test/unit/proxy/sessionconfirmations_test.cpp
+++ b/test/unit/proxy/sessionconfirmations_test.cpp
@@ -97,6 +97,22 @@
     CHECK_FALSE(fixture.faultOf("w1"));
 }
 
+TEST_CASE("a commit is answered once its replica has received it, though it applies it much later")
+{
+    ConfirmationFixture fixture;
+    fixture.write("w1");
+    fixture.server("r1").received = fixture.server("r2").received = fixture.server("p").applied;
+    fixture.serveFor(30ms);
+    CHECK_FALSE(fixture.isAnswered("w1"));
+    fixture.serveFor(30ms);
+    CHECK_FALSE(fixture.faultOf("w1"));
+    // Its connection is in use again.
+    fixture.write("w2");
+    fixture.replicate();
+    fixture.serveFor(30ms);
+    CHECK_FALSE(fixture.faultOf("w2"));
+}
+
 TEST_CASE("a commit that waits occupies no connection, and its session's statements wait for it")
 {
     ConfirmationFixture fixture;
--- a/test/unit/site/lanewire_test.cpp
+++ b/test/unit/site/lanewire_test.cpp
@@ -172,3 +172,16 @@
         }
     }
 }
+
+TEST_CASE("a request for a status is a read-only begin to an older version")
+{
+    ServerCommand status;
+    status.kind = ServerCommandKind::Status;
+    status.after = LogPosition {3, 7};
+    wire::LaneCommand encoded = toWire(status);
+    CHECK(encoded.kind == static_cast<std::int32_t>(ServerCommandKind::BeginReadOnly));
+    CHECK(fromWire(encoded) == status);
+    encoded.__isset.asksStatus = false; // as an older version reads it
+    encoded.asksStatus = false;
+    CHECK((fromWire(encoded).kind == ServerCommandKind::BeginReadOnly));
+}
--- a/test/unit/site/sitewire_test.cpp
+++ b/test/unit/site/sitewire_test.cpp
@@ -104,3 +104,39 @@
     encoded.__set_leavingMilliseconds(std::numeric_limits<std::int64_t>::max());
     CHECK(fromWire(encoded, TimePoint(1s)).leavingSince == TimePoint(1s) - 24h);
 }
+
+TEST_CASE("recorded servers are told when they differ, and an empty list is told too")
+{
+    struct Row
+    {
+        std::set<ServerId> known;
+        std::optional<std::set<ServerId>> before; // as the asking VM was told last
+        bool isTold;
+    };
+    const std::set<ServerId> two {ServerId("i-1"), ServerId("i-2")};
+    const Row rows[] = {{two, std::nullopt, true},
+                        {two, two, false},
+                        {two, std::set<ServerId> {ServerId("i-1")}, true},
+                        {{}, std::nullopt, true},
+                        {{}, two, true}};
+    for (const Row &row : rows) {
+        CAPTURE(row.known.size());
+        wire::FollowRequest request;
+        if (row.before)
+            request.__set_recordedVersion(recordedServers(*row.before).version);
+        wire::FollowReply reply;
+        putRecordedServers(recordedServers(row.known), request, reply);
+        const auto told = recordedServersOf(reply);
+        REQUIRE(told.has_value() == row.isTold);
+        if (!told)
+            continue;
+        CHECK(told->servers == row.known);
+        CHECK(told->version == recordedServers(row.known).version);
+    }
+}
+
+// Guards against taking an older control VM's silence for an empty list, by which no commit is answered.
+TEST_CASE("a reply of an older version tells no recorded servers")
+{
+    CHECK_FALSE(recordedServersOf(wire::FollowReply()));
+}
