--- a/include/nutmegtide/proxy/commitconfirmations.h
+++ b/include/nutmegtide/proxy/commitconfirmations.h
@@ -80,6 +80,8 @@
     std::optional<TimePoint> dueAt() const;
     bool isOverdue(TimePoint now) const;
     bool isWaiting() const { return !m_commits.empty(); }
+    // Returns the servers that were asked since the latest confirmation, and didn't confirm.
+    const std::set<ServerId> &missedServers() const { return m_missed; }
     // Returns since when the oldest commit waits.
     std::optional<TimePoint> waitingSince() const;
 
--- a/src/proxy/sessionconfirmations.cpp
+++ b/src/proxy/sessionconfirmations.cpp
@@ -45,6 +45,7 @@
     work.phase = Phase::Confirm;
     work.connection = 0;
     work.withheld = answer;
+    work.withheldAt = now;
     setTimer(key, work.replyDeadline);
     const ServiceName service = work.route.service;
     CommitConfirmations &commits = m_confirmations[service].commits;
@@ -142,6 +143,7 @@
 
 void SessionProxy::failUnconfirmed(SessionKey key, TimePoint now)
 {
+    note(key, *m_sessions.at(key).work, "unconfirmed", UnconfirmedReason, now);
     fail(key, StatementFault::OutcomeUnknown, UnconfirmedReason, now);
 }
 
--- a/src/proxy/sessionreports.cpp
+++ b/src/proxy/sessionreports.cpp
@@ -45,6 +45,13 @@
         decision.needed = work.need->position;
         decision.neededAge = now - work.need->reachedAt;
     }
+    if (work.phase == Phase::Confirm) {
+        decision.committed = work.withheld.position;
+        decision.withheld = now - work.withheldAt;
+        const auto state = m_confirmations.find(work.route.service);
+        if (state != m_confirmations.end())
+            decision.asked = state->second.commits.missedServers();
+    }
     decision.waited = m_sessions.at(key).usedAt - work.arrivedAt;
     decision.revision = work.revision;
     m_delegate.requestDecided(decision);
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -325,6 +325,8 @@
     const std::string step(decision.step);
     if (step == "answered")
         return;
+    if (step == "unconfirmed")
+        return logUnconfirmed(decision);
     logLine(LogLevel::Info, "request_" + step,
             {{"request_id", decision.request.text()},
              {"session", std::to_string(decision.session)},
@@ -342,6 +344,22 @@
              {"revision", std::to_string(decision.revision)}});
 }
 
+void EntryNode::logUnconfirmed(const RequestDecision &decision)
+{
+    std::string asked;
+    for (const ServerId &server : decision.asked)
+        asked += (asked.empty() ? "" : ",") + server.text();
+    logLine(LogLevel::Warning, "request_unconfirmed",
+            {{"request_id", decision.request.text()},
+             {"session", std::to_string(decision.session)},
+             {"database", decision.database.text()},
+             {"server", decision.server.text()},
+             {"committed", textOf(decision.committed)},
+             {"asked", asked},
+             {"withheld_ms", milliseconds(decision.withheld.value_or(Duration()))},
+             {"reason", std::string(decision.reason)}});
+}
+
 void EntryNode::keyRefused(const KeyRefusal &refusal)
 {
     logLine(LogLevel::Warning, refusal.workspace.isEmpty() ? "key_refused" : "key_revoked",
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -85,6 +85,7 @@
     void refuseCallersIfCutOff(TimePoint now);
     HttpResponse answerHealth() const;
     HttpResponse answerOperators(const HttpRequest &request) const;
+    void logUnconfirmed(const RequestDecision &decision);
     void logLine(LogLevel level, const std::string &event, const std::vector<LogField> &fields);
 
     const NodeSettings m_settings;
--- a/src/site/sitemetrics.cpp
+++ b/src/site/sitemetrics.cpp
@@ -28,6 +28,11 @@
                                        "Tries of statements that were moved to another server."))
     , m_primaryTime(registry.latency(Latency, LatencyHelp, roleLabel("primary")))
     , m_replicaTime(registry.latency(Latency, LatencyHelp, roleLabel("replica")))
+    , m_unconfirmed(registry.counter("nutmegtide_site_unconfirmed_total",
+                                     "Commits that weren't confirmed in time."))
+    , m_withheldTime(registry.latency("nutmegtide_site_withheld_seconds",
+                                      "Time for which the answers to confirmed commits were "
+                                      "withheld."))
     , m_sessions(registry.gauge("nutmegtide_site_sessions", "Sessions of callers that are open."))
     , m_revision(registry.gauge("nutmegtide_site_revision", "Revision of the routes in force."))
 { }
@@ -38,6 +43,8 @@
         return recordAnswer(decision);
     if (decision.step == "sent_elsewhere")
         return m_sentElsewhere.add();
+    if (decision.step == "unconfirmed")
+        return m_unconfirmed.add();
     MetricLabels labels;
     labels.type = decision.fault ? std::string(toString(*decision.fault)) : "none";
     m_registry.counter(Refused, RefusedHelp, labels).add();
@@ -45,6 +52,8 @@
 
 void SiteMetrics::recordAnswer(const RequestDecision &decision)
 {
+    if (decision.withheld)
+        m_withheldTime.observe(*decision.withheld);
     if (decision.isPrimary) {
         m_byPrimary.add();
         m_primaryTime.observe(decision.waited);
--- a/src/site/sitemetrics.h
+++ b/src/site/sitemetrics.h
@@ -26,6 +26,8 @@
     Counter &m_sentElsewhere;
     LatencyHistogram &m_primaryTime;
     LatencyHistogram &m_replicaTime;
+    Counter &m_unconfirmed;
+    LatencyHistogram &m_withheldTime;
     Gauge &m_sessions;
     Gauge &m_revision;
 };
--- a/test/unit/proxy/sessionconfirmations_test.cpp
+++ b/test/unit/proxy/sessionconfirmations_test.cpp
@@ -74,6 +74,11 @@
     CHECK((fixture.faultOf("w1") == StatementFault::OutcomeUnknown));
     CHECK((fixture.faultOf("c") == StatementFault::OutcomeUnknown));
     CHECK(fixture.answerTo("c")->state == TransactionState::Idle);
+    REQUIRE(fixture.unconfirmed.size() == 2);
+    CHECK(fixture.unconfirmed.front().request == RequestId("w1"));
+    CHECK(fixture.unconfirmed.front().committed == LogPosition {1, 11});
+    CHECK(fixture.unconfirmed.front().withheld == Duration(1000ms));
+    CHECK_FALSE(fixture.unconfirmed.front().asked.empty());
 }
 
 TEST_CASE("a commit that a recorded replica holds is answered with its primary's answer")
--- a/test/unit/proxy/sessionproxyfixture.h
+++ b/test/unit/proxy/sessionproxyfixture.h
@@ -181,6 +181,7 @@
     std::vector<SessionKey> accepted;
     std::vector<GivenAnswer> answers;
     std::vector<KeyRefusal> refusals;
+    std::vector<RequestDecision> unconfirmed;
     std::vector<std::pair<WorkspaceName, int>> loanRequests; // with the operations asked for
     std::map<ConnectionKey, WorkspaceName> workspaceOf; // of each connection that was requested
     std::vector<SentCommand> sentCommands;
@@ -308,7 +309,11 @@
         status.received = servers.at(ServerId(reply.rows.front())).received;
         return status;
     }
-    void requestDecided(const RequestDecision & /*decision*/) override { }
+    void requestDecided(const RequestDecision &decision) override
+    {
+        if (decision.step == "unconfirmed")
+            unconfirmed.push_back(decision);
+    }
     void keyRefused(const KeyRefusal &refusal) override { refusals.push_back(refusal); }
     void serverAssessed(const ServerAssessment & /*judgement*/) override { }
 
--- a/test/unit/site/sitemetrics_test.cpp
+++ b/test/unit/site/sitemetrics_test.cpp
@@ -27,3 +27,23 @@
         CHECK(text.find(line) != std::string::npos);
     }
 }
+
+TEST_CASE("confirmed commits are counted with their time, and unconfirmed ones apart from refusals")
+{
+    MetricRegistry registry;
+    SiteMetrics metrics(registry);
+    RequestDecision decision;
+    decision.step = "answered";
+    decision.withheld = 30ms;
+    metrics.take(decision);
+    decision.step = "unconfirmed";
+    metrics.take(decision);
+    metrics.take(decision);
+    const std::string text = registry.text();
+    for (const char *line :
+         {"nutmegtide_site_withheld_seconds_count 1", "nutmegtide_site_unconfirmed_total 2"}) {
+        CAPTURE(std::string(line));
+        CHECK(text.find(line) != std::string::npos);
+    }
+    CHECK(text.find("nutmegtide_site_refused_total") == std::string::npos);
+}
