Merge the confirmation of commits by recorded servers

Entry VMs are told the recorded servers without those that have departed: a departed server is no evidence, though it stays in the roster until covered.

--- a/include/nutmegtide/failover/serverroster.h
+++ b/include/nutmegtide/failover/serverroster.h
@@ -49,6 +49,8 @@
     std::set<ServerId> departed() const;
     // Returns the servers whose promotion may still be carried out.
     std::set<ServerId> openOrders(const ServiceName &service) const;
+    // Returns the servers of all services.
+    std::set<ServerId> presentServers() const;
     // Returns the announcements of the servers of all services.
     std::vector<ServerAnnouncement> announcements() const;
 
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -5,6 +5,7 @@
 #include "nutmegtide/proxy/positionproofs.h"
 #include "nutmegtide/proxy/routetable.h"
 #include "nutmegtide/proxy/serverpool.h"
+#include "nutmegtide/proxy/sessionproxydelegate.h"
 #include "nutmegtide/session/sessionstatement.h"
 
 #include <memory>
@@ -12,80 +13,6 @@
 
 namespace nutmegtide {
 
-// Decision of the proxy on one request, for the log.
-struct RequestDecision
-{
-    RequestId request;
-    SessionKey session = 0;
-    DatabaseName database;
-    WorkspaceName workspace;
-    StatementKind kind = StatementKind::Read;
-    std::string_view step; // "answered", "sent_elsewhere", "refused"
-    std::string_view reason;
-    ServerId server;
-    std::optional<StatementFault> fault;
-    std::optional<LogPosition> needed; // log position that the server had to have reached
-    Duration neededAge {}; // time since the primary's log is known to have held it
-    Consistency consistency = Consistency::Latest; // of the route
-    bool isPrimary = false; // the server is the primary, as far as is known
-    Duration waited {}; // time since the request arrived
-    Revision revision = 0; // revision of the routes that were applied
-};
-
-// Change in the proxy's assessment of a backend server, for the log.
-struct ServerAssessment
-{
-    ServerId server;
-    ServiceName service;
-    std::string_view assessment; // "failing", "overloaded", "stuck", "not_primary", "left", ...
-    std::string_view reason;
-};
-
-// A session whose key is unknown or was removed, for the log.
-struct KeyRefusal
-{
-    SessionKey session = 0;
-    DatabaseName database;
-    WorkspaceName workspace; // which held the key before; empty for an unknown key
-    Revision revision = 0; // of the configuration that was applied
-};
-
-// Actions that a SessionProxy requests. Results are passed to the methods of SessionProxy, but
-// never from inside these calls.
-class SessionProxyDelegate
-{
-public:
-    virtual ~SessionProxyDelegate() = default;
-
-    virtual void accept(SessionKey session) = 0;
-    virtual void answer(SessionKey session, const RequestId &request,
-                        const SessionAnswer &answer) = 0;
-    // Ends a session, with `fault` as the reason if one is given.
-    virtual void end(SessionKey session, std::optional<StatementFault> fault) = 0;
-    virtual void open(ConnectionKey connection, const ServerAnnouncement &server,
-                      const WorkspaceName &workspace) = 0;
-    virtual void send(ConnectionKey connection, const std::vector<ServerCommand> &commands,
-                      const Urgency &urgency) = 0;
-    virtual void close(ConnectionKey connection) = 0;
-    // Requests operations of a workspace with a cap, one request at a time for each workspace. The
-    // answer is passed to SessionProxy::lent().
-    virtual void borrow(const WorkspaceName &workspace, int wanted) = 0;
-    virtual void requestDecided(const RequestDecision &decision) = 0;
-    // A session was refused or is ended, as no workspace that may use the route holds its key.
-    virtual void keyRefused(const KeyRefusal &refusal) = 0;
-    virtual void serverAssessed(const ServerAssessment &serverAssessment) = 0;
-};
-
-// Report to the control VMs that this proxy can't use a primary.
-struct PrimaryComplaint
-{
-    ServiceName service;
-    ServerId server;
-    std::chrono::milliseconds since {0};
-
-    bool operator==(const PrimaryComplaint &) const = default;
-};
-
 // Serves the sessions of callers on borrowed connections to backend servers. It chooses the server
 // of each statement, gets the proofs of position that reads need, retries what may be retried and
 // decides what the caller is told. The class has no threads, sockets or clock: callers pass in
@@ -129,6 +56,9 @@
     // Adds a position that another process got from a confirmed primary.
     void takeProof(const ServiceName &service, TimePoint askedAt, const LogPosition &position,
                    TimePoint now);
+    // Sets the servers that the control log records. From then on a commit is answered once another
+    // recorded server than the primary is known to hold it.
+    void setRecordedServers(std::set<ServerId> recorded);
     // Returns the services with recent reads that allow bounded staleness.
     std::vector<ServiceName> agedServices(TimePoint now) const;
     // Sets the number of entry proxies that share the servers' connections.
@@ -197,6 +127,7 @@
         Connection,
         Begin, // waits for the reply to its transaction's begin
         Answer,
+        Confirm, // has run; waits until its commit is confirmed
         Pause, // waits before the next attempt
     };
 
@@ -220,6 +151,8 @@
         ConnectionKey connection = 0;
         int attempts = 0;
         std::optional<StatementFault> lastFault;
+        SessionAnswer withheld; // in the phase Confirm
+        TimePoint withheldAt;
     };
 
     struct Session
@@ -267,6 +200,13 @@
         PositionProofs proofs;
     };
 
+    struct ConfirmationState
+    {
+        CommitConfirmations commits;
+        ConnectionKey connection = 0; // of the outstanding question; 0 while it waits for one
+        bool isStalled = false; // no recorded replica could be asked for too long
+    };
+
     // Callers (sessionproxy.cpp).
     void startSession(SessionKey key, const DatabaseName &database, const KeyDigest &credential,
                       TimePoint now);
@@ -346,13 +286,14 @@
                         std::string_view reason, TimePoint now);
     void retryLater(SessionKey key, std::string_view reason, TimePoint now);
     void retryElsewhere(SessionKey key, std::string_view reason, TimePoint now);
+    void takeReply(ConnectionKey key, const ServerReply &reply, TimePoint now);
     void onStatement(SessionKey key, const ServerReply &reply, TimePoint now);
     void onBegun(SessionKey key, const ServerReply &reply, TimePoint now);
     void onRefusal(SessionKey key, const ServerReply &reply, TimePoint now);
     void onOverdueReply(SessionKey key, TimePoint now);
     void onLoss(SessionKey key, TimePoint now);
     void noteRunTime(SessionKey key, const ServerReply &reply);
-    void noteSuccess(Session &session, const Work &work, const ServerReply &reply, TimePoint now);
+    bool noteSuccess(Session &session, const Work &work, const ServerReply &reply, TimePoint now);
     void noteHeld(const Work &work, const ServerReply &reply);
     const PreparedStatement *preparedOf(const Session &session, const SessionStatement &s) const;
 
@@ -363,6 +304,23 @@
     void proofFailed(const ServiceName &service, TimePoint now);
     void routeProved(const ServiceName &service, TimePoint now);
 
+    // Confirmation of commits (sessionconfirmations.cpp).
+    bool needsConfirmation(const ServiceName &service) const;
+    void withhold(SessionKey key, const SessionAnswer &answer, TimePoint now);
+    void askConfirmation(const ServiceName &service, TimePoint now);
+    void sendQuestion(const ServiceName &service, ConnectionKey connection, TimePoint now);
+    void onConfirmation(ConnectionKey key, const ServiceName &service, const ServerReply &reply,
+                        TimePoint now);
+    std::optional<LogPosition> heldPosition(const ConfirmationQuestion &question,
+                                            const ServerReply &reply);
+    void questionFailed(const ServiceName &service, TimePoint now);
+    void noteReplicated(const ServerId &server, const LogPosition &position, TimePoint now);
+    void deliver(const std::vector<SessionKey> &sessions, TimePoint now);
+    void failUnconfirmed(SessionKey key, TimePoint now);
+    void tickConfirmations(TimePoint now);
+    bool canAskReplica(const ServiceName &service, TimePoint now) const;
+    bool isStalled(const ServiceName &service, TimePoint now) const;
+
     SessionProxyDelegate &m_delegate;
     std::shared_ptr<const RouteTable> m_routes;
     ServerPool m_pool;
@@ -370,6 +328,9 @@
     std::map<SessionKey, PendingSession> m_pendingSessions;
     TimePoint m_startsUntil {};
     std::map<ServiceName, ProofState> m_proofs;
+    // Unknown while control tells none, as one of an older version.
+    std::optional<std::set<ServerId>> m_recorded;
+    std::map<ServiceName, ConfirmationState> m_confirmations;
     std::map<DatabaseName, AverageTime> m_runTimes; // run time of statements, by route
     std::set<std::pair<TimePoint, SessionKey>> m_timers;
     TimePoint m_poolDueAt;
--- a/src/failover/serverroster.cpp
+++ b/src/failover/serverroster.cpp
@@ -202,6 +202,21 @@
     return all;
 }
 
+std::set<ServerId> ServerRoster::presentServers() const
+{
+    std::set<ServerId> all;
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[service, servers] : m_services) {
+        const auto departed = m_departed.find(service);
+        for (const auto &[id, announcement] : servers) {
+            const bool isDeparted = departed != m_departed.end() && departed->second.count(id) != 0;
+            if (!isDeparted)
+                all.insert(id);
+        }
+    }
+    return all;
+}
+
 std::vector<ServerAnnouncement> ServerRoster::announcements() const
 {
     std::vector<ServerAnnouncement> all;
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -68,6 +68,7 @@
     void requestLoan(const Endpoint &lender, const WorkspaceName &workspace, LenderRole role,
                      int wanted) override;
     void lent(const WorkspaceName &workspace, const CapLoan &loan) override;
+    std::optional<ServerReplicationStatus> readStatus(const ServerReply &reply) override;
     void requestDecided(const RequestDecision &decision) override;
     void keyRefused(const KeyRefusal &refusal) override;
     void serverAssessed(const ServerAssessment &serverAssessment) override;
@@ -84,6 +85,7 @@
     void refuseCallersIfCutOff(TimePoint now);
     HttpResponse answerHealth() const;
     HttpResponse answerOperators(const HttpRequest &request) const;
+    void logUnconfirmed(const RequestDecision &decision);
     void logLine(LogLevel level, const std::string &event, const std::vector<LogField> &fields);
 
     const NodeSettings m_settings;
--- a/test/unit/proxy/sessionproxyfixture.h
+++ b/test/unit/proxy/sessionproxyfixture.h
@@ -21,6 +21,8 @@
     bool provesAnswers = true;
     std::optional<StatementFault> refusal; // reply to every statement
     LogPosition applied {1, 0};
+    LogPosition received {}; // may be ahead of `applied`
+    bool receives = false; // its log follows each commit of the primary at once
     Duration ran {}; // run time of a statement as its home reports it
     int statements = 0; // number of statements that it ran
 };
@@ -115,6 +117,15 @@
         }
         now = until;
     }
+    // Advances the time in small steps, and replies to all commands after each.
+    void serveFor(Duration time)
+    {
+        const TimePoint until = now + time;
+        while (now < until) {
+            advanceTime(std::min(Duration(2ms), until - now));
+            serve();
+        }
+    }
     // Replies to all commands, including those that the replies lead to.
     void serve()
     {
@@ -170,6 +181,7 @@
     std::vector<SessionKey> accepted;
     std::vector<GivenAnswer> answers;
     std::vector<KeyRefusal> refusals;
+    std::vector<RequestDecision> unconfirmed;
     std::vector<std::pair<WorkspaceName, int>> loanRequests; // with the operations asked for
     std::map<ConnectionKey, WorkspaceName> workspaceOf; // of each connection that was requested
     std::vector<SentCommand> sentCommands;
@@ -192,12 +204,24 @@
         table.routes[route.database] = route;
     }
 
+    void commitAt(ScriptedServer &primary)
+    {
+        ++primary.applied.index;
+        for (auto &[id, server] : servers) {
+            if (server.receives)
+                server.applied = primary.applied;
+        }
+    }
     ServerReply replyOf(const SentCommand &sent)
     {
         ScriptedServer &server = servers.at(sent.server);
         TransactionState &state = m_states[sent.connection];
         ServerReply reply;
         reply.position = server.applied;
+        if (sent.command.kind == ServerCommandKind::Status) {
+            reply.rows = {sent.server.text()};
+            return reply;
+        }
         using Kind = ServerCommandKind;
         const Kind kind = sent.command.kind;
         const bool isStatement = kind == Kind::Read || kind == Kind::Write || kind == Kind::Execute
@@ -222,7 +246,7 @@
             if (kind == Kind::Write && state == TransactionState::Open)
                 m_wrote.insert(sent.connection);
             if (isCommit)
-                ++server.applied.index;
+                commitAt(server);
             reply.position = server.applied;
             if (kind == Kind::Begin || kind == Kind::BeginReadOnly)
                 state = TransactionState::Open;
@@ -277,7 +301,19 @@
     {
         loanRequests.emplace_back(workspace, wanted);
     }
-    void requestDecided(const RequestDecision & /*decision*/) override { }
+    std::optional<ServerReplicationStatus> readStatus(const ServerReply &reply) override
+    {
+        if (reply.fault || reply.rows.empty())
+            return std::nullopt;
+        ServerReplicationStatus status;
+        status.received = servers.at(ServerId(reply.rows.front())).received;
+        return status;
+    }
+    void requestDecided(const RequestDecision &decision) override
+    {
+        if (decision.step == "unconfirmed")
+            unconfirmed.push_back(decision);
+    }
     void keyRefused(const KeyRefusal &refusal) override { refusals.push_back(refusal); }
     void serverAssessed(const ServerAssessment & /*judgement*/) override { }
 
