--- a/src/proxy/sessionconfirmations.cpp
+++ b/src/proxy/sessionconfirmations.cpp
@@ -107,10 +107,13 @@
 {
     if (reply.fault)
         return std::nullopt;
-    if (question.kind == QuestionKind::Applied)
-        return question.position;
-    const auto status = m_delegate.readStatus(reply);
-    return status ? std::optional(status->received) : std::nullopt;
+    // A home of an older version answers a question for the status like one for what is applied.
+    if (question.kind == QuestionKind::Received) {
+        if (const auto status = m_delegate.readStatus(reply))
+            return status->received;
+    }
+    // A log of a later term may be beyond the position and yet lack it.
+    return reply.position ? *reply.position : question.position;
 }
 
 void SessionProxy::questionFailed(const ServiceName &service, TimePoint now)
--- a/test/unit/proxy/sessionconfirmations_test.cpp
+++ b/test/unit/proxy/sessionconfirmations_test.cpp
@@ -318,3 +318,16 @@
     fixture.serveFor(30ms);
     CHECK_FALSE(fixture.faultOf("w4"));
 }
+
+// Guards against a commit of a deposed primary that a later term's position seems to confirm.
+TEST_CASE("a server that is beyond a commit in a later term doesn't confirm it")
+{
+    ConfirmationFixture fixture;
+    fixture.server("r1").applied = fixture.server("r2").applied = {2, 30};
+    fixture.ask(1, StatementKind::Write, "w1", "x 1");
+    fixture.serveFor(500ms);
+    CHECK(fixture.questions() > 0);
+    CHECK_FALSE(fixture.isAnswered("w1"));
+    fixture.serveFor(600ms);
+    CHECK((fixture.faultOf("w1") == StatementFault::OutcomeUnknown));
+}
