--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -59,6 +59,8 @@
     // Sets the servers that the control log records. From then on a commit is answered once another
     // recorded server than the primary is known to hold it.
     void setRecordedServers(std::set<ServerId> recorded);
+    // From now on it isn't known which servers are recorded, so commits are answered at once.
+    void forgetRecordedServers() { m_recorded.reset(); }
     // Returns the services with recent reads that allow bounded staleness.
     std::vector<ServiceName> agedServices(TimePoint now) const;
     // Sets the number of entry proxies that share the servers' connections.
--- a/src/proxy/sessionconfirmations.cpp
+++ b/src/proxy/sessionconfirmations.cpp
@@ -167,6 +167,8 @@
 
 bool SessionProxy::canAskReplica(const ServiceName &service, TimePoint now) const
 {
+    if (!m_recorded)
+        return true;
     const auto primary = m_pool.primary(service, now);
     const std::vector<ServerId> askable = m_pool.askableServers(service, now);
     return std::any_of(askable.begin(), askable.end(), [&](const ServerId &server) {
--- a/src/site/controlfollower.cpp
+++ b/src/site/controlfollower.cpp
@@ -206,6 +206,7 @@
     if (reply.__isset.homes)
         view.homes = fromWire(reply.homes);
     view.recorded = recordedServersOf(reply);
+    view.knowsRecorded = reply.__isset.recordedVersion;
     bool isTrusted = false;
     {
         const std::lock_guard lock(m_mutex);
@@ -221,6 +222,8 @@
             m_homesVersion = reply.homesVersion;
         if (isTrusted && view.recorded)
             m_recordedVersion = view.recorded->version;
+        if (isTrusted && !view.knowsRecorded)
+            m_recordedVersion.reset();
         if (isTrusted)
             m_selector.succeeded(from);
     }
--- a/src/site/controlfollower.h
+++ b/src/site/controlfollower.h
@@ -30,6 +30,7 @@
     std::optional<ServerHomes> homes; // set where they changed
     // Set where they changed, by control VMs that tell them.
     std::optional<RecordedServers> recorded;
+    bool knowsRecorded = false; // false from a control VM of an older version
     TimePoint askedAt; // when the request was sent; the ages of proofs count from here
 };
 
--- a/src/site/controlnode.h
+++ b/src/site/controlnode.h
@@ -48,7 +48,7 @@
 
     // Requests of other processes.
     wire::FollowReply answerFollow(const wire::Header &from, const wire::FollowRequest &request);
-    std::optional<RecordedServers> knownRecordedServers() const;
+    std::optional<RecordedServers> knownRecordedServers(bool isCurrent) const;
     std::vector<wire::AgedProof> answerProofs(const std::vector<std::string> &services);
     void receiveUpdates(const wire::Header &from, const wire::SiteNews &news);
     void receiveComplaints(const std::vector<wire::PrimaryComplaint> &complaints);
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -44,7 +44,7 @@
     reply.isCurrent = isConnected();
     reply.isMember = reply.isCurrent && hearsLeader();
     reply.leader = leaderName().text();
-    const std::optional<RecordedServers> recorded = knownRecordedServers();
+    const std::optional<RecordedServers> recorded = knownRecordedServers(reply.isCurrent);
     if (recorded)
         putRecordedServers(*recorded, request, reply);
     const std::lock_guard lock(m_mutex);
@@ -82,9 +82,9 @@
 
 // Returns the servers that the control log's rosters name: from the own copy of the log where that
 // is current, otherwise as a member told them last. An outdated set does no harm.
-std::optional<RecordedServers> ControlNode::knownRecordedServers() const
+std::optional<RecordedServers> ControlNode::knownRecordedServers(bool isCurrent) const
 {
-    if (!m_settings.promotions || !isConnected())
+    if (!m_settings.promotions || !isCurrent)
         return std::nullopt;
     if (hearsLeader())
         return recordedServers(m_roster.presentServers());
@@ -163,7 +163,7 @@
         setConfiguration(view.revision, *view.configuration);
     const std::lock_guard lock(m_mutex);
     m_followedLeader = view.leader;
-    if (view.recorded)
+    if (view.recorded || !view.knowsRecorded)
         m_followedRecorded = view.recorded;
     if (!view.servers)
         return;
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -178,6 +178,8 @@
     m_borrower.setEntryCount(view.entryCount);
     for (const AgedProof &proof : view.proofs)
         m_proxy.takeProof(proof.service, view.askedAt - proof.age, proof.position, now);
+    if (!view.knowsRecorded)
+        m_proxy.forgetRecordedServers();
     if (view.recorded) {
         logLine(LogLevel::Info, "recorded_servers_known",
                 {{"count", std::to_string(view.recorded->servers.size())},
--- a/src/site/sitewire.cpp
+++ b/src/site/sitewire.cpp
@@ -180,9 +180,9 @@
 void putRecordedServers(const RecordedServers &recorded, const wire::FollowRequest &request,
                         wire::FollowReply &reply)
 {
+    reply.__set_recordedVersion(recorded.version);
     if (request.__isset.recordedVersion && request.recordedVersion == recorded.version)
         return;
-    reply.__set_recordedVersion(recorded.version);
     std::vector<std::string> names;
     for (const ServerId &server : recorded.servers)
         names.push_back(server.text());
--- a/test/unit/proxy/sessionconfirmations_test.cpp
+++ b/test/unit/proxy/sessionconfirmations_test.cpp
@@ -331,3 +331,17 @@
     fixture.serveFor(600ms);
     CHECK((fixture.faultOf("w1") == StatementFault::OutcomeUnknown));
 }
+
+// Guards against writes that stop as control VMs of an older version name no recorded servers any more.
+TEST_CASE("commits are answered at once again when it isn't known any more who is recorded")
+{
+    ConfirmationFixture fixture;
+    fixture.proxy.setRecordedServers({ServerId("gone")});
+    fixture.write("w1");
+    fixture.serveFor(400ms);
+    CHECK_FALSE(fixture.isAnswered("w1"));
+    fixture.proxy.forgetRecordedServers();
+    fixture.session(2, "casks");
+    fixture.write("w2", 2);
+    CHECK_FALSE(fixture.faultOf("w2"));
+}
--- a/test/unit/site/sitewire_test.cpp
+++ b/test/unit/site/sitewire_test.cpp
@@ -126,6 +126,7 @@
             request.__set_recordedVersion(recordedServers(*row.before).version);
         wire::FollowReply reply;
         putRecordedServers(recordedServers(row.known), request, reply);
+        CHECK(bool(reply.__isset.recordedVersion)); // older control VMs never set it
         const auto told = recordedServersOf(reply);
         REQUIRE(told.has_value() == row.isTold);
         if (!told)
