--- a/src/site/controlnode.cpp
+++ b/src/site/controlnode.cpp
@@ -279,7 +279,7 @@
 
 std::set<ServerId> ControlNode::departedServers() const
 {
-    std::set<ServerId> departed;
+    std::set<ServerId> departed = m_roster.departed();
     const std::lock_guard lock(m_mutex);
     for (const ServerRecord &record : m_registry.all()) {
         if (record.isGone)
--- a/src/site/primarychangemanagerdepartures.cpp
+++ b/src/site/primarychangemanagerdepartures.cpp
@@ -48,7 +48,9 @@
     Group &group = m_groups[service];
     const std::map<ServerId, TimePoint> before = group.departures.uncovered();
     group.departures.setServers(present, departed, now);
-    for (const auto &[server, notedAt] : group.departures.uncovered()) {
+    // A copy, since the change's actions may cover one.
+    const std::map<ServerId, TimePoint> uncovered = group.departures.uncovered();
+    for (const auto &[server, notedAt] : uncovered) {
         if (before.count(server) == 0)
             log("departure_noted", {{"service", service.text()}, {"server", server.text()}});
         if (group.change)
