--- a/src/site/primarychangemanager.cpp
+++ b/src/site/primarychangemanager.cpp
@@ -12,6 +12,7 @@
 
 constexpr auto TokenTimeout = 2500ms;
 constexpr auto OrderTimeout = 1500ms; // longer than a promotion takes
+constexpr auto MaxSendDelay = 1s; // from the decision to order a promotion until it is sent
 constexpr auto RosterInterval = 1s;
 
 } // namespace
@@ -241,7 +242,8 @@
 void PrimaryChangeManager::perform(const ServiceName &service, const ReserveToken &action)
 {
     log("primary_change_fenced", fieldsOf(service, m_groups[service].change->fenceReport()));
-    workerOf(service).post([this, service, server = action.server] {
+    const std::uint64_t reservation = ++m_groups[service].reservations;
+    workerOf(service).post([this, service, server = action.server, reservation] {
         std::optional<std::uint64_t> token;
         try {
             // The index of the log entry is the token: no two entries have the same index,
@@ -253,9 +255,11 @@
                 log("token_refused", {{"service", service.text()}, {"reason", what}});
             });
         }
-        m_loop.post([this, service, token] {
+        m_loop.post([this, service, token, reservation] {
             const auto found = m_groups.find(service);
-            if (found == m_groups.end() || !found->second.change)
+            // The entry of an earlier reservation may name another server.
+            if (found == m_groups.end() || !found->second.change
+                || found->second.reservations != reservation)
                 return;
             SemiSyncChange &change = *found->second.change;
             perform(service,
@@ -274,9 +278,11 @@
          {"token", std::to_string(action.token)}});
     warnOfDepartures(service, action.server);
     m_groups[service].orderedAt = EventLoop::now();
-    workerOf(service).post([this, service, action] {
-        // Another VM may lead since the token was reserved.
-        const PromotionOutcome outcome = m_log.isLeader()
+    const TimePoint orderedAt = m_groups[service].orderedAt;
+    workerOf(service).post([this, service, action, orderedAt] {
+        // Another VM may lead since the token was reserved, or since this one stood still.
+        const bool isCurrent = m_log.isLeader() && EventLoop::now() - orderedAt < MaxSendDelay;
+        const PromotionOutcome outcome = isCurrent
                 ? m_promoter.promote(service, action.server, action.token, OrderTimeout)
                 : PromotionOutcome::Refused;
         m_loop.post([this, service, action, outcome] {
--- a/src/site/primarychangemanager.h
+++ b/src/site/primarychangemanager.h
@@ -62,6 +62,7 @@
         DepartureTracker departures;
         TimePoint startedAt {};
         bool isPublished = false; // the result of the change
+        std::uint64_t reservations = 0; // tokens that were requested
         TimePoint orderedAt {}; // the latest promotion order of this process
         std::unique_ptr<TaskWorker> worker;
     };
