--- a/test/unit/failover/semisyncgroup.h
+++ b/test/unit/failover/semisyncgroup.h
@@ -382,4 +382,9 @@
     std::vector<SemiSyncGroup::Order> m_accepted; // due when they take effect
 };
 
+inline SemiSyncGroup::Server &server(SemiSyncRig &rig, int number)
+{
+    return rig.group.servers.at(ServerId("s" + std::to_string(number)));
+}
+
 } // namespace nutmegtide::test
--- a/test/unit/failover/semisyncjoin_test.cpp
+++ b/test/unit/failover/semisyncjoin_test.cpp
@@ -16,11 +16,6 @@
         rig.step();
 }
 
-SemiSyncGroup::Server &server(SemiSyncRig &rig, int number)
-{
-    return rig.group.servers.at(ServerId("s" + std::to_string(number)));
-}
-
 } // namespace
 
 // Guards against commits that the old primary acknowledges through a server that joined after the
