Read a server's id before its entry is erased, in the model group of the tests

The sanitized run found it: depart() was given the key of the entry that it erases, and used it afterwards. Only the test's model is affected.

--- a/test/unit/failover/semisyncgroup.h
+++ b/test/unit/failover/semisyncgroup.h
@@ -111,8 +111,8 @@
     // The server ends, and its log with it.
     void depart(const ServerId &id)
     {
-        servers.erase(id);
         departed.insert(id);
+        servers.erase(id); // `id` may be the key of this entry
     }
     // Another server takes over the log and the address of a replica that leaves.
     ServerId replace(const ServerId &id)
@@ -123,9 +123,9 @@
         server.isUp = true;
         server.heldTerm = 0;
         server.isAnnounced = false;
-        servers.erase(id);
-        servers[successor] = server;
         replaced[id] = successor;
+        servers.erase(id); // `id` may be the key of this entry
+        servers[successor] = server;
         return successor;
     }
     // A new server starts; it receives the whole log with the next commit.
