Ask for the departed servers once a tick, not once a service

The leader's tick, every 30 ms, copied the whole registry for each service to see which servers have departed, and so did each look at the rosters. It is asked for once in each now and passed on. Nothing else changes. Found in reading; not measured.

--- a/src/site/primarychangemanager.cpp
+++ b/src/site/primarychangemanager.cpp
@@ -145,11 +145,12 @@
     return isChosen || !m_roster.openOrders(service).empty();
 }
 
-// Returns the departed servers of the service that may leave the roster. One whose log its
-// successor has leaves together with the entry of that one, which waits for open promotions.
-std::set<ServerId> PrimaryChangeManager::leavingServers(const ServiceName &service) const
+// One whose log its successor has leaves together with the entry of that one, which waits for open
+// promotions.
+std::set<ServerId> PrimaryChangeManager::leavingServers(const ServiceName &service,
+                                                        const std::set<ServerId> &departed) const
 {
-    std::set<ServerId> leaving = m_departed();
+    std::set<ServerId> leaving = departed;
     const RosterView roster = rosterOf(service);
     const bool isOpen = isPromotionOpen(service);
     std::erase_if(leaving, [&](const ServerId &server) {
@@ -166,10 +167,11 @@
     if (now < m_rosterDueAt)
         return;
     m_rosterDueAt = now + RosterInterval;
+    const std::set<ServerId> departed = m_departed();
     for (const auto &[service, servers] : services) {
         const ServerRoster::Servers before = m_roster.announcementsOf(service);
         const std::set<ServerId> uncovered = rosterOf(service).departed;
-        RosterState state {before, {}, leavingServers(service), isPromotionOpen(service)};
+        RosterState state {before, {}, leavingServers(service, departed), isPromotionOpen(service)};
         for (const ServerRecord &record : servers)
             state.present.push_back(record.announcement);
         const ServerRoster::Servers after = RosterPlan(std::move(state)).next();
--- a/src/site/primarychangemanager.h
+++ b/src/site/primarychangemanager.h
@@ -98,14 +98,16 @@
                       TimePoint now);
     // Returns whether a promotion is being ordered, or may still be carried out.
     bool isPromotionOpen(const ServiceName &service) const;
-    std::set<ServerId> leavingServers(const ServiceName &service) const;
+    // Returns those of the departed servers of the service that may leave the roster.
+    std::set<ServerId> leavingServers(const ServiceName &service,
+                                      const std::set<ServerId> &departed) const;
     // Returns the service's thread for calls that block.
     TaskWorker &workerOf(const ServiceName &service);
     // Finds out which departed servers are covered, and passes it on to the change.
     void followDepartures(const std::map<ServiceName, std::vector<ServerRecord>> &services,
                           TimePoint now);
     void followDepartures(const ServiceName &service, const std::vector<ServerRecord> &servers,
-                          TimePoint now);
+                          const std::set<ServerId> &allDeparted, TimePoint now);
     // Sends the query if there is an open connection.
     void askForDeparture(const ServiceName &service, const ServerId &server, TimePoint now);
     void noteStatus(const ServiceName &service, const ServerId &server,
--- a/src/site/primarychangemanagerdepartures.cpp
+++ b/src/site/primarychangemanagerdepartures.cpp
@@ -26,15 +26,16 @@
 void PrimaryChangeManager::followDepartures(
         const std::map<ServiceName, std::vector<ServerRecord>> &services, TimePoint now)
 {
+    const std::set<ServerId> departed = m_departed();
     for (const auto &[service, servers] : services)
-        followDepartures(service, servers, now);
+        followDepartures(service, servers, departed, now);
 }
 
 void PrimaryChangeManager::followDepartures(const ServiceName &service,
-                                            const std::vector<ServerRecord> &servers, TimePoint now)
+                                            const std::vector<ServerRecord> &servers,
+                                            const std::set<ServerId> &allDeparted, TimePoint now)
 {
     const std::set<ServerId> recorded = m_roster.serversOf(service);
-    const std::set<ServerId> allDeparted = m_departed();
     std::set<ServerId> present;
     std::set<ServerId> departed;
     for (const ServerRecord &record : servers) {
