--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -357,10 +357,8 @@
   9: list<AgedProof> proofs,            // of the services that the request names
   10: i64 homesVersion,
   11: optional list<ServerHome> homes,  // where the sender's version is another one
-  // The servers that the control log's rosters name, where the sender's version is another one.
-  // Absent where the answering VM can't tell.
-  12: optional list<string> recordedServers,
-  13: optional i64 recordedVersion,
+  12: optional list<string> recordedServers, // of the control log, where the sender's version is another one
+  13: optional i64 recordedVersion,     // absent where the answering VM can't tell the servers
 }
 
 // Lanes: what entry VMs use in place of connections of their own to a backend server. Both sides
--- a/include/nutmegtide/failover/rosterplan.h
+++ b/include/nutmegtide/failover/rosterplan.h
@@ -9,7 +9,7 @@
 {
     ServerRoster::Servers recorded;
     std::vector<ServerAnnouncement> present; // servers that haven't left, as last announced
-    std::set<ServerId> departed; // servers that have left for good
+    std::set<ServerId> leaving; // departed servers whose logs aren't needed any more
     // Whether a promotion is being ordered, or may still be carried out.
     bool isPromotionOpen = false;
 };
@@ -18,7 +18,7 @@
 // commit only if a recorded server holds it, and a change of primary covers the servers that were
 // recorded when it chose the new primary. So no server is added while a promotion is open.
 //
-//   const ServerRoster::Servers after = RosterPlan({before, present, departed, isOpen}).next();
+//   const ServerRoster::Servers after = RosterPlan({before, present, leaving, isOpen}).next();
 //   if (after != before)
 //       propose(ServerRoster::encode(service, after));
 class RosterPlan
@@ -31,7 +31,7 @@
 
 private:
     bool mayBeAdded() const { return !m_state.isPromotionOpen; }
-    bool mayLeave(const ServerId &server) const { return m_state.departed.count(server) != 0; }
+    bool mayLeave(const ServerId &server) const { return m_state.leaving.count(server) != 0; }
 
     const RosterState m_state;
 };
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -56,8 +56,8 @@
     // Adds a position that another process got from a confirmed primary.
     void takeProof(const ServiceName &service, TimePoint askedAt, const LogPosition &position,
                    TimePoint now);
-    // Sets the servers that the control log records. From then on a commit is answered once another
-    // recorded server than the primary is known to hold it.
+    // Sets the servers that the control log records. From then on a commit is answered once two
+    // recorded servers are known to hold it.
     void setRecordedServers(std::set<ServerId> recorded);
     // From now on it isn't known which servers are recorded, so commits are answered at once.
     void forgetRecordedServers() { m_recorded.reset(); }
--- a/src/site/changelogfields.cpp
+++ b/src/site/changelogfields.cpp
@@ -4,11 +4,6 @@
 
 namespace {
 
-std::string describe(const LogPosition &position)
-{
-    return std::to_string(position.term) + "." + std::to_string(position.index);
-}
-
 void append(std::string &list, const std::string &item)
 {
     if (!list.empty())
@@ -20,7 +15,7 @@
 {
     std::string list;
     for (const auto &[server, position] : servers)
-        append(list, server.text() + "@" + describe(position));
+        append(list, server.text() + "@" + textOf(position));
     return list;
 }
 
@@ -64,12 +59,17 @@
 
 } // namespace
 
+std::string textOf(const LogPosition &position)
+{
+    return std::to_string(position.term) + "." + std::to_string(position.index);
+}
+
 std::vector<LogField> fieldsOf(const ServiceName &service, const FenceReport &report)
 {
     return {{"service", service.text()},
             {"term", std::to_string(report.term)},
             {"chosen", report.chosen.text()},
-            {"position", describe(report.position)},
+            {"position", textOf(report.position)},
             {"fenced", describe(report.fenced)},
             {"missing", describe(report.missing)},
             {"open_orders", describe(report.openOrders)}};
--- a/src/site/changelogfields.h
+++ b/src/site/changelogfields.h
@@ -7,6 +7,9 @@
 
 namespace nutmegtide {
 
+// Returns the position for the log: "3.1209".
+std::string textOf(const LogPosition &position);
+
 // Returns the fields of the log line for a fence: each fenced server with its position, and the
 // servers that are missing.
 std::vector<LogField> fieldsOf(const ServiceName &service, const FenceReport &report);
--- a/src/site/primarychangemanagerdepartures.cpp
+++ b/src/site/primarychangemanagerdepartures.cpp
@@ -1,4 +1,5 @@
 // What PrimaryChangeManager does about recorded servers that have departed.
+#include "site/changelogfields.h"
 #include "site/primarychangemanager.h"
 
 #include <algorithm>
@@ -89,10 +90,8 @@
              {"server", covered.server.text()},
              {"primary", covered.primary.text()},
              {"replica", covered.replica.text()},
-             {"position",
-              std::to_string(covered.position.term) + '.' + std::to_string(covered.position.index)},
-             {"received",
-              std::to_string(status.received.term) + '.' + std::to_string(status.received.index)},
+             {"position", textOf(covered.position)},
+             {"received", textOf(status.received)},
              {"took_ms", std::to_string(took.count())}});
         m_rosterDueAt = now;
         if (group.change)
