--- a/gen/Peer.cpp
+++ b/gen/Peer.cpp
@@ -954,14 +954,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size271;
-            ::apache::thrift::protocol::TType _etype274;
-            xfer += iprot->readListBegin(_etype274, _size271);
-            this->messages.resize(_size271);
-            uint32_t _i275;
-            for (_i275 = 0; _i275 < _size271; ++_i275)
+            uint32_t _size285;
+            ::apache::thrift::protocol::TType _etype288;
+            xfer += iprot->readListBegin(_etype288, _size285);
+            this->messages.resize(_size285);
+            uint32_t _i289;
+            for (_i289 = 0; _i289 < _size285; ++_i289)
             {
-              xfer += this->messages[_i275].read(iprot);
+              xfer += this->messages[_i289].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -994,10 +994,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<RaftMessage> ::const_iterator _iter276;
-    for (_iter276 = this->messages.begin(); _iter276 != this->messages.end(); ++_iter276)
+    std::vector<RaftMessage> ::const_iterator _iter290;
+    for (_iter290 = this->messages.begin(); _iter290 != this->messages.end(); ++_iter290)
     {
-      xfer += (*_iter276).write(oprot);
+      xfer += (*_iter290).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1025,10 +1025,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->messages)).size()));
-    std::vector<RaftMessage> ::const_iterator _iter277;
-    for (_iter277 = (*(this->messages)).begin(); _iter277 != (*(this->messages)).end(); ++_iter277)
+    std::vector<RaftMessage> ::const_iterator _iter291;
+    for (_iter291 = (*(this->messages)).begin(); _iter291 != (*(this->messages)).end(); ++_iter291)
     {
-      xfer += (*_iter277).write(oprot);
+      xfer += (*_iter291).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1834,14 +1834,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size278;
-            ::apache::thrift::protocol::TType _etype281;
-            xfer += iprot->readListBegin(_etype281, _size278);
-            this->reports.resize(_size278);
-            uint32_t _i282;
-            for (_i282 = 0; _i282 < _size278; ++_i282)
+            uint32_t _size292;
+            ::apache::thrift::protocol::TType _etype295;
+            xfer += iprot->readListBegin(_etype295, _size292);
+            this->reports.resize(_size292);
+            uint32_t _i296;
+            for (_i296 = 0; _i296 < _size292; ++_i296)
             {
-              xfer += this->reports[_i282].read(iprot);
+              xfer += this->reports[_i296].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1874,10 +1874,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<GroupReport> ::const_iterator _iter283;
-    for (_iter283 = this->reports.begin(); _iter283 != this->reports.end(); ++_iter283)
+    std::vector<GroupReport> ::const_iterator _iter297;
+    for (_iter297 = this->reports.begin(); _iter297 != this->reports.end(); ++_iter297)
     {
-      xfer += (*_iter283).write(oprot);
+      xfer += (*_iter297).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1905,10 +1905,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->reports)).size()));
-    std::vector<GroupReport> ::const_iterator _iter284;
-    for (_iter284 = (*(this->reports)).begin(); _iter284 != (*(this->reports)).end(); ++_iter284)
+    std::vector<GroupReport> ::const_iterator _iter298;
+    for (_iter298 = (*(this->reports)).begin(); _iter298 != (*(this->reports)).end(); ++_iter298)
     {
-      xfer += (*_iter284).write(oprot);
+      xfer += (*_iter298).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2734,14 +2734,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size285;
-            ::apache::thrift::protocol::TType _etype288;
-            xfer += iprot->readListBegin(_etype288, _size285);
-            this->services.resize(_size285);
-            uint32_t _i289;
-            for (_i289 = 0; _i289 < _size285; ++_i289)
+            uint32_t _size299;
+            ::apache::thrift::protocol::TType _etype302;
+            xfer += iprot->readListBegin(_etype302, _size299);
+            this->services.resize(_size299);
+            uint32_t _i303;
+            for (_i303 = 0; _i303 < _size299; ++_i303)
             {
-              xfer += iprot->readString(this->services[_i289]);
+              xfer += iprot->readString(this->services[_i303]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2774,10 +2774,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
-    std::vector<std::string> ::const_iterator _iter290;
-    for (_iter290 = this->services.begin(); _iter290 != this->services.end(); ++_iter290)
+    std::vector<std::string> ::const_iterator _iter304;
+    for (_iter304 = this->services.begin(); _iter304 != this->services.end(); ++_iter304)
     {
-      xfer += oprot->writeString((*_iter290));
+      xfer += oprot->writeString((*_iter304));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2805,10 +2805,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>((*(this->services)).size()));
-    std::vector<std::string> ::const_iterator _iter291;
-    for (_iter291 = (*(this->services)).begin(); _iter291 != (*(this->services)).end(); ++_iter291)
+    std::vector<std::string> ::const_iterator _iter305;
+    for (_iter305 = (*(this->services)).begin(); _iter305 != (*(this->services)).end(); ++_iter305)
     {
-      xfer += oprot->writeString((*_iter291));
+      xfer += oprot->writeString((*_iter305));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2849,14 +2849,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size292;
-            ::apache::thrift::protocol::TType _etype295;
-            xfer += iprot->readListBegin(_etype295, _size292);
-            this->success.resize(_size292);
-            uint32_t _i296;
-            for (_i296 = 0; _i296 < _size292; ++_i296)
+            uint32_t _size306;
+            ::apache::thrift::protocol::TType _etype309;
+            xfer += iprot->readListBegin(_etype309, _size306);
+            this->success.resize(_size306);
+            uint32_t _i310;
+            for (_i310 = 0; _i310 < _size306; ++_i310)
             {
-              xfer += this->success[_i296].read(iprot);
+              xfer += this->success[_i310].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2895,10 +2895,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<AgedProof> ::const_iterator _iter297;
-      for (_iter297 = this->success.begin(); _iter297 != this->success.end(); ++_iter297)
+      std::vector<AgedProof> ::const_iterator _iter311;
+      for (_iter311 = this->success.begin(); _iter311 != this->success.end(); ++_iter311)
       {
-        xfer += (*_iter297).write(oprot);
+        xfer += (*_iter311).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2943,14 +2943,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size298;
-            ::apache::thrift::protocol::TType _etype301;
-            xfer += iprot->readListBegin(_etype301, _size298);
-            (*(this->success)).resize(_size298);
-            uint32_t _i302;
-            for (_i302 = 0; _i302 < _size298; ++_i302)
+            uint32_t _size312;
+            ::apache::thrift::protocol::TType _etype315;
+            xfer += iprot->readListBegin(_etype315, _size312);
+            (*(this->success)).resize(_size312);
+            uint32_t _i316;
+            for (_i316 = 0; _i316 < _size312; ++_i316)
             {
-              xfer += (*(this->success))[_i302].read(iprot);
+              xfer += (*(this->success))[_i316].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -7882,6 +7882,158 @@
 }
 
 
+LoanHistory::~LoanHistory() noexcept {
+}
+
+
+void LoanHistory::__set_lender(const int64_t val) {
+  this->lender = val;
+}
+
+void LoanHistory::__set_lent(const std::vector<int32_t> & val) {
+  this->lent = val;
+}
+
+void LoanHistory::__set_ageMilliseconds(const int32_t val) {
+  this->ageMilliseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoanHistory& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoanHistory::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lender);
+          this->__isset.lender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->lent.clear();
+            uint32_t _size235;
+            ::apache::thrift::protocol::TType _etype238;
+            xfer += iprot->readListBegin(_etype238, _size235);
+            this->lent.resize(_size235);
+            uint32_t _i239;
+            for (_i239 = 0; _i239 < _size235; ++_i239)
+            {
+              xfer += iprot->readI32(this->lent[_i239]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.lent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMilliseconds);
+          this->__isset.ageMilliseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoanHistory::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoanHistory");
+
+  xfer += oprot->writeFieldBegin("lender", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->lender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("lent", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->lent.size()));
+    std::vector<int32_t> ::const_iterator _iter240;
+    for (_iter240 = this->lent.begin(); _iter240 != this->lent.end(); ++_iter240)
+    {
+      xfer += oprot->writeI32((*_iter240));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMilliseconds", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ageMilliseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoanHistory &a, LoanHistory &b) {
+  using ::std::swap;
+  swap(a.lender, b.lender);
+  swap(a.lent, b.lent);
+  swap(a.ageMilliseconds, b.ageMilliseconds);
+  swap(a.__isset, b.__isset);
+}
+
+LoanHistory::LoanHistory(const LoanHistory& other241) {
+  lender = other241.lender;
+  lent = other241.lent;
+  ageMilliseconds = other241.ageMilliseconds;
+  __isset = other241.__isset;
+}
+LoanHistory& LoanHistory::operator=(const LoanHistory& other242) {
+  lender = other242.lender;
+  lent = other242.lent;
+  ageMilliseconds = other242.ageMilliseconds;
+  __isset = other242.__isset;
+  return *this;
+}
+void LoanHistory::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoanHistory(";
+  out << "lender=" << to_string(lender);
+  out << ", " << "lent=" << to_string(lent);
+  out << ", " << "ageMilliseconds=" << to_string(ageMilliseconds);
+  out << ")";
+}
+
+
 LoanRequest::~LoanRequest() noexcept {
 }
 
@@ -7897,6 +8049,11 @@
 void LoanRequest::__set_isForStandIn(const bool val) {
   this->isForStandIn = val;
 }
+
+void LoanRequest::__set_reports(const std::vector<LoanHistory> & val) {
+  this->reports = val;
+__isset.reports = true;
+}
 std::ostream& operator<<(std::ostream& out, const LoanRequest& obj)
 {
   obj.printTo(out);
@@ -7949,6 +8106,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->reports.clear();
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->reports.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
+            {
+              xfer += this->reports[_i247].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.reports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7978,6 +8155,19 @@
   xfer += oprot->writeBool(this->isForStandIn);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.reports) {
+    xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
+      std::vector<LoanHistory> ::const_iterator _iter248;
+      for (_iter248 = this->reports.begin(); _iter248 != this->reports.end(); ++_iter248)
+      {
+        xfer += (*_iter248).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7988,20 +8178,23 @@
   swap(a.workspace, b.workspace);
   swap(a.wanted, b.wanted);
   swap(a.isForStandIn, b.isForStandIn);
+  swap(a.reports, b.reports);
   swap(a.__isset, b.__isset);
 }
 
-LoanRequest::LoanRequest(const LoanRequest& other235) {
-  workspace = other235.workspace;
-  wanted = other235.wanted;
-  isForStandIn = other235.isForStandIn;
-  __isset = other235.__isset;
+LoanRequest::LoanRequest(const LoanRequest& other249) {
+  workspace = other249.workspace;
+  wanted = other249.wanted;
+  isForStandIn = other249.isForStandIn;
+  reports = other249.reports;
+  __isset = other249.__isset;
 }
-LoanRequest& LoanRequest::operator=(const LoanRequest& other236) {
-  workspace = other236.workspace;
-  wanted = other236.wanted;
-  isForStandIn = other236.isForStandIn;
-  __isset = other236.__isset;
+LoanRequest& LoanRequest::operator=(const LoanRequest& other250) {
+  workspace = other250.workspace;
+  wanted = other250.wanted;
+  isForStandIn = other250.isForStandIn;
+  reports = other250.reports;
+  __isset = other250.__isset;
   return *this;
 }
 void LoanRequest::printTo(std::ostream& out) const {
@@ -8010,6 +8203,7 @@
   out << "workspace=" << to_string(workspace);
   out << ", " << "wanted=" << to_string(wanted);
   out << ", " << "isForStandIn=" << to_string(isForStandIn);
+  out << ", " << "reports="; (__isset.reports ? (out << to_string(reports)) : (out << "<null>"));
   out << ")";
 }
 
@@ -8033,6 +8227,21 @@
 void Loan::__set_isFromStandIn(const bool val) {
   this->isFromStandIn = val;
 }
+
+void Loan::__set_history(const LoanHistory& val) {
+  this->history = val;
+__isset.history = true;
+}
+
+void Loan::__set_isUnable(const bool val) {
+  this->isUnable = val;
+__isset.isUnable = true;
+}
+
+void Loan::__set_owner(const std::string& val) {
+  this->owner = val;
+__isset.owner = true;
+}
 std::ostream& operator<<(std::ostream& out, const Loan& obj)
 {
   obj.printTo(out);
@@ -8093,6 +8302,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->history.read(iprot);
+          this->__isset.history = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isUnable);
+          this->__isset.isUnable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->owner);
+          this->__isset.owner = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -8126,6 +8359,21 @@
   xfer += oprot->writeBool(this->isFromStandIn);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.history) {
+    xfer += oprot->writeFieldBegin("history", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->history.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.isUnable) {
+    xfer += oprot->writeFieldBegin("isUnable", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->isUnable);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.owner) {
+    xfer += oprot->writeFieldBegin("owner", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeString(this->owner);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -8137,22 +8385,31 @@
   swap(a.granted, b.granted);
   swap(a.retryMilliseconds, b.retryMilliseconds);
   swap(a.isFromStandIn, b.isFromStandIn);
+  swap(a.history, b.history);
+  swap(a.isUnable, b.isUnable);
+  swap(a.owner, b.owner);
   swap(a.__isset, b.__isset);
 }
 
-Loan::Loan(const Loan& other237) {
-  workspace = other237.workspace;
-  granted = other237.granted;
-  retryMilliseconds = other237.retryMilliseconds;
-  isFromStandIn = other237.isFromStandIn;
-  __isset = other237.__isset;
-}
-Loan& Loan::operator=(const Loan& other238) {
-  workspace = other238.workspace;
-  granted = other238.granted;
-  retryMilliseconds = other238.retryMilliseconds;
-  isFromStandIn = other238.isFromStandIn;
-  __isset = other238.__isset;
+Loan::Loan(const Loan& other251) {
+  workspace = other251.workspace;
+  granted = other251.granted;
+  retryMilliseconds = other251.retryMilliseconds;
+  isFromStandIn = other251.isFromStandIn;
+  history = other251.history;
+  isUnable = other251.isUnable;
+  owner = other251.owner;
+  __isset = other251.__isset;
+}
+Loan& Loan::operator=(const Loan& other252) {
+  workspace = other252.workspace;
+  granted = other252.granted;
+  retryMilliseconds = other252.retryMilliseconds;
+  isFromStandIn = other252.isFromStandIn;
+  history = other252.history;
+  isUnable = other252.isUnable;
+  owner = other252.owner;
+  __isset = other252.__isset;
   return *this;
 }
 void Loan::printTo(std::ostream& out) const {
@@ -8162,6 +8419,9 @@
   out << ", " << "granted=" << to_string(granted);
   out << ", " << "retryMilliseconds=" << to_string(retryMilliseconds);
   out << ", " << "isFromStandIn=" << to_string(isFromStandIn);
+  out << ", " << "history="; (__isset.history ? (out << to_string(history)) : (out << "<null>"));
+  out << ", " << "isUnable="; (__isset.isUnable ? (out << to_string(isUnable)) : (out << "<null>"));
+  out << ", " << "owner="; (__isset.owner ? (out << to_string(owner)) : (out << "<null>"));
   out << ")";
 }
 
@@ -8243,14 +8503,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size239;
-            ::apache::thrift::protocol::TType _etype242;
-            xfer += iprot->readListBegin(_etype242, _size239);
-            this->requests.resize(_size239);
-            uint32_t _i243;
-            for (_i243 = 0; _i243 < _size239; ++_i243)
+            uint32_t _size253;
+            ::apache::thrift::protocol::TType _etype256;
+            xfer += iprot->readListBegin(_etype256, _size253);
+            this->requests.resize(_size253);
+            uint32_t _i257;
+            for (_i257 = 0; _i257 < _size253; ++_i257)
             {
-              xfer += this->requests[_i243].read(iprot);
+              xfer += this->requests[_i257].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8263,14 +8523,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replies.clear();
-            uint32_t _size244;
-            ::apache::thrift::protocol::TType _etype247;
-            xfer += iprot->readListBegin(_etype247, _size244);
-            this->replies.resize(_size244);
-            uint32_t _i248;
-            for (_i248 = 0; _i248 < _size244; ++_i248)
+            uint32_t _size258;
+            ::apache::thrift::protocol::TType _etype261;
+            xfer += iprot->readListBegin(_etype261, _size258);
+            this->replies.resize(_size258);
+            uint32_t _i262;
+            for (_i262 = 0; _i262 < _size258; ++_i262)
             {
-              xfer += this->replies[_i248].read(iprot);
+              xfer += this->replies[_i262].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8283,14 +8543,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size249;
-            ::apache::thrift::protocol::TType _etype252;
-            xfer += iprot->readListBegin(_etype252, _size249);
-            this->evidence.resize(_size249);
-            uint32_t _i253;
-            for (_i253 = 0; _i253 < _size249; ++_i253)
+            uint32_t _size263;
+            ::apache::thrift::protocol::TType _etype266;
+            xfer += iprot->readListBegin(_etype266, _size263);
+            this->evidence.resize(_size263);
+            uint32_t _i267;
+            for (_i267 = 0; _i267 < _size263; ++_i267)
             {
-              xfer += this->evidence[_i253].read(iprot);
+              xfer += this->evidence[_i267].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8343,14 +8603,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loanRequests.clear();
-            uint32_t _size254;
-            ::apache::thrift::protocol::TType _etype257;
-            xfer += iprot->readListBegin(_etype257, _size254);
-            this->loanRequests.resize(_size254);
-            uint32_t _i258;
-            for (_i258 = 0; _i258 < _size254; ++_i258)
+            uint32_t _size268;
+            ::apache::thrift::protocol::TType _etype271;
+            xfer += iprot->readListBegin(_etype271, _size268);
+            this->loanRequests.resize(_size268);
+            uint32_t _i272;
+            for (_i272 = 0; _i272 < _size268; ++_i272)
             {
-              xfer += this->loanRequests[_i258].read(iprot);
+              xfer += this->loanRequests[_i272].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8363,14 +8623,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loans.clear();
-            uint32_t _size259;
-            ::apache::thrift::protocol::TType _etype262;
-            xfer += iprot->readListBegin(_etype262, _size259);
-            this->loans.resize(_size259);
-            uint32_t _i263;
-            for (_i263 = 0; _i263 < _size259; ++_i263)
+            uint32_t _size273;
+            ::apache::thrift::protocol::TType _etype276;
+            xfer += iprot->readListBegin(_etype276, _size273);
+            this->loans.resize(_size273);
+            uint32_t _i277;
+            for (_i277 = 0; _i277 < _size273; ++_i277)
             {
-              xfer += this->loans[_i263].read(iprot);
+              xfer += this->loans[_i277].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8399,10 +8659,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<LaneRequest> ::const_iterator _iter264;
-    for (_iter264 = this->requests.begin(); _iter264 != this->requests.end(); ++_iter264)
+    std::vector<LaneRequest> ::const_iterator _iter278;
+    for (_iter278 = this->requests.begin(); _iter278 != this->requests.end(); ++_iter278)
     {
-      xfer += (*_iter264).write(oprot);
+      xfer += (*_iter278).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8411,10 +8671,10 @@
   xfer += oprot->writeFieldBegin("replies", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replies.size()));
-    std::vector<LaneReply> ::const_iterator _iter265;
-    for (_iter265 = this->replies.begin(); _iter265 != this->replies.end(); ++_iter265)
+    std::vector<LaneReply> ::const_iterator _iter279;
+    for (_iter279 = this->replies.begin(); _iter279 != this->replies.end(); ++_iter279)
     {
-      xfer += (*_iter265).write(oprot);
+      xfer += (*_iter279).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8423,10 +8683,10 @@
   xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-    std::vector<LaneEvidence> ::const_iterator _iter266;
-    for (_iter266 = this->evidence.begin(); _iter266 != this->evidence.end(); ++_iter266)
+    std::vector<LaneEvidence> ::const_iterator _iter280;
+    for (_iter280 = this->evidence.begin(); _iter280 != this->evidence.end(); ++_iter280)
     {
-      xfer += (*_iter266).write(oprot);
+      xfer += (*_iter280).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8456,10 +8716,10 @@
     xfer += oprot->writeFieldBegin("loanRequests", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loanRequests.size()));
-      std::vector<LoanRequest> ::const_iterator _iter267;
-      for (_iter267 = this->loanRequests.begin(); _iter267 != this->loanRequests.end(); ++_iter267)
+      std::vector<LoanRequest> ::const_iterator _iter281;
+      for (_iter281 = this->loanRequests.begin(); _iter281 != this->loanRequests.end(); ++_iter281)
       {
-        xfer += (*_iter267).write(oprot);
+        xfer += (*_iter281).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -8469,10 +8729,10 @@
     xfer += oprot->writeFieldBegin("loans", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loans.size()));
-      std::vector<Loan> ::const_iterator _iter268;
-      for (_iter268 = this->loans.begin(); _iter268 != this->loans.end(); ++_iter268)
+      std::vector<Loan> ::const_iterator _iter282;
+      for (_iter282 = this->loans.begin(); _iter282 != this->loans.end(); ++_iter282)
       {
-        xfer += (*_iter268).write(oprot);
+        xfer += (*_iter282).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -8498,31 +8758,31 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneFrame::LaneFrame(const LaneFrame& other269) {
-  requests = other269.requests;
-  replies = other269.replies;
-  evidence = other269.evidence;
-  isQuestion = other269.isQuestion;
-  isAnswer = other269.isAnswer;
-  isLeaving = other269.isLeaving;
-  failureDomain = other269.failureDomain;
-  isReachDoubted = other269.isReachDoubted;
-  loanRequests = other269.loanRequests;
-  loans = other269.loans;
-  __isset = other269.__isset;
-}
-LaneFrame& LaneFrame::operator=(const LaneFrame& other270) {
-  requests = other270.requests;
-  replies = other270.replies;
-  evidence = other270.evidence;
-  isQuestion = other270.isQuestion;
-  isAnswer = other270.isAnswer;
-  isLeaving = other270.isLeaving;
-  failureDomain = other270.failureDomain;
-  isReachDoubted = other270.isReachDoubted;
-  loanRequests = other270.loanRequests;
-  loans = other270.loans;
-  __isset = other270.__isset;
+LaneFrame::LaneFrame(const LaneFrame& other283) {
+  requests = other283.requests;
+  replies = other283.replies;
+  evidence = other283.evidence;
+  isQuestion = other283.isQuestion;
+  isAnswer = other283.isAnswer;
+  isLeaving = other283.isLeaving;
+  failureDomain = other283.failureDomain;
+  isReachDoubted = other283.isReachDoubted;
+  loanRequests = other283.loanRequests;
+  loans = other283.loans;
+  __isset = other283.__isset;
+}
+LaneFrame& LaneFrame::operator=(const LaneFrame& other284) {
+  requests = other284.requests;
+  replies = other284.replies;
+  evidence = other284.evidence;
+  isQuestion = other284.isQuestion;
+  isAnswer = other284.isAnswer;
+  isLeaving = other284.isLeaving;
+  failureDomain = other284.failureDomain;
+  isReachDoubted = other284.isReachDoubted;
+  loanRequests = other284.loanRequests;
+  loans = other284.loans;
+  __isset = other284.__isset;
   return *this;
 }
 void LaneFrame::printTo(std::ostream& out) const {
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -184,6 +184,8 @@
 
 class LaneEvidence;
 
+class LoanHistory;
+
 class LoanRequest;
 
 class Loan;
@@ -3121,11 +3123,68 @@
 
 std::ostream& operator<<(std::ostream& out, const LaneEvidence& obj);
 
+typedef struct _LoanHistory__isset {
+  _LoanHistory__isset() : lender(false), lent(false), ageMilliseconds(false) {}
+  bool lender :1;
+  bool lent :1;
+  bool ageMilliseconds :1;
+} _LoanHistory__isset;
+
+class LoanHistory : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoanHistory(const LoanHistory&);
+  LoanHistory& operator=(const LoanHistory&);
+  LoanHistory() noexcept
+              : lender(0),
+                ageMilliseconds(0) {
+  }
+
+  virtual ~LoanHistory() noexcept;
+  int64_t lender;
+  std::vector<int32_t>  lent;
+  int32_t ageMilliseconds;
+
+  _LoanHistory__isset __isset;
+
+  void __set_lender(const int64_t val);
+
+  void __set_lent(const std::vector<int32_t> & val);
+
+  void __set_ageMilliseconds(const int32_t val);
+
+  bool operator == (const LoanHistory & rhs) const
+  {
+    if (!(lender == rhs.lender))
+      return false;
+    if (!(lent == rhs.lent))
+      return false;
+    if (!(ageMilliseconds == rhs.ageMilliseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const LoanHistory &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoanHistory & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoanHistory &a, LoanHistory &b);
+
+std::ostream& operator<<(std::ostream& out, const LoanHistory& obj);
+
 typedef struct _LoanRequest__isset {
-  _LoanRequest__isset() : workspace(false), wanted(false), isForStandIn(false) {}
+  _LoanRequest__isset() : workspace(false), wanted(false), isForStandIn(false), reports(false) {}
   bool workspace :1;
   bool wanted :1;
   bool isForStandIn :1;
+  bool reports :1;
 } _LoanRequest__isset;
 
 class LoanRequest : public virtual ::apache::thrift::TBase {
@@ -3143,6 +3202,7 @@
   std::string workspace;
   int32_t wanted;
   bool isForStandIn;
+  std::vector<LoanHistory>  reports;
 
   _LoanRequest__isset __isset;
 
@@ -3152,6 +3212,8 @@
 
   void __set_isForStandIn(const bool val);
 
+  void __set_reports(const std::vector<LoanHistory> & val);
+
   bool operator == (const LoanRequest & rhs) const
   {
     if (!(workspace == rhs.workspace))
@@ -3160,6 +3222,10 @@
       return false;
     if (!(isForStandIn == rhs.isForStandIn))
       return false;
+    if (__isset.reports != rhs.__isset.reports)
+      return false;
+    else if (__isset.reports && !(reports == rhs.reports))
+      return false;
     return true;
   }
   bool operator != (const LoanRequest &rhs) const {
@@ -3179,11 +3245,14 @@
 std::ostream& operator<<(std::ostream& out, const LoanRequest& obj);
 
 typedef struct _Loan__isset {
-  _Loan__isset() : workspace(false), granted(false), retryMilliseconds(false), isFromStandIn(false) {}
+  _Loan__isset() : workspace(false), granted(false), retryMilliseconds(false), isFromStandIn(false), history(false), isUnable(false), owner(false) {}
   bool workspace :1;
   bool granted :1;
   bool retryMilliseconds :1;
   bool isFromStandIn :1;
+  bool history :1;
+  bool isUnable :1;
+  bool owner :1;
 } _Loan__isset;
 
 class Loan : public virtual ::apache::thrift::TBase {
@@ -3195,7 +3264,9 @@
        : workspace(),
          granted(0),
          retryMilliseconds(0),
-         isFromStandIn(0) {
+         isFromStandIn(0),
+         isUnable(0),
+         owner() {
   }
 
   virtual ~Loan() noexcept;
@@ -3203,6 +3274,9 @@
   int32_t granted;
   int32_t retryMilliseconds;
   bool isFromStandIn;
+  LoanHistory history;
+  bool isUnable;
+  std::string owner;
 
   _Loan__isset __isset;
 
@@ -3214,6 +3288,12 @@
 
   void __set_isFromStandIn(const bool val);
 
+  void __set_history(const LoanHistory& val);
+
+  void __set_isUnable(const bool val);
+
+  void __set_owner(const std::string& val);
+
   bool operator == (const Loan & rhs) const
   {
     if (!(workspace == rhs.workspace))
@@ -3224,6 +3304,18 @@
       return false;
     if (!(isFromStandIn == rhs.isFromStandIn))
       return false;
+    if (__isset.history != rhs.__isset.history)
+      return false;
+    else if (__isset.history && !(history == rhs.history))
+      return false;
+    if (__isset.isUnable != rhs.__isset.isUnable)
+      return false;
+    else if (__isset.isUnable && !(isUnable == rhs.isUnable))
+      return false;
+    if (__isset.owner != rhs.__isset.owner)
+      return false;
+    else if (__isset.owner && !(owner == rhs.owner))
+      return false;
     return true;
   }
   bool operator != (const Loan &rhs) const {
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -405,11 +405,19 @@
   2: i32 evidence,                      // ServerEvidence
 }
 
+// What one run of a lender lent of a workspace in the last window.
+struct LoanHistory {
+  1: i64 lender,                        // the run
+  2: list<i32> lent,                    // in each tenth of the window, the latest one first
+  3: i32 ageMilliseconds,               // time since the lender reported it
+}
+
 // A request for operations of a workspace with a cap, and the answer.
 struct LoanRequest {
   1: string workspace,
   2: i32 wanted,
   3: bool isForStandIn,
+  4: optional list<LoanHistory> reports, // of other lenders
 }
 
 struct Loan {
@@ -417,6 +425,9 @@
   2: i32 granted,
   3: i32 retryMilliseconds,
   4: bool isFromStandIn,
+  5: optional LoanHistory history,      // of the lender, with this loan
+  6: optional bool isUnable,            // the lender doesn't know the workspace
+  7: optional string owner,             // listener for lanes of the owner, if it isn't the lender
 }
 
 struct LaneFrame {
--- a/include/nutmegtide/proxy/capborrower.h
+++ b/include/nutmegtide/proxy/capborrower.h
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <set>
 #include <vector>
 
 namespace nutmegtide {
@@ -17,8 +19,10 @@
 
     // Returns whether messages to the process are expected to arrive.
     virtual bool isReachable(const Endpoint &lender) = 0;
+    // `reports` tell the lender what others lent, as far as it may not know it.
     virtual void requestLoan(const Endpoint &lender, const WorkspaceName &workspace,
-                             LenderRole role, int wanted) = 0;
+                             LenderRole role, int wanted,
+                             const std::vector<LoanHistory> &reports) = 0;
     // The outcome of borrow().
     virtual void lent(const WorkspaceName &workspace, const CapLoan &loan) = 0;
 };
@@ -36,7 +40,11 @@
 // the same candidates asks the same owner. A workspace also has one stand-in in each failure
 // domain, the same for all entries. Where the owner can't be reached or doesn't answer in time, the
 // stand-ins are asked one after the other, that of the own failure domain first. Where none is
-// left, this entry lends itself its own small share of the cap.
+// left, this entry lends itself its own small share of the reserve.
+//
+// A lender tells with each loan what it lent lately. The borrower passes that on to every other
+// lender of the workspace that it asks within a window, so that a new owner counts what the old one
+// lent.
 //
 //   CapBorrower borrower(delegate, failureDomain);
 //   borrower.setCandidates(candidates);
@@ -49,11 +57,11 @@
         , m_own(std::move(own))
     { }
 
-    void setCandidates(std::vector<CapLenderCandidate> candidates)
-    {
-        m_candidates = std::move(candidates);
-        m_chosen.clear();
-    }
+    // Sets the lenders that are listed now. One that was used lately and is no longer listed stays
+    // a candidate for a while: other entry proxies may have other lists, and go on using it.
+    void setCandidates(std::vector<CapLenderCandidate> candidates, TimePoint now);
+    // Returns the candidates that are no longer listed.
+    std::set<Endpoint> unlistedLenders() const;
     // Sets the caps of which this entry lends itself a share, and the number of entry proxies.
     void setWorkspaces(std::optional<WorkspaceTable> workspaces)
     {
@@ -62,12 +70,16 @@
     }
     void setRule(const CapRule &rule) { m_rule = rule; }
     void setEntryCount(int count) { m_entryCount = std::max(1, count); }
+    // The connection to a lender was lost, so the process may have been restarted.
+    void lenderLost(const Endpoint &lender) { m_runs.erase(lender); }
+    // Returns the workspace's owner, nothing where no lender is known.
+    std::optional<Endpoint> ownerOf(const WorkspaceName &workspace);
 
     // Requests operations. The outcome is passed to the delegate, not from inside this call.
     void borrow(const WorkspaceName &workspace, int wanted, TimePoint now);
     // The answer to a request. Ignored if it is no longer waited for.
     void answered(const Endpoint &lender, const WorkspaceName &workspace, LenderRole role,
-                  const CapLoan &loan);
+                  const CapLoan &loan, TimePoint now);
     // Turns to the next lender where an answer is overdue or its lender can't be reached any more.
     void tick(TimePoint now);
     // Returns when tick() is due next.
@@ -82,6 +94,14 @@
         Endpoint lender;
         TimePoint askedAt;
         bool isOwnShare = false; // nobody is asked; it is settled with the next tick
+        bool wasRedirected = false;
+    };
+
+    // A lender that is no longer listed.
+    struct UnlistedLender
+    {
+        CapLenderCandidate candidate;
+        TimePoint since;
     };
 
     // The lenders of one workspace.
@@ -91,7 +111,23 @@
         std::vector<const CapLenderCandidate *> standIns; // in the order in which they are asked
     };
 
+    // What is known of the loans of one lender.
+    struct KnownLoans
+    {
+        std::vector<int> lent;
+        TimePoint reportedAt;
+        std::set<Endpoint> passedOnTo; // lenders that were told it
+    };
+
     const Lenders &lendersOf(const WorkspaceName &workspace);
+    void forgetUnlisted(TimePoint now);
+    bool redirect(const WorkspaceName &workspace, Request &request, const CapLoan &loan,
+                  TimePoint now);
+    void noteHistory(const Endpoint &lender, const WorkspaceName &workspace,
+                     const LoanHistory &history, TimePoint now);
+    std::vector<LoanHistory> reportsFor(const Endpoint &lender, const WorkspaceName &workspace,
+                                        TimePoint now);
+    void forgetOldLoans(TimePoint now);
     void ask(const WorkspaceName &workspace, Request &request, const CapLenderCandidate *lender,
              TimePoint now);
     void askNext(const WorkspaceName &workspace, Request &request, TimePoint now);
@@ -99,13 +135,18 @@
 
     CapBorrowerDelegate &m_delegate;
     const FailureDomain m_own;
-    std::vector<CapLenderCandidate> m_candidates;
-    std::map<WorkspaceName, Lenders> m_chosen; // of m_candidates
+    std::vector<CapLenderCandidate> m_candidates; // listed
+    std::map<Endpoint, UnlistedLender> m_unlisted;
+    std::map<Endpoint, TimePoint> m_usedAt; // when each lender answered last
+    std::map<WorkspaceName, Lenders> m_chosen; // of m_candidates and m_unlisted
     std::optional<WorkspaceTable> m_workspaces;
     int m_entryCount = 1;
     std::map<WorkspaceName, Request> m_requests;
     CapRule m_rule;
     std::map<WorkspaceName, WindowCounter> m_ownShares; // since no lender can be reached
+    std::map<WorkspaceName, std::map<LenderId, KnownLoans>> m_knownLoans;
+    std::map<Endpoint, LenderId> m_runs; // the run of each lender that answered last
+    TimePoint m_forgetAt {};
 };
 
 } // namespace nutmegtide
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -257,6 +257,7 @@
         // Operations that were lent for statements which then didn't run anywhere.
         int returned = 0;
         TimePoint returnedAt {};
+        TimePoint refusedUntil {}; // no operation is asked for before
     };
     bool needsLoan(const Session &session) const;
     void charge(SessionKey key, TimePoint now);
--- a/src/proxy/capborrower.cpp
+++ b/src/proxy/capborrower.cpp
@@ -11,6 +11,9 @@
 
 // Several times a round trip between failure domains, and short against a latency objective.
 constexpr auto AnswerTime = 60ms;
+// Longer than control VMs that can't reach each other list different lenders.
+constexpr auto UnlistedTime = 10s;
+constexpr auto ForgetInterval = 1s; // between searches for loans that have left the window
 
 } // namespace
 
@@ -22,8 +25,13 @@
     if (!isNew)
         return lenders;
     std::vector<std::pair<std::uint64_t, const CapLenderCandidate *>> order;
-    for (const CapLenderCandidate &candidate : m_candidates)
+    const auto addCandidate = [&](const CapLenderCandidate &candidate) {
         order.emplace_back(placementWeight(workspace.text(), toString(candidate.at)), &candidate);
+    };
+    for (const CapLenderCandidate &candidate : m_candidates)
+        addCandidate(candidate);
+    for (const auto &[at, unlisted] : m_unlisted)
+        addCandidate(unlisted.candidate);
     std::sort(order.rbegin(), order.rend());
     std::set<FailureDomain> served;
     for (const auto &[weight, candidate] : order) {
@@ -39,10 +47,43 @@
     return lenders;
 }
 
+void CapBorrower::setCandidates(std::vector<CapLenderCandidate> candidates, TimePoint now)
+{
+    const std::vector<CapLenderCandidate> before = std::exchange(m_candidates,
+                                                                 std::move(candidates));
+    for (const CapLenderCandidate &candidate : before) {
+        const auto used = m_usedAt.find(candidate.at);
+        if (used != m_usedAt.end() && now - used->second < m_rule.window)
+            m_unlisted.try_emplace(candidate.at, UnlistedLender {candidate, now});
+    }
+    for (const CapLenderCandidate &candidate : m_candidates)
+        m_unlisted.erase(candidate.at);
+    m_chosen.clear();
+}
+
+std::set<Endpoint> CapBorrower::unlistedLenders() const
+{
+    std::set<Endpoint> lenders;
+    for (const auto &[at, unlisted] : m_unlisted)
+        lenders.insert(at);
+    return lenders;
+}
+
+// An unlisted lender is used only as long as it answers.
+void CapBorrower::forgetUnlisted(TimePoint now)
+{
+    const auto erased = std::erase_if(m_unlisted, [this, now](const auto &item) {
+        return now - item.second.since > UnlistedTime || !m_delegate.isReachable(item.first);
+    });
+    if (erased > 0)
+        m_chosen.clear();
+}
+
 void CapBorrower::borrow(const WorkspaceName &workspace, int wanted, TimePoint now)
 {
+    forgetUnlisted(now);
     Request &request = m_requests[workspace];
-    request = {wanted, LenderRole::Owner, 0, {}, now, false};
+    request = {wanted, LenderRole::Owner, 0, {}, now, false, false};
     const CapLenderCandidate *lender = lendersOf(workspace).owner;
     if (lender != nullptr && m_delegate.isReachable(lender->at))
         ask(workspace, request, lender, now);
@@ -55,7 +96,60 @@
 {
     request.lender = lender->at;
     request.askedAt = now;
-    m_delegate.requestLoan(lender->at, workspace, request.role, request.wanted);
+    m_delegate.requestLoan(lender->at, workspace, request.role, request.wanted,
+                           reportsFor(lender->at, workspace, now));
+}
+
+std::optional<Endpoint> CapBorrower::ownerOf(const WorkspaceName &workspace)
+{
+    const CapLenderCandidate *owner = lendersOf(workspace).owner;
+    if (owner == nullptr)
+        return std::nullopt;
+    return owner->at;
+}
+
+void CapBorrower::noteHistory(const Endpoint &lender, const WorkspaceName &workspace,
+                              const LoanHistory &history, TimePoint now)
+{
+    if (history.lender == 0)
+        return; // a lender of an older version tells nothing
+    m_runs[lender] = history.lender;
+    m_knownLoans[workspace][history.lender] = {history.lent, now, {lender}};
+}
+
+// Returns the loans of other runs that the lender wasn't told yet. Until it has answered on its
+// present connection it may be a new run, which doesn't know what the earlier one lent.
+std::vector<LoanHistory> CapBorrower::reportsFor(const Endpoint &lender,
+                                                 const WorkspaceName &workspace, TimePoint now)
+{
+    std::vector<LoanHistory> reports;
+    const auto known = m_knownLoans.find(workspace);
+    if (known == m_knownLoans.end())
+        return reports;
+    const bool isNewRun = m_runs.count(lender) == 0;
+    for (auto &[run, loans] : known->second) {
+        const bool isOld = now - loans.reportedAt > m_rule.window;
+        if (isOld || (!isNewRun && loans.passedOnTo.count(lender) != 0))
+            continue;
+        loans.passedOnTo.insert(lender);
+        reports.push_back({run, loans.lent, now - loans.reportedAt});
+    }
+    return reports;
+}
+
+void CapBorrower::forgetOldLoans(TimePoint now)
+{
+    if (now < m_forgetAt)
+        return;
+    m_forgetAt = now + ForgetInterval;
+    for (auto &[workspace, loans] : m_knownLoans) {
+        std::erase_if(loans, [this, now](const auto &item) {
+            return now - item.second.reportedAt > m_rule.window;
+        });
+    }
+    std::erase_if(m_knownLoans, [](const auto &item) { return item.second.empty(); });
+    std::erase_if(m_usedAt,
+                  [this, now](const auto &item) { return now - item.second > m_rule.window; });
 }
 
 void CapBorrower::askNext(const WorkspaceName &workspace, Request &request, TimePoint now)
@@ -72,31 +166,63 @@
 }
 
 void CapBorrower::answered(const Endpoint &lender, const WorkspaceName &workspace, LenderRole role,
-                           const CapLoan &loan)
+                           const CapLoan &loan, TimePoint now)
 {
+    m_usedAt[lender] = now;
+    noteHistory(lender, workspace, loan.history, now);
     const auto found = m_requests.find(workspace);
     const bool isAwaited = found != m_requests.end() && !found->second.isOwnShare
             && found->second.lender == lender && found->second.role == role;
     // A late answer may be to an earlier request for another number of operations.
     if (!isAwaited || loan.granted > found->second.wanted)
         return;
+    if (redirect(workspace, found->second, loan, now))
+        return;
+    if (loan.isUnable)
+        return askNext(workspace, found->second, now);
     m_requests.erase(found);
     m_ownShares.erase(workspace);
     m_delegate.lent(workspace, loan);
 }
 
+// Asks the owner that a lender named in place of operations. Returns whether it did.
+bool CapBorrower::redirect(const WorkspaceName &workspace, Request &request, const CapLoan &loan,
+                           TimePoint now)
+{
+    if (!loan.owner || *loan.owner == request.lender || request.wasRedirected || loan.granted > 0)
+        return false;
+    const auto listed = std::find_if(m_candidates.begin(), m_candidates.end(),
+                                     [&loan](const auto &one) { return one.at == *loan.owner; });
+    if (listed == m_candidates.end()) {
+        m_unlisted.try_emplace(*loan.owner, UnlistedLender {{*loan.owner, {}}, now});
+        m_chosen.clear();
+    }
+    if (!m_delegate.isReachable(*loan.owner))
+        return false;
+    request.wasRedirected = true;
+    request.role = LenderRole::Owner;
+    const CapLenderCandidate owner {*loan.owner, {}};
+    ask(workspace, request, &owner, now);
+    return true;
+}
+
 CapLoan CapBorrower::takeOwnShare(const WorkspaceName &workspace, int wanted, TimePoint now)
 {
     const Workspace *known = m_workspaces ? m_workspaces->find(workspace) : nullptr;
     if (known == nullptr || !known->cap.isSet())
         return {wanted, {}};
-    const double limit = m_rule.allowance(known->cap) / m_entryCount;
+    // Where no lender is known, no other process lends either.
+    const bool isAlone = m_candidates.empty() && m_unlisted.empty();
+    const double all = isAlone ? m_rule.allowance(known->cap)
+                               : divideAllowance(m_rule, known->cap).self;
+    const double limit = all / m_entryCount;
     WindowCounter &counter = m_ownShares.try_emplace(workspace, 0, now).first->second;
     return counter.lend(wanted, limit, m_rule.window, now);
 }
 
 void CapBorrower::tick(TimePoint now)
 {
+    forgetOldLoans(now);
     std::vector<WorkspaceName> settled;
     for (auto &[workspace, request] : m_requests) {
         const bool isOverdue = !request.isOwnShare
--- a/src/proxy/caplender.cpp
+++ b/src/proxy/caplender.cpp
@@ -8,14 +8,17 @@
 namespace {
 
 constexpr auto BinTime = 50ms; // operations are counted together in such spans
+constexpr double ReserveShare = 0.5; // of the overage and slack
+constexpr double SelfShare = 0.25; // of the reserve, for entry proxies that reach no lender
 constexpr double FirstBurstShare = 0.2; // of the burst, given out by a counter that has just begun
 
 } // namespace
 
-// A bin counts until its whole span has left the window.
+// A bin counts until its whole span, and the time for which an unused loan is kept, have left the
+// window.
 void WindowCounter::expire(Duration window, TimePoint now)
 {
-    while (!m_bins.empty() && m_bins.front().startsAt + BinTime + window < now) {
+    while (!m_bins.empty() && m_bins.front().startsAt + BinTime + UnusedLoanTime + window < now) {
         m_inWindow -= m_bins.front().taken;
         m_bins.pop_front();
     }
@@ -52,13 +55,38 @@
             std::chrono::duration<double>(window) / std::max(limit, 1.0));
     if (m_bins.empty() || now - m_startedAt < window)
         return untilRamp;
-    return std::max(Duration(1ms), m_bins.front().startsAt + BinTime + window - now);
+    return std::max(Duration(1ms),
+                    m_bins.front().startsAt + BinTime + UnusedLoanTime + window - now);
 }
 
 bool WindowCounter::isUnused(Duration window, TimePoint now) const
 {
     return now - m_startedAt > window
-            && (m_bins.empty() || m_bins.back().startsAt + BinTime + window < now);
+            && (m_bins.empty() || m_bins.back().startsAt + BinTime + UnusedLoanTime + window < now);
+}
+
+std::vector<int> WindowCounter::history(Duration window, TimePoint now) const
+{
+    const Duration span = window / LoanHistory::Spans;
+    std::vector<int> lent;
+    for (auto bin = m_bins.rbegin(); bin != m_bins.rend(); ++bin) {
+        const Duration age = std::max(Duration(), now - (bin->startsAt + BinTime));
+        const auto place = static_cast<std::size_t>(age / span);
+        if (place >= LoanHistory::Spans)
+            break;
+        if (lent.size() <= place)
+            lent.resize(place + 1);
+        lent[place] += bin->taken;
+    }
+    return lent;
+}
+
+AllowanceParts divideAllowance(const CapRule &rule, const OperationCap &cap)
+{
+    const double all = rule.allowance(cap);
+    const double extra = all - CapRule {rule.window, 0, 0}.allowance(cap);
+    const double reserve = extra * ReserveShare;
+    return {all - reserve, reserve * (1 - SelfShare), reserve * SelfShare};
 }
 
 void CapLender::setDomains(int present, int all)
@@ -67,29 +95,83 @@
     m_presentDomains = std::clamp(present, 1, m_allDomains);
 }
 
-double CapLender::shareOf(LenderRole role) const
+CapLender::Account &CapLender::accountOf(const WorkspaceName &workspace, const OperationCap &cap,
+                                         TimePoint now)
 {
-    const double part = role == LenderRole::Owner ? m_presentDomains : 1;
-    return part / m_allDomains;
+    const double share = static_cast<double>(m_presentDomains) / m_allDomains;
+    const double first = 1 + cap.burst * share * FirstBurstShare;
+    return m_accounts.try_emplace(workspace, Account {WindowCounter(first, now), {}}).first->second;
 }
 
-CapLoan CapLender::lend(const WorkspaceName &workspace, LenderRole role, int wanted, TimePoint now)
+void CapLender::noteReported(const WorkspaceName &workspace, const LoanHistory &history,
+                             TimePoint now)
 {
     const Workspace *known = m_workspaces ? m_workspaces->find(workspace) : nullptr;
-    // An entry with a newer configuration may know a workspace that this process doesn't know yet.
-    if (known == nullptr || !known->cap.isSet())
-        return {wanted, {}};
-    const double share = shareOf(role);
-    const double limit = m_rule.allowance(known->cap) * share;
-    const double first = 1 + known->cap.burst * share * FirstBurstShare;
-    WindowCounter &counter = m_counters.try_emplace({workspace, role}, first, now).first->second;
-    return counter.lend(wanted, limit, m_rule.window, now);
+    if (known == nullptr || !known->cap.isSet() || history.lender == m_self)
+        return;
+    Reported &reported = accountOf(workspace, known->cap, now).others[history.lender];
+    const TimePoint takenAt = now - history.age;
+    if (!reported.lent.empty() && takenAt <= reported.takenAt)
+        return;
+    reported = {history.lent, takenAt};
+    reported.lent.resize(std::min<std::size_t>(reported.lent.size(), LoanHistory::Spans));
+}
+
+// Each loan counts as if it had been given at the end of its span.
+int CapLender::lentByOthers(const Account &account, TimePoint now) const
+{
+    const Duration span = m_rule.window / LoanHistory::Spans;
+    int sum = 0;
+    for (const auto &[lender, reported] : account.others) {
+        TimePoint lentAt = reported.takenAt;
+        for (const int lent : reported.lent) {
+            if (lentAt + m_rule.window + UnusedLoanTime >= now)
+                sum += std::max(0, lent);
+            lentAt -= span;
+        }
+    }
+    return sum;
+}
+
+double CapLender::limitOf(const OperationCap &cap, OwnerState owner, int others) const
+{
+    const AllowanceParts parts = divideAllowance(m_rule, cap);
+    switch (owner) {
+    case OwnerState::Self:
+        return parts.owner * m_presentDomains / m_allDomains - others;
+    case OwnerState::Reachable:
+        return parts.standIns / m_allDomains;
+    case OwnerState::Unreachable:
+        return (parts.owner - others) / m_allDomains;
+    }
+    return 0;
+}
+
+CapLoan CapLender::lend(const WorkspaceName &workspace, OwnerState owner, int wanted, TimePoint now)
+{
+    CapLoan loan;
+    const Workspace *known = m_workspaces ? m_workspaces->find(workspace) : nullptr;
+    // An entry with a newer configuration may know a workspace that this process doesn't know yet,
+    // and a process that has just started knows none.
+    if (known == nullptr) {
+        loan.isUnable = true;
+        return loan;
+    }
+    if (!known->cap.isSet()) {
+        loan.granted = wanted;
+        return loan;
+    }
+    Account &account = accountOf(workspace, known->cap, now);
+    const double limit = limitOf(known->cap, owner, lentByOthers(account, now));
+    loan = account.own.lend(wanted, std::max(0.0, limit), m_rule.window, now);
+    loan.history = {m_self, account.own.history(m_rule.window, now), {}};
+    return loan;
 }
 
 void CapLender::forgetUnused(TimePoint now)
 {
-    std::erase_if(m_counters, [this, now](const auto &item) {
-        return item.second.isUnused(m_rule.window, now);
+    std::erase_if(m_accounts, [this, now](const auto &item) {
+        return item.second.own.isUnused(m_rule.window, now) && lentByOthers(item.second, now) == 0;
     });
 }
 
--- a/src/proxy/sessioncaps.cpp
+++ b/src/proxy/sessioncaps.cpp
@@ -9,8 +9,9 @@
 namespace {
 
 constexpr auto LoanWait = 200ms; // for the answer of a lender, and of the next one after it
-// A loan that wasn't used may be used by another operation of the workspace for so long.
-constexpr auto ReturnedLoanTime = 250ms;
+// A refusal of the lender is repeated to other operations for at most so long, so that a workspace
+// far above its cap doesn't overload its lender with requests.
+constexpr Duration MaxRefusalTime = 100ms;
 
 std::string overCapReason(Duration retryAfter)
 {
@@ -32,11 +33,13 @@
 {
     Session &session = m_sessions.at(key);
     CapQueue &queue = m_capQueues[session.workspace];
-    if (queue.returned > 0 && now - queue.returnedAt < ReturnedLoanTime) {
+    if (queue.returned > 0 && now - queue.returnedAt < UnusedLoanTime) {
         --queue.returned;
         return startCharged(key, now);
     }
     queue.returned = 0;
+    if (now < queue.refusedUntil)
+        return fail(key, StatementFault::OverCap, overCapReason(queue.refusedUntil - now), now);
     session.work->phase = Phase::Cap;
     queue.waiting.push_back(key);
     setTimer(key, now + LoanWait);
@@ -58,6 +61,8 @@
         return;
     CapQueue &queue = found->second;
     int granted = loan.granted;
+    if (granted < queue.asked)
+        queue.refusedUntil = now + std::min(loan.retryAfter, MaxRefusalTime);
     // Statements that the callers sent ahead start with these, and wait for the next request.
     for (int answered = 0; answered < queue.asked && !queue.waiting.empty(); ++answered) {
         const SessionKey key = queue.waiting.front();
@@ -70,7 +75,7 @@
     queue.asked = 0;
     if (!queue.waiting.empty())
         return borrowForWaiting(workspace);
-    if (queue.returned == 0)
+    if (queue.returned == 0 && queue.refusedUntil <= now)
         m_capQueues.erase(found);
 }
 
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -69,6 +69,8 @@
                   m_proxy.noteServerEvidence(server, evidence, EventLoop::now());
               },
               [this](const Endpoint &home, bool isReachable, const std::string &why) {
+                  if (!isReachable)
+                      m_borrower.lenderLost(home);
                   logLine(isReachable ? LogLevel::Info : LogLevel::Warning,
                           isReachable ? "home_reached" : "home_lost",
                           {{"home", toString(home)}, {"reason", why}});
@@ -90,9 +92,10 @@
                   });
               })
 {
-    m_links.setOnLoan(
-            [this](const Endpoint &lender, const WorkspaceName &workspace, LenderRole role,
-                   const CapLoan &loan) { m_borrower.answered(lender, workspace, role, loan); });
+    m_links.setOnLoan([this](const Endpoint &lender, const WorkspaceName &workspace,
+                             LenderRole role, const CapLoan &loan) {
+        m_borrower.answered(lender, workspace, role, loan, EventLoop::now());
+    });
     m_proxy.setLeaveTime(leaveTime(settings));
     m_proxy.setRevocationTime(settings.revocationTime);
     m_borrower.setRule(capRule(settings.caps));
@@ -123,11 +126,12 @@
     const Endpoint &lanes = m_settings.listen.lanes;
     if (lanes.address.empty())
         return;
-    m_home = std::make_unique<HomePort>(m_loop, lanes, m_settings.name.text(),
-                                        m_settings.failureDomain,
-                                        [this](const std::string &event, const std::string &reason) {
-                                            logLine(LogLevel::Warning, event, {{"reason", reason}});
-                                        });
+    m_home = std::make_unique<HomePort>(
+            m_loop, lanes, m_settings.name.text(), m_settings.failureDomain,
+            [this](const std::string &event, const std::string &reason) {
+                logLine(LogLevel::Warning, event, {{"reason", reason}});
+            },
+            [this](const WorkspaceName &workspace) { return ownerOf(workspace); });
     m_home->setLeaveTime(leaveTime(m_settings));
     m_home->setCapRule(capRule(m_settings.caps));
     m_follower.setLanes(toString(lanes));
@@ -197,7 +201,7 @@
             const std::vector<ServerRecord> present = m_registry.present();
             m_proxy.setServers(present, now);
             m_links.setServers(present);
-            m_borrower.setCandidates(m_links.lenderCandidates());
+            updateLenders();
             if (m_home)
                 m_home->setServers(present);
             logLine(LogLevel::Info, "servers_known",
@@ -235,7 +239,13 @@
     if (m_home)
         m_home->setHomes(homes, m_settings.listen.lanes);
     m_links.setHomes(std::move(homes));
-    m_borrower.setCandidates(m_links.lenderCandidates());
+    updateLenders();
+}
+
+void EntryNode::updateLenders()
+{
+    m_borrower.setCandidates(m_links.lenderCandidates(), EventLoop::now());
+    m_links.setUnlistedLenders(m_borrower.unlistedLenders());
 }
 
 void EntryNode::updateReadiness()
@@ -265,6 +275,7 @@
     m_links.flush();
     TimePoint wake = std::min({m_proxy.wakeAt(), m_links.wakeAt(), m_borrower.wakeAt()});
     if (m_home) {
+        m_home->setCutOff(m_isolatedSince || m_suspectedSince);
         m_home->flush();
         wake = std::min(wake, m_home->wakeAt());
     }
@@ -280,6 +291,7 @@
     m_follower.setAgedServices(m_proxy.agedServices(now));
     m_links.tick(now);
     m_borrower.tick(now);
+    m_links.setUnlistedLenders(m_borrower.unlistedLenders());
     if (m_home)
         m_home->tick(now);
     if (!m_isDraining)
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -66,7 +66,7 @@
     void borrow(const WorkspaceName &workspace, int wanted) override;
     bool isReachable(const Endpoint &lender) override;
     void requestLoan(const Endpoint &lender, const WorkspaceName &workspace, LenderRole role,
-                     int wanted) override;
+                     int wanted, const std::vector<LoanHistory> &reports) override;
     void lent(const WorkspaceName &workspace, const CapLoan &loan) override;
     std::optional<ServerReplicationStatus> readStatus(const ServerReply &reply) override;
     void requestDecided(const RequestDecision &decision) override;
@@ -74,6 +74,8 @@
     void serverAssessed(const ServerAssessment &serverAssessment) override;
 
     void startHome();
+    HomePort::OwnerView ownerOf(const WorkspaceName &workspace);
+    void updateLenders();
     void applyRoutes(RouteTable table, const Endpoint &from);
     void applyView(const ControlView &view);
     void afterEvents();
--- a/src/site/entrynodeevents.cpp
+++ b/src/site/entrynodeevents.cpp
@@ -91,9 +91,22 @@
 }
 
 void EntryNode::requestLoan(const Endpoint &lender, const WorkspaceName &workspace, LenderRole role,
-                            int wanted)
+                            int wanted, const std::vector<LoanHistory> &reports)
 {
-    m_links.requestLoan(lender, workspace, role, wanted);
+    m_links.requestLoan(lender, workspace, role, wanted, reports);
+}
+
+HomePort::OwnerView EntryNode::ownerOf(const WorkspaceName &workspace)
+{
+    const std::optional<Endpoint> owner = m_borrower.ownerOf(workspace);
+    // A process that has just started knows no lenders, and isn't the owner for that.
+    if (!owner)
+        return {OwnerState::Reachable, {}};
+    if (*owner == m_settings.listen.lanes)
+        return {OwnerState::Self, {}};
+    if (m_links.isHomeReachable(*owner))
+        return {OwnerState::Reachable, owner};
+    return {OwnerState::Unreachable, {}};
 }
 
 void EntryNode::lent(const WorkspaceName &workspace, const CapLoan &loan)
--- a/src/site/homeport.cpp
+++ b/src/site/homeport.cpp
@@ -1,6 +1,8 @@
 #include "site/homeport.h"
 
 #include <algorithm>
+#include <limits>
+#include <random>
 
 namespace nutmegtide {
 
@@ -16,14 +18,22 @@
 } // namespace
 
 HomePort::HomePort(EventLoop &loop, const Endpoint &at, const std::string &self, FailureDomain own,
-                   OnFault onFault)
+                   OnFault onFault, FindOwner findOwner)
     : m_loop(loop)
     , m_own(std::move(own))
     , m_onFault(std::move(onFault))
+    , m_findOwner(std::move(findOwner))
     , m_servers(makeServerLinks(loop, self, *this))
     , m_listener(loop.base(), at, [this](int socket) { take(socket); })
 { }
 
+LenderId HomePort::lenderRun()
+{
+    std::random_device random;
+    return std::uniform_int_distribution<LenderId>(1, std::numeric_limits<std::int32_t>::max())(
+            random);
+}
+
 void HomePort::take(int socket)
 {
     const std::uint64_t link = ++m_lastLink;
@@ -114,15 +124,24 @@
 
 void HomePort::handleLoanRequest(std::uint64_t link, const wire::LoanRequest &request)
 {
-    const LenderRole role = request.isForStandIn ? LenderRole::StandIn : LenderRole::Owner;
-    const CapLoan lent = m_lender.lend(WorkspaceName(request.workspace), role,
-                                       std::max(0, request.wanted), EventLoop::now());
+    const TimePoint now = EventLoop::now();
+    const WorkspaceName workspace(request.workspace);
+    for (const wire::LoanHistory &report : request.reports)
+        m_lender.noteReported(workspace, fromWire(report), now);
+    const OwnerView owner = m_findOwner(workspace);
+    const CapLoan lent = m_lender.lend(workspace, owner.state, std::max(0, request.wanted), now);
     wire::Loan loan;
     loan.workspace = request.workspace;
     loan.granted = lent.granted;
     loan.retryMilliseconds = static_cast<std::int32_t>(
             std::chrono::duration_cast<std::chrono::milliseconds>(lent.retryAfter).count());
     loan.isFromStandIn = request.isForStandIn;
+    if (lent.history.lender != 0)
+        loan.__set_history(toWire(lent.history));
+    if (lent.isUnable)
+        loan.__set_isUnable(true);
+    if (owner.at)
+        loan.__set_owner(toString(*owner.at));
     wire::LaneFrame *frame = outgoing(link);
     frame->loans.push_back(std::move(loan));
     frame->__isset.loans = true;
@@ -150,10 +169,17 @@
         m_domainSeenAt[domain] = now;
     std::erase_if(m_domainSeenAt,
                   [now](const auto &item) { return now - item.second > MissingDomainTime; });
-    m_lender.setDomains(static_cast<int>(present.size()), static_cast<int>(m_domainSeenAt.size()));
+    const std::size_t reached = m_isCutOff ? 1 : present.size();
+    m_lender.setDomains(static_cast<int>(reached), static_cast<int>(m_domainSeenAt.size()));
     m_lender.forgetUnused(now);
 }
 
+void HomePort::setCutOff(bool isCutOff)
+{
+    if (std::exchange(m_isCutOff, isCutOff) != isCutOff)
+        updateLender(EventLoop::now());
+}
+
 // Forwards the warning to the other VMs of the entry VM's failure domain, which then probe their
 // homes themselves.
 void HomePort::forwardReachWarning(std::uint64_t from, TimePoint now)
--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -30,9 +31,17 @@
     // Called to log that a connection of a lane or to a server ended abnormally.
     using OnFault = std::function<void(const std::string &event, const std::string &reason)>;
 
+    // What this process knows of a workspace's owner.
+    struct OwnerView
+    {
+        OwnerState state = OwnerState::Self;
+        std::optional<Endpoint> at; // with Reachable
+    };
+    using FindOwner = std::function<OwnerView(const WorkspaceName &)>;
+
     // Throws ListenError.
     HomePort(EventLoop &loop, const Endpoint &at, const std::string &self, FailureDomain own,
-             OnFault onFault);
+             OnFault onFault, FindOwner findOwner);
     HomePort(const HomePort &) = delete;
     HomePort &operator=(const HomePort &) = delete;
 
@@ -46,6 +55,9 @@
     {
         m_lender.setWorkspaces(workspaces);
     }
+    // Whether this VM's failure domain is cut off from the others, which then have lenders of their
+    // own.
+    void setCutOff(bool isCutOff);
     void setCapRule(const CapRule &rule) { m_lender.setRule(rule); }
     // Sets how many connections a server of each service accepts.
     void setConnectionLimits(std::map<ServiceName, int> limits)
@@ -74,6 +86,8 @@
     bool wasStalled() const;
     void closeAllLinks();
     void handleFrame(std::uint64_t link, const wire::LaneFrame &frame);
+    // Returns an id of this run of the process as a lender.
+    static LenderId lenderRun();
     void handleLoanRequest(std::uint64_t link, const wire::LoanRequest &request);
     void updateLender(TimePoint now);
     void forwardReachWarning(std::uint64_t from, TimePoint now);
@@ -98,9 +112,11 @@
     EventLoop &m_loop;
     const FailureDomain m_own;
     const OnFault m_onFault;
+    const FindOwner m_findOwner;
     ServerHome m_home {*this};
-    CapLender m_lender;
+    CapLender m_lender {lenderRun()};
     TimePoint m_lenderDueAt {};
+    bool m_isCutOff = false;
     ServerHomes m_homesByServer;
     std::map<ServerId, FailureDomain> m_domainOf;
     std::map<FailureDomain, TimePoint> m_domainSeenAt; // with a home
--- a/src/site/lanelinks.cpp
+++ b/src/site/lanelinks.cpp
@@ -334,7 +334,8 @@
         const bool isOwed = home.unanswered > 0;
         if (home.socket == nullptr) {
             continue;
-        } else if (m_allHomes.count(at) == 0 && home.lanes.empty()) {
+        } else if (m_allHomes.count(at) == 0 && m_unlistedLenders.count(at) == 0
+                   && home.lanes.empty()) {
             unwanted.push_back(at);
         } else if (home.isProbed && now - home.probedAt > AnswerTime
                    && (isOwed || !home.isReachable)) {
--- a/src/site/lanelinks.h
+++ b/src/site/lanelinks.h
@@ -64,8 +64,10 @@
     std::vector<CapLenderCandidate> lenderCandidates() const;
     // Returns whether the home answers; connects to it if it isn't connected.
     bool isHomeReachable(const Endpoint &at);
+    // Sets lenders that are homes no longer, to which connections are kept.
+    void setUnlistedLenders(std::set<Endpoint> lenders) { m_unlistedLenders = std::move(lenders); }
     void requestLoan(const Endpoint &at, const WorkspaceName &workspace, LenderRole role,
-                     int wanted);
+                     int wanted, const std::vector<LoanHistory> &reports);
     bool isLane(ConnectionKey connection) const { return m_lanes.count(connection) != 0; }
     // Another source reports that other failure domains may be unreachable, or that they are
     // reachable.
@@ -137,6 +139,7 @@
     std::unique_ptr<ServerLinks> m_direct;
     ServerHomes m_homesByServer; // in this VM's order of preference
     std::set<Endpoint> m_allHomes; // the homes of all servers
+    std::set<Endpoint> m_unlistedLenders;
     std::map<ServerId, FailureDomain> m_domainOf;
     // Of the homes of known servers.
     std::map<Endpoint, FailureDomain> m_domainOfHome;
--- a/src/site/lanelinksloans.cpp
+++ b/src/site/lanelinksloans.cpp
@@ -15,18 +15,21 @@
 
 bool LaneLinks::isHomeReachable(const Endpoint &at)
 {
-    if (m_allHomes.count(at) != 0)
+    if (m_allHomes.count(at) != 0 || m_unlistedLenders.count(at) != 0)
         connect(at, EventLoop::now());
     return isUsable(at);
 }
 
 void LaneLinks::requestLoan(const Endpoint &at, const WorkspaceName &workspace, LenderRole role,
-                            int wanted)
+                            int wanted, const std::vector<LoanHistory> &reports)
 {
     wire::LoanRequest request;
     request.workspace = workspace.text();
     request.wanted = wanted;
     request.isForStandIn = role == LenderRole::StandIn;
+    for (const LoanHistory &report : reports)
+        request.reports.push_back(toWire(report));
+    request.__isset.reports = !reports.empty();
     Home &home = m_homes.at(at);
     // An unanswered request makes a frozen home be probed.
     if (home.unanswered++ == 0)
@@ -45,8 +48,15 @@
     --home.loansAsked;
     --home.unanswered;
     const LenderRole role = message.isFromStandIn ? LenderRole::StandIn : LenderRole::Owner;
-    m_onLoan(at, WorkspaceName(message.workspace), role,
-             {message.granted, std::chrono::milliseconds(message.retryMilliseconds)});
+    CapLoan loan;
+    loan.granted = message.granted;
+    loan.retryAfter = std::chrono::milliseconds(message.retryMilliseconds);
+    loan.isUnable = message.isUnable;
+    if (message.__isset.history)
+        loan.history = fromWire(message.history);
+    if (message.__isset.owner)
+        loan.owner = parseEndpoint(message.owner);
+    m_onLoan(at, WorkspaceName(message.workspace), role, loan);
 }
 
 } // namespace nutmegtide
--- a/src/site/lanewire.cpp
+++ b/src/site/lanewire.cpp
@@ -2,6 +2,7 @@
 
 #include "serve/wireconvert.h"
 
+#include <algorithm>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
@@ -151,6 +152,25 @@
     return result;
 }
 
+wire::LoanHistory toWire(const LoanHistory &history)
+{
+    wire::LoanHistory result;
+    result.lender = history.lender;
+    result.lent.assign(history.lent.begin(), history.lent.end());
+    result.ageMilliseconds = static_cast<std::int32_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(history.age).count());
+    return result;
+}
+
+LoanHistory fromWire(const wire::LoanHistory &history)
+{
+    LoanHistory result;
+    result.lender = history.lender;
+    result.lent.assign(history.lent.begin(), history.lent.end());
+    result.age = std::chrono::milliseconds(std::max(0, history.ageMilliseconds));
+    return result;
+}
+
 ServerEvidence evidenceOf(const wire::LaneEvidence &wireEvidence)
 {
     return checked(wireEvidence.evidence, LastEvidence, "evidence");
--- a/src/site/lanewire.h
+++ b/src/site/lanewire.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegtide/base/errors.h"
+#include "nutmegtide/proxy/caplender.h"
 #include "nutmegtide/proxy/serverpool.h"
 #include "peer_types.h"
 #include "site/framecompression.h"
@@ -51,6 +52,8 @@
 wire::LaneReply toWire(std::uint64_t lane, const ServerReply &reply);
 // Throws MessageError for an unknown fault or transaction state.
 ServerReply fromWire(const wire::LaneReply &reply);
+wire::LoanHistory toWire(const LoanHistory &history);
+LoanHistory fromWire(const wire::LoanHistory &history);
 // Throws MessageError for an unknown kind of evidence.
 ServerEvidence evidenceOf(const wire::LaneEvidence &wireEvidence);
 
