--- a/include/nutmegtide/settings/nodesettings.h
+++ b/include/nutmegtide/settings/nodesettings.h
@@ -4,6 +4,7 @@
 #include "nutmegtide/base/ids.h"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -57,6 +58,19 @@
     bool operator==(const CapSettings &) const = default;
 };
 
+// [connections]: what callers may use of a site's entry VM.
+struct ConnectionSettings
+{
+    std::uint64_t memory = 0; // bytes that the VM has; 0: unknown
+    std::uint64_t buffered = 0; // bytes for all callers together; 0: a quarter of the memory
+    std::uint64_t bufferedPerCaller = 262'144; // bytes at which a caller isn't read any more
+    int descriptors = 0; // that the VM has; 0: as many as the process may open
+    int mostCallers = 0; // 0: three quarters of the descriptors
+    std::chrono::milliseconds messageTime {30'000}; // for a message to arrive whole
+
+    bool operator==(const ConnectionSettings &) const = default;
+};
+
 // [node] and the tables beside it: what one process must know before it has met its fleet.
 struct NodeSettings
 {
@@ -83,6 +97,7 @@
     ListenSettings listen;
     LogSettings log;
     CapSettings caps;
+    ConnectionSettings connections;
     // [peer_routes]: where this VM calls a peer whose listener it can't reach at its own address.
     std::map<Endpoint, Endpoint> peerRoutes;
 
--- a/include/nutmegtide/site/adapters.h
+++ b/include/nutmegtide/site/adapters.h
@@ -5,6 +5,7 @@
 #include "nutmegtide/proxy/routetable.h"
 #include "nutmegtide/proxy/serverpool.h"
 #include "nutmegtide/session/sessionstatement.h"
+#include "nutmegtide/site/callerlimits.h"
 
 #include <chrono>
 #include <memory>
@@ -41,6 +42,8 @@
     virtual void answer(SessionKey session, const RequestId &request,
                         const SessionAnswer &answer) = 0;
     virtual void end(SessionKey session, std::optional<StatementFault> fault) = 0;
+    // Ends the connections of callers that are overdue. Called several times a second.
+    virtual void tick(TimePoint now) = 0;
 };
 
 // Receives the events of connections to backend servers.
@@ -128,7 +131,7 @@
 };
 
 std::unique_ptr<CallerPort> makeCallerPort(EventLoop &loop, const Endpoint &at,
-                                           CallerEvents &events);
+                                           const CallerLimitSettings &limits, CallerEvents &events);
 std::unique_ptr<ServerLinks> makeServerLinks(EventLoop &loop, const std::string &self,
                                              ServerEvents &events);
 std::unique_ptr<ControlPort> makeControlPort(const Endpoint &at, ControlRequests &requests);
--- a/src/settings/nodeschema.cpp
+++ b/src/settings/nodeschema.cpp
@@ -16,6 +16,9 @@
 constexpr Range CapWindowRange {100, 3'600'000}; // ms
 constexpr Range CapOverageRange {0, 10};
 constexpr Range CapSlackRange {0, 1'000'000}; // operations
+constexpr Range BufferedRange {65'536, 1'099'511'627'776}; // bytes
+constexpr Range DescriptorsRange {64, 10'000'000};
+constexpr Range MessageTimeRange {100, 3'600'000}; // ms
 constexpr Range CallerThreadsRange {1, 10'000};
 constexpr bool IsRequired = true;
 
@@ -59,7 +62,17 @@
         {"slack", &CapSettings::slack, CapSlackRange},
 };
 
-constexpr std::string_view NodeTables[] = {"node", "listen", "log", "caps", "peer_routes"};
+const KeyRow<ConnectionSettings> ConnectionRows[] = {
+        {"memory", &ConnectionSettings::memory, BufferedRange},
+        {"buffered", &ConnectionSettings::buffered, BufferedRange},
+        {"buffered_per_caller", &ConnectionSettings::bufferedPerCaller, BufferedRange},
+        {"descriptors", &ConnectionSettings::descriptors, DescriptorsRange},
+        {"most_callers", &ConnectionSettings::mostCallers, DescriptorsRange},
+        {"message_time", &ConnectionSettings::messageTime, MessageTimeRange},
+};
+
+constexpr std::string_view NodeTables[] = {"node", "listen",      "log",
+                                           "caps", "connections", "peer_routes"};
 
 // Port 0 stands for a port of the kernel's choice, so it never collides.
 void checkListeners(const ListenSettings &listen, SectionReader &reader)
@@ -121,6 +134,7 @@
     reader.readTable<ListenSettings>("listen", ListenRows, settings.listen);
     reader.readTable<LogSettings>("log", LogRows, settings.log);
     reader.readTable<CapSettings>("caps", CapRows, settings.caps);
+    reader.readTable<ConnectionSettings>("connections", ConnectionRows, settings.connections);
     readPeerRoutes(merged, reader, settings);
     reader.checkUnknown(merged.tables, "", NodeTables);
     checkListeners(settings.listen, reader);
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <sys/resource.h>
 
 namespace nutmegtide {
 
@@ -45,6 +46,14 @@
     return {caps.window, caps.overage, static_cast<double>(caps.slack)};
 }
 
+// Returns how many descriptors this process may open.
+std::size_t mostDescriptors()
+{
+    rlimit limit {};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    return limit.rlim_cur;
+}
+
 // Returns how long a leaving server still gets new work.
 Duration leaveTime(const NodeSettings &settings)
 {
@@ -100,7 +109,8 @@
     m_proxy.setRevocationTime(settings.revocationTime);
     m_borrower.setRule(capRule(settings.caps));
     m_proxy.setStarting(EventLoop::now() + StartTime);
-    m_callers = makeCallerPort(m_loop, settings.listen.callers, *this);
+    m_callers = makeCallerPort(m_loop, settings.listen.callers,
+                               callerLimits(settings.connections, mostDescriptors()), *this);
     m_health = std::make_unique<HttpServer>(settings.listen.health, healthOptions(),
                                             [this](const HttpRequest &) { return answerHealth(); });
     m_operators = std::make_unique<HttpServer>(settings.listen.operators, healthOptions(),
@@ -288,6 +298,7 @@
 {
     const TimePoint now = EventLoop::now();
     m_proxy.tick(now);
+    m_callers->tick(now);
     m_follower.setAgedServices(m_proxy.agedServices(now));
     m_links.tick(now);
     m_borrower.tick(now);
--- a/src/site/streamsocket.cpp
+++ b/src/site/streamsocket.cpp
@@ -9,6 +9,7 @@
 #include <event2/event.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace nutmegtide {
 
@@ -74,6 +75,20 @@
     return evbuffer_get_length(bufferevent_get_output(m_buffer));
 }
 
+void StreamSocket::setPaused(bool isPaused)
+{
+    if (m_isEnded || m_isClosing || std::exchange(m_isPaused, isPaused) == isPaused)
+        return;
+    if (isPaused) {
+        bufferevent_disable(m_buffer, EV_READ);
+        return;
+    }
+    bufferevent_enable(m_buffer, EV_READ);
+    // What was read before the pause causes no further event.
+    if (evbuffer_get_length(bufferevent_get_input(m_buffer)) > 0)
+        bufferevent_trigger(m_buffer, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+}
+
 bool StreamSocket::isSendBufferFull() const
 {
     return unsent() > MostUnsent;
@@ -99,7 +114,9 @@
 {
     auto *socket = static_cast<StreamSocket *>(self);
     if (socket->m_isClosing && socket->unsent() == 0)
-        socket->finish(End::Closed);
+        return socket->finish(End::Closed);
+    if (socket->m_handlers.sent)
+        socket->m_handlers.sent();
 }
 
 void StreamSocket::onEvent(bufferevent *buffer, short what, void *self)
@@ -120,7 +137,7 @@
     auto *socket = static_cast<StreamSocket *>(self);
     evbuffer *input = bufferevent_get_input(buffer);
     std::array<char, ReadAtOnce> bytes;
-    for (;;) {
+    while (!socket->m_isPaused) {
         const int count = evbuffer_remove(input, bytes.data(), bytes.size());
         if (count <= 0)
             return;
--- a/src/site/streamsocket.h
+++ b/src/site/streamsocket.h
@@ -31,6 +31,7 @@
         // Returns whether to continue reading. May destroy the socket, and must then return false.
         std::function<bool(std::string_view bytes)> received;
         std::function<void(End)> ended;
+        std::function<void()> sent {}; // all data was written to the network
     };
 
     // Takes ownership of a connected socket.
@@ -45,6 +46,10 @@
     // Closes once all queued data has been sent.
     void closeWhenSent();
     bool isClosing() const { return m_isClosing; }
+    // While paused, nothing is read, so that the peer is held up once the network buffers are full.
+    void setPaused(bool isPaused);
+    // Returns the bytes that the peer hasn't taken yet.
+    std::size_t unsent() const;
     // Whether the peer reads so slowly that the unsent data exceeds the memory limit.
     bool isSendBufferFull() const;
 
@@ -53,11 +58,11 @@
     static void onWritten(bufferevent *buffer, void *self);
     static void onEvent(bufferevent *buffer, short what, void *self);
     void finish(End end);
-    std::size_t unsent() const;
 
     bufferevent *m_buffer = nullptr;
     Handlers m_handlers;
     bool m_isConnected = false;
+    bool m_isPaused = false;
     bool m_isClosing = false;
     bool m_isEnded = false;
 };
--- a/test/process/support/lineserver.cpp
+++ b/test/process/support/lineserver.cpp
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <thread>
 #include <unistd.h>
 
 namespace nutmegtide::test {
@@ -9,6 +10,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds AnswerLimit {30'000}; // of a caller's wait for a line
+constexpr std::size_t LongItem = 64; // bytes; a longer one is the row that a read of it returns
+constexpr std::chrono::milliseconds HoldInterval {10}; // between looks whether the server holds
 
 } // namespace
 
@@ -27,12 +30,16 @@
     const auto contains = [&line](const char *word) { return line.find(word) != std::string::npos; };
     if (line.rfind("START ", 0) == 0 && !contains((' ' + m_id).c_str()))
         return "ERR MISROUTED " + m_id + "\r\n";
+    const bool isStatement = contains(" READ ") || contains(" WRITE ");
+    while (isStatement && m_isHolding)
+        std::this_thread::sleep_for(HoldInterval);
     std::string result;
     if (contains(" STATUS")) {
         const std::string position = "1." + std::to_string(m_commits.load());
         result = "ROW primary 1 " + position + " 0 0 0 1\r\nDONE -\r\n";
     } else if (contains(" READ ")) {
-        result = "ROW row\r\nDONE proof\r\n";
+        const std::string item = line.substr(line.rfind(' ') + 1);
+        result = "ROW " + (item.size() > LongItem ? item : "row") + "\r\nDONE proof\r\n";
     } else if (contains(" WRITE ") && !contains(" PREPARE ")) {
         m_commits += state == 'I' ? 1 : 0;
         result = "DONE proof\r\n";
--- a/test/process/support/lineserver.h
+++ b/test/process/support/lineserver.h
@@ -8,7 +8,8 @@
 namespace nutmegtide::test {
 
 // A backend server of a site that leads its service: it takes every statement of the line
-// protocol, and answers reads with one row. Each connection has a thread.
+// protocol, and answers reads with one row, which is the item if that is long. Each connection has
+// a thread.
 class LineServer
 {
 public:
@@ -17,6 +18,8 @@
     const Endpoint &endpoint() const { return m_listener.endpoint(); }
     // Writes that took effect.
     int commits() const { return m_commits; }
+    // While it holds, statements get no answer.
+    void setHolding(bool isHolding) { m_isHolding = isHolding; }
 
 private:
     // Returns the lines of the answer to one line.
@@ -25,6 +28,7 @@
     const std::string m_service;
     const std::string m_id;
     std::atomic<int> m_commits = 0;
+    std::atomic<bool> m_isHolding = false;
     LineListener m_listener;
 };
 
--- a/test/process/support/linesite.cpp
+++ b/test/process/support/linesite.cpp
@@ -35,7 +35,7 @@
         m_folder.write(vm.file,
                        settings("entry", number++, vm) + "health = \""
                                + toString(vm.health.endpoint()) + "\"\nlanes = \""
-                               + toString(vm.lanes.endpoint()) + "\"\n");
+                               + toString(vm.lanes.endpoint()) + "\"\n" + shape.entrySettings);
     }
     for (Vm &vm : m_controls)
         start(vm);
--- a/test/process/support/linesite.h
+++ b/test/process/support/linesite.h
@@ -33,6 +33,7 @@
         int entries = 1;
         int toleratedLosses = 0; // of control VMs
         std::optional<Endpoint> promotions; // where changes of primary are ordered
+        std::string entrySettings {}; // further tables of the entry VMs' settings
     };
 
     LineSite()
--- /dev/null
+++ b/test/unit/site/callerlimits_test.cpp
@@ -0,0 +1,84 @@
+#include "nutmegtide/site/callerlimits.h"
+
+#include <doctest/doctest.h>
+
+using namespace nutmegtide;
+
+namespace {
+
+const TimePoint Start {100s};
+
+} // namespace
+
+// Guards against a caller that sends statements ahead faster than they are answered.
+TEST_CASE("a caller with too much ahead isn't read until enough of it is answered and read")
+{
+    CallerLimits limits({1000, 100, 10, 30s});
+    limits.add(1, Start);
+    limits.sessionOpened(1);
+    CHECK(limits.mayRead(1));
+    limits.statementTaken(1, 80);
+    CHECK(limits.mayRead(1));
+    limits.statementTaken(1, 30);
+    CHECK_FALSE(limits.mayRead(1));
+    limits.statementAnswered(1);
+    CHECK(limits.mayRead(1));
+    limits.setUnread(1, 90);
+    CHECK_FALSE(limits.mayRead(1));
+    limits.setUnread(1, 10);
+    CHECK(limits.mayRead(1));
+    limits.statementAnswered(1);
+    limits.statementAnswered(1); // an answer to nothing
+    CHECK(limits.buffered() == 10);
+    for (int i = 0; i < 64; ++i)
+        limits.statementTaken(1, 0);
+    CHECK_FALSE(limits.mayRead(1));
+}
+
+// Guards against a crowd that fills the memory together, each within its own limit.
+TEST_CASE("the callers with the most are disconnected while all together have too much")
+{
+    CallerLimits limits({1000, 100, 10, 30s});
+    for (SessionKey caller = 1; caller <= 4; ++caller) {
+        limits.add(caller, Start);
+        limits.setIncomplete(caller, caller * 100, Start);
+    }
+    CHECK(limits.takeExcess().empty());
+    limits.setUnread(2, 250);
+    CHECK(limits.takeExcess() == std::vector<SessionKey> {2});
+    CHECK(limits.buffered() == 800);
+    limits.remove(4);
+    CHECK(limits.buffered() == 400);
+}
+
+// Guards against connections without a session that leave no room for others.
+TEST_CASE("the oldest connection without a session makes room for a new one")
+{
+    CallerLimits limits({1000, 100, 3, 30s});
+    for (SessionKey caller = 1; caller <= 3; ++caller)
+        CHECK_FALSE(limits.add(caller, Start));
+    limits.sessionOpened(1);
+    CHECK(limits.add(4, Start) == 2);
+    limits.sessionOpened(3);
+    limits.sessionOpened(4);
+    CHECK(limits.add(5, Start) == 5); // refused
+    limits.remove(1);
+    CHECK_FALSE(limits.add(6, Start));
+}
+
+// Guards against callers that stop half-way and stay.
+TEST_CASE("a message or a session that takes too long ends its connection")
+{
+    CallerLimits limits({1000, 100, 10, 30s});
+    for (SessionKey caller = 1; caller <= 4; ++caller)
+        limits.add(caller, Start);
+    for (SessionKey caller = 2; caller <= 4; ++caller)
+        limits.sessionOpened(caller);
+    limits.setIncomplete(3, 10, Start + 20s);
+    limits.setIncomplete(4, 10, Start);
+    limits.statementTaken(4, 200); // it isn't read
+    CHECK(limits.takeOverdue(Start + 30s).empty());
+    CHECK(limits.takeOverdue(Start + 31s) == std::vector<SessionKey> {1});
+    CHECK(limits.takeOverdue(Start + 51s) == std::vector<SessionKey> {3});
+    CHECK(limits.takeOverdue(Start + 100s).empty());
+}
