--- a/include/nutmegtide/site/adapters.h
+++ b/include/nutmegtide/site/adapters.h
@@ -30,6 +30,8 @@
     virtual void statementReceived(SessionKey session, const SessionStatement &statement) = 0;
     // The caller disconnected, or violated the protocol and was sent an error.
     virtual void sessionClosed(SessionKey session, const std::string &reason) = 0;
+    // A connection was refused or is ended, since a limit of connections or memory is reached.
+    virtual void callerLimited(SessionKey session, const std::string &reason) = 0;
 };
 
 // Listens for callers and sends them the answers.
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -48,6 +48,7 @@
                        const KeyDigest &key) override;
     void statementReceived(SessionKey session, const SessionStatement &statement) override;
     void sessionClosed(SessionKey session, const std::string &reason) override;
+    void callerLimited(SessionKey session, const std::string &reason) override;
 
     void connectionOpened(ConnectionKey connection) override;
     void connectionRefused(ConnectionKey connection, StatementFault fault) override;
--- a/src/site/entrynodeevents.cpp
+++ b/src/site/entrynodeevents.cpp
@@ -18,6 +18,13 @@
     m_proxy.callerLeft(session, EventLoop::now());
 }
 
+void EntryNode::callerLimited(SessionKey session, const std::string &reason)
+{
+    m_counts.countLimitedCaller();
+    logLine(LogLevel::Warning, "caller_limited",
+            {{"session", std::to_string(session)}, {"reason", reason}});
+}
+
 void EntryNode::connectionOpened(ConnectionKey connection)
 {
     m_proxy.opened(connection, m_links.isLane(connection), EventLoop::now());
--- a/src/site/homeport.cpp
+++ b/src/site/homeport.cpp
@@ -130,6 +130,13 @@
         m_lender.noteReported(workspace, fromWire(report), now);
     const OwnerView owner = m_findOwner(workspace);
     const CapLoan lent = m_lender.lend(workspace, owner.state, std::max(0, request.wanted), now);
+    if (owner.state != OwnerState::Self) {
+        m_onFault("cap_stand_in",
+                  "workspace " + workspace.text() + ", granted " + std::to_string(lent.granted)
+                          + " of " + std::to_string(request.wanted)
+                          + (owner.at ? ", the owner is " + toString(*owner.at)
+                                      : ", the owner can't be reached"));
+    }
     wire::Loan loan;
     loan.workspace = request.workspace;
     loan.granted = lent.granted;
--- a/src/site/sitemetrics.cpp
+++ b/src/site/sitemetrics.cpp
@@ -33,6 +33,8 @@
     , m_withheldTime(registry.latency("nutmegtide_site_withheld_seconds",
                                       "Time for which the answers to confirmed commits were "
                                       "withheld."))
+    , m_limitedCallers(registry.counter("nutmegtide_site_callers_limited_total",
+                                        "Connections of callers that a limit refused or ended."))
     , m_sessions(registry.gauge("nutmegtide_site_sessions", "Sessions of callers that are open."))
     , m_revision(registry.gauge("nutmegtide_site_revision", "Revision of the routes in force."))
 { }
--- a/src/site/sitemetrics.h
+++ b/src/site/sitemetrics.h
@@ -14,6 +14,7 @@
 
     // Counts one decision: an answer, a retry on another server, or an error.
     void take(const RequestDecision &decision);
+    void countLimitedCaller() { m_limitedCallers.add(); }
     void setSessions(std::size_t count) { m_sessions.set(static_cast<double>(count)); }
     void setRevision(Revision revision) { m_revision.set(static_cast<double>(revision)); }
 
@@ -28,6 +29,7 @@
     LatencyHistogram &m_replicaTime;
     Counter &m_unconfirmed;
     LatencyHistogram &m_withheldTime;
+    Counter &m_limitedCallers;
     Gauge &m_sessions;
     Gauge &m_revision;
 };
