--- a/include/nutmegtide/proxy/capborrower.h
+++ b/include/nutmegtide/proxy/capborrower.h
@@ -73,7 +73,7 @@
     // The connection to a lender was lost, so the process may have been restarted.
     void lenderLost(const Endpoint &lender) { m_runs.erase(lender); }
     // Returns the workspace's owner, nothing where no lender is known.
-    std::optional<Endpoint> ownerOf(const WorkspaceName &workspace);
+    std::optional<Endpoint> ownerOf(const WorkspaceName &workspace, TimePoint now);
 
     // Requests operations. The outcome is passed to the delegate, not from inside this call.
     void borrow(const WorkspaceName &workspace, int wanted, TimePoint now);
@@ -102,6 +102,7 @@
     {
         CapLenderCandidate candidate;
         TimePoint since;
+        bool isNamed = false; // another lender named it, and a connection to it is being opened
     };
 
     // The lenders of one workspace.
--- a/include/nutmegtide/site/callerlimits.h
+++ b/include/nutmegtide/site/callerlimits.h
@@ -51,13 +51,17 @@
     std::optional<SessionKey> add(SessionKey caller, TimePoint now);
     void remove(SessionKey caller);
     void sessionOpened(SessionKey caller);
-    void statementTaken(SessionKey caller, std::size_t bytes);
+    // The session has ended, and its last answers are being sent.
+    void sessionEnded(SessionKey caller, TimePoint now);
+    void statementTaken(SessionKey caller, std::size_t bytes, TimePoint now);
     void statementAnswered(SessionKey caller);
     // Sets the bytes of the message that the caller is sending; 0 between messages.
     void setIncomplete(SessionKey caller, std::size_t bytes, TimePoint now);
     void setUnread(SessionKey caller, std::size_t bytes);
 
     bool mayRead(SessionKey caller) const;
+    // A caller that isn't read can't complete its message, so its time begins anew when it is read.
+    void setPaused(SessionKey caller, bool isPaused, TimePoint now);
     // Returns the callers to disconnect so that the others stay within the limit, and removes them.
     std::vector<SessionKey> takeExcess();
     // Returns the callers whose message or session is overdue, and removes them.
@@ -68,6 +72,7 @@
     struct Caller
     {
         bool hasSession = false;
+        bool isPaused = false;
         std::deque<std::size_t> statements; // bytes of each that has no answer
         std::size_t unanswered = 0; // bytes
         std::size_t incomplete = 0;
--- a/src/proxy/capborrower.cpp
+++ b/src/proxy/capborrower.cpp
@@ -13,6 +13,7 @@
 constexpr auto AnswerTime = 60ms;
 // Longer than control VMs that can't reach each other list different lenders.
 constexpr auto UnlistedTime = 10s;
+constexpr auto OpeningTime = 1s; // of a connection to a lender that another one named
 constexpr auto ForgetInterval = 1s; // between searches for loans that have left the window
 
 } // namespace
@@ -54,7 +55,7 @@
     for (const CapLenderCandidate &candidate : before) {
         const auto used = m_usedAt.find(candidate.at);
         if (used != m_usedAt.end() && now - used->second < m_rule.window)
-            m_unlisted.try_emplace(candidate.at, UnlistedLender {candidate, now});
+            m_unlisted.try_emplace(candidate.at, UnlistedLender {candidate, now, false});
     }
     for (const CapLenderCandidate &candidate : m_candidates)
         m_unlisted.erase(candidate.at);
@@ -73,7 +74,9 @@
 void CapBorrower::forgetUnlisted(TimePoint now)
 {
     const auto erased = std::erase_if(m_unlisted, [this, now](const auto &item) {
-        return now - item.second.since > UnlistedTime || !m_delegate.isReachable(item.first);
+        const Duration age = now - item.second.since;
+        const bool mayBeOpening = item.second.isNamed && age < OpeningTime;
+        return age > UnlistedTime || (!m_delegate.isReachable(item.first) && !mayBeOpening);
     });
     if (erased > 0)
         m_chosen.clear();
@@ -100,8 +103,9 @@
                            reportsFor(lender->at, workspace, now));
 }
 
-std::optional<Endpoint> CapBorrower::ownerOf(const WorkspaceName &workspace)
+std::optional<Endpoint> CapBorrower::ownerOf(const WorkspaceName &workspace, TimePoint now)
 {
+    forgetUnlisted(now);
     const CapLenderCandidate *owner = lendersOf(workspace).owner;
     if (owner == nullptr)
         return std::nullopt;
@@ -194,12 +198,14 @@
     const auto listed = std::find_if(m_candidates.begin(), m_candidates.end(),
                                      [&loan](const auto &one) { return one.at == *loan.owner; });
     if (listed == m_candidates.end()) {
-        m_unlisted.try_emplace(*loan.owner, UnlistedLender {{*loan.owner, {}}, now});
+        m_unlisted.try_emplace(*loan.owner, UnlistedLender {{*loan.owner, {}}, now, true});
         m_chosen.clear();
     }
-    if (!m_delegate.isReachable(*loan.owner))
-        return false;
     request.wasRedirected = true;
+    if (!m_delegate.isReachable(*loan.owner)) {
+        askNext(workspace, request, now);
+        return true;
+    }
     request.role = LenderRole::Owner;
     const CapLenderCandidate owner {*loan.owner, {}};
     ask(workspace, request, &owner, now);
@@ -222,6 +228,7 @@
 
 void CapBorrower::tick(TimePoint now)
 {
+    forgetUnlisted(now);
     forgetOldLoans(now);
     std::vector<WorkspaceName> settled;
     for (auto &[workspace, request] : m_requests) {
--- a/src/proxy/caplender.cpp
+++ b/src/proxy/caplender.cpp
@@ -109,7 +109,11 @@
     const Workspace *known = m_workspaces ? m_workspaces->find(workspace) : nullptr;
     if (known == nullptr || !known->cap.isSet() || history.lender == m_self)
         return;
-    Reported &reported = accountOf(workspace, known->cap, now).others[history.lender];
+    std::map<LenderId, Reported> &others = accountOf(workspace, known->cap, now).others;
+    std::erase_if(others, [this, now](const auto &item) {
+        return item.second.takenAt + m_rule.window + UnusedLoanTime < now;
+    });
+    Reported &reported = others[history.lender];
     const TimePoint takenAt = now - history.age;
     if (!reported.lent.empty() && takenAt <= reported.takenAt)
         return;
--- a/src/proxy/sessioncaps.cpp
+++ b/src/proxy/sessioncaps.cpp
@@ -63,7 +63,8 @@
     int granted = loan.granted;
     if (granted < queue.asked)
         queue.refusedUntil = now + std::min(loan.retryAfter, MaxRefusalTime);
-    // Statements that the callers sent ahead start with these, and wait for the next request.
+    // Statements that the callers sent ahead start with these. They wait for the next request, or
+    // are refused too while a refusal is repeated.
     for (int answered = 0; answered < queue.asked && !queue.waiting.empty(); ++answered) {
         const SessionKey key = queue.waiting.front();
         queue.waiting.pop_front();
--- a/src/site/callerlimits.cpp
+++ b/src/site/callerlimits.cpp
@@ -75,9 +75,29 @@
     update(key, [](Caller &caller) { caller.hasSession = true; });
 }
 
-void CallerLimits::statementTaken(SessionKey key, std::size_t bytes)
+void CallerLimits::sessionEnded(SessionKey key, TimePoint now)
 {
-    update(key, [bytes](Caller &caller) {
+    update(key, [now](Caller &caller) {
+        caller.hasSession = false;
+        caller.waitingSince = now;
+    });
+    if (m_callers.count(key) != 0)
+        m_withoutSession.insert(key);
+}
+
+void CallerLimits::setPaused(SessionKey key, bool isPaused, TimePoint now)
+{
+    update(key, [isPaused, now](Caller &caller) {
+        if (caller.isPaused && !isPaused && caller.hasSession)
+            caller.waitingSince = now;
+        caller.isPaused = isPaused;
+    });
+}
+
+void CallerLimits::statementTaken(SessionKey key, std::size_t bytes, TimePoint now)
+{
+    update(key, [bytes, now](Caller &caller) {
+        caller.waitingSince = now; // what follows is another message
         caller.statements.push_back(bytes);
         caller.unanswered += bytes;
     });
@@ -131,8 +151,7 @@
 {
     std::vector<SessionKey> overdue;
     for (const auto &[key, caller] : m_callers) {
-        // A caller that isn't read can't complete its message.
-        const bool isWaiting = !caller.hasSession || (caller.incomplete > 0 && mayRead(key));
+        const bool isWaiting = !caller.hasSession || (caller.incomplete > 0 && !caller.isPaused);
         if (isWaiting && now - caller.waitingSince > m_settings.messageTime)
             overdue.push_back(key);
     }
--- a/src/site/entrynodeevents.cpp
+++ b/src/site/entrynodeevents.cpp
@@ -94,6 +94,7 @@
 
 bool EntryNode::isReachable(const Endpoint &lender)
 {
+    m_links.setUnlistedLenders(m_borrower.unlistedLenders());
     return m_links.isHomeReachable(lender);
 }
 
@@ -105,7 +106,7 @@
 
 HomePort::OwnerView EntryNode::ownerOf(const WorkspaceName &workspace)
 {
-    const std::optional<Endpoint> owner = m_borrower.ownerOf(workspace);
+    const std::optional<Endpoint> owner = m_borrower.ownerOf(workspace, EventLoop::now());
     // A process that has just started knows no lenders, and isn't the owner for that.
     if (!owner)
         return {OwnerState::Reachable, {}};
--- a/src/site/lanelinksloans.cpp
+++ b/src/site/lanelinksloans.cpp
@@ -3,6 +3,20 @@
 
 namespace nutmegtide {
 
+namespace {
+
+// Throws MessageError.
+Endpoint ownerOf(const wire::Loan &message)
+{
+    try {
+        return parseEndpoint(message.owner);
+    } catch (const EndpointError &fault) {
+        throw MessageError(fault.what());
+    }
+}
+
+} // namespace
+
 std::vector<CapLenderCandidate> LaneLinks::lenderCandidates() const
 {
     std::vector<CapLenderCandidate> candidates;
@@ -55,7 +69,7 @@
     if (message.__isset.history)
         loan.history = fromWire(message.history);
     if (message.__isset.owner)
-        loan.owner = parseEndpoint(message.owner);
+        loan.owner = ownerOf(message);
     m_onLoan(at, WorkspaceName(message.workspace), role, loan);
 }
 
--- a/test/unit/proxy/capborrower_test.cpp
+++ b/test/unit/proxy/capborrower_test.cpp
@@ -203,6 +203,38 @@
     CHECK(fixture.borrower.unlistedLenders().empty());
 }
 
+// Guards against a home that takes a lender of long ago for the owner, and lends little beside it.
+TEST_CASE("an owner that is listed no longer is forgotten, also without requests")
+{
+    BorrowerFixture fixture;
+    fixture.borrower.borrow(Casks, 1, fixture.now);
+    const Endpoint owner = fixture.requests.back().lender;
+    fixture.borrower.answered(owner, Casks, LenderRole::Owner, {1, {}}, fixture.now);
+    fixture.borrower.setCandidates({{{"10.0.0.7", 1}, Own}}, fixture.now);
+    CHECK(fixture.borrower.ownerOf(Casks, fixture.now) == owner);
+    fixture.advanceTime(11s);
+    CHECK(fixture.borrower.unlistedLenders().empty());
+    CHECK(fixture.borrower.ownerOf(Casks, fixture.now) == Endpoint {"10.0.0.7", 1});
+}
+
+TEST_CASE("an owner that a lender names is kept while a connection to it is being opened")
+{
+    BorrowerFixture fixture;
+    const Endpoint named {"10.0.0.9", 1};
+    fixture.unreachable.insert(named);
+    fixture.borrower.borrow(Casks, 3, fixture.now);
+    CapLoan refusal;
+    refusal.owner = named;
+    fixture.borrower.answered(fixture.requests.back().lender, Casks, LenderRole::Owner, refusal,
+                              fixture.now);
+    REQUIRE(fixture.requests.size() == 2);
+    CHECK((fixture.requests.back().role == LenderRole::StandIn));
+    fixture.advanceTime(30ms);
+    CHECK(fixture.borrower.unlistedLenders() == std::set<Endpoint> {named});
+    fixture.advanceTime(2s);
+    CHECK(fixture.borrower.unlistedLenders().empty());
+}
+
 TEST_CASE("an entry asks the owner that a lender names, once for each request")
 {
     BorrowerFixture fixture;
--- a/test/unit/site/callerlimits_test.cpp
+++ b/test/unit/site/callerlimits_test.cpp
@@ -17,9 +17,9 @@
     limits.add(1, Start);
     limits.sessionOpened(1);
     CHECK(limits.mayRead(1));
-    limits.statementTaken(1, 80);
+    limits.statementTaken(1, 80, Start);
     CHECK(limits.mayRead(1));
-    limits.statementTaken(1, 30);
+    limits.statementTaken(1, 30, Start);
     CHECK_FALSE(limits.mayRead(1));
     limits.statementAnswered(1);
     CHECK(limits.mayRead(1));
@@ -31,7 +31,7 @@
     limits.statementAnswered(1); // an answer to nothing
     CHECK(limits.buffered() == 10);
     for (int i = 0; i < 64; ++i)
-        limits.statementTaken(1, 0);
+        limits.statementTaken(1, 0, Start);
     CHECK_FALSE(limits.mayRead(1));
 }
 
@@ -76,9 +76,20 @@
         limits.sessionOpened(caller);
     limits.setIncomplete(3, 10, Start + 20s);
     limits.setIncomplete(4, 10, Start);
-    limits.statementTaken(4, 200); // it isn't read
+    limits.statementTaken(4, 200, Start);
+    limits.setPaused(4, true, Start); // it isn't read
     CHECK(limits.takeOverdue(Start + 30s).empty());
     CHECK(limits.takeOverdue(Start + 31s) == std::vector<SessionKey> {1});
     CHECK(limits.takeOverdue(Start + 51s) == std::vector<SessionKey> {3});
     CHECK(limits.takeOverdue(Start + 100s).empty());
+    limits.setPaused(4, false, Start + 100s);
+    CHECK(limits.takeOverdue(Start + 130s).empty());
+    // The next message has begun with the end of the one before.
+    limits.statementTaken(4, 1, Start + 130s);
+    CHECK(limits.takeOverdue(Start + 160s).empty());
+    CHECK(limits.takeOverdue(Start + 161s) == std::vector<SessionKey> {4});
+    // Answers that nobody reads don't keep the connection of a session that has ended.
+    limits.setUnread(2, 10);
+    limits.sessionEnded(2, Start + 161s);
+    CHECK(limits.takeOverdue(Start + 192s) == std::vector<SessionKey> {2});
 }
