--- a/test/unit/proxy/capborrower_test.cpp
+++ b/test/unit/proxy/capborrower_test.cpp
@@ -193,7 +193,7 @@
             others.push_back({{address, 1}, Own});
     }
     fixture.borrower.setCandidates(others, fixture.now);
-    CHECK(fixture.borrower.unlistedLenders() == std::set<Endpoint> {owner});
+    CHECK((fixture.borrower.unlistedLenders() == std::set<Endpoint> {owner}));
     fixture.borrower.borrow(Casks, 1, fixture.now);
     CHECK((fixture.requests.back().lender == owner));
     fixture.unreachable.insert(owner);
@@ -211,10 +211,10 @@
     const Endpoint owner = fixture.requests.back().lender;
     fixture.borrower.answered(owner, Casks, LenderRole::Owner, {1, {}}, fixture.now);
     fixture.borrower.setCandidates({{{"10.0.0.7", 1}, Own}}, fixture.now);
-    CHECK(fixture.borrower.ownerOf(Casks, fixture.now) == owner);
+    CHECK((fixture.borrower.ownerOf(Casks, fixture.now) == owner));
     fixture.advanceTime(11s);
     CHECK(fixture.borrower.unlistedLenders().empty());
-    CHECK(fixture.borrower.ownerOf(Casks, fixture.now) == Endpoint {"10.0.0.7", 1});
+    CHECK((fixture.borrower.ownerOf(Casks, fixture.now) == Endpoint {"10.0.0.7", 1}));
 }
 
 TEST_CASE("an owner that a lender names is kept while a connection to it is being opened")
@@ -230,7 +230,7 @@
     REQUIRE(fixture.requests.size() == 2);
     CHECK((fixture.requests.back().role == LenderRole::StandIn));
     fixture.advanceTime(30ms);
-    CHECK(fixture.borrower.unlistedLenders() == std::set<Endpoint> {named});
+    CHECK((fixture.borrower.unlistedLenders() == std::set<Endpoint> {named}));
     fixture.advanceTime(2s);
     CHECK(fixture.borrower.unlistedLenders().empty());
 }
