--- a/bench/procfs.h
+++ b/bench/procfs.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "process/support/processfootprint.h"
+
 #include <chrono>
 #include <fstream>
 #include <sstream>
@@ -34,14 +36,7 @@
 // Returns the resident memory of a process in KiB.
 inline long residentKib(pid_t process)
 {
-    std::ifstream file("/proc/" + std::to_string(process) + "/status");
-    std::string word;
-    while (file >> word) {
-        long kib = 0;
-        if (word == "VmRSS:" && file >> kib)
-            return kib;
-    }
-    return 0;
+    return static_cast<long>(test::statusKib(process, "VmRSS:"));
 }
 
 } // namespace nutmegtide
--- a/test/process/memory_test.cpp
+++ b/test/process/memory_test.cpp
@@ -1,8 +1,8 @@
 #include "process/support/httpclient.h"
+#include "process/support/processfootprint.h"
 #include "process/support/testfleet.h"
 
 #include <doctest/doctest.h>
-#include <fstream>
 #include <sys/resource.h>
 
 using namespace nutmegtide;
@@ -14,7 +14,7 @@
 
 constexpr int Connections =
         3'100; // keep-alive connections of callers, the brief's figure for a node
-constexpr long MostBytes = 200'000'000;
+constexpr std::size_t MostBytes = 200'000'000;
 
 // Each connection needs a file descriptor here and one in the proxy, which inherits the limit.
 void raiseFileLimit()
@@ -25,19 +25,6 @@
     setrlimit(RLIMIT_NOFILE, &limit);
 }
 
-long residentBytes(pid_t process)
-{
-    constexpr long KibiByte = 1'024;
-    std::ifstream file("/proc/" + std::to_string(process) + "/status");
-    std::string word;
-    while (file >> word) {
-        long kib = 0;
-        if (word == "VmRSS:" && file >> kib)
-            return kib * KibiByte;
-    }
-    return 0;
-}
-
 } // namespace
 
 TEST_CASE("3,100 keep-alive connections of callers fit in 200 MB")
@@ -50,7 +37,7 @@
         const Json body {{"statement", "get"}, {"parameters", {{"key", "oak"}}}};
         CHECK(clients.back().post("/v1/databases/none/statements", body).status != 200);
     }
-    const long resident = residentBytes(fleet.processId("a1"));
+    const std::size_t resident = residentBytes(fleet.processId("a1"));
     CHECK(resident > 0);
     CHECK(resident <= MostBytes);
 }
