--- a/include/nutmegtide/site/callerlimits.h
+++ b/include/nutmegtide/site/callerlimits.h
@@ -16,10 +16,10 @@
 // Limits of the memory and connections that callers may use.
 struct CallerLimitSettings
 {
-    std::size_t buffered = 64 * 1024 * 1024; // bytes of all callers together
-    std::size_t ahead = 256 * 1024; // bytes of one caller at which it isn't read any more
-    std::size_t mostConnections = 3000;
-    Duration messageTime = 30s; // for a message to arrive whole, and for a session to be opened
+    std::size_t buffered = 0; // bytes of all callers together
+    std::size_t ahead = 0; // bytes of one caller at which it isn't read any more
+    std::size_t mostConnections = 0;
+    Duration messageTime {}; // for a message to arrive whole, and for a session to be opened
 
     bool operator==(const CallerLimitSettings &) const = default;
 };
@@ -71,7 +71,6 @@
 private:
     struct Caller
     {
-        bool hasSession = false;
         bool isPaused = false;
         std::deque<std::size_t> statements; // bytes of each that has no answer
         std::size_t unanswered = 0; // bytes
@@ -82,6 +81,7 @@
         std::size_t total() const { return unanswered + incomplete + unread; }
     };
 
+    bool hasSession(SessionKey caller) const { return m_withoutSession.count(caller) == 0; }
     // Applies a change to a caller and keeps the sums.
     template <typename Change>
     void update(SessionKey caller, Change change);
--- a/src/site/callerlimits.cpp
+++ b/src/site/callerlimits.cpp
@@ -1,11 +1,14 @@
 #include "nutmegtide/site/callerlimits.h"
 
+#include <utility>
+
 namespace nutmegtide {
 
 namespace {
 
 // Statements of a caller without an answer. A statement takes memory beside its bytes.
 constexpr std::size_t MostUnansweredStatements = 64;
+constexpr std::size_t UnknownMemoryBuffered = 64 * 1024 * 1024; // bytes of all callers together
 // Parts of the memory and of the descriptors that are left to everything else.
 constexpr std::size_t MemoryParts = 4;
 constexpr std::size_t DescriptorParts = 4;
@@ -15,8 +18,7 @@
 CallerLimitSettings callerLimits(const ConnectionSettings &settings, std::size_t descriptors)
 {
     CallerLimitSettings limits;
-    if (settings.memory > 0)
-        limits.buffered = settings.memory / MemoryParts;
+    limits.buffered = settings.memory > 0 ? settings.memory / MemoryParts : UnknownMemoryBuffered;
     if (settings.buffered > 0)
         limits.buffered = settings.buffered;
     limits.ahead = settings.bufferedPerCaller;
@@ -72,26 +74,25 @@
 void CallerLimits::sessionOpened(SessionKey key)
 {
     m_withoutSession.erase(key);
-    update(key, [](Caller &caller) { caller.hasSession = true; });
 }
 
 void CallerLimits::sessionEnded(SessionKey key, TimePoint now)
 {
-    update(key, [now](Caller &caller) {
-        caller.hasSession = false;
-        caller.waitingSince = now;
-    });
-    if (m_callers.count(key) != 0)
-        m_withoutSession.insert(key);
+    const auto found = m_callers.find(key);
+    if (found == m_callers.end())
+        return;
+    found->second.waitingSince = now;
+    m_withoutSession.insert(key);
 }
 
 void CallerLimits::setPaused(SessionKey key, bool isPaused, TimePoint now)
 {
-    update(key, [isPaused, now](Caller &caller) {
-        if (caller.isPaused && !isPaused && caller.hasSession)
-            caller.waitingSince = now;
-        caller.isPaused = isPaused;
-    });
+    const auto found = m_callers.find(key);
+    if (found == m_callers.end())
+        return;
+    const bool wasPaused = std::exchange(found->second.isPaused, isPaused);
+    if (wasPaused && !isPaused && hasSession(key))
+        found->second.waitingSince = now;
 }
 
 void CallerLimits::statementTaken(SessionKey key, std::size_t bytes, TimePoint now)
@@ -115,8 +116,8 @@
 
 void CallerLimits::setIncomplete(SessionKey key, std::size_t bytes, TimePoint now)
 {
-    update(key, [bytes, now](Caller &caller) {
-        if (caller.incomplete == 0 && caller.hasSession)
+    update(key, [&](Caller &caller) {
+        if (caller.incomplete == 0 && hasSession(key))
             caller.waitingSince = now;
         caller.incomplete = bytes;
     });
@@ -151,7 +152,7 @@
 {
     std::vector<SessionKey> overdue;
     for (const auto &[key, caller] : m_callers) {
-        const bool isWaiting = !caller.hasSession || (caller.incomplete > 0 && !caller.isPaused);
+        const bool isWaiting = !hasSession(key) || (caller.incomplete > 0 && !caller.isPaused);
         if (isWaiting && now - caller.waitingSince > m_settings.messageTime)
             overdue.push_back(key);
     }
