--- a/include/nutmegtide/site/callerlimits.h
+++ b/include/nutmegtide/site/callerlimits.h
@@ -50,7 +50,7 @@
     // Adds a connection. Returns the caller to disconnect for it, if there is one too many.
     std::optional<SessionKey> add(SessionKey caller, TimePoint now);
     void remove(SessionKey caller);
-    void sessionOpened(SessionKey caller);
+    void sessionOpened(SessionKey caller, TimePoint now);
     // The session has ended, and its last answers are being sent.
     void sessionEnded(SessionKey caller, TimePoint now);
     void statementTaken(SessionKey caller, std::size_t bytes, TimePoint now);
--- a/src/site/callerlimits.cpp
+++ b/src/site/callerlimits.cpp
@@ -71,8 +71,12 @@
     m_callers.erase(found);
 }
 
-void CallerLimits::sessionOpened(SessionKey key)
+void CallerLimits::sessionOpened(SessionKey key, TimePoint now)
 {
+    const auto found = m_callers.find(key);
+    if (found == m_callers.end())
+        return;
+    found->second.waitingSince = now;
     m_withoutSession.erase(key);
 }
 
--- a/test/unit/site/callerlimits_test.cpp
+++ b/test/unit/site/callerlimits_test.cpp
@@ -15,7 +15,7 @@
 {
     CallerLimits limits({1000, 100, 10, 30s});
     limits.add(1, Start);
-    limits.sessionOpened(1);
+    limits.sessionOpened(1, Start);
     CHECK(limits.mayRead(1));
     limits.statementTaken(1, 80, Start);
     CHECK(limits.mayRead(1));
@@ -57,10 +57,10 @@
     CallerLimits limits({1000, 100, 3, 30s});
     for (SessionKey caller = 1; caller <= 3; ++caller)
         CHECK_FALSE(limits.add(caller, Start));
-    limits.sessionOpened(1);
+    limits.sessionOpened(1, Start);
     CHECK(limits.add(4, Start) == 2);
-    limits.sessionOpened(3);
-    limits.sessionOpened(4);
+    limits.sessionOpened(3, Start);
+    limits.sessionOpened(4, Start);
     CHECK(limits.add(5, Start) == 5); // refused
     limits.remove(1);
     CHECK_FALSE(limits.add(6, Start));
@@ -73,7 +73,7 @@
     for (SessionKey caller = 1; caller <= 4; ++caller)
         limits.add(caller, Start);
     for (SessionKey caller = 2; caller <= 4; ++caller)
-        limits.sessionOpened(caller);
+        limits.sessionOpened(caller, Start);
     limits.setIncomplete(3, 10, Start + 20s);
     limits.setIncomplete(4, 10, Start);
     limits.statementTaken(4, 200, Start);
@@ -93,3 +93,15 @@
     limits.sessionEnded(2, Start + 161s);
     CHECK(limits.takeOverdue(Start + 192s) == std::vector<SessionKey> {2});
 }
+
+// Guards against callers that wait before they open a session and are then taken for slow ones.
+TEST_CASE("the time of a message that begins behind the session's opening counts from there")
+{
+    CallerLimits limits({1000, 100, 10, 30s});
+    limits.add(1, Start);
+    limits.setIncomplete(1, 10, Start + 20s);
+    limits.sessionOpened(1, Start + 20s);
+    limits.setIncomplete(1, 20, Start + 20s); // of the message behind the opening
+    CHECK(limits.takeOverdue(Start + 31s).empty());
+    CHECK(limits.takeOverdue(Start + 51s) == std::vector<SessionKey> {1});
+}
