--- a/include/nutmegtide/site/adapters.h
+++ b/include/nutmegtide/site/adapters.h
@@ -44,7 +44,7 @@
     virtual void answer(SessionKey session, const RequestId &request,
                         const SessionAnswer &answer) = 0;
     virtual void end(SessionKey session, std::optional<StatementFault> fault) = 0;
-    // Ends the connections of callers that are overdue. Called several times a second.
+    // Ends the connections of callers that are overdue. Called whenever a timer is due.
     virtual void tick(TimePoint now) = 0;
 };
 
--- a/include/nutmegtide/site/callerlimits.h
+++ b/include/nutmegtide/site/callerlimits.h
@@ -64,7 +64,8 @@
     void setPaused(SessionKey caller, bool isPaused, TimePoint now);
     // Returns the callers to disconnect so that the others stay within the limit, and removes them.
     std::vector<SessionKey> takeExcess();
-    // Returns the callers whose message or session is overdue, and removes them.
+    // Returns the callers whose message or session is overdue, and removes them. Searches them a
+    // few times a second, however often it is called.
     std::vector<SessionKey> takeOverdue(TimePoint now);
     std::size_t buffered() const { return m_buffered; }
 
@@ -91,6 +92,7 @@
     std::set<SessionKey> m_withoutSession; // the oldest one is first
     std::set<std::pair<std::size_t, SessionKey>> m_bySize;
     std::size_t m_buffered = 0;
+    TimePoint m_searchAt {}; // no search for overdue callers before
 };
 
 } // namespace nutmegtide
--- a/src/site/callerlimits.cpp
+++ b/src/site/callerlimits.cpp
@@ -8,6 +8,7 @@
 
 // Statements of a caller without an answer. A statement takes memory beside its bytes.
 constexpr std::size_t MostUnansweredStatements = 64;
+constexpr auto SearchInterval = 250ms; // short against the time for a message
 constexpr std::size_t UnknownMemoryBuffered = 64 * 1024 * 1024; // bytes of all callers together
 // Parts of the memory and of the descriptors that are left to everything else.
 constexpr std::size_t MemoryParts = 4;
@@ -155,6 +156,9 @@
 std::vector<SessionKey> CallerLimits::takeOverdue(TimePoint now)
 {
     std::vector<SessionKey> overdue;
+    if (now < m_searchAt)
+        return overdue;
+    m_searchAt = now + SearchInterval;
     for (const auto &[key, caller] : m_callers) {
         const bool isWaiting = !hasSession(key) || (caller.incomplete > 0 && !caller.isPaused);
         if (isWaiting && now - caller.waitingSince > m_settings.messageTime)
