--- a/include/nutmegtide/site/callerlimits.h
+++ b/include/nutmegtide/site/callerlimits.h
@@ -24,17 +24,24 @@
     bool operator==(const CallerLimitSettings &) const = default;
 };
 
+// A message that hasn't arrived whole.
+struct IncompleteMessage
+{
+    std::size_t bytes = 0; // 0 between messages
+    std::size_t memory = 0; // bytes that its buffer takes, which may be more
+};
+
 // Returns the limits of a process that may open so many descriptors.
 CallerLimitSettings callerLimits(const ConnectionSettings &settings, std::size_t descriptors);
 
 // Decides which callers are read, and which ones are disconnected, so that their number and what is
 // buffered for them stay bounded.
 //
-// What is buffered for a caller is the incomplete message that it is sending, its statements
-// without an answer and the answers that it hasn't read. A caller with more than `ahead` bytes of
-// the last two is not read until it has less. If all callers together have more than `buffered`
-// bytes, the one with the most is disconnected. Where there are as many connections as are allowed,
-// the oldest one without a session makes room for a new one.
+// What is buffered for a caller is the memory of the incomplete message that it is sending, its
+// statements without an answer and the answers that it hasn't read. A caller with more than `ahead`
+// bytes of the last two is not read until it has less. If all callers together have more than
+// `buffered` bytes, the one with the most is disconnected. Where there are as many connections as
+// are allowed, the oldest one without a session makes room for a new one.
 //
 //   const auto dropped = limits.add(caller, now); // may be the new caller itself
 //   limits.statementTaken(caller, bytes);
@@ -55,8 +62,8 @@
     void sessionEnded(SessionKey caller, TimePoint now);
     void statementTaken(SessionKey caller, std::size_t bytes, TimePoint now);
     void statementAnswered(SessionKey caller);
-    // Sets the bytes of the message that the caller is sending; 0 between messages.
-    void setIncomplete(SessionKey caller, std::size_t bytes, TimePoint now);
+    // Sets the message that the caller is sending.
+    void setIncomplete(SessionKey caller, const IncompleteMessage &message, TimePoint now);
     void setUnread(SessionKey caller, std::size_t bytes);
 
     bool mayRead(SessionKey caller) const;
@@ -75,11 +82,11 @@
         bool isPaused = false;
         std::deque<std::size_t> statements; // bytes of each that has no answer
         std::size_t unanswered = 0; // bytes
-        std::size_t incomplete = 0;
+        IncompleteMessage incomplete;
         std::size_t unread = 0;
         TimePoint waitingSince; // for the session, or for the rest of a message
 
-        std::size_t total() const { return unanswered + incomplete + unread; }
+        std::size_t total() const { return unanswered + incomplete.memory + unread; }
     };
 
     bool hasSession(SessionKey caller) const { return m_withoutSession.count(caller) == 0; }
--- a/src/site/callerlimits.cpp
+++ b/src/site/callerlimits.cpp
@@ -119,12 +119,12 @@
     });
 }
 
-void CallerLimits::setIncomplete(SessionKey key, std::size_t bytes, TimePoint now)
+void CallerLimits::setIncomplete(SessionKey key, const IncompleteMessage &message, TimePoint now)
 {
     update(key, [&](Caller &caller) {
-        if (caller.incomplete == 0 && hasSession(key))
+        if (caller.incomplete.bytes == 0 && hasSession(key))
             caller.waitingSince = now;
-        caller.incomplete = bytes;
+        caller.incomplete = message;
     });
 }
 
@@ -160,7 +160,8 @@
         return overdue;
     m_searchAt = now + SearchInterval;
     for (const auto &[key, caller] : m_callers) {
-        const bool isWaiting = !hasSession(key) || (caller.incomplete > 0 && !caller.isPaused);
+        const bool isWaiting = !hasSession(key)
+                || (caller.incomplete.bytes > 0 && !caller.isPaused);
         if (isWaiting && now - caller.waitingSince > m_settings.messageTime)
             overdue.push_back(key);
     }
--- a/test/unit/platform/linebuffer_test.cpp
+++ b/test/unit/platform/linebuffer_test.cpp
@@ -46,3 +46,17 @@
         CHECK_THROWS_AS(overfull.next(), LineTooLongError);
     }
 }
+
+// Guards against connections that keep the memory of a long line while they are idle.
+TEST_CASE("an empty buffer gives the memory of a long line back")
+{
+    constexpr std::size_t MostKept = 16'384; // bytes
+    LineBuffer buffer;
+    buffer.append(std::string(LineBuffer::LongestLine / 2, 'x'));
+    CHECK_FALSE(buffer.next());
+    CHECK(buffer.memory() >= LineBuffer::LongestLine / 2);
+    buffer.append("\r\n");
+    CHECK(buffer.next());
+    CHECK_FALSE(buffer.next());
+    CHECK(buffer.memory() <= MostKept);
+}
--- a/test/unit/site/callerlimits_test.cpp
+++ b/test/unit/site/callerlimits_test.cpp
@@ -35,13 +35,14 @@
     CHECK_FALSE(limits.mayRead(1));
 }
 
-// Guards against a crowd that fills the memory together, each within its own limit.
+// Guards against a crowd that fills the memory together, each within its own limit. The buffer of
+// an incomplete message takes more than its bytes.
 TEST_CASE("the callers with the most are disconnected while all together have too much")
 {
     CallerLimits limits({1000, 100, 10, 30s});
     for (SessionKey caller = 1; caller <= 4; ++caller) {
         limits.add(caller, Start);
-        limits.setIncomplete(caller, caller * 100, Start);
+        limits.setIncomplete(caller, {caller * 50, caller * 100}, Start);
     }
     CHECK(limits.takeExcess().empty());
     limits.setUnread(2, 250);
@@ -74,8 +75,8 @@
         limits.add(caller, Start);
     for (SessionKey caller = 2; caller <= 4; ++caller)
         limits.sessionOpened(caller, Start);
-    limits.setIncomplete(3, 10, Start + 20s);
-    limits.setIncomplete(4, 10, Start);
+    limits.setIncomplete(3, {10, 10}, Start + 20s);
+    limits.setIncomplete(4, {10, 10}, Start);
     limits.statementTaken(4, 200, Start);
     limits.setPaused(4, true, Start); // it isn't read
     CHECK(limits.takeOverdue(Start + 30s).empty());
@@ -99,9 +100,9 @@
 {
     CallerLimits limits({1000, 100, 10, 30s});
     limits.add(1, Start);
-    limits.setIncomplete(1, 10, Start + 20s);
+    limits.setIncomplete(1, {10, 10}, Start + 20s);
     limits.sessionOpened(1, Start + 20s);
-    limits.setIncomplete(1, 20, Start + 20s); // of the message behind the opening
+    limits.setIncomplete(1, {20, 20}, Start + 20s); // of the message behind the opening
     CHECK(limits.takeOverdue(Start + 31s).empty());
     CHECK(limits.takeOverdue(Start + 51s) == std::vector<SessionKey> {1});
 }
