--- a/include/nutmegtide/proxy/routetable.h
+++ b/include/nutmegtide/proxy/routetable.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -71,6 +72,10 @@
 
     // Returns the route of the database, or nullptr if there is none.
     const Route *find(const DatabaseName &database) const;
+    // Returns the services with a route whose latency objective is at least `patientObjective`:
+    // some of their statements can wait for others, so their servers are shared by load. With 0
+    // there are none.
+    std::set<ServiceName> balancedServices(std::chrono::milliseconds patientObjective) const;
     bool operator==(const RouteTable &) const = default;
 };
 
--- a/include/nutmegtide/proxy/serverhome.h
+++ b/include/nutmegtide/proxy/serverhome.h
@@ -80,6 +80,10 @@
         m_connectionLimits = std::move(limits);
     }
 
+    // Sets the services whose servers are shared by load with other homes. A busy refusal of such a
+    // server is kept from the lane as long as its statement may wait.
+    void setBalancedServices(std::set<ServiceName> services) { m_balanced = std::move(services); }
+
     // Sets how long a leaving server gets new work. After that only open transactions and proofs of
     // position go on there.
     void setLeaveTime(Duration time) { m_leaveTime = time; }
@@ -208,6 +212,7 @@
     std::map<ServerId, Server> m_servers;
     std::map<ServerId, int> m_homeCounts;
     std::map<ServiceName, int> m_connectionLimits;
+    std::set<ServiceName> m_balanced;
     std::map<LaneKey, Lane> m_lanes;
     std::map<ConnectionKey, Connection> m_connections;
     ConnectionKey m_lastConnection = 0;
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -46,6 +46,11 @@
     // key the configuration removes or moves to another workspace end: idle ones at once, a running
     // statement is answered first, and an open transaction gets half of the revocation time.
     void setRoutes(std::shared_ptr<const RouteTable> routes, TimePoint now);
+    // Sets from which latency objective on a route makes its service balanced; 0: none is.
+    void setPatientObjective(std::chrono::milliseconds objective)
+    {
+        m_patientObjective = objective;
+    }
     // Sets the time in which a removed key has to be out of use.
     void setRevocationTime(Duration time) { m_revocationTime = time; }
     // Replaces the known servers. Idle connections to removed or restarted ones are closed.
@@ -326,6 +331,8 @@
 
     SessionProxyDelegate &m_delegate;
     std::shared_ptr<const RouteTable> m_routes;
+    std::chrono::milliseconds m_patientObjective {0};
+    std::set<ServiceName> m_balanced; // services whose servers are shared by load
     ServerPool m_pool;
     std::map<SessionKey, Session> m_sessions;
     std::map<SessionKey, PendingSession> m_pendingSessions;
--- a/include/nutmegtide/settings/nodesettings.h
+++ b/include/nutmegtide/settings/nodesettings.h
@@ -71,6 +71,15 @@
     bool operator==(const ConnectionSettings &) const = default;
 };
 
+// [balancing]: which services share their servers' room by load, with role entry.
+struct BalancingSettings
+{
+    // A service with a route whose latency objective is at least that long is balanced; 0: none is.
+    std::chrono::milliseconds patientObjective {0};
+
+    bool operator==(const BalancingSettings &) const = default;
+};
+
 // [node] and the tables beside it: what one process must know before it has met its fleet.
 struct NodeSettings
 {
@@ -98,6 +107,7 @@
     LogSettings log;
     CapSettings caps;
     ConnectionSettings connections;
+    BalancingSettings balancing;
     // [peer_routes]: where this VM calls a peer whose listener it can't reach at its own address.
     std::map<Endpoint, Endpoint> peerRoutes;
 
--- a/src/proxy/routetable.cpp
+++ b/src/proxy/routetable.cpp
@@ -16,4 +16,16 @@
     return found == routes.end() ? nullptr : &found->second;
 }
 
+std::set<ServiceName> RouteTable::balancedServices(std::chrono::milliseconds patientObjective) const
+{
+    std::set<ServiceName> services;
+    if (patientObjective.count() == 0)
+        return services;
+    for (const auto &[database, route] : routes) {
+        if (route.latencyObjective >= patientObjective)
+            services.insert(route.service);
+    }
+    return services;
+}
+
 } // namespace nutmegtide
--- a/src/proxy/sessionproxy.cpp
+++ b/src/proxy/sessionproxy.cpp
@@ -26,6 +26,7 @@
 void SessionProxy::setRoutes(std::shared_ptr<const RouteTable> routes, TimePoint now)
 {
     m_routes = std::move(routes);
+    m_balanced = m_routes->balancedServices(m_patientObjective);
     revokeSessions(now);
     std::erase_if(m_capQueues, [](const auto &item) { return item.second.waiting.empty(); });
     std::erase_if(m_runTimes,
--- a/src/settings/nodeschema.cpp
+++ b/src/settings/nodeschema.cpp
@@ -19,6 +19,7 @@
 constexpr Range BufferedRange {65'536, 1'099'511'627'776}; // bytes
 constexpr Range DescriptorsRange {64, 10'000'000};
 constexpr Range MessageTimeRange {100, 3'600'000}; // ms
+constexpr Range PatientObjectiveRange {1, 3'600'000}; // ms
 constexpr Range CallerThreadsRange {1, 10'000};
 constexpr bool IsRequired = true;
 
@@ -71,8 +72,12 @@
         {"message_time", &ConnectionSettings::messageTime, MessageTimeRange},
 };
 
-constexpr std::string_view NodeTables[] = {"node", "listen",      "log",
-                                           "caps", "connections", "peer_routes"};
+const KeyRow<BalancingSettings> BalancingRows[] = {
+        {"patient_objective", &BalancingSettings::patientObjective, PatientObjectiveRange},
+};
+
+constexpr std::string_view NodeTables[] = {"node",        "listen",    "log",        "caps",
+                                           "connections", "balancing", "peer_routes"};
 
 // Port 0 stands for a port of the kernel's choice, so it never collides.
 void checkListeners(const ListenSettings &listen, SectionReader &reader)
@@ -135,6 +140,7 @@
     reader.readTable<LogSettings>("log", LogRows, settings.log);
     reader.readTable<CapSettings>("caps", CapRows, settings.caps);
     reader.readTable<ConnectionSettings>("connections", ConnectionRows, settings.connections);
+    reader.readTable<BalancingSettings>("balancing", BalancingRows, settings.balancing);
     readPeerRoutes(merged, reader, settings);
     reader.checkUnknown(merged.tables, "", NodeTables);
     checkListeners(settings.listen, reader);
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -93,6 +93,7 @@
     });
     m_proxy.setLeaveTime(leaveTime(settings));
     m_proxy.setRevocationTime(settings.revocationTime);
+    m_proxy.setPatientObjective(settings.balancing.patientObjective);
     m_borrower.setRule(capRule(settings.caps));
     m_proxy.setStarting(EventLoop::now() + StartTime);
     m_callers = makeCallerPort(m_loop, settings.listen.callers,
@@ -221,6 +222,8 @@
     m_borrower.setWorkspaces(routes.workspaces);
     if (m_home) {
         m_home->setConnectionLimits(std::move(limits));
+        m_home->setBalancedServices(
+                routes.balancedServices(m_settings.balancing.patientObjective));
         m_home->setWorkspaces(routes.workspaces);
     }
     const std::size_t workspaces = routes.workspaces ? routes.workspaces->workspaces().size() : 0;
--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -64,6 +64,10 @@
     {
         m_home.setConnectionLimits(std::move(limits));
     }
+    void setBalancedServices(std::set<ServiceName> services)
+    {
+        m_home.setBalancedServices(std::move(services));
+    }
     void tick(TimePoint now);
     TimePoint wakeAt() const { return m_home.wakeAt(); }
     // Sends what the events since the last call produced. Must be called before each wait for
