--- a/include/nutmegtide/proxy/commitconfirmations.h
+++ b/include/nutmegtide/proxy/commitconfirmations.h
@@ -49,7 +49,7 @@
 // confirms that its log holds such a position. One question is outstanding at a time, and covers
 // all commits of its term that were waiting when it was asked. After a server that lags, another
 // one is asked after a short pause. A server applies what it receives later, so the servers are
-// asked for their status once a commit has waited for long.
+// asked for their status once a commit has waited for long, or at first with asksReceivedFirst().
 //
 //   confirmations.add(session, {reply.position, primary, now});
 //   const auto question = confirmations.next(askableServers, now);
@@ -60,6 +60,10 @@
     // Sets the servers of all services that the control log records.
     void setRecorded(std::set<ServerId> recorded) { m_recorded = std::move(recorded); }
 
+    // Sets whether servers are asked for their status at first. Where they apply late this is
+    // sooner known, but a status takes a slot.
+    void setAsksReceivedFirst(bool asksReceivedFirst) { m_asksReceivedFirst = asksReceivedFirst; }
+
     void add(SessionKey session, const UnconfirmedCommit &commit);
     void remove(SessionKey session);
     // Records that the server's log holds a position. Returns the sessions whose commit is
@@ -93,6 +97,8 @@
     };
 
     bool isConfirmed(const Waiting &waiting) const;
+    QuestionKind nextKind(TimePoint now) const;
+    Duration pauseAfter(ConfirmationMiss miss) const;
     const UnconfirmedCommit *oldest() const;
     // Returns the highest commit of the oldest one's term.
     const UnconfirmedCommit &highestOfOldestTerm() const;
@@ -104,6 +110,9 @@
     TimePoint m_pausedUntil {};
     bool m_hasLagged = false; // a server lagged since the latest confirmation
     std::set<ServerId> m_missed; // servers that gave no confirmation since the latest one
+    bool m_hasOthers = false; // candidates were left beside the server that was asked
+    bool m_asksReceivedFirst = false;
+    bool m_hasStatusFailed = false; // the latest question for a status had no answer
 };
 
 } // namespace nutmegtide
--- a/include/nutmegtide/proxy/serverhome.h
+++ b/include/nutmegtide/proxy/serverhome.h
@@ -2,6 +2,7 @@
 
 #include "nutmegtide/proxy/homequeue.h"
 #include "nutmegtide/proxy/serverpool.h"
+#include "nutmegtide/proxy/slotlimiter.h"
 #include "nutmegtide/session/sessionstate.h"
 
 #include <deque>
@@ -53,9 +54,10 @@
 // the server accepts. Where that is used up, an idle connection is closed before one for another
 // workspace is opened.
 //
-// A statement is sent at most once. A statement that was not sent is answered with Busy, which
-// guarantees that it didn't run. The class has no threads, sockets or clock: callers pass in events
-// and the time.
+// A statement runs at most once. A statement that was not sent is answered with Busy, which
+// guarantees that it didn't run. Where homes balance the load of a server, a statement that the
+// server itself refused as busy is sent again by the home (SlotLimiter). The class has no threads,
+// sockets or clock: callers pass in events and the time.
 //
 //   home.setServers(records, now);
 //   home.take({link, lane}, server, commands, {rank, maxWait}, now);
@@ -71,7 +73,7 @@
     void setServers(const std::vector<ServerRecord> &records, TimePoint now);
     // Sets the number of homes that share each server, this one included. A server that is not
     // listed has one.
-    void setHomeCounts(std::map<ServerId, int> counts) { m_homeCounts = std::move(counts); }
+    void setHomeCounts(std::map<ServerId, int> counts);
 
     // Sets how many connections a server of each service accepts from all processes; 0 or a service
     // that is not listed: unknown.
@@ -115,6 +117,8 @@
     std::size_t laneCount() const { return m_lanes.size(); }
     // Returns whether any lane holds a connection or waits for an answer.
     bool isInUse() const;
+    // Returns how often a statement was sent again after a busy refusal.
+    std::uint64_t resentCount() const { return m_resent; }
     std::size_t connectionCount() const { return m_connections.size(); }
 
 private:
@@ -128,6 +132,8 @@
         ConnectionKey connection = 0;
         TransactionState state = TransactionState::Idle;
         HomeQueue::Ticket ticket = 0; // set while it waits in the queue
+        ServerCommand sent; // the latest command that was sent
+        TimePoint waitsUntil; // end of the longest wait of the statement that waits or was sent
         bool isAnswerDue = false; // a command was sent and has no answer yet
         bool takesSlot = false; // the same, for a command that occupies a slot
         TimePoint sentAt;
@@ -156,6 +162,7 @@
         int opening = 0;
         int running = 0; // statements that occupy a slot
         AverageTime averageTime; // of statements
+        SlotLimiter limiter; // used if the service is balanced
         // How many connections this home held when the server last had none left for it; nullopt if
         // that didn't happen yet.
         std::optional<std::size_t> heldAtRefusal;
@@ -173,10 +180,15 @@
 
     int homeCount(const ServerId &server) const;
     int maxRunning(const Server &server) const;
+    bool isBalanced(const Server &server) const;
+    void setBounds(Server &server) const;
+    bool isFull(const Server &server, TimePoint now) const;
     static bool isProof(const Lane &lane);
     void advance(const LaneKey &key, TimePoint now);
     bool answerLocally(const LaneKey &key, Lane &lane);
     void wait(const LaneKey &key, Lane &lane, TimePoint now);
+    bool enqueue(const LaneKey &key, Lane &lane, const Urgency &urgency, Duration perStatement,
+                 TimePoint now);
     void serve(const ServerId &server, TimePoint now);
     bool serveOne(const ServerId &server, TimePoint now);
     // Returns this home's share of the connections that the server accepts.
@@ -193,6 +205,9 @@
     void attach(const LaneKey &key, Lane &lane, ConnectionKey connection, TimePoint now);
     void sendNext(Lane &lane, TimePoint now);
     void refuseNext(const LaneKey &key, Lane &lane, TimePoint now);
+    // Takes a reply to a statement that occupied a slot. Returns whether the statement waits to be
+    // sent again, so that the lane gets no reply yet.
+    bool takeSlotReply(const LaneKey &key, Lane &lane, const ServerReply &reply, TimePoint now);
     void noteUnreachable(const ServerId &server, ServerEvidence evidence, TimePoint now);
     void noteSent(Server &server, Lane &lane, TimePoint now);
     // Records that the command sent for the lane is answered, or that no answer will come.
@@ -213,6 +228,7 @@
     std::map<ServerId, int> m_homeCounts;
     std::map<ServiceName, int> m_connectionLimits;
     std::set<ServiceName> m_balanced;
+    std::uint64_t m_resent = 0;
     std::map<LaneKey, Lane> m_lanes;
     std::map<ConnectionKey, Connection> m_connections;
     ConnectionKey m_lastConnection = 0;
--- a/src/proxy/commitconfirmations.cpp
+++ b/src/proxy/commitconfirmations.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-constexpr auto LagPause = 4ms; // before the next question after one to a server that lags
+constexpr Duration LagPause = 4ms; // before the next question after one to a server that lags
 constexpr auto StatusPause = 25ms; // the same after a status, which takes a slot
 // A commit that has waited for so long, as servers lag, is asked for by their status.
 constexpr auto StatusAfter = 40ms;
-constexpr auto FailurePause = 20ms; // before the next question after one that failed
+constexpr Duration FailurePause = 20ms; // before the next question after one that failed
 constexpr auto QuestionTimeout = 150ms; // for the reply to a question
 constexpr std::size_t HoldersNeeded = 2; // recorded servers that hold a confirmed commit
 
@@ -104,15 +104,23 @@
         m_missed.clear();
         chosen = candidates.begin();
     }
-    const bool isLong = m_hasLagged && now - oldest()->since >= StatusAfter;
-    m_asked = ConfirmationQuestion {*chosen, highest.position,
-                                    isLong ? QuestionKind::Received : QuestionKind::Applied};
+    m_hasOthers = m_missed.size() + 1 < candidates.size();
+    m_asked = ConfirmationQuestion {*chosen, highest.position, nextKind(now)};
     m_askedAt = now;
     return m_asked;
 }
 
+// A server without a free slot gives no status, but answers whether it has applied a position.
+QuestionKind CommitConfirmations::nextKind(TimePoint now) const
+{
+    const bool isLong = m_hasLagged && now - oldest()->since >= StatusAfter;
+    const bool isAskedFirst = m_asksReceivedFirst && !m_hasStatusFailed;
+    return isLong || isAskedFirst ? QuestionKind::Received : QuestionKind::Applied;
+}
+
 void CommitConfirmations::confirmed()
 {
+    m_hasStatusFailed = false;
     m_asked.reset();
 }
 
@@ -120,15 +128,26 @@
 {
     if (!m_asked)
         return;
-    Duration pause = FailurePause;
-    if (miss == ConfirmationMiss::Lags)
-        pause = m_asked->kind == QuestionKind::Received ? Duration(StatusPause) : LagPause;
+    const Duration pause = pauseAfter(miss);
+    m_hasStatusFailed = miss == ConfirmationMiss::Failed && m_asked->kind == QuestionKind::Received;
     m_hasLagged = m_hasLagged || miss == ConfirmationMiss::Lags;
     m_missed.insert(m_asked->server);
     m_asked.reset();
     m_pausedUntil = now + pause;
 }
 
+// The primary acknowledges a commit once one replica has received it, so where one hasn't yet,
+// another one has.
+Duration CommitConfirmations::pauseAfter(ConfirmationMiss miss) const
+{
+    const bool asksStatus = m_asked->kind == QuestionKind::Received;
+    if (miss == ConfirmationMiss::Failed)
+        return asksStatus && m_asksReceivedFirst ? LagPause : FailurePause;
+    if (!asksStatus)
+        return LagPause;
+    return m_asksReceivedFirst && m_hasOthers ? Duration() : Duration(StatusPause);
+}
+
 std::optional<TimePoint> CommitConfirmations::dueAt() const
 {
     if (m_asked)
--- a/src/proxy/serverhome.cpp
+++ b/src/proxy/serverhome.cpp
@@ -46,10 +46,37 @@
     return known == m_homeCounts.end() ? 1 : std::max(1, known->second);
 }
 
+void ServerHome::setHomeCounts(std::map<ServerId, int> counts)
+{
+    m_homeCounts = std::move(counts);
+    for (auto &[id, server] : m_servers)
+        setBounds(server);
+}
+
+bool ServerHome::isBalanced(const Server &server) const
+{
+    return m_balanced.count(server.record.announcement.service) != 0;
+}
+
+void ServerHome::setBounds(Server &server) const
+{
+    const ServerAnnouncement &announcement = server.record.announcement;
+    server.limiter.setBounds(announcement.slots, homeCount(announcement.server));
+}
+
+// Returns whether no further statement may be sent to the server now.
+bool ServerHome::isFull(const Server &server, TimePoint now) const
+{
+    return isBalanced(server) ? !server.limiter.mayStart(server.running, now)
+                              : server.running >= maxRunning(server);
+}
+
 // Returns how many statements this home may have running on the server. Each home rounds its share
 // up, since the other homes may have nothing to send.
 int ServerHome::maxRunning(const Server &server) const
 {
+    if (isBalanced(server))
+        return server.limiter.limit();
     const int homes = homeCount(server.record.announcement.server);
     return (std::max(1, server.record.announcement.slots) + ExtraStatements + homes - 1) / homes;
 }
@@ -65,6 +92,7 @@
                     || server.record.announcement.address != record.announcement.address);
         server.record = record;
         server.isKnown = true;
+        setBounds(server);
         if (!isRestarted)
             continue;
         const std::vector<ConnectionKey> idle = server.idle;
@@ -167,12 +195,23 @@
     Urgency urgency = lane.urgency;
     if (lane.connection != 0)
         urgency.rank = 0;
+    if (!enqueue(key, lane, urgency, perStatement, now))
+        refuseNext(key, lane, now);
+}
+
+// Adds the lane's next statement to the queue. Returns false if it can't be sent in time.
+bool ServerHome::enqueue(const LaneKey &key, Lane &lane, const Urgency &urgency,
+                         Duration perStatement, TimePoint now)
+{
+    Server &server = m_servers.at(lane.server);
     const HomeQueue::Ticket ticket = ++m_lastTicket;
     if (!server.queue.add(ticket, urgency, perStatement, now))
-        return refuseNext(key, lane, now);
+        return false;
     lane.ticket = ticket;
+    lane.waitsUntil = now + urgency.maxWait;
     server.waiting[ticket] = key;
-    m_dueAt = std::min(m_dueAt, now + urgency.maxWait);
+    m_dueAt = std::min(m_dueAt, lane.waitsUntil);
+    return true;
 }
 
 void ServerHome::serve(const ServerId &server, TimePoint now)
@@ -188,14 +227,14 @@
     if (found == m_servers.end())
         return false;
     Server &server = found->second;
-    const bool isFull = server.running >= maxRunning(server);
+    const bool isServerFull = isFull(server, now);
     for (const HomeQueue::Item &item : server.queue.items()) {
         // Rank 0, which includes proofs, is at the front.
-        if (isFull && item.rank > 0)
+        if (isServerFull && item.rank > 0)
             break;
         const LaneKey key = server.waiting.at(item.ticket);
         Lane &lane = m_lanes.at(key);
-        if (isFull && !isProof(lane))
+        if (isServerFull && !isProof(lane))
             continue;
         const ConnectionKey idle = lane.connection == 0 ? idleFor(server, lane) : 0;
         if (lane.connection == 0 && idle == 0)
@@ -230,7 +269,8 @@
 void ServerHome::sendNext(Lane &lane, TimePoint now)
 {
     Connection &held = m_connections.at(lane.connection);
-    ServerCommand command = lane.pending.front();
+    const ServerCommand sent = lane.pending.front();
+    ServerCommand command = sent;
     lane.pending.pop_front();
     const bool isInTransaction = lane.state != TransactionState::Idle;
     const PreparedStatement *prepared = preparedOf(lane, command);
@@ -245,6 +285,7 @@
     commands.push_back(command);
     lane.isAnswerDue = true;
     lane.takesSlot = runsInSlot(command.kind);
+    lane.sent = sent;
     lane.sentAt = now;
     noteSent(m_servers.at(lane.server), lane, now);
     m_delegate.send(lane.connection, commands);
@@ -325,8 +366,11 @@
     for (const ServerId &id : servers) {
         refuseOverdue(id, now);
         serve(id, now);
-        for (const HomeQueue::Item &item : m_servers.at(id).queue.items())
+        const Server &server = m_servers.at(id);
+        for (const HomeQueue::Item &item : server.queue.items())
             m_dueAt = std::min(m_dueAt, item.dueAt);
+        if (!server.queue.isEmpty() && server.limiter.heldUntil() > now)
+            m_dueAt = std::min(m_dueAt, server.limiter.heldUntil());
     }
 }
 
--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -228,7 +228,10 @@
     ServerReply measured = reply;
     if (ranInSlot) {
         measured.ran = now - lane.sentAt;
-        server.averageTime.note(measured.ran);
+        if (!isBalanced(server) || reply.fault != StatementFault::Busy)
+            server.averageTime.note(measured.ran);
+        if (isBalanced(server) && takeSlotReply(laneKey, lane, reply, now))
+            return;
     }
     if (reply.fault == StatementFault::UnknownStatement)
         connection.image.forgetPrepared();
@@ -239,10 +242,31 @@
     serve(id, now);
 }
 
+bool ServerHome::takeSlotReply(const LaneKey &key, Lane &lane, const ServerReply &reply,
+                               TimePoint now)
+{
+    Server &server = m_servers.at(lane.server);
+    if (reply.fault != StatementFault::Busy) {
+        server.limiter.noteAnswered(now - lane.sentAt, !server.queue.isEmpty(), now);
+        return false;
+    }
+    const bool isAllowed = server.limiter.takeBusy(now);
+    m_dueAt = std::min(m_dueAt, server.limiter.heldUntil());
+    // A statement that fails its transaction isn't repeated, whatever the fault.
+    const bool isUnchanged = reply.state == lane.state;
+    if (!isAllowed || !isUnchanged || lane.waitsUntil <= server.limiter.heldUntil())
+        return false;
+    ++m_resent;
+    lane.pending.push_front(lane.sent);
+    return enqueue(key, lane, {0, lane.waitsUntil - now, lane.urgency.work}, {}, now);
+}
+
 void ServerHome::noteSent(Server &server, Lane &lane, TimePoint now)
 {
-    if (lane.takesSlot)
+    if (lane.takesSlot) {
         ++server.running;
+        server.limiter.noteSent();
+    }
     ++server.unanswered;
     if (!server.silentSince)
         server.silentSince = now;
--- a/src/proxy/sessionconfirmations.cpp
+++ b/src/proxy/sessionconfirmations.cpp
@@ -50,6 +50,7 @@
     const ServiceName service = work.route.service;
     CommitConfirmations &commits = m_confirmations[service].commits;
     commits.setRecorded(*m_recorded);
+    commits.setAsksReceivedFirst(m_balanced.count(service) != 0);
     commits.add(key, {*answer.position, work.server, now});
     askConfirmation(service, now);
 }
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -222,8 +222,7 @@
     m_borrower.setWorkspaces(routes.workspaces);
     if (m_home) {
         m_home->setConnectionLimits(std::move(limits));
-        m_home->setBalancedServices(
-                routes.balancedServices(m_settings.balancing.patientObjective));
+        m_home->setBalancedServices(routes.balancedServices(m_settings.balancing.patientObjective));
         m_home->setWorkspaces(routes.workspaces);
     }
     const std::size_t workspaces = routes.workspaces ? routes.workspaces->workspaces().size() : 0;
@@ -276,6 +275,7 @@
     if (m_home) {
         m_home->setCutOff(m_isolatedSince || m_suspectedSince);
         m_home->flush();
+        m_counts.setResent(m_home->resentCount());
         wake = std::min(wake, m_home->wakeAt());
     }
     if (m_isDraining || m_isolatedSince || m_suspectedSince)
--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -74,6 +74,7 @@
     // events and at least every 100 ms, since a longer gap counts as a stall.
     void flush();
     bool isInUse() const { return m_home.isInUse(); }
+    std::uint64_t resentCount() const { return m_home.resentCount(); }
 
 private:
     struct Link
--- a/src/site/sitemetrics.cpp
+++ b/src/site/sitemetrics.cpp
@@ -35,6 +35,9 @@
                                       "withheld."))
     , m_limitedCallers(registry.counter("nutmegtide_site_callers_limited_total",
                                         "Connections of callers that a limit refused or ended."))
+    , m_resent(registry.counter("nutmegtide_home_resent_total",
+                                "Statements that a home sent again, since their server refused "
+                                "them as busy."))
     , m_sessions(registry.gauge("nutmegtide_site_sessions", "Sessions of callers that are open."))
     , m_revision(registry.gauge("nutmegtide_site_revision", "Revision of the routes in force."))
 { }
@@ -52,6 +55,11 @@
     m_registry.counter(Refused, RefusedHelp, labels).add();
 }
 
+void SiteMetrics::setResent(std::uint64_t count)
+{
+    m_resent.add(count - std::exchange(m_resentCount, count));
+}
+
 void SiteMetrics::recordAnswer(const RequestDecision &decision)
 {
     if (decision.withheld)
--- a/src/site/sitemetrics.h
+++ b/src/site/sitemetrics.h
@@ -15,6 +15,8 @@
     // Counts one decision: an answer, a retry on another server, or an error.
     void take(const RequestDecision &decision);
     void countLimitedCaller() { m_limitedCallers.add(); }
+    // Sets how often this VM, as a home, has sent statements again after busy refusals.
+    void setResent(std::uint64_t count);
     void setSessions(std::size_t count) { m_sessions.set(static_cast<double>(count)); }
     void setRevision(Revision revision) { m_revision.set(static_cast<double>(revision)); }
 
@@ -30,6 +32,8 @@
     Counter &m_unconfirmed;
     LatencyHistogram &m_withheldTime;
     Counter &m_limitedCallers;
+    Counter &m_resent;
+    std::uint64_t m_resentCount = 0;
     Gauge &m_sessions;
     Gauge &m_revision;
 };
--- a/test/unit/proxy/commitconfirmations_test.cpp
+++ b/test/unit/proxy/commitconfirmations_test.cpp
@@ -165,3 +165,66 @@
     REQUIRE(next);
     CHECK(next->kind == QuestionKind::Applied);
 }
+
+// Guards against commits that wait until a replica has applied what it received long ago.
+TEST_CASE("with status first, no commit waits for a replica to apply it")
+{
+    struct Row
+    {
+        const char *name;
+        ConfirmationMiss miss;
+        std::vector<ServerId> askable;
+        Duration pause; // until the next question
+        ServerId next;
+        QuestionKind kind;
+    };
+    const Row rows[] = {
+            {"another replica has it",
+             ConfirmationMiss::Lags,
+             {Replica, OtherReplica},
+             0ms,
+             OtherReplica,
+             QuestionKind::Received},
+            {"there is no other one",
+             ConfirmationMiss::Lags,
+             {Replica},
+             25ms,
+             Replica,
+             QuestionKind::Received},
+            {"the replica has no free slot",
+             ConfirmationMiss::Failed,
+             {Replica},
+             4ms,
+             Replica,
+             QuestionKind::Applied},
+    };
+    for (const Row &row : rows) {
+        CAPTURE(row.name);
+        CommitConfirmations commits = confirmations();
+        commits.setAsksReceivedFirst(true);
+        commits.add(Caller, {{3, 20}, Primary, Start});
+        const auto first = commits.next(row.askable, Start);
+        REQUIRE(first);
+        CHECK(first->kind == QuestionKind::Received);
+        commits.missed(row.miss, Start + 1ms);
+        CHECK(commits.dueAt() == Start + 1ms + row.pause);
+        const auto second = commits.next(row.askable, Start + 1ms + row.pause);
+        REQUIRE(second);
+        CHECK(second->server == row.next);
+        CHECK(second->kind == row.kind);
+    }
+}
+
+// Guards against repeated statuses, which take slots, at servers that don't have the commit yet.
+TEST_CASE("with status first, all servers that miss a commit are left alone for a while")
+{
+    CommitConfirmations commits = confirmations();
+    commits.setAsksReceivedFirst(true);
+    commits.add(Caller, {{3, 20}, Primary, Start});
+    const std::vector<ServerId> askable {Replica, OtherReplica};
+    commits.next(askable, Start);
+    commits.missed(ConfirmationMiss::Lags, Start + 1ms);
+    commits.next(askable, Start + 1ms);
+    commits.missed(ConfirmationMiss::Lags, Start + 2ms);
+    CHECK(commits.dueAt() == Start + 27ms);
+}
