--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -7552,6 +7552,11 @@
 void LaneReply::__set_ranMicroseconds(const int64_t val) {
   this->ranMicroseconds = val;
 }
+
+void LaneReply::__set_waitMicroseconds(const int32_t val) {
+  this->waitMicroseconds = val;
+__isset.waitMicroseconds = true;
+}
 std::ostream& operator<<(std::ostream& out, const LaneReply& obj)
 {
   obj.printTo(out);
@@ -7656,6 +7661,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waitMicroseconds);
+          this->__isset.waitMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7714,6 +7727,11 @@
   xfer += oprot->writeI64(this->ranMicroseconds);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.waitMicroseconds) {
+    xfer += oprot->writeFieldBegin("waitMicroseconds", ::apache::thrift::protocol::T_I32, 9);
+    xfer += oprot->writeI32(this->waitMicroseconds);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7729,6 +7747,7 @@
   swap(a.position, b.position);
   swap(a.isLost, b.isLost);
   swap(a.ranMicroseconds, b.ranMicroseconds);
+  swap(a.waitMicroseconds, b.waitMicroseconds);
   swap(a.__isset, b.__isset);
 }
 
@@ -7741,6 +7760,7 @@
   position = other231.position;
   isLost = other231.isLost;
   ranMicroseconds = other231.ranMicroseconds;
+  waitMicroseconds = other231.waitMicroseconds;
   __isset = other231.__isset;
 }
 LaneReply& LaneReply::operator=(const LaneReply& other232) {
@@ -7752,6 +7772,7 @@
   position = other232.position;
   isLost = other232.isLost;
   ranMicroseconds = other232.ranMicroseconds;
+  waitMicroseconds = other232.waitMicroseconds;
   __isset = other232.__isset;
   return *this;
 }
@@ -7766,6 +7787,7 @@
   out << ", " << "position="; (__isset.position ? (out << to_string(position)) : (out << "<null>"));
   out << ", " << "isLost=" << to_string(isLost);
   out << ", " << "ranMicroseconds=" << to_string(ranMicroseconds);
+  out << ", " << "waitMicroseconds="; (__isset.waitMicroseconds ? (out << to_string(waitMicroseconds)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -2982,7 +2982,7 @@
 std::ostream& operator<<(std::ostream& out, const LaneRequest& obj);
 
 typedef struct _LaneReply__isset {
-  _LaneReply__isset() : lane(false), rows(false), fault(false), detail(false), state(false), position(false), isLost(false), ranMicroseconds(false) {}
+  _LaneReply__isset() : lane(false), rows(false), fault(false), detail(false), state(false), position(false), isLost(false), ranMicroseconds(false), waitMicroseconds(false) {}
   bool lane :1;
   bool rows :1;
   bool fault :1;
@@ -2991,6 +2991,7 @@
   bool position :1;
   bool isLost :1;
   bool ranMicroseconds :1;
+  bool waitMicroseconds :1;
 } _LaneReply__isset;
 
 class LaneReply : public virtual ::apache::thrift::TBase {
@@ -3004,7 +3005,8 @@
               detail(),
               state(0),
               isLost(0),
-              ranMicroseconds(0) {
+              ranMicroseconds(0),
+              waitMicroseconds(0) {
   }
 
   virtual ~LaneReply() noexcept;
@@ -3016,6 +3018,7 @@
   Position position;
   bool isLost;
   int64_t ranMicroseconds;
+  int32_t waitMicroseconds;
 
   _LaneReply__isset __isset;
 
@@ -3035,6 +3038,8 @@
 
   void __set_ranMicroseconds(const int64_t val);
 
+  void __set_waitMicroseconds(const int32_t val);
+
   bool operator == (const LaneReply & rhs) const
   {
     if (!(lane == rhs.lane))
@@ -3055,6 +3060,10 @@
       return false;
     if (!(ranMicroseconds == rhs.ranMicroseconds))
       return false;
+    if (__isset.waitMicroseconds != rhs.__isset.waitMicroseconds)
+      return false;
+    else if (__isset.waitMicroseconds && !(waitMicroseconds == rhs.waitMicroseconds))
+      return false;
     return true;
   }
   bool operator != (const LaneReply &rhs) const {
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -397,6 +397,7 @@
   6: optional Position position,
   7: bool isLost,                       // the lane ended with its connection to the server
   8: i64 ranMicroseconds,               // that a statement took at the server, 0 for none
+  9: optional i32 waitMicroseconds,     // that further statements can expect to wait at the home
 }
 
 // What the home found out about a backend server.
--- a/include/nutmegtide/proxy/serverhome.h
+++ b/include/nutmegtide/proxy/serverhome.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegtide/proxy/homequeue.h"
+#include "nutmegtide/proxy/queuewait.h"
 #include "nutmegtide/proxy/serverpool.h"
 #include "nutmegtide/proxy/slotlimiter.h"
 #include "nutmegtide/session/sessionstate.h"
@@ -133,6 +134,7 @@
         TransactionState state = TransactionState::Idle;
         HomeQueue::Ticket ticket = 0; // set while it waits in the queue
         ServerCommand sent; // the latest command that was sent
+        TimePoint queuedAt;
         TimePoint waitsUntil; // end of the longest wait of the statement that waits or was sent
         bool isAnswerDue = false; // a command was sent and has no answer yet
         bool takesSlot = false; // the same, for a command that occupies a slot
@@ -162,7 +164,9 @@
         int opening = 0;
         int running = 0; // statements that occupy a slot
         AverageTime averageTime; // of statements
-        SlotLimiter limiter; // used if the service is balanced
+        // Used if the service is balanced.
+        SlotLimiter limiter;
+        QueueWait queueWait; // of statements outside transactions
         // How many connections this home held when the server last had none left for it; nullopt if
         // that didn't happen yet.
         std::optional<std::size_t> heldAtRefusal;
@@ -205,6 +209,12 @@
     void attach(const LaneKey &key, Lane &lane, ConnectionKey connection, TimePoint now);
     void sendNext(Lane &lane, TimePoint now);
     void refuseNext(const LaneKey &key, Lane &lane, TimePoint now);
+    // Answers the next command, which needed a slot, with Busy.
+    void refuseForLoad(const LaneKey &key, Lane &lane, TimePoint now);
+    // Sends a reply to the lane, with the wait at its server if statements wait there.
+    void sendReply(const LaneKey &key, const Lane &lane, ServerReply reply, TimePoint now);
+    // Records how long the lane's statement was queued.
+    void noteQueued(const Lane &lane, Duration waited, TimePoint now);
     // Takes a reply to a statement that occupied a slot. Returns whether the statement waits to be
     // sent again, so that the lane gets no reply yet.
     bool takeSlotReply(const LaneKey &key, Lane &lane, const ServerReply &reply, TimePoint now);
--- a/include/nutmegtide/proxy/serverpool.h
+++ b/include/nutmegtide/proxy/serverpool.h
@@ -2,6 +2,7 @@
 
 #include "nutmegtide/proxy/averagetime.h"
 #include "nutmegtide/proxy/commitconfirmations.h"
+#include "nutmegtide/proxy/loadbalancer.h"
 #include "nutmegtide/proxy/replicalag.h"
 #include "nutmegtide/proxy/serverregistry.h"
 #include "nutmegtide/session/sessionstate.h"
@@ -84,6 +85,12 @@
     int running = 0; // statements without a reply
     AverageTime averageTime; // response time of statements
     TimePoint answeredAt {}; // time of the latest reply, errors included
+    // The wait that the home reported latest, and the smoothed share of statements that failed.
+    // Both are kept for balanced services only.
+    Duration reportedWait {};
+    TimePoint reportedAt {};
+    double failureShare = 0;
+    TimePoint failureNotedAt {};
     // No reads are sent there until then, since it failed or was too slow.
     TimePoint avoidUntil {};
     ReplicaLag lag;
@@ -110,10 +117,15 @@
 class ServerPool
 {
 public:
-    explicit ServerPool(FailureDomain own)
+    // The seed is for the choice of readers, so that processes choose differently.
+    explicit ServerPool(FailureDomain own, std::uint64_t seed = 0)
         : m_own(std::move(own))
+        , m_balancer(seed)
     { }
 
+    // Sets the services whose reads are spread by LoadBalancer.
+    void setBalancedServices(std::set<ServiceName> services) { m_balanced = std::move(services); }
+
     // Replaces the known servers. Returns the connections to removed or restarted servers.
     std::vector<ConnectionKey> setServers(const std::vector<ServerRecord> &records, TimePoint now);
 
@@ -125,9 +137,10 @@
     std::vector<ServerId> takePastLeaveTime(TimePoint now);
     // Returns the service's primary, as far as is known.
     std::optional<ServerId> primary(const ServiceName &service, TimePoint now) const;
-    // Returns the server with the lowest expected cost for a read, leaving out those in `tried`.
+    // Chooses a server for a read, leaving out those in `tried`: the one with the lowest expected
+    // cost or, for a balanced service, the one that LoadBalancer draws.
     std::optional<ServerId> chooseReader(const ServiceName &service, const ReadNeed &need,
-                                         const std::set<ServerId> &tried, TimePoint now) const;
+                                         const std::set<ServerId> &tried, TimePoint now);
     std::vector<ServerId> serversOf(const ServiceName &service) const;
     // Returns the service's servers that can be asked for a commit, preferring those of the own
     // failure domain and among these the one that replied last.
@@ -172,6 +185,9 @@
     // Returns whether servers of other failure domains fail and none of them has replied lately.
     bool isCutOff(TimePoint now) const;
     void noteAnswer(const ServerId &server, Duration time);
+    // Records the reply to a statement of a balanced service, in place of noteAnswer().
+    void noteBalancedAnswer(const ServerId &server, Duration time, const ServerReply &reply,
+                            TimePoint now);
     void noteFailure(const ServerId &server, TimePoint now);
     // Record whether the server's log had reached a position when it was asked.
     void noteHeld(const ServerId &server, const LogPosition &position, const ReadNeed &need,
@@ -198,8 +214,20 @@
 
 private:
     double costOf(const PooledServer &state, const ReadNeed &need, TimePoint now) const;
+    bool mayRead(const PooledServer &state, const std::set<ServerId> &tried, TimePoint now) const;
+    std::optional<ServerId> drawReader(const ServiceName &service, const ReadNeed &need,
+                                       const std::set<ServerId> &tried, TimePoint now);
+    ServerEstimate estimateOf(const PooledServer &state, const ReadNeed &need, Duration usualTime,
+                              TimePoint now) const;
+    // Returns the mean response time of the service's servers that replied lately.
+    Duration usualTime(const ServiceName &service, TimePoint now) const;
+    bool isBalanced(const PooledServer &state) const;
+    void noteOutcome(PooledServer &state, bool isFailed, TimePoint now) const;
 
     const FailureDomain m_own;
+    LoadBalancer m_balancer;
+    std::set<ServiceName> m_balanced;
+    UsualLag m_usualLag; // of replicas of balanced services
     Duration m_leaveTime = Duration::max();
     std::map<ServerId, PooledServer> m_servers;
     std::map<ConnectionKey, ServerConnection> m_connections;
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -34,7 +34,8 @@
 class SessionProxy
 {
 public:
-    SessionProxy(SessionProxyDelegate &delegate, FailureDomain own);
+    // The seed is for the choice of servers, so that processes choose differently.
+    SessionProxy(SessionProxyDelegate &delegate, FailureDomain own, std::uint64_t seed = 0);
 
     // Sets the end of the startup phase, in which all other processes may have just started too. A
     // session that arrives before the first routes then waits for them, since its caller would only
@@ -300,6 +301,7 @@
     void onRefusal(SessionKey key, const ServerReply &reply, TimePoint now);
     void onOverdueReply(SessionKey key, TimePoint now);
     void onLoss(SessionKey key, TimePoint now);
+    void noteAnswer(const ServerConnection &connection, const ServerReply &reply, TimePoint now);
     void noteRunTime(SessionKey key, const ServerReply &reply);
     bool noteSuccess(Session &session, const Work &work, const ServerReply &reply, TimePoint now);
     void noteHeld(const Work &work, const ServerReply &reply);
@@ -333,6 +335,7 @@
     std::shared_ptr<const RouteTable> m_routes;
     std::chrono::milliseconds m_patientObjective {0};
     std::set<ServiceName> m_balanced; // services whose servers are shared by load
+    std::set<ServiceName> m_agedBalanced; // those of them with a route that accepts an age
     ServerPool m_pool;
     std::map<SessionKey, Session> m_sessions;
     std::map<SessionKey, PendingSession> m_pendingSessions;
--- a/include/nutmegtide/session/sessionstatement.h
+++ b/include/nutmegtide/session/sessionstatement.h
@@ -104,6 +104,7 @@
     TransactionState state = TransactionState::Idle;
     std::optional<LogPosition> position; // of the server's log
     Duration ran {}; // execution time at the server, if the home proxy measured it
+    Duration wait {}; // that further statements can expect at the home, if it reports one
 
     bool operator==(const ServerReply &) const = default;
 };
--- a/src/proxy/serverhome.cpp
+++ b/src/proxy/serverhome.cpp
@@ -195,8 +195,9 @@
     Urgency urgency = lane.urgency;
     if (lane.connection != 0)
         urgency.rank = 0;
+    lane.queuedAt = now;
     if (!enqueue(key, lane, urgency, perStatement, now))
-        refuseNext(key, lane, now);
+        refuseForLoad(key, lane, now);
 }
 
 // Adds the lane's next statement to the queue. Returns false if it can't be sent in time.
@@ -239,6 +240,8 @@
         const ConnectionKey idle = lane.connection == 0 ? idleFor(server, lane) : 0;
         if (lane.connection == 0 && idle == 0)
             continue;
+        if (item.rank > 0)
+            noteQueued(lane, now - lane.queuedAt, now);
         leaveQueue(lane);
         if (lane.connection == 0) {
             std::erase(server.idle, idle);
@@ -296,10 +299,31 @@
 void ServerHome::refuseNext(const LaneKey &key, Lane &lane, TimePoint now)
 {
     lane.pending.pop_front();
-    m_delegate.reply(key, busyReply(lane.state));
+    sendReply(key, lane, busyReply(lane.state), now);
     advance(key, now);
 }
 
+void ServerHome::refuseForLoad(const LaneKey &key, Lane &lane, TimePoint now)
+{
+    noteQueued(lane, lane.urgency.maxWait, now);
+    refuseNext(key, lane, now);
+}
+
+void ServerHome::noteQueued(const Lane &lane, Duration waited, TimePoint now)
+{
+    Server &server = m_servers.at(lane.server);
+    if (isBalanced(server))
+        server.queueWait.note(waited, now);
+}
+
+void ServerHome::sendReply(const LaneKey &key, const Lane &lane, ServerReply reply, TimePoint now)
+{
+    const auto server = m_servers.find(lane.server);
+    if (server != m_servers.end() && isBalanced(server->second))
+        reply.wait = server->second.queueWait.value(now);
+    m_delegate.reply(key, reply);
+}
+
 void ServerHome::leaveQueue(Lane &lane)
 {
     Server &server = m_servers.at(lane.server);
@@ -382,7 +406,7 @@
         server.waiting.erase(ticket);
         Lane &lane = m_lanes.at(key);
         lane.ticket = 0;
-        refuseNext(key, lane, now);
+        refuseForLoad(key, lane, now);
     }
 }
 
--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -236,7 +236,7 @@
     if (reply.fault == StatementFault::UnknownStatement)
         connection.image.forgetPrepared();
     lane.state = reply.state;
-    m_delegate.reply(laneKey, measured);
+    sendReply(laneKey, lane, measured, now);
     const ServerId id = lane.server;
     advance(laneKey, now);
     serve(id, now);
--- a/src/proxy/serverpool.cpp
+++ b/src/proxy/serverpool.cpp
@@ -146,18 +146,25 @@
     return cost;
 }
 
+bool ServerPool::mayRead(const PooledServer &state, const std::set<ServerId> &tried,
+                         TimePoint now) const
+{
+    const ServerAnnouncement &announcement = state.record.announcement;
+    const bool isUsable = !state.record.isGone && !announcement.isLeaving && !state.hasWrongAddress
+            && !state.failingSince && state.avoidUntil <= now
+            && tried.count(announcement.server) == 0;
+    return isUsable && (!state.idle.empty() || state.connectionLimitUntil <= now);
+}
+
 std::optional<ServerId> ServerPool::chooseReader(const ServiceName &service, const ReadNeed &need,
-                                                 const std::set<ServerId> &tried,
-                                                 TimePoint now) const
+                                                 const std::set<ServerId> &tried, TimePoint now)
 {
+    if (m_balanced.count(service) != 0)
+        return drawReader(service, need, tried, now);
     std::optional<ServerId> best;
     double lowest = 0;
     for (const auto &[server, state] : m_servers) {
-        const ServerAnnouncement &announcement = state.record.announcement;
-        const bool isCandidate = announcement.service == service && !state.record.isGone
-                && !announcement.isLeaving && !state.hasWrongAddress && !state.failingSince
-                && state.avoidUntil <= now && tried.count(server) == 0;
-        if (!isCandidate || (state.idle.empty() && state.connectionLimitUntil > now))
+        if (state.record.announcement.service != service || !mayRead(state, tried, now))
             continue;
         const double cost = costOf(state, need, now);
         if (best && cost >= lowest)
--- /dev/null
+++ b/src/proxy/serverpoolbalance.cpp
@@ -0,0 +1,117 @@
+// Part of ServerPool that spreads the reads of balanced services.
+#include "nutmegtide/proxy/serverpool.h"
+
+#include <cmath>
+
+namespace nutmegtide {
+
+namespace {
+
+// Prices of a read, in response time. A byte between failure domains costs more than the time that
+// it takes; a primary's slots are needed for writes.
+constexpr Duration OtherDomainPrice = 12ms;
+constexpr Duration PrimaryPrice = 6ms;
+// Of a replica that probably lacks the required position.
+constexpr Duration BehindPrice = 200ms;
+
+constexpr Duration BusyWait = 30ms; // of a server that refuses statements, if it isn't known
+
+constexpr std::chrono::duration<double> TimeHalfLife {1}; // of a server's response time
+constexpr std::chrono::duration<double> FailureHalfLife {2};
+constexpr auto RecentAnswer = 1s;
+constexpr double OutcomeWeight = 1.0 / 8; // of the newest outcome
+
+double remaining(Duration age, std::chrono::duration<double> halfLife)
+{
+    return std::exp2(-(std::chrono::duration<double>(age) / halfLife));
+}
+
+Duration scaled(Duration time, double factor)
+{
+    return std::chrono::duration_cast<Duration>(time * factor);
+}
+
+} // namespace
+
+bool ServerPool::isBalanced(const PooledServer &state) const
+{
+    return m_balanced.count(state.record.announcement.service) != 0;
+}
+
+Duration ServerPool::usualTime(const ServiceName &service, TimePoint now) const
+{
+    Duration sum {};
+    int count = 0;
+    for (const auto &[server, state] : m_servers) {
+        const bool isOfService = state.record.announcement.service == service;
+        if (!isOfService || now - state.answeredAt > RecentAnswer)
+            continue;
+        sum += state.averageTime.value();
+        ++count;
+    }
+    return count == 0 ? AverageTime::InitialValue : sum / count;
+}
+
+ServerEstimate ServerPool::estimateOf(const PooledServer &state, const ReadNeed &need,
+                                      Duration usualTime, TimePoint now) const
+{
+    const ServerAnnouncement &announcement = state.record.announcement;
+    ServerEstimate estimate;
+    estimate.server = announcement.server;
+    estimate.slots = announcement.slots;
+    // A slow server gets few reads, so it can hardly show that it is fast again.
+    const Duration slower = state.averageTime.value() - usualTime;
+    estimate.responseTime = usualTime
+            + scaled(slower, remaining(now - state.answeredAt, TimeHalfLife));
+    estimate.underWay = state.running + static_cast<int>(state.waiting.size());
+    estimate.wait = LoadBalancer::waitAfter(state.reportedWait, now - state.reportedAt);
+    estimate.failureShare = state.failureShare
+            * remaining(now - state.failureNotedAt, FailureHalfLife);
+    if (announcement.failureDomain != m_own)
+        estimate.price += OtherDomainPrice;
+    if (announcement.isPrimary)
+        estimate.price += PrimaryPrice;
+    else if (!state.lag.probablyHolds(need, now, m_usualLag.value(now)))
+        estimate.price += BehindPrice;
+    return estimate;
+}
+
+std::optional<ServerId> ServerPool::drawReader(const ServiceName &service, const ReadNeed &need,
+                                               const std::set<ServerId> &tried, TimePoint now)
+{
+    const Duration usual = usualTime(service, now);
+    std::vector<ServerEstimate> estimates;
+    for (const auto &[server, state] : m_servers) {
+        if (state.record.announcement.service == service && mayRead(state, tried, now))
+            estimates.push_back(estimateOf(state, need, usual, now));
+    }
+    if (estimates.empty())
+        return std::nullopt;
+    return m_balancer.choose(estimates).server;
+}
+
+// A refusal comes sooner than an answer, and would make the server look fast.
+void ServerPool::noteBalancedAnswer(const ServerId &server, Duration time, const ServerReply &reply,
+                                    TimePoint now)
+{
+    PooledServer &state = m_servers.at(server);
+    const bool isBusy = reply.fault == StatementFault::Busy;
+    state.reportedWait = isBusy ? std::max(reply.wait, BusyWait) : reply.wait;
+    state.reportedAt = now;
+    if (!reply.fault)
+        state.averageTime.note(time);
+    if (!reply.fault || reply.fault == StatementFault::Failed)
+        noteOutcome(state, reply.fault.has_value(), now);
+    state.failingSince.reset();
+    state.avoidUntil = {};
+}
+
+void ServerPool::noteOutcome(PooledServer &state, bool isFailed, TimePoint now) const
+{
+    const double before = state.failureShare
+            * remaining(now - state.failureNotedAt, FailureHalfLife);
+    state.failureShare = before + ((isFailed ? 1 : 0) - before) * OutcomeWeight;
+    state.failureNotedAt = now;
+}
+
+} // namespace nutmegtide
--- a/src/proxy/serverpoolnotes.cpp
+++ b/src/proxy/serverpoolnotes.cpp
@@ -41,12 +41,18 @@
 void ServerPool::noteHeld(const ServerId &server, const LogPosition &position, const ReadNeed &need,
                           TimePoint askedAt)
 {
-    m_servers.at(server).lag.noteHeld(position, need, askedAt);
+    PooledServer &state = m_servers.at(server);
+    const bool wasUnknown = state.lag.noteHeld(position, need, askedAt);
+    if (wasUnknown && isBalanced(state) && !state.record.announcement.isPrimary)
+        m_usualLag.noteHeld(askedAt - need.reachedAt, askedAt);
 }
 
 void ServerPool::noteMissing(const ServerId &server, const ReadNeed &need, TimePoint askedAt)
 {
-    m_servers.at(server).lag.noteMissing(need, askedAt);
+    PooledServer &state = m_servers.at(server);
+    state.lag.noteMissing(need, askedAt);
+    if (isBalanced(state) && !state.record.announcement.isPrimary)
+        m_usualLag.noteMissing(askedAt - need.reachedAt, askedAt);
 }
 
 void ServerPool::noteConnectionLimit(const ServerId &server, TimePoint now)
@@ -59,7 +65,10 @@
 
 void ServerPool::noteOverload(const ServerId &server, TimePoint now)
 {
-    m_servers.at(server).avoidUntil = now + OverloadTime;
+    PooledServer &state = m_servers.at(server);
+    state.avoidUntil = now + OverloadTime;
+    if (isBalanced(state))
+        noteOutcome(state, true, now);
 }
 
 bool ServerPool::hasAnsweredSince(const ServerId &server, TimePoint moment) const
--- a/src/proxy/sessionproofs.cpp
+++ b/src/proxy/sessionproofs.cpp
@@ -20,12 +20,14 @@
 
 std::vector<ServiceName> SessionProxy::agedServices(TimePoint now) const
 {
-    std::vector<ServiceName> services;
+    // A balanced service's proofs are wanted before its first read, which could use no replica
+    // otherwise: a proof that is asked for then names a position that replicas don't have yet.
+    std::set<ServiceName> services = m_agedBalanced;
     for (const auto &[service, proof] : m_proofs) {
         if (proof.agedReadAt && now - *proof.agedReadAt < AgedReadTime)
-            services.push_back(service);
+            services.insert(service);
     }
-    return services;
+    return {services.begin(), services.end()};
 }
 
 // Requests a proof, unless one is already requested. It serves every waiting read that arrived
--- a/src/proxy/sessionproxy.cpp
+++ b/src/proxy/sessionproxy.cpp
@@ -17,16 +17,22 @@
 
 } // namespace
 
-SessionProxy::SessionProxy(SessionProxyDelegate &delegate, FailureDomain own)
+SessionProxy::SessionProxy(SessionProxyDelegate &delegate, FailureDomain own, std::uint64_t seed)
     : m_delegate(delegate)
     , m_routes(std::make_shared<RouteTable>())
-    , m_pool(std::move(own))
+    , m_pool(std::move(own), seed)
 { }
 
 void SessionProxy::setRoutes(std::shared_ptr<const RouteTable> routes, TimePoint now)
 {
     m_routes = std::move(routes);
     m_balanced = m_routes->balancedServices(m_patientObjective);
+    m_pool.setBalancedServices(m_balanced);
+    m_agedBalanced.clear();
+    for (const auto &[database, route] : m_routes->routes) {
+        if (route.consistency != Consistency::Latest && m_balanced.count(route.service) != 0)
+            m_agedBalanced.insert(route.service);
+    }
     revokeSessions(now);
     std::erase_if(m_capQueues, [](const auto &item) { return item.second.waiting.empty(); });
     std::erase_if(m_runTimes,
--- a/src/proxy/sessionreplies.cpp
+++ b/src/proxy/sessionreplies.cpp
@@ -214,7 +214,7 @@
         return;
     case Expectation::Statement:
         --m_pool.find(connection->server)->running;
-        m_pool.noteAnswer(connection->server, now - connection->sentAt);
+        noteAnswer(*connection, reply, now);
         m_pool.clearUnansweredWrite(connection->server);
         if (!borrower)
             return;
@@ -237,6 +237,17 @@
     }
 }
 
+void SessionProxy::noteAnswer(const ServerConnection &connection, const ServerReply &reply,
+                              TimePoint now)
+{
+    const Duration time = now - connection.sentAt;
+    const ServiceName &service = m_pool.find(connection.server)->record.announcement.service;
+    if (m_balanced.count(service) != 0)
+        m_pool.noteBalancedAnswer(connection.server, time, reply, now);
+    else
+        m_pool.noteAnswer(connection.server, time);
+}
+
 void SessionProxy::onBegun(SessionKey key, const ServerReply &reply, TimePoint now)
 {
     Session &session = m_sessions.at(key);
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -1,6 +1,7 @@
 #include "site/entrynode.h"
 
 #include <algorithm>
+#include <random>
 #include <sys/resource.h>
 
 namespace nutmegtide {
@@ -57,7 +58,7 @@
     , m_recorder({m_identity.vm, m_identity.failureDomain, 0}, EventBufferSize)
     , m_peers([this] { return headerOf(m_identity, m_recorder); })
     , m_logLimiter(LinesPerSecond)
-    , m_proxy(*this, settings.failureDomain)
+    , m_proxy(*this, settings.failureDomain, std::random_device()())
     , m_links(
               m_loop, settings.name.text(), settings.failureDomain, *this,
               [this](const ServerId &server, ServerEvidence evidence) {
--- a/src/site/lanewire.cpp
+++ b/src/site/lanewire.cpp
@@ -20,6 +20,9 @@
 constexpr auto LastState = TransactionState::Failed;
 constexpr auto LastEvidence = ServerEvidence::WrongAddress;
 
+constexpr Duration MinReportedWait = 1ms; // a shorter one isn't worth its bytes
+constexpr Duration MaxReportedWait = 10s;
+
 constexpr std::size_t CompressedFlag = 0x80000000; // flag in the length: the body is compressed
 constexpr std::size_t MinCompressedBody = 128; // bytes; compressing a shorter body saves nothing
 
@@ -135,6 +138,11 @@
     if (reply.position)
         result.__set_position(toWire(*reply.position));
     result.ranMicroseconds = std::chrono::duration_cast<std::chrono::microseconds>(reply.ran).count();
+    if (reply.wait >= MinReportedWait) {
+        const auto wait = std::chrono::duration_cast<std::chrono::microseconds>(
+                std::min(reply.wait, MaxReportedWait));
+        result.__set_waitMicroseconds(static_cast<std::int32_t>(wait.count()));
+    }
     return result;
 }
 
@@ -149,6 +157,10 @@
     if (reply.__isset.position)
         result.position = fromWire(reply.position);
     result.ran = std::chrono::microseconds(reply.ranMicroseconds);
+    // An implausible report only misleads the choice of servers, so it is bounded, not refused.
+    if (reply.__isset.waitMicroseconds)
+        result.wait = std::clamp(Duration(std::chrono::microseconds(reply.waitMicroseconds)),
+                                 Duration(), MaxReportedWait);
     return result;
 }
 
--- a/test/unit/proxy/replicalag_test.cpp
+++ b/test/unit/proxy/replicalag_test.cpp
@@ -56,3 +56,19 @@
     const TimePoint later = Start + 10s;
     CHECK(unseen.probablyHolds(needOf(30, later - 50ms), later));
 }
+
+TEST_CASE("the usual lag follows young positions only, and is forgotten slowly")
+{
+    UsualLag usual;
+    for (int i = 0; i < 20; ++i)
+        usual.noteMissing(2s, Start); // a disturbance
+    CHECK(usual.value(Start) == Duration());
+    for (int i = 0; i < 20; ++i)
+        usual.noteMissing(70ms, Start);
+    CHECK(usual.value(Start) > 130ms);
+    CHECK(usual.value(Start) <= 142ms);
+    CHECK(usual.value(Start + 30s) > 65ms);
+    for (int i = 0; i < 20; ++i)
+        usual.noteHeld(20ms, Start);
+    CHECK(usual.value(Start) < 25ms);
+}
--- /dev/null
+++ b/test/unit/proxy/serverpoolbalance_test.cpp
@@ -0,0 +1,120 @@
+// Reads of balanced services.
+#include "nutmegtide/proxy/serverpool.h"
+
+#include <doctest/doctest.h>
+
+using namespace nutmegtide;
+
+namespace {
+
+const ServiceName Service("db");
+const TimePoint Start(100s);
+
+// A pool in the failure domain "a", with the primary in "a" and replicas in "b" and "c".
+ServerPool balancedPool(const char *own = "a")
+{
+    ServerPool pool(FailureDomain(own), 2016);
+    std::vector<ServerRecord> records;
+    for (const char *name : {"a", "b", "c"}) {
+        ServerRecord record;
+        record.announcement.server = ServerId(name);
+        record.announcement.service = Service;
+        record.announcement.failureDomain = FailureDomain(name);
+        record.announcement.slots = 4;
+        record.announcement.isPrimary = record.announcement.server == ServerId("a");
+        records.push_back(record);
+    }
+    pool.setServers(records, Start);
+    pool.setBalancedServices({Service});
+    return pool;
+}
+
+std::map<ServerId, int> readers(ServerPool &pool, const ReadNeed &need, TimePoint now)
+{
+    std::map<ServerId, int> counts;
+    for (int i = 0; i < 3'000; ++i)
+        ++counts[*pool.chooseReader(Service, need, {}, now)];
+    return counts;
+}
+
+void answer(ServerPool &pool, const char *server, Duration time, const ServerReply &reply,
+            TimePoint now, int count = 30)
+{
+    for (int i = 0; i < count; ++i) {
+        pool.noteAlive(ServerId(server), now);
+        pool.noteBalancedAnswer(ServerId(server), time, reply, now);
+    }
+}
+
+ServerReply refusal(StatementFault fault)
+{
+    ServerReply reply;
+    reply.fault = fault;
+    return reply;
+}
+
+} // namespace
+
+// Guards against all entry proxies of a failure domain without servers taking the same replica.
+TEST_CASE("replicas that are equally far get equal parts of the reads")
+{
+    ServerPool pool = balancedPool("d");
+    const auto counts = readers(pool, {}, Start);
+    CHECK(std::abs(counts.at(ServerId("b")) - counts.at(ServerId("c"))) < 200);
+    CHECK(counts.at(ServerId("b")) > 1'000);
+}
+
+// Guards against a server that refuses quickly and looks fast by that.
+TEST_CASE("a busy server gets fewer reads, not more")
+{
+    ServerPool pool = balancedPool("d");
+    ServerReply done;
+    answer(pool, "b", 30ms, done, Start);
+    answer(pool, "c", 30ms, done, Start);
+    answer(pool, "b", 2ms, refusal(StatementFault::Busy), Start);
+    const auto counts = readers(pool, {}, Start);
+    CHECK(counts.at(ServerId("b")) * 2 < counts.at(ServerId("c")));
+}
+
+// The news of a queue is old, so none of the reads may leave a server altogether.
+TEST_CASE("a reported wait moves reads to others, and wears off")
+{
+    ServerPool pool = balancedPool("d");
+    ServerReply waiting;
+    waiting.wait = 60ms;
+    answer(pool, "b", 30ms, waiting, Start);
+    answer(pool, "c", 30ms, {}, Start);
+    const auto counts = readers(pool, {}, Start);
+    CHECK(counts.at(ServerId("b")) > 0);
+    CHECK(counts.at(ServerId("b")) * 4 < counts.at(ServerId("c")));
+    const auto later = readers(pool, {}, Start + 5s);
+    CHECK(std::abs(later.at(ServerId("b")) - later.at(ServerId("c"))) < 300);
+}
+
+// Guards against a server that fails part of its statements while its status is good.
+TEST_CASE("a server that fails statements gets fewer reads, and more again later")
+{
+    ServerPool pool = balancedPool("d");
+    answer(pool, "b", 30ms, {}, Start);
+    answer(pool, "c", 30ms, {}, Start);
+    answer(pool, "b", 30ms, refusal(StatementFault::Failed), Start, 4);
+    CHECK(readers(pool, {}, Start).at(ServerId("b")) < 900);
+    CHECK(readers(pool, {}, Start + 15s).at(ServerId("b")) > 1'100);
+}
+
+// Guards against a round trip that each process makes in vain every few seconds for each replica,
+// where replicas always lag.
+TEST_CASE("the usual lag is learned from all replicas, and young positions are read at the primary")
+{
+    ServerPool pool = balancedPool("d");
+    const ReadNeed young {{1, 9}, Start - 80ms};
+    CHECK(readers(pool, young, Start).at(ServerId("c")) > 0);
+    for (int i = 0; i < 12; ++i)
+        pool.noteMissing(ServerId("b"), young, Start);
+    CHECK(readers(pool, young, Start).count(ServerId("c")) == 0);
+    const TimePoint later = Start + 6s;
+    const ReadNeed stillYoung {{1, 99}, later - 80ms};
+    CHECK(readers(pool, stillYoung, later).count(ServerId("b")) == 0);
+    const ReadNeed older {{1, 90}, later - 400ms};
+    CHECK(readers(pool, older, later).at(ServerId("b")) > 0);
+}
