--- a/include/nutmegtide/statement/concurrencylimit.h
+++ b/include/nutmegtide/statement/concurrencylimit.h
@@ -17,14 +17,6 @@
 class ConcurrencyLimit
 {
 public:
-    // Whether answers that take longer than usual cut the limit. A server that says itself when it
-    // has no slot needs no cut for being slow.
-    enum class SlowAnswers { CutLimit, Ignored };
-
-    explicit ConcurrencyLimit(SlowAnswers slowAnswers = SlowAnswers::CutLimit)
-        : m_slowAnswers(slowAnswers)
-    { }
-
     // A change of the slots starts anew from them.
     void setBounds(int slots, int connections);
     // Takes the time that the server needed. Only a saturated limit may grow.
@@ -45,7 +37,6 @@
     void startWindow();
     void endWindow(TimePoint now);
 
-    SlowAnswers m_slowAnswers;
     int m_slots = 0;
     int m_connections = 1;
     double m_limit = 1;
--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -247,7 +247,7 @@
 {
     Server &server = m_servers.at(lane.server);
     if (reply.fault != StatementFault::Busy) {
-        server.limiter.noteAnswered(now - lane.sentAt, !server.queue.isEmpty(), now);
+        server.limiter.noteAnswered(now - lane.sentAt, !server.queue.isEmpty());
         return false;
     }
     const bool isAllowed = server.limiter.takeBusy(now);
--- a/src/statement/concurrencylimit.cpp
+++ b/src/statement/concurrencylimit.cpp
@@ -58,7 +58,7 @@
 void ConcurrencyLimit::endWindow(TimePoint now)
 {
     const Seconds mean = m_windowSum / m_windowCount;
-    const bool isSlow = m_slowAnswers == SlowAnswers::CutLimit && m_usual > Seconds(0) && mean > SlowFactor * m_usual;
+    const bool isSlow = m_usual > Seconds(0) && mean > SlowFactor * m_usual;
     if (isSlow)
         cut(now);
     else if (m_windowBusy == 0 && 2 * m_windowSaturated > WindowSize)
