--- a/src/proxy/serverpoolbalance.cpp
+++ b/src/proxy/serverpoolbalance.cpp
@@ -10,7 +10,7 @@
 // Prices of a read, in response time. A byte between failure domains costs more than the time that
 // it takes; a primary's slots are needed for writes.
 constexpr Duration OtherDomainPrice = 12ms;
-constexpr Duration PrimaryPrice = 6ms;
+constexpr Duration PrimaryPrice = 15ms;
 // Of a replica that probably lacks the required position.
 constexpr Duration BehindPrice = 200ms;
 
