--- a/include/nutmegtide/proxy/replicalag.h
+++ b/include/nutmegtide/proxy/replicalag.h
@@ -47,6 +47,9 @@
     // Returns whether the log has probably reached the required position. Lags below `usual` aren't
     // expected.
     bool probablyHolds(const ReadNeed &need, TimePoint now, Duration usual = {}) const;
+    // Returns whether the log lacked a position of about this age a moment ago, so that it would be
+    // asked in vain.
+    bool hasLackedLately(const ReadNeed &need, TimePoint now) const;
 
 private:
     Duration estimate(TimePoint now) const;
@@ -54,6 +57,7 @@
     LogPosition m_held;
     Duration m_lag {};
     TimePoint m_notedAt;
+    TimePoint m_missedAt {};
 };
 
 } // namespace nutmegtide
--- a/src/proxy/replicalag.cpp
+++ b/src/proxy/replicalag.cpp
@@ -11,6 +11,7 @@
 constexpr auto HalfLife = 2s;
 constexpr auto MinLag = 2ms; // assumed lag after a position was missing
 constexpr auto MaxLag = 5s;
+constexpr auto RecentMiss = 500ms; // for which a replica that lacked a position isn't asked for it
 constexpr int CatchUpDivisor = 4; // a shorter observed lag corrects the estimate by this fraction
 
 constexpr Duration MaxUsualLag = 200ms; // a longer lag is a disturbance
@@ -73,6 +74,14 @@
     const Duration longer = age * 2 + MinLag;
     m_lag = std::min(Duration(MaxLag), std::max(estimate(askedAt), longer));
     m_notedAt = askedAt;
+    m_missedAt = askedAt;
+}
+
+// An estimate is at least twice the age at which a position was missing.
+bool ReplicaLag::hasLackedLately(const ReadNeed &need, TimePoint now) const
+{
+    const bool isRecent = now - m_missedAt < RecentMiss;
+    return isRecent && m_held < need.position && (now - need.reachedAt) * 2 <= m_lag;
 }
 
 bool ReplicaLag::probablyHolds(const ReadNeed &need, TimePoint now, Duration usual) const
--- a/src/proxy/serverpoolbalance.cpp
+++ b/src/proxy/serverpoolbalance.cpp
@@ -82,7 +82,10 @@
     const Duration usual = usualTime(service, now);
     std::vector<ServerEstimate> estimates;
     for (const auto &[server, state] : m_servers) {
-        if (state.record.announcement.service == service && mayRead(state, tried, now))
+        const ServerAnnouncement &announcement = state.record.announcement;
+        if (announcement.service != service || !mayRead(state, tried, now))
+            continue;
+        if (announcement.isPrimary || !state.lag.hasLackedLately(need, now))
             estimates.push_back(estimateOf(state, need, usual, now));
     }
     if (estimates.empty())
--- a/test/unit/proxy/serverpoolbalance_test.cpp
+++ b/test/unit/proxy/serverpoolbalance_test.cpp
@@ -118,3 +118,18 @@
     const ReadNeed older {{1, 90}, later - 400ms};
     CHECK(readers(pool, older, later).at(ServerId("b")) > 0);
 }
+
+// Guards against reads that go to a replica in vain, time and again, while the primary has no room.
+TEST_CASE("a replica that has just lacked a position isn't asked for one of that age")
+{
+    ServerPool pool = balancedPool("d");
+    const ReadNeed need {{1, 9}, Start - 2s};
+    pool.noteMissing(ServerId("b"), need, Start);
+    pool.noteMissing(ServerId("c"), need, Start);
+    const std::set<ServerId> primary {ServerId("a")};
+    CHECK_FALSE(pool.chooseReader(Service, need, primary, Start + 100ms));
+    // Of an older position nothing is known, and after a while it is tried again.
+    const ReadNeed older {{1, 5}, Start - 10s};
+    CHECK(pool.chooseReader(Service, older, primary, Start + 100ms));
+    CHECK(pool.chooseReader(Service, need, primary, Start + 600ms));
+}
