--- a/test/unit/proxy/capsearch_test.cpp
+++ b/test/unit/proxy/capsearch_test.cpp
@@ -100,7 +100,21 @@
                 borrower->setWorkspaces(tableOf());
             break;
         }
-        m_now += StepTime;
+        pass(StepTime);
+    }
+    // Lets the entries borrow one operation each in turn, and returns how many were granted.
+    int borrowEvenly(Duration gap, int count)
+    {
+        const int before = granted();
+        for (int i = 0; i < count; ++i) {
+            borrow(i % 2 == 0 ? FirstEntry : SecondEntry, 1);
+            pass(gap);
+        }
+        return granted() - before;
+    }
+    void pass(Duration time)
+    {
+        m_now += time;
         for (const auto &borrower : m_borrowers)
             borrower->tick(m_now);
         deliverReports();
@@ -216,11 +230,11 @@
         const int other = lender == m_at[0] ? 0 : 1;
         return !m_isCut || isOnOwnersSide(node) == isOnOwnersSide(other);
     }
-    void borrow(int node)
+    void borrow(int node, int wanted = Wanted)
     {
         m_request.reset();
         m_isSettled = false;
-        m_borrowers[node]->borrow(Casks, Wanted, m_now);
+        m_borrowers[node]->borrow(Casks, wanted, m_now);
         while (!m_isSettled && m_request) {
             const Request request = *std::exchange(m_request, std::nullopt);
             m_borrowers[node]->answered(request.lender, Casks, request.role, answerTo(request),
@@ -331,3 +345,19 @@
         CHECK(tried == (kinds == EventCount ? 27'693 : 14'988));
     }
 }
+
+// Guards against rules that refuse a workspace below its cap where no process or link fails: the
+// owner goes on for 10 s after the lists lost it, and another one replaces it then.
+TEST_CASE("a workspace at 0.8 of its cap is admitted while the lists lose its owner")
+{
+    constexpr Duration Gap = 625ms; // 1.6/s
+    for (const Event change : {Event::Pause, Event::FirstLosesOwner, Event::BothLoseOwner}) {
+        CAPTURE(static_cast<int>(change));
+        Fleet fleet;
+        CHECK(fleet.borrowEvenly(Gap, 16) == 16);
+        fleet.happen(change);
+        constexpr int Count = 48; // 30 s
+        CHECK(fleet.borrowEvenly(Gap, Count) >= 0.995 * Count);
+        CHECK(fleet.isWithinAllowance());
+    }
+}
