--- a/include/nutmegtide/proxy/caplender.h
+++ b/include/nutmegtide/proxy/caplender.h
@@ -181,6 +181,8 @@
     // Forgets the workspaces that have not been used for a window.
     void forgetUnused(TimePoint now);
     std::size_t counterCount() const { return m_accounts.size(); }
+    // Returns how many requests had only the reserve to get, for want of a report.
+    std::uint64_t uninformedCount() const { return m_uninformed; }
 
 private:
     // What another lender lent.
@@ -203,6 +205,7 @@
     {
         double part = 0;
         double left = 0; // by known loans of others
+        bool isUninformed = false; // only the reserve, for want of a report
     };
 
     Account &accountOf(const WorkspaceName &workspace, const OperationCap &cap, TimePoint now);
@@ -217,6 +220,7 @@
     int m_presentDomains = 1;
     int m_allDomains = 1;
     std::map<WorkspaceName, Account> m_accounts;
+    std::uint64_t m_uninformed = 0;
 };
 
 } // namespace nutmegtide
--- a/src/proxy/caplender.cpp
+++ b/src/proxy/caplender.cpp
@@ -159,17 +159,17 @@
         const bool isUnaware = account.ownerSince > TimePoint()
                 && isUninformed(account, account.ownerSince, now);
         if (m_presentDomains < m_allDomains && isUnaware)
-            return {reserve, reserve};
+            return {reserve, reserve, true};
         const double part = parts.owner * m_presentDomains / m_allDomains;
-        return {part, part - others};
+        return {part, part - others, false};
     }
     case OwnerState::Reachable:
-        return {reserve, reserve};
+        return {reserve, reserve, false};
     case OwnerState::Unreachable:
         if (isUninformed(account, account.unreachableSince.value_or(now), now))
-            return {reserve, reserve};
+            return {reserve, reserve, true};
         return {parts.owner / m_allDomains,
-                std::max(reserve, (parts.owner - others) / m_allDomains)};
+                std::max(reserve, (parts.owner - others) / m_allDomains), false};
     }
     return {};
 }
@@ -199,6 +199,8 @@
     else if (!account.unreachableSince)
         account.unreachableSince = now;
     const Limit limit = limitOf(known->cap, owner, account, now);
+    if (limit.isUninformed && wanted > 0)
+        ++m_uninformed;
     loan = account.own.lend(wanted, std::max(0.0, limit.left), limit.part, m_rule.window, now);
     loan.history = {m_self, account.own.history(m_rule.window, now), {}};
     return loan;
--- a/src/site/homeport.cpp
+++ b/src/site/homeport.cpp
@@ -11,6 +11,7 @@
 // LaneLinks gives up a home no sooner than this after its last answer.
 constexpr auto LongestStall = 300ms;
 constexpr auto WarningInterval = 100ms; // between forwarded warnings
+constexpr auto UninformedLogInterval = 1s;
 // A failure domain without homes may lend a share of the caps by itself, and may come back.
 constexpr auto MissingDomainTime = 30s;
 constexpr auto LenderInterval = 1s; // between updates of the lender without new homes or servers
@@ -129,6 +130,7 @@
     for (const wire::LoanHistory &report : request.reports)
         m_lender.noteReported(workspace, fromWire(report), now);
     const OwnerView owner = m_findOwner(workspace);
+    const std::uint64_t uninformedBefore = m_lender.uninformedCount();
     const CapLoan lent = m_lender.lend(workspace, owner.state, std::max(0, request.wanted), now,
                                        owner.since);
     if (owner.state != OwnerState::Self && request.wanted > 0) {
@@ -138,6 +140,13 @@
                           + (owner.at ? ", the owner is " + toString(*owner.at)
                                       : ", the owner can't be reached"));
     }
+    if (m_lender.uninformedCount() != uninformedBefore
+        && now - m_uninformedLoggedAt > UninformedLogInterval) {
+        m_uninformedLoggedAt = now;
+        m_onFault("cap_reserve_only",
+                  "workspace " + workspace.text()
+                          + ", no entry VM has reported what another home lent");
+    }
     wire::Loan loan;
     loan.workspace = request.workspace;
     loan.granted = lent.granted;
--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -76,6 +76,7 @@
     void flush();
     bool isInUse() const { return m_home.isInUse(); }
     std::uint64_t resentCount() const { return m_home.resentCount(); }
+    std::uint64_t uninformedLoanCount() const { return m_lender.uninformedCount(); }
 
 private:
     struct Link
@@ -121,6 +122,7 @@
     const FindOwner m_findOwner;
     ServerHome m_home {*this};
     CapLender m_lender {lenderRun()};
+    TimePoint m_uninformedLoggedAt {};
     TimePoint m_lenderDueAt {};
     bool m_isCutOff = false;
     ServerHomes m_homesByServer;
--- a/test/unit/proxy/caplender_test.cpp
+++ b/test/unit/proxy/caplender_test.cpp
@@ -288,8 +288,10 @@
     };
     CHECK(lend(TimePoint(13s)) <= reserve);
     CHECK(lend(TimePoint(14s)) <= reserve);
+    CHECK(lender.uninformedCount() == 2);
     lender.noteReported(Small, {1, {40}, 100ms}, TimePoint(14500ms));
     CHECK(lend(TimePoint(14500ms)) >= 90);
+    CHECK(lender.uninformedCount() == 2);
 }
 
 TEST_CASE("workspaces that are not used any more are forgotten")
