--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -36,6 +36,7 @@
     {
         OwnerState state = OwnerState::Self;
         std::optional<Endpoint> at; // with Reachable
+        TimePoint since {}; // with Self
     };
     using FindOwner = std::function<OwnerView(const WorkspaceName &)>;
 
@@ -75,6 +76,7 @@
     void flush();
     bool isInUse() const { return m_home.isInUse(); }
     std::uint64_t resentCount() const { return m_home.resentCount(); }
+    std::uint64_t uninformedLoanCount() const { return m_lender.uninformedCount(); }
 
 private:
     struct Link
@@ -120,6 +122,7 @@
     const FindOwner m_findOwner;
     ServerHome m_home {*this};
     CapLender m_lender {lenderRun()};
+    TimePoint m_uninformedLoggedAt {};
     TimePoint m_lenderDueAt {};
     bool m_isCutOff = false;
     ServerHomes m_homesByServer;
