--- a/src/proxy/serverhome.cpp
+++ b/src/proxy/serverhome.cpp
@@ -393,7 +393,8 @@
         const Server &server = m_servers.at(id);
         for (const HomeQueue::Item &item : server.queue.items())
             m_dueAt = std::min(m_dueAt, item.dueAt);
-        if (!server.queue.isEmpty() && server.limiter.heldUntil() > now)
+        // Also with an empty queue: a statement may arrive until then.
+        if (server.limiter.heldUntil() > now)
             m_dueAt = std::min(m_dueAt, server.limiter.heldUntil());
     }
 }
--- a/test/unit/proxy/serverhomebusy_test.cpp
+++ b/test/unit/proxy/serverhomebusy_test.cpp
@@ -116,3 +116,18 @@
     CHECK(home.timesSent("q1") == 1);
     CHECK(home.home.laneCount() == 1);
 }
+
+// Guards against statements that wait for the next tick, up to 50 ms, though the pause after a busy
+// refusal is over within a few: a tick while nothing was queued forgot when the pause ends.
+TEST_CASE("a statement that arrives during the pause after a refusal starts when the pause ends")
+{
+    BalancedHome home;
+    home.ask(1, ServerHomeFixture::read("q1"), {1, 2ms});
+    home.openAll();
+    home.refuse("q1"); // too late to be sent again
+    home.advanceTime(3ms);
+    home.ask(2, ServerHomeFixture::read("q2"), {1, 150ms});
+    CHECK_FALSE(home.wasSent("q2"));
+    home.advanceTime(5ms);
+    CHECK(home.wasSent("q2"));
+}
