--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -254,6 +254,9 @@
     m_dueAt = std::min(m_dueAt, server.limiter.heldUntil());
     // A statement that fails its transaction isn't repeated, whatever the fault.
     const bool isUnchanged = reply.state == lane.state;
+    const bool isNewWork = lane.state == TransactionState::Idle;
+    if (isNewWork && server.record.isPastLeaveTime(m_leaveTime, now))
+        return false;
     if (!isAllowed || !isUnchanged || lane.waitsUntil <= server.limiter.heldUntil())
         return false;
     ++m_resent;
--- a/test/unit/proxy/serverhomebusy_test.cpp
+++ b/test/unit/proxy/serverhomebusy_test.cpp
@@ -131,3 +131,19 @@
     home.advanceTime(5ms);
     CHECK(home.wasSent("q2"));
 }
+
+// Guards against new work for a leaving server that is only a statement it has refused before.
+TEST_CASE("a refused statement isn't sent again after the server's leave time")
+{
+    BalancedHome home;
+    home.home.setLeaveTime(10ms);
+    home.ask(1, ServerHomeFixture::read("q"), {1, 100ms});
+    home.openAll();
+    home.announceServer(home.now);
+    home.advanceTime(20ms);
+    home.refuse("q");
+    home.advanceTime(50ms);
+    CHECK(home.timesSent("q") == 1);
+    REQUIRE(home.replies.size() == 1);
+    CHECK((home.replies.back().reply.fault == StatementFault::Busy));
+}
