--- a/include/nutmegtide/proxy/serverhome.h
+++ b/include/nutmegtide/proxy/serverhome.h
@@ -120,6 +120,8 @@
     bool isInUse() const;
     // Returns how often a statement was sent again after a busy refusal.
     std::uint64_t resentCount() const { return m_resent; }
+    // Returns the bytes of the statements that are held for lanes.
+    std::size_t heldBytes() const;
     std::size_t connectionCount() const { return m_connections.size(); }
 
 private:
@@ -133,7 +135,7 @@
         ConnectionKey connection = 0;
         TransactionState state = TransactionState::Idle;
         HomeQueue::Ticket ticket = 0; // set while it waits in the queue
-        ServerCommand sent; // the latest command that was sent
+        std::optional<ServerCommand> sent; // the statement that may have to be sent again
         TimePoint queuedAt;
         TimePoint waitsUntil; // end of the longest wait of the statement that waits or was sent
         bool isAnswerDue = false; // a command was sent and has no answer yet
--- a/src/proxy/serverhome.cpp
+++ b/src/proxy/serverhome.cpp
@@ -272,10 +272,11 @@
 void ServerHome::sendNext(Lane &lane, TimePoint now)
 {
     Connection &held = m_connections.at(lane.connection);
-    const ServerCommand sent = lane.pending.front();
-    ServerCommand command = sent;
+    ServerCommand command = lane.pending.front();
     lane.pending.pop_front();
     const bool isInTransaction = lane.state != TransactionState::Idle;
+    if (runsInSlot(command.kind) && isBalanced(m_servers.at(lane.server)))
+        lane.sent = command;
     const PreparedStatement *prepared = preparedOf(lane, command);
     std::vector<ServerCommand> commands;
     if (command.kind != ServerCommandKind::Rollback)
@@ -288,7 +289,6 @@
     commands.push_back(command);
     lane.isAnswerDue = true;
     lane.takesSlot = runsInSlot(command.kind);
-    lane.sent = sent;
     lane.sentAt = now;
     noteSent(m_servers.at(lane.server), lane, now);
     m_delegate.send(lane.connection, commands);
@@ -375,6 +375,17 @@
     });
 }
 
+std::size_t ServerHome::heldBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[key, lane] : m_lanes) {
+        bytes += lane.sent ? lane.sent->argument.size() : 0;
+        for (const ServerCommand &command : lane.pending)
+            bytes += command.argument.size();
+    }
+    return bytes;
+}
+
 void ServerHome::tick(TimePoint now)
 {
     if (now < m_dueAt)
--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -232,6 +232,7 @@
             server.averageTime.note(measured.ran);
         if (isBalanced(server) && takeSlotReply(laneKey, lane, reply, now))
             return;
+        lane.sent.reset();
     }
     if (reply.fault == StatementFault::UnknownStatement)
         connection.image.forgetPrepared();
@@ -257,10 +258,10 @@
     const bool isNewWork = lane.state == TransactionState::Idle;
     if (isNewWork && server.record.isPastLeaveTime(m_leaveTime, now))
         return false;
-    if (!isAllowed || !isUnchanged || lane.waitsUntil <= server.limiter.heldUntil())
+    if (!isAllowed || !isUnchanged || !lane.sent || lane.waitsUntil <= server.limiter.heldUntil())
         return false;
     ++m_resent;
-    lane.pending.push_front(lane.sent);
+    lane.pending.push_front(*std::exchange(lane.sent, std::nullopt));
     return enqueue(key, lane, {0, lane.waitsUntil - now, lane.urgency.work}, {}, now);
 }
 
--- a/test/unit/proxy/serverhomebusy_test.cpp
+++ b/test/unit/proxy/serverhomebusy_test.cpp
@@ -147,3 +147,20 @@
     REQUIRE(home.replies.size() == 1);
     CHECK((home.replies.back().reply.fault == StatementFault::Busy));
 }
+
+// Guards against homes that keep the text of each lane's latest statement, of up to 1 MiB, for as
+// long as the lane lives.
+TEST_CASE("a home holds the text of a statement only until it is answered")
+{
+    BalancedHome balanced;
+    ServerHomeFixture plain;
+    for (ServerHomeFixture *home : {static_cast<ServerHomeFixture *>(&balanced), &plain}) {
+        ServerCommand read = ServerHomeFixture::read("q");
+        read.argument = std::string(1'000, 'x');
+        home->ask(1, read);
+        CHECK(home->home.heldBytes() >= 1'000);
+        home->openAll();
+        home->answer("q");
+        CHECK(home->home.heldBytes() == 0);
+    }
+}
