--- a/include/nutmegtide/proxy/serverpool.h
+++ b/include/nutmegtide/proxy/serverpool.h
@@ -85,6 +85,7 @@
     int running = 0; // statements without a reply
     AverageTime averageTime; // response time of statements
     TimePoint answeredAt {}; // time of the latest reply, errors included
+    TimePoint timedAt {}; // time of the latest sample of it; for balanced services only
     // The wait that the home reported latest, and the smoothed share of statements that failed.
     // Both are kept for balanced services only.
     Duration reportedWait {};
--- a/src/proxy/serverpoolbalance.cpp
+++ b/src/proxy/serverpoolbalance.cpp
@@ -44,7 +44,7 @@
     int count = 0;
     for (const auto &[server, state] : m_servers) {
         const bool isOfService = state.record.announcement.service == service;
-        if (!isOfService || now - state.answeredAt > RecentAnswer)
+        if (!isOfService || now - state.timedAt > RecentAnswer)
             continue;
         sum += state.averageTime.value();
         ++count;
@@ -59,10 +59,11 @@
     ServerEstimate estimate;
     estimate.server = announcement.server;
     estimate.slots = announcement.slots;
-    // A slow server gets few reads, so it can hardly show that it is fast again.
+    // A slow server gets few reads, so it can hardly show that it is fast again. Replies to proofs
+    // and confirmations don't say how long a statement takes.
     const Duration slower = state.averageTime.value() - usualTime;
     estimate.responseTime = usualTime
-            + scaled(slower, remaining(now - state.answeredAt, TimeHalfLife));
+            + scaled(slower, remaining(now - state.timedAt, TimeHalfLife));
     estimate.underWay = state.running + static_cast<int>(state.waiting.size());
     estimate.wait = LoadBalancer::waitAfter(state.reportedWait, now - state.reportedAt);
     estimate.failureShare = state.failureShare
@@ -98,8 +99,10 @@
     const bool isBusy = reply.fault == StatementFault::Busy;
     state.reportedWait = isBusy ? std::max(reply.wait, BusyWait) : reply.wait;
     state.reportedAt = now;
-    if (!reply.fault)
+    if (!reply.fault) {
         state.averageTime.note(time);
+        state.timedAt = now;
+    }
     if (!reply.fault || reply.fault == StatementFault::Failed)
         noteOutcome(state, reply.fault.has_value(), now);
     state.failingSince.reset();
--- a/test/unit/proxy/serverpoolbalance_test.cpp
+++ b/test/unit/proxy/serverpoolbalance_test.cpp
@@ -118,3 +118,20 @@
     const ReadNeed older {{1, 90}, later - 400ms};
     CHECK(readers(pool, older, later).at(ServerId("b")) > 0);
 }
+
+// Guards against a server that stays slow in the estimate for as long as it answers proofs and
+// confirmations, since hardly any read is left to show that it is fast again.
+TEST_CASE("a server that was slow gets reads again, also if it answers other requests meanwhile")
+{
+    ServerPool pool = balancedPool("d");
+    answer(pool, "b", 150ms, {}, Start);
+    answer(pool, "c", 30ms, {}, Start);
+    CHECK(readers(pool, {}, Start).at(ServerId("b")) < 300);
+    TimePoint now = Start;
+    while (now < Start + 25s) {
+        now += 200ms;
+        pool.noteAlive(ServerId("b"), now);
+        answer(pool, "c", 30ms, {}, now, 1);
+    }
+    CHECK(readers(pool, {}, now).at(ServerId("b")) > 1'100);
+}
