--- a/include/nutmegtide/proxy/serverpool.h
+++ b/include/nutmegtide/proxy/serverpool.h
@@ -186,8 +186,9 @@
     // Returns whether servers of other failure domains fail and none of them has replied lately.
     bool isCutOff(TimePoint now) const;
     void noteAnswer(const ServerId &server, Duration time);
-    // Records the reply to a statement of a balanced service, in place of noteAnswer().
-    void noteBalancedAnswer(const ServerId &server, Duration time, const ServerReply &reply,
+    // Records the reply to a statement of a balanced service, in place of noteAnswer(). Returns
+    // whether the wait that it reports is possible; another one is ignored.
+    bool noteBalancedAnswer(const ServerId &server, Duration time, const ServerReply &reply,
                             TimePoint now);
     void noteFailure(const ServerId &server, TimePoint now);
     // Record whether the server's log had reached a position when it was asked.
--- a/src/proxy/serverpoolbalance.cpp
+++ b/src/proxy/serverpoolbalance.cpp
@@ -14,6 +14,8 @@
 // Of a replica that probably lacks the required position.
 constexpr Duration BehindPrice = 200ms;
 
+constexpr Duration MaxWait = 10s; // homes refuse statements long before
+
 constexpr Duration BusyWait = 30ms; // of a server that refuses statements, if it isn't known
 
 constexpr std::chrono::duration<double> TimeHalfLife {1}; // of a server's response time
@@ -92,13 +94,16 @@
 }
 
 // A refusal comes sooner than an answer, and would make the server look fast.
-void ServerPool::noteBalancedAnswer(const ServerId &server, Duration time, const ServerReply &reply,
+bool ServerPool::noteBalancedAnswer(const ServerId &server, Duration time, const ServerReply &reply,
                                     TimePoint now)
 {
     PooledServer &state = m_servers.at(server);
     const bool isBusy = reply.fault == StatementFault::Busy;
-    state.reportedWait = isBusy ? std::max(reply.wait, BusyWait) : reply.wait;
-    state.reportedAt = now;
+    const bool isPossible = reply.wait >= Duration() && reply.wait <= MaxWait;
+    if (isPossible) {
+        state.reportedWait = isBusy ? std::max(reply.wait, BusyWait) : reply.wait;
+        state.reportedAt = now;
+    }
     if (!reply.fault) {
         state.averageTime.note(time);
         state.timedAt = now;
@@ -107,6 +112,7 @@
         noteOutcome(state, reply.fault.has_value(), now);
     state.failingSince.reset();
     state.avoidUntil = {};
+    return isPossible;
 }
 
 void ServerPool::noteOutcome(PooledServer &state, bool isFailed, TimePoint now) const
--- a/src/proxy/sessionreplies.cpp
+++ b/src/proxy/sessionreplies.cpp
@@ -242,10 +242,11 @@
 {
     const Duration time = now - connection.sentAt;
     const ServiceName &service = m_pool.find(connection.server)->record.announcement.service;
-    if (m_balanced.count(service) != 0)
-        m_pool.noteBalancedAnswer(connection.server, time, reply, now);
-    else
-        m_pool.noteAnswer(connection.server, time);
+    if (m_balanced.count(service) == 0)
+        return m_pool.noteAnswer(connection.server, time);
+    if (!m_pool.noteBalancedAnswer(connection.server, time, reply, now))
+        m_delegate.serverAssessed({connection.server, service, "false_report",
+                                   "its home reports an impossible wait"});
 }
 
 void SessionProxy::onBegun(SessionKey key, const ServerReply &reply, TimePoint now)
--- a/src/site/lanewire.cpp
+++ b/src/site/lanewire.cpp
@@ -157,10 +157,9 @@
     if (reply.__isset.position)
         result.position = fromWire(reply.position);
     result.ran = std::chrono::microseconds(reply.ranMicroseconds);
-    // An implausible report only misleads the choice of servers, so it is bounded, not refused.
+    // ServerPool ignores an impossible value.
     if (reply.__isset.waitMicroseconds)
-        result.wait = std::clamp(Duration(std::chrono::microseconds(reply.waitMicroseconds)),
-                                 Duration(), MaxReportedWait);
+        result.wait = std::chrono::microseconds(reply.waitMicroseconds);
     return result;
 }
 
--- a/test/unit/proxy/serverpoolbalance_test.cpp
+++ b/test/unit/proxy/serverpoolbalance_test.cpp
@@ -135,3 +135,19 @@
     }
     CHECK(readers(pool, {}, now).at(ServerId("b")) > 1'100);
 }
+
+// Guards against a home whose figures are wrong: a huge one would empty its server, and a negative
+// one would send all reads there.
+TEST_CASE("a reported wait that is impossible is ignored")
+{
+    for (const Duration wait : {Duration(-1s), Duration(30min)}) {
+        ServerPool pool = balancedPool("d");
+        ServerReply reply;
+        answer(pool, "c", 30ms, reply, Start);
+        answer(pool, "b", 30ms, reply, Start);
+        reply.wait = wait;
+        CHECK_FALSE(pool.noteBalancedAnswer(ServerId("b"), 30ms, reply, Start));
+        const auto counts = readers(pool, {}, Start);
+        CHECK(std::abs(counts.at(ServerId("b")) - counts.at(ServerId("c"))) < 200);
+    }
+}
