--- a/src/proxy/serverpoolbalance.cpp
+++ b/src/proxy/serverpoolbalance.cpp
@@ -18,8 +18,9 @@
 
 constexpr Duration BusyWait = 30ms; // of a server that refuses statements, if it isn't known
 
-constexpr std::chrono::duration<double> TimeHalfLife {1}; // of a server's response time
-constexpr std::chrono::duration<double> FailureHalfLife {2};
+// With 1 s, 300 entry VMs forgot a slow server between two of its answers.
+constexpr std::chrono::duration<double> TimeHalfLife {5}; // of a server's response time
+constexpr std::chrono::duration<double> FailureHalfLife {5};
 constexpr auto RecentAnswer = 1s;
 constexpr double OutcomeWeight = 1.0 / 8; // of the newest outcome
 
