--- a/include/nutmegtide/proxy/loadbalancer.h
+++ b/include/nutmegtide/proxy/loadbalancer.h
@@ -46,6 +46,8 @@
 
     // Draws one of the servers. There must be at least one.
     const ServerEstimate &choose(const std::vector<ServerEstimate> &servers);
+    // Draws an index by weight.
+    std::size_t draw(const std::vector<double> &weights);
     // Returns the expected time until the server answers a statement, without its price.
     static Duration expectedTime(const ServerEstimate &server);
     // Returns what is left of a wait that was reported so long ago. A server's queue changes within
@@ -53,6 +55,8 @@
     static Duration waitAfter(Duration reported, Duration age);
     // Returns the weights by which servers are drawn.
     static std::vector<double> weightsOf(const std::vector<ServerEstimate> &servers);
+    // Returns the weights that they would have if all were equally fast.
+    static std::vector<double> fairWeightsOf(const std::vector<ServerEstimate> &servers);
 
 private:
     std::mt19937_64 m_random;
--- a/include/nutmegtide/proxy/serverpool.h
+++ b/include/nutmegtide/proxy/serverpool.h
@@ -5,6 +5,7 @@
 #include "nutmegtide/proxy/loadbalancer.h"
 #include "nutmegtide/proxy/replicalag.h"
 #include "nutmegtide/proxy/serverregistry.h"
+#include "nutmegtide/proxy/sharewatch.h"
 #include "nutmegtide/session/sessionstate.h"
 
 #include <deque>
@@ -74,6 +75,14 @@
     WrongAddress, // another server replies at its address
 };
 
+// A server whose share of the reads of its service has become low, or is no longer low.
+struct ShareChange
+{
+    ServerId server;
+    ServiceName service;
+    bool isLow = false;
+};
+
 // State of one backend server as this process has observed it.
 struct PooledServer
 {
@@ -92,6 +101,7 @@
     TimePoint reportedAt {};
     double failureShare = 0;
     TimePoint failureNotedAt {};
+    ShareWatch readShare;
     // No reads are sent there until then, since it failed or was too slow.
     TimePoint avoidUntil {};
     ReplicaLag lag;
@@ -142,6 +152,10 @@
     // cost or, for a balanced service, the one that LoadBalancer draws.
     std::optional<ServerId> chooseReader(const ServiceName &service, const ReadNeed &need,
                                          const std::set<ServerId> &tried, TimePoint now);
+    // Returns the servers of balanced services whose share of the reads has become low, or is no
+    // longer low, since the last call.
+    std::vector<ShareChange> takeShareChanges() { return std::exchange(m_shareChanges, {}); }
+    const ReadCounts &readCounts() const { return m_readCounts; }
     std::vector<ServerId> serversOf(const ServiceName &service) const;
     // Returns the service's servers that can be asked for a commit, preferring those of the own
     // failure domain and among these the one that replied last.
@@ -225,11 +239,16 @@
     Duration usualTime(const ServiceName &service, TimePoint now) const;
     bool isBalanced(const PooledServer &state) const;
     void noteOutcome(PooledServer &state, bool isFailed, TimePoint now) const;
+    void noteShares(const std::vector<ServerEstimate> &estimates,
+                    const std::vector<double> &weights, TimePoint now);
+    void countRead(const ServerId &server);
 
     const FailureDomain m_own;
     LoadBalancer m_balancer;
     std::set<ServiceName> m_balanced;
     UsualLag m_usualLag; // of replicas of balanced services
+    ReadCounts m_readCounts;
+    std::vector<ShareChange> m_shareChanges;
     Duration m_leaveTime = Duration::max();
     std::map<ServerId, PooledServer> m_servers;
     std::map<ConnectionKey, ServerConnection> m_connections;
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -52,6 +52,8 @@
     {
         m_patientObjective = objective;
     }
+    // Returns where reads of balanced services were sent.
+    const ReadCounts &readCounts() const { return m_pool.readCounts(); }
     // Sets the time in which a removed key has to be out of use.
     void setRevocationTime(Duration time) { m_revocationTime = time; }
     // Replaces the known servers. Idle connections to removed or restarted ones are closed.
@@ -302,6 +304,7 @@
     void onOverdueReply(SessionKey key, TimePoint now);
     void onLoss(SessionKey key, TimePoint now);
     void noteAnswer(const ServerConnection &connection, const ServerReply &reply, TimePoint now);
+    void reportShareChanges();
     void noteRunTime(SessionKey key, const ServerReply &reply);
     bool noteSuccess(Session &session, const Work &work, const ServerReply &reply, TimePoint now);
     void noteHeld(const Work &work, const ServerReply &reply);
--- a/src/proxy/loadbalancer.cpp
+++ b/src/proxy/loadbalancer.cpp
@@ -38,7 +38,7 @@
     return std::chrono::duration_cast<Duration>(reported * std::exp2(-halfLives));
 }
 
-std::vector<double> LoadBalancer::weightsOf(const std::vector<ServerEstimate> &servers)
+std::vector<double> LoadBalancer::fairWeightsOf(const std::vector<ServerEstimate> &servers)
 {
     // Relative to the lowest price, so that the weights don't vanish together.
     const auto cheapest = std::min_element(servers.begin(), servers.end(),
@@ -48,17 +48,28 @@
     std::vector<double> weights;
     for (const ServerEstimate &server : servers) {
         const Milliseconds dearer = server.price - cheapest->price;
-        const double time = std::pow(timeOf(server).count(), TimeExponent);
-        weights.push_back(std::max(1, server.slots) * std::exp(-(dearer / PriceScale)) / time);
+        weights.push_back(std::max(1, server.slots) * std::exp(-(dearer / PriceScale)));
     }
     return weights;
 }
 
+std::vector<double> LoadBalancer::weightsOf(const std::vector<ServerEstimate> &servers)
+{
+    std::vector<double> weights = fairWeightsOf(servers);
+    for (std::size_t i = 0; i < servers.size(); ++i)
+        weights[i] /= std::pow(timeOf(servers[i]).count(), TimeExponent);
+    return weights;
+}
+
 const ServerEstimate &LoadBalancer::choose(const std::vector<ServerEstimate> &servers)
 {
-    const std::vector<double> weights = weightsOf(servers);
-    std::discrete_distribution<std::size_t> draw(weights.begin(), weights.end());
-    return servers[draw(m_random)];
+    return servers[draw(weightsOf(servers))];
+}
+
+std::size_t LoadBalancer::draw(const std::vector<double> &weights)
+{
+    std::discrete_distribution<std::size_t> distribution(weights.begin(), weights.end());
+    return distribution(m_random);
 }
 
 } // namespace nutmegtide
--- a/src/proxy/serverpoolbalance.cpp
+++ b/src/proxy/serverpoolbalance.cpp
@@ -2,6 +2,7 @@
 #include "nutmegtide/proxy/serverpool.h"
 
 #include <cmath>
+#include <numeric>
 
 namespace nutmegtide {
 
@@ -91,7 +92,37 @@
     }
     if (estimates.empty())
         return std::nullopt;
-    return m_balancer.choose(estimates).server;
+    const std::vector<double> weights = LoadBalancer::weightsOf(estimates);
+    noteShares(estimates, weights, now);
+    const ServerId drawn = estimates[m_balancer.draw(weights)].server;
+    countRead(drawn);
+    return drawn;
+}
+
+void ServerPool::noteShares(const std::vector<ServerEstimate> &estimates,
+                            const std::vector<double> &weights, TimePoint now)
+{
+    const std::vector<double> fair = LoadBalancer::fairWeightsOf(estimates);
+    const double weightSum = std::accumulate(weights.begin(), weights.end(), 0.0);
+    const double fairSum = std::accumulate(fair.begin(), fair.end(), 0.0);
+    for (std::size_t i = 0; i < estimates.size(); ++i) {
+        PooledServer &state = m_servers.at(estimates[i].server);
+        const auto isLow = state.readShare.note(weights[i] / weightSum, fair[i] / fairSum, now);
+        if (isLow)
+            m_shareChanges.push_back(
+                    {estimates[i].server, state.record.announcement.service, *isLow});
+    }
+}
+
+void ServerPool::countRead(const ServerId &server)
+{
+    const ServerAnnouncement &announcement = m_servers.at(server).record.announcement;
+    if (announcement.isPrimary)
+        ++m_readCounts.primary;
+    else if (announcement.failureDomain == m_own)
+        ++m_readCounts.ownDomain;
+    else
+        ++m_readCounts.otherDomain;
 }
 
 // A refusal comes sooner than an answer, and would make the server look fast.
--- a/src/proxy/sessionrouting.cpp
+++ b/src/proxy/sessionrouting.cpp
@@ -76,6 +76,7 @@
         if (!findNeed(key, now))
             return;
         server = m_pool.chooseReader(work.route.service, *work.need, work.tried, now);
+        reportShareChanges();
         if (!server) {
             work.tried.clear();
             return retryLater(key, "no server is left to ask", now);
@@ -84,6 +85,16 @@
     acquire({key, {}, session.workspace}, *server, now);
 }
 
+void SessionProxy::reportShareChanges()
+{
+    for (const ShareChange &change : m_pool.takeShareChanges()) {
+        m_delegate.serverAssessed({change.server, change.service,
+                                   change.isLow ? "few_reads" : "usual_reads",
+                                   change.isLow ? "less than a quarter of its fair share"
+                                                : "at least a quarter of its fair share"});
+    }
+}
+
 // Extends the wait of a statement while a failed or leaving primary may soon be replaced. Otherwise
 // its caller would use up its retries on refusals that come immediately.
 void SessionProxy::extendForPrimaryChange(Work &work, TimePoint now) const
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -273,6 +273,7 @@
     m_counts.setSessions(m_proxy.sessionCount());
     m_links.flush();
     TimePoint wake = std::min({m_proxy.wakeAt(), m_links.wakeAt(), m_borrower.wakeAt()});
+    m_counts.setReads(m_proxy.readCounts());
     if (m_home) {
         m_home->setCutOff(m_isolatedSince || m_suspectedSince);
         m_home->flush();
--- a/src/site/sitemetrics.cpp
+++ b/src/site/sitemetrics.cpp
@@ -10,6 +10,15 @@
 constexpr const char *LatencyHelp = "Time from a statement's arrival to its success.";
 constexpr const char *Refused = "nutmegtide_site_refused_total";
 constexpr const char *RefusedHelp = "Statements that were answered with an error, by its type.";
+constexpr const char *Reads = "nutmegtide_site_balanced_reads_total";
+constexpr const char *ReadsHelp = "Reads of balanced services that were sent, by where.";
+
+MetricLabels typeLabel(const char *type)
+{
+    MetricLabels labels;
+    labels.type = type;
+    return labels;
+}
 
 MetricLabels roleLabel(const char *role)
 {
@@ -38,6 +47,9 @@
     , m_resent(registry.counter("nutmegtide_home_resent_total",
                                 "Statements that a home sent again, since their server refused "
                                 "them as busy."))
+    , m_readsOwnDomain(registry.counter(Reads, ReadsHelp, typeLabel("own_domain")))
+    , m_readsOtherDomain(registry.counter(Reads, ReadsHelp, typeLabel("other_domain")))
+    , m_readsPrimary(registry.counter(Reads, ReadsHelp, typeLabel("primary")))
     , m_sessions(registry.gauge("nutmegtide_site_sessions", "Sessions of callers that are open."))
     , m_revision(registry.gauge("nutmegtide_site_revision", "Revision of the routes in force."))
 { }
@@ -60,6 +72,14 @@
     m_resent.add(count - std::exchange(m_resentCount, count));
 }
 
+void SiteMetrics::setReads(const ReadCounts &counts)
+{
+    m_readsOwnDomain.add(counts.ownDomain - m_readCounts.ownDomain);
+    m_readsOtherDomain.add(counts.otherDomain - m_readCounts.otherDomain);
+    m_readsPrimary.add(counts.primary - m_readCounts.primary);
+    m_readCounts = counts;
+}
+
 void SiteMetrics::recordAnswer(const RequestDecision &decision)
 {
     if (decision.withheld)
--- a/test/unit/proxy/serverpoolbalance_test.cpp
+++ b/test/unit/proxy/serverpoolbalance_test.cpp
@@ -151,3 +151,22 @@
         CHECK(std::abs(counts.at(ServerId("b")) - counts.at(ServerId("c"))) < 200);
     }
 }
+
+// A distant server's share is small by its price; only a slow or failing one is news.
+TEST_CASE("a slow server's low share is told, a distant one's isn't")
+{
+    ServerPool pool = balancedPool("b");
+    for (const char *server : {"a", "b", "c"})
+        answer(pool, server, 30ms, {}, Start);
+    readers(pool, {}, Start);
+    CHECK(pool.takeShareChanges().empty());
+    CHECK(pool.readCounts().ownDomain > 2'500);
+    CHECK(pool.readCounts().ownDomain + pool.readCounts().otherDomain + pool.readCounts().primary
+          == 3'000);
+    answer(pool, "c", 200ms, {}, Start);
+    readers(pool, {}, Start);
+    const std::vector<ShareChange> changes = pool.takeShareChanges();
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].server == ServerId("c"));
+    CHECK(changes[0].isLow);
+}
--- a/test/unit/site/sitemetrics_test.cpp
+++ b/test/unit/site/sitemetrics_test.cpp
@@ -47,3 +47,16 @@
     }
     CHECK(text.find("nutmegtide_site_refused_total") == std::string::npos);
 }
+
+TEST_CASE("reads of balanced services are counted by where they were sent")
+{
+    MetricRegistry registry;
+    SiteMetrics metrics(registry);
+    metrics.setReads({5, 3, 1});
+    metrics.setReads({7, 3, 2});
+    const std::string text = registry.text();
+    for (const char *line : {"\"own_domain\"} 7", "\"other_domain\"} 3", "\"primary\"} 2"}) {
+        CAPTURE(std::string(line));
+        CHECK(text.find(line) != std::string::npos);
+    }
+}
