--- a/test/unit/proxy/sessionproxyfixture.h
+++ b/test/unit/proxy/sessionproxyfixture.h
@@ -24,6 +24,7 @@
     LogPosition received {}; // may be ahead of `applied`
     bool receives = false; // its log follows each commit of the primary at once
     Duration ran {}; // run time of a statement as its home reports it
+    Duration wait {}; // wait at its home as that reports it
     int statements = 0; // number of statements that it ran
 };
 
@@ -182,6 +183,7 @@
     std::vector<GivenAnswer> answers;
     std::vector<KeyRefusal> refusals;
     std::vector<RequestDecision> unconfirmed;
+    std::vector<ServerAssessment> assessments;
     std::vector<std::pair<WorkspaceName, int>> loanRequests; // with the operations asked for
     std::map<ConnectionKey, WorkspaceName> workspaceOf; // of each connection that was requested
     std::vector<SentCommand> sentCommands;
@@ -218,6 +220,7 @@
         TransactionState &state = m_states[sent.connection];
         ServerReply reply;
         reply.position = server.applied;
+        reply.wait = server.wait;
         if (sent.command.kind == ServerCommandKind::Status) {
             reply.rows = {sent.server.text()};
             return reply;
@@ -315,7 +318,10 @@
             unconfirmed.push_back(decision);
     }
     void keyRefused(const KeyRefusal &refusal) override { refusals.push_back(refusal); }
-    void serverAssessed(const ServerAssessment & /*judgement*/) override { }
+    void serverAssessed(const ServerAssessment &assessment) override
+    {
+        assessments.push_back(assessment);
+    }
 
     std::deque<std::pair<ConnectionKey, ServerId>> m_opening;
     std::deque<SentCommand> m_pending;
--- a/test/unit/proxy/sessionrouting_test.cpp
+++ b/test/unit/proxy/sessionrouting_test.cpp
@@ -391,3 +391,44 @@
     CHECK_FALSE(fixture.answerTo("w")->fault);
     CHECK(fixture.attemptsOf("w").size() == 1);
 }
+
+// Guards against a server that most reads avoid, or whose home reports nonsense, without a trace in
+// the log.
+TEST_CASE("low shares of a balanced service's reads and false reports are told")
+{
+    SessionProxyFixture fixture;
+    RouteTable table = *fixture.routes;
+    table.routes.at(DatabaseName("aged")).latencyObjective = 1s;
+    fixture.proxy.setPatientObjective(700ms);
+    fixture.proxy.setRoutes(std::make_shared<RouteTable>(table), fixture.now);
+    fixture.session(1, "aged");
+    const auto read = [&fixture](int count) {
+        for (int i = 0; i < count; ++i) {
+            fixture.ask(1, StatementKind::Read, "q" + std::to_string(fixture.answers.size()), "x");
+            fixture.advanceTime(20ms); // the response time
+            fixture.serve();
+        }
+    };
+    const auto timesTold = [&fixture](std::string_view what) {
+        return std::count_if(fixture.assessments.begin(), fixture.assessments.end(),
+                             [what](const ServerAssessment &one) {
+                                 return one.server == ServerId("r1") && one.assessment == what;
+                             });
+    };
+    read(40);
+    CHECK(timesTold("few_reads") == 0);
+    CHECK(timesTold("false_report") == 0);
+    fixture.server("r1").wait = -1s;
+    read(20);
+    CHECK(timesTold("false_report") > 0);
+    fixture.server("r1").wait = 500ms;
+    read(100);
+    CHECK(timesTold("few_reads") == 1);
+    CHECK(timesTold("usual_reads") == 0);
+    fixture.server("r1").wait = {};
+    fixture.advanceTime(6s);
+    read(100);
+    CHECK(timesTold("usual_reads") == 1);
+    const ReadCounts &counts = fixture.proxy.readCounts();
+    CHECK(counts.otherDomain > counts.primary); // the replicas are elsewhere
+}
