--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -232,6 +232,7 @@
             server.averageTime.note(measured.ran);
         if (isBalanced(server) && takeSlotReply(laneKey, lane, reply, now))
             return;
+        lane.sent.reset();
     }
     if (reply.fault == StatementFault::UnknownStatement)
         connection.image.forgetPrepared();
@@ -254,10 +255,13 @@
     m_dueAt = std::min(m_dueAt, server.limiter.heldUntil());
     // A statement that fails its transaction isn't repeated, whatever the fault.
     const bool isUnchanged = reply.state == lane.state;
-    if (!isAllowed || !isUnchanged || lane.waitsUntil <= server.limiter.heldUntil())
+    const bool isNewWork = lane.state == TransactionState::Idle;
+    if (isNewWork && server.record.isPastLeaveTime(m_leaveTime, now))
+        return false;
+    if (!isAllowed || !isUnchanged || !lane.sent || lane.waitsUntil <= server.limiter.heldUntil())
         return false;
     ++m_resent;
-    lane.pending.push_front(lane.sent);
+    lane.pending.push_front(*std::exchange(lane.sent, std::nullopt));
     return enqueue(key, lane, {0, lane.waitsUntil - now, lane.urgency.work}, {}, now);
 }
 
--- a/src/proxy/serverpoolbalance.cpp
+++ b/src/proxy/serverpoolbalance.cpp
@@ -2,6 +2,7 @@
 #include "nutmegtide/proxy/serverpool.h"
 
 #include <cmath>
+#include <numeric>
 
 namespace nutmegtide {
 
@@ -14,10 +15,13 @@
 // Of a replica that probably lacks the required position.
 constexpr Duration BehindPrice = 200ms;
 
+constexpr Duration MaxWait = 10s; // homes refuse statements long before
+
 constexpr Duration BusyWait = 30ms; // of a server that refuses statements, if it isn't known
 
-constexpr std::chrono::duration<double> TimeHalfLife {1}; // of a server's response time
-constexpr std::chrono::duration<double> FailureHalfLife {2};
+// With 1 s, 300 entry VMs forgot a slow server between two of its answers.
+constexpr std::chrono::duration<double> TimeHalfLife {5}; // of a server's response time
+constexpr std::chrono::duration<double> FailureHalfLife {5};
 constexpr auto RecentAnswer = 1s;
 constexpr double OutcomeWeight = 1.0 / 8; // of the newest outcome
 
@@ -44,7 +48,7 @@
     int count = 0;
     for (const auto &[server, state] : m_servers) {
         const bool isOfService = state.record.announcement.service == service;
-        if (!isOfService || now - state.answeredAt > RecentAnswer)
+        if (!isOfService || now - state.timedAt > RecentAnswer)
             continue;
         sum += state.averageTime.value();
         ++count;
@@ -59,10 +63,11 @@
     ServerEstimate estimate;
     estimate.server = announcement.server;
     estimate.slots = announcement.slots;
-    // A slow server gets few reads, so it can hardly show that it is fast again.
+    // A slow server gets few reads, so it can hardly show that it is fast again. Replies to proofs
+    // and confirmations don't say how long a statement takes.
     const Duration slower = state.averageTime.value() - usualTime;
     estimate.responseTime = usualTime
-            + scaled(slower, remaining(now - state.answeredAt, TimeHalfLife));
+            + scaled(slower, remaining(now - state.timedAt, TimeHalfLife));
     estimate.underWay = state.running + static_cast<int>(state.waiting.size());
     estimate.wait = LoadBalancer::waitAfter(state.reportedWait, now - state.reportedAt);
     estimate.failureShare = state.failureShare
@@ -90,23 +95,59 @@
     }
     if (estimates.empty())
         return std::nullopt;
-    return m_balancer.choose(estimates).server;
+    const std::vector<double> weights = LoadBalancer::weightsOf(estimates);
+    noteShares(estimates, weights, now);
+    const ServerId drawn = estimates[m_balancer.draw(weights)].server;
+    countRead(drawn);
+    return drawn;
+}
+
+void ServerPool::noteShares(const std::vector<ServerEstimate> &estimates,
+                            const std::vector<double> &weights, TimePoint now)
+{
+    const std::vector<double> fair = LoadBalancer::fairWeightsOf(estimates);
+    const double weightSum = std::accumulate(weights.begin(), weights.end(), 0.0);
+    const double fairSum = std::accumulate(fair.begin(), fair.end(), 0.0);
+    for (std::size_t i = 0; i < estimates.size(); ++i) {
+        PooledServer &state = m_servers.at(estimates[i].server);
+        const auto isLow = state.readShare.note(weights[i] / weightSum, fair[i] / fairSum, now);
+        if (isLow)
+            m_shareChanges.push_back(
+                    {estimates[i].server, state.record.announcement.service, *isLow});
+    }
+}
+
+void ServerPool::countRead(const ServerId &server)
+{
+    const ServerAnnouncement &announcement = m_servers.at(server).record.announcement;
+    if (announcement.isPrimary)
+        ++m_readCounts.primary;
+    else if (announcement.failureDomain == m_own)
+        ++m_readCounts.ownDomain;
+    else
+        ++m_readCounts.otherDomain;
 }
 
 // A refusal comes sooner than an answer, and would make the server look fast.
-void ServerPool::noteBalancedAnswer(const ServerId &server, Duration time, const ServerReply &reply,
+bool ServerPool::noteBalancedAnswer(const ServerId &server, Duration time, const ServerReply &reply,
                                     TimePoint now)
 {
     PooledServer &state = m_servers.at(server);
     const bool isBusy = reply.fault == StatementFault::Busy;
-    state.reportedWait = isBusy ? std::max(reply.wait, BusyWait) : reply.wait;
-    state.reportedAt = now;
-    if (!reply.fault)
+    const bool isPossible = reply.wait >= Duration() && reply.wait <= MaxWait;
+    if (isPossible) {
+        state.reportedWait = isBusy ? std::max(reply.wait, BusyWait) : reply.wait;
+        state.reportedAt = now;
+    }
+    if (!reply.fault) {
         state.averageTime.note(time);
+        state.timedAt = now;
+    }
     if (!reply.fault || reply.fault == StatementFault::Failed)
         noteOutcome(state, reply.fault.has_value(), now);
     state.failingSince.reset();
     state.avoidUntil = {};
+    return isPossible;
 }
 
 void ServerPool::noteOutcome(PooledServer &state, bool isFailed, TimePoint now) const
--- a/src/site/sitemetrics.h
+++ b/src/site/sitemetrics.h
@@ -19,6 +19,8 @@
     void setResent(std::uint64_t count);
     // Sets how many requests this VM, as a home, gave only the reserve of a cap for want of a report.
     void setUninformedLoans(std::uint64_t count);
+    // Sets how many reads of balanced services this VM has sent, by where.
+    void setReads(const ReadCounts &counts);
     void setSessions(std::size_t count) { m_sessions.set(static_cast<double>(count)); }
     void setRevision(Revision revision) { m_revision.set(static_cast<double>(revision)); }
 
@@ -38,6 +40,10 @@
     std::uint64_t m_resentCount = 0;
     Counter &m_uninformedLoans;
     std::uint64_t m_uninformedLoanCount = 0;
+    Counter &m_readsOwnDomain;
+    Counter &m_readsOtherDomain;
+    Counter &m_readsPrimary;
+    ReadCounts m_readCounts;
     Gauge &m_sessions;
     Gauge &m_revision;
 };
--- a/test/unit/proxy/serverhomebusy_test.cpp
+++ b/test/unit/proxy/serverhomebusy_test.cpp
@@ -116,3 +116,51 @@
     CHECK(home.timesSent("q1") == 1);
     CHECK(home.home.laneCount() == 1);
 }
+
+// Guards against statements that wait for the next tick, up to 50 ms, though the pause after a busy
+// refusal is over within a few: a tick while nothing was queued forgot when the pause ends.
+TEST_CASE("a statement that arrives during the pause after a refusal starts when the pause ends")
+{
+    BalancedHome home;
+    home.ask(1, ServerHomeFixture::read("q1"), {1, 2ms});
+    home.openAll();
+    home.refuse("q1"); // too late to be sent again
+    home.advanceTime(3ms);
+    home.ask(2, ServerHomeFixture::read("q2"), {1, 150ms});
+    CHECK_FALSE(home.wasSent("q2"));
+    home.advanceTime(5ms);
+    CHECK(home.wasSent("q2"));
+}
+
+// Guards against new work for a leaving server that is only a statement it has refused before.
+TEST_CASE("a refused statement isn't sent again after the server's leave time")
+{
+    BalancedHome home;
+    home.home.setLeaveTime(10ms);
+    home.ask(1, ServerHomeFixture::read("q"), {1, 100ms});
+    home.openAll();
+    home.announceServer(home.now);
+    home.advanceTime(20ms);
+    home.refuse("q");
+    home.advanceTime(50ms);
+    CHECK(home.timesSent("q") == 1);
+    REQUIRE(home.replies.size() == 1);
+    CHECK((home.replies.back().reply.fault == StatementFault::Busy));
+}
+
+// Guards against homes that keep the text of each lane's latest statement, of up to 1 MiB, for as
+// long as the lane lives.
+TEST_CASE("a home holds the text of a statement only until it is answered")
+{
+    BalancedHome balanced;
+    ServerHomeFixture plain;
+    for (ServerHomeFixture *home : {static_cast<ServerHomeFixture *>(&balanced), &plain}) {
+        ServerCommand read = ServerHomeFixture::read("q");
+        read.argument = std::string(1'000, 'x');
+        home->ask(1, read);
+        CHECK(home->home.heldBytes() >= 1'000);
+        home->openAll();
+        home->answer("q");
+        CHECK(home->home.heldBytes() == 0);
+    }
+}
--- a/test/unit/proxy/serverpoolbalance_test.cpp
+++ b/test/unit/proxy/serverpoolbalance_test.cpp
@@ -133,3 +133,55 @@
     CHECK(pool.chooseReader(Service, older, primary, Start + 100ms));
     CHECK(pool.chooseReader(Service, need, primary, Start + 600ms));
 }
+
+// Guards against a server that stays slow in the estimate for as long as it answers proofs and
+// confirmations, since hardly any read is left to show that it is fast again.
+TEST_CASE("a server that was slow gets reads again, also if it answers other requests meanwhile")
+{
+    ServerPool pool = balancedPool("d");
+    answer(pool, "b", 150ms, {}, Start);
+    answer(pool, "c", 30ms, {}, Start);
+    CHECK(readers(pool, {}, Start).at(ServerId("b")) < 300);
+    TimePoint now = Start;
+    while (now < Start + 25s) {
+        now += 200ms;
+        pool.noteAlive(ServerId("b"), now);
+        answer(pool, "c", 30ms, {}, now, 1);
+    }
+    CHECK(readers(pool, {}, now).at(ServerId("b")) > 1'100);
+}
+
+// Guards against a home whose figures are wrong: a huge one would empty its server, and a
+// negative one would send all reads there.
+TEST_CASE("a reported wait that is impossible is ignored")
+{
+    for (const Duration wait : {Duration(-1s), Duration(30min)}) {
+        ServerPool pool = balancedPool("d");
+        ServerReply reply;
+        answer(pool, "c", 30ms, reply, Start);
+        answer(pool, "b", 30ms, reply, Start);
+        reply.wait = wait;
+        CHECK_FALSE(pool.noteBalancedAnswer(ServerId("b"), 30ms, reply, Start));
+        const auto counts = readers(pool, {}, Start);
+        CHECK(std::abs(counts.at(ServerId("b")) - counts.at(ServerId("c"))) < 200);
+    }
+}
+
+// A distant server's share is small by its price; only a slow or failing one is news.
+TEST_CASE("a slow server's low share is told, a distant one's isn't")
+{
+    ServerPool pool = balancedPool("b");
+    for (const char *server : {"a", "b", "c"})
+        answer(pool, server, 30ms, {}, Start);
+    readers(pool, {}, Start);
+    CHECK(pool.takeShareChanges().empty());
+    CHECK(pool.readCounts().ownDomain > 2'500);
+    CHECK(pool.readCounts().ownDomain + pool.readCounts().otherDomain + pool.readCounts().primary
+          == 3'000);
+    answer(pool, "c", 200ms, {}, Start);
+    readers(pool, {}, Start);
+    const std::vector<ShareChange> changes = pool.takeShareChanges();
+    REQUIRE(changes.size() == 1);
+    CHECK(changes[0].server == ServerId("c"));
+    CHECK(changes[0].isLow);
+}
