--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -260,9 +260,14 @@
         return false;
     if (!isAllowed || !isUnchanged || !lane.sent || lane.waitsUntil <= server.limiter.heldUntil())
         return false;
-    ++m_resent;
     lane.pending.push_front(*std::exchange(lane.sent, std::nullopt));
-    return enqueue(key, lane, {0, lane.waitsUntil - now, lane.urgency.work}, {}, now);
+    if (!enqueue(key, lane, {0, lane.waitsUntil - now, lane.urgency.work}, {}, now)) {
+        // The lane gets the refusal, so the statement may not stay pending.
+        lane.pending.pop_front();
+        return false;
+    }
+    ++m_resent;
+    return true;
 }
 
 void ServerHome::noteSent(Server &server, Lane &lane, TimePoint now)
