--- a/src/proxy/sessionproofs.cpp
+++ b/src/proxy/sessionproofs.cpp
@@ -8,6 +8,9 @@
 constexpr auto ProofMaxWait = 100ms; // for a proof at the home of the primary
 // Proofs of a service are requested for so long after a read of bounded staleness.
 constexpr auto AgedReadTime = 5s;
+// Proofs are requested before the first read of up to so many services, since each request for
+// proofs names them all.
+constexpr std::size_t MostProvedAhead = 64;
 
 } // namespace
 
@@ -22,7 +25,9 @@
 {
     // A balanced service's proofs are wanted before its first read, which could use no replica
     // otherwise: a proof that is asked for then names a position that replicas don't have yet.
-    std::set<ServiceName> services = m_agedBalanced;
+    std::set<ServiceName> services;
+    if (m_agedBalanced.size() <= MostProvedAhead)
+        services = m_agedBalanced;
     for (const auto &[service, proof] : m_proofs) {
         if (proof.agedReadAt && now - *proof.agedReadAt < AgedReadTime)
             services.insert(service);
--- a/test/unit/proxy/sessionproofs_test.cpp
+++ b/test/unit/proxy/sessionproofs_test.cpp
@@ -138,3 +138,29 @@
     CHECK(begins() == before + 2);
     CHECK_FALSE(fixture.answerTo("r2")->fault);
 }
+
+// Guards against a first read that can use no replica, and against requests for proofs that name
+// thousands of services.
+TEST_CASE("proofs of balanced services are wanted before their first read, up to a number of them")
+{
+    struct Row
+    {
+        int services;
+        std::size_t wanted;
+    };
+    for (const Row &row : {Row {1, 1}, Row {64, 64}, Row {65, 0}}) {
+        CAPTURE(row.services);
+        SessionProxyFixture fixture;
+        RouteTable table;
+        for (int number = 0; number < row.services; ++number) {
+            const std::string name = "s" + std::to_string(number);
+            Route &route = table.routes[DatabaseName(name)];
+            route.service = ServiceName(name);
+            route.consistency = Consistency::BoundedAge;
+            route.latencyObjective = 800ms;
+        }
+        fixture.proxy.setPatientObjective(700ms);
+        fixture.proxy.setRoutes(std::make_shared<RouteTable>(table), fixture.now);
+        CHECK(fixture.proxy.agedServices(fixture.now).size() == row.wanted);
+    }
+}
