--- a/test/process/support/linesite.cpp
+++ b/test/process/support/linesite.cpp
@@ -68,6 +68,11 @@
     return at(m_entries, number).operators.endpoint();
 }
 
+const Endpoint &LineSite::health(int number) const
+{
+    return at(m_entries, number).health.endpoint();
+}
+
 ChildProcess &LineSite::control(int number)
 {
     return *at(m_controls, number).process;
--- a/test/process/support/linesite.h
+++ b/test/process/support/linesite.h
@@ -45,6 +45,8 @@
     const Endpoint &callers(int number = 0) const;
     // The entry VM's listener for operators.
     const Endpoint &operators(int number = 0) const;
+    // The entry VM's listener for health checks.
+    const Endpoint &health(int number = 0) const;
     bool isReady(int number = 0) const;
     // Returns once a control VM, the one that leads, has accepted the configuration.
     void configure(const std::string &configuration) const;
