--- a/test/process/memory_test.cpp
+++ b/test/process/memory_test.cpp
@@ -40,6 +40,10 @@
     const std::size_t resident = residentBytes(fleet.processId("a1"));
     CHECK(resident > 0);
     CHECK(resident <= MostBytes);
+    // So many connections are the documented use, which no default limit may end.
+    const std::string metrics = HttpClient(fleet.operators("a1")).get("/metrics").body;
+    CHECK(metrics.find(R"(nutmegtide_http_limited_total{type="thread_needed"} 0)")
+          != std::string::npos);
 }
 
 #endif
