--- a/test/unit/serve/httpserver_test.cpp
+++ b/test/unit/serve/httpserver_test.cpp
@@ -97,3 +97,66 @@
         CHECK(client.receive().substr(0, 12) == "HTTP/1.1 413");
     }
 }
+
+// Guards against bodies that stop and keep their thread.
+TEST_CASE("a body that arrives too slowly is refused and its connection closed")
+{
+    const auto connections = std::make_shared<HttpConnections>(
+            HttpLimitSettings {1'000'000, std::chrono::milliseconds(100)});
+    HttpServer server(
+            {"127.0.0.1", 0}, smallBodies(), [](const HttpRequest &) { return HttpResponse(); },
+            connections);
+    RawClient client(server.bound());
+    CHECK(client.send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\nxxxx"));
+    CHECK(client.receive().substr(0, 12) == "HTTP/1.1 408");
+}
+
+// Guards against bodies that fill the memory, and against refusing the small ones for them.
+TEST_CASE("the sender of the largest incomplete body is refused when all take too much memory")
+{
+    const auto connections = std::make_shared<HttpConnections>(HttpLimitSettings {1'000, 30s});
+    HttpServer::Options options;
+    options.threads = 2;
+    options.largestBody = 100'000; // the limit of all bodies is a little more
+    HttpServer server(
+            {"127.0.0.1", 0}, options, [](const HttpRequest &) { return HttpResponse(); },
+            connections);
+    const std::string header = "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n";
+    RawClient largest(server.bound());
+    CHECK(largest.send(header + std::string(90'000, 'x')));
+    std::this_thread::sleep_for(std::chrono::milliseconds(100)); // until it has been read
+    RawClient other(server.bound());
+    CHECK(other.send(header + std::string(60'000, 'x')));
+    CHECK(largest.receive().substr(0, 12) == "HTTP/1.1 503");
+    CHECK(other.send(std::string(40'000, 'x')));
+    CHECK(other.receive().substr(0, 12) == "HTTP/1.1 200");
+}
+
+// Guards against idle connections that hold all threads, and against requests cut for them.
+TEST_CASE("an idle connection gives its thread to a new one, a request being processed doesn't")
+{
+    HttpServer::Options options = smallBodies();
+    options.threads = 1;
+    std::atomic<bool> isHeld = false;
+    std::atomic<bool> isProcessing = false;
+    HttpServer server({"127.0.0.1", 0}, options, [&](const HttpRequest &) {
+        isProcessing = true;
+        while (isHeld)
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        return HttpResponse();
+    });
+    const std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+    RawClient silent(server.bound());
+    std::this_thread::sleep_for(std::chrono::milliseconds(50)); // until it has a thread
+    isHeld = true;
+    RawClient first(server.bound());
+    CHECK(first.send(request));
+    CHECK(silent.receive().empty()); // closed
+    while (!isProcessing)
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    RawClient second(server.bound());
+    CHECK(second.send("GET /x"));
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    isHeld = false;
+    CHECK(first.receive().substr(0, 12) == "HTTP/1.1 200");
+}
