--- a/src/serve/httpserver.cpp
+++ b/src/serve/httpserver.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::size_t ChunkBytes = 16'384;
+constexpr std::chrono::seconds RetryAfterEnd {1}; // for a client whose body a limit has ended
 constexpr std::size_t LargestDiscarded = 16'777'216; // bytes of a refused body
 
 // A further thread takes a connection beyond the limit, which shows that a thread is needed.
@@ -115,12 +116,16 @@
     return decoded;
 }
 
-HttpResponse refuseBody(int status, const char *type, const char *message)
+HttpResponse refuseBody(int status, const char *type, const char *message,
+                        std::chrono::seconds retryAfter = std::chrono::seconds(0))
 {
     HttpResponse response;
     response.status = status;
     response.body = std::string(R"({"error":{"type":")") + type + R"(","message":")" + message
-            + R"(","ran":"no","retry_after_ms":0}})";
+            + R"(","ran":"no","retry_after_ms":)" + std::to_string(retryAfter.count() * 1'000)
+            + "}}";
+    if (retryAfter.count() > 0)
+        response.headers.push_back({"Retry-After", std::to_string(retryAfter.count())});
     return response;
 }
 
@@ -128,7 +133,8 @@
 {
     if (reason == HttpLimitReason::BodyOverdue)
         return refuseBody(408, "bad_request", "the body arrives too slowly");
-    return refuseBody(503, "overloaded", "the listener has no room for this body now");
+    return refuseBody(503, "overloaded", "the listener has no room for this body now",
+                      RetryAfterEnd);
 }
 
 } // namespace
