--- a/test/soak/site_soak.cpp
+++ b/test/soak/site_soak.cpp
@@ -9,9 +9,11 @@
 #include "soak/soakcallers.h"
 #include "soak/soakservers.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <functional>
 #include <iostream>
 
 using namespace nutmegtide;
@@ -23,13 +25,19 @@
 constexpr int Entries = 2;
 constexpr int Callers = 6;
 constexpr std::chrono::seconds DefaultTime {8};
+constexpr std::chrono::milliseconds SignalTime {100}; // for a process to handle a signal
 
 class Soak
 {
 public:
     explicit Soak(std::uint64_t seed)
         : m_random(seed)
+        , m_seed(seed)
         , m_site({Controls, Entries, 1, m_servers.promotions()})
+    { }
+
+    // Waits for the site and starts the callers. Throws TimeoutError.
+    void start()
     {
         m_site.configure(SiteRoutes);
         std::vector<Endpoint> controls;
@@ -40,7 +48,8 @@
         for (int number = 0; number < Callers; ++number) {
             m_callers.push_back(
                     std::make_unique<SoakCaller>(number,
-                                                 seed * Callers + static_cast<std::uint64_t>(number),
+                                                 m_seed * Callers
+                                                         + static_cast<std::uint64_t>(number),
                                                  m_servers.group(), [this] {
                                                      return m_site.callers(++m_choice % Entries);
                                                  }));
@@ -55,9 +64,23 @@
             fault();
             std::this_thread::sleep_for(std::chrono::milliseconds(50 + m_random() % 600));
         }
+        // They still run at the heal, and end after it.
+        for (int number = 0; number < Entries; ++number)
+            m_site.entry(number).sendSignal(SIGTERM);
+        std::this_thread::sleep_for(SignalTime);
         heal();
+        const auto areReady = [&] {
+            restartEnded();
+            return m_site.isReady(0) && m_site.isReady(1);
+        };
+        waitUntil(areReady, "the entry VMs to be ready after the faults");
         const std::vector<int> before = served();
-        waitUntil([&] { return served() > before; }, "each caller to be served after the faults");
+        const auto areServed = [&] {
+            restartEnded();
+            const std::vector<int> now = served();
+            return std::equal(now.begin(), now.end(), before.begin(), std::greater<>());
+        };
+        waitUntil(areServed, "each caller to be served after the faults");
         for (const auto &caller : m_callers)
             caller->stop();
         for (const auto &caller : m_callers)
@@ -149,19 +172,27 @@
             if (!m_servers.group().isUp(server))
                 m_servers.revive(server);
         }
-        for (int number = 0; number < Controls; ++number) {
+        for (int number = 0; number < Controls; ++number)
             m_site.control(number).sendSignal(SIGCONT);
+        for (int number = 0; number < Entries; ++number)
+            m_site.entry(number).sendSignal(SIGCONT);
+        restartEnded();
+    }
+    // A process that was told to stop may end long after the signal.
+    void restartEnded()
+    {
+        for (int number = 0; number < Controls; ++number) {
             if (!m_site.control(number).isRunning())
                 m_site.restartControl(number);
         }
         for (int number = 0; number < Entries; ++number) {
-            m_site.entry(number).sendSignal(SIGCONT);
             if (!m_site.entry(number).isRunning())
                 m_site.restartEntry(number);
         }
     }
 
     std::mt19937_64 m_random;
+    const std::uint64_t m_seed;
     SoakServers m_servers;
     LineSite m_site;
     std::atomic<int> m_choice = 0;
@@ -175,6 +206,7 @@
     Soak soak(seed);
     std::vector<std::string> found;
     try {
+        soak.start();
         soak.run(time);
         found = soak.violations();
     } catch (const TimeoutError &fault) {
