--- a/test/soak/databasegroup.cpp
+++ b/test/soak/databasegroup.cpp
@@ -1,6 +1,7 @@
 #include "soak/databasegroup.h"
 
 #include <algorithm>
+#include <chrono>
 #include <sstream>
 
 namespace nutmegtide::test {
@@ -8,6 +9,7 @@
 namespace {
 
 const std::string OwnRequest = "-";
+constexpr std::size_t LongestTrace = 64 * 1024 * 1024; // bytes; a longer one loses its first half
 
 // Takes the text up to the next blank off.
 std::string takeWord(std::string &text)
@@ -27,6 +29,15 @@
 std::optional<std::string> DatabaseGroup::answer(Connection &connection, const std::string &line)
 {
     const std::lock_guard lock(m_mutex);
+    const std::optional<std::string> lines = answerLocked(connection, line);
+    const std::string shown = lines ? lines->substr(0, lines->size() - 2) : "closed";
+    addTrace(id(connection.server) + " \"" + line + "\": " + shown);
+    return lines;
+}
+
+std::optional<std::string> DatabaseGroup::answerLocked(Connection &connection,
+                                                       const std::string &line)
+{
     const Server &server = m_servers.at(static_cast<std::size_t>(connection.server));
     if (!server.isUp || (connection.isStarted && connection.life != server.life))
         return std::nullopt;
@@ -195,6 +206,8 @@
     if (server == m_primary)
         return true;
     ++m_promotions;
+    addTrace("promoted " + id(server) + ", which holds " + std::to_string(named.received) + " of "
+             + std::to_string(m_log.size()));
     m_term = std::max(m_term, named.heldTerm) + (named.heldTerm > m_term ? 0 : 1);
     m_primary = server;
     m_log.resize(named.received);
@@ -212,6 +225,7 @@
     const std::lock_guard lock(m_mutex);
     Server &changed = m_servers.at(static_cast<std::size_t>(server));
     changed.isUp = isUp;
+    addTrace(id(server) + (isUp ? " up" : " down"));
     ++changed.life;
     changed.heldTerm = 0;
     if (isUp && server != m_primary)
@@ -231,6 +245,34 @@
     return m_primary == server;
 }
 
+void DatabaseGroup::note(const std::string &line)
+{
+    const std::lock_guard lock(m_mutex);
+    addTrace(line);
+}
+
+void DatabaseGroup::addTrace(const std::string &line)
+{
+    if (m_trace.size() > LongestTrace)
+        m_trace.erase(0, LongestTrace / 2);
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    m_trace += std::to_string(std::chrono::duration_cast<std::chrono::microseconds>(now).count())
+            + ' ';
+    for (const char letter : line) {
+        if (letter == '\n')
+            m_trace += ';';
+        if (letter != '\r' && letter != '\n')
+            m_trace += letter;
+    }
+    m_trace += '\n';
+}
+
+std::string DatabaseGroup::trace() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_trace;
+}
+
 void DatabaseGroup::expect(const std::string &request)
 {
     const std::lock_guard lock(m_mutex);
--- a/test/soak/databasegroup.h
+++ b/test/soak/databasegroup.h
@@ -55,6 +55,9 @@
     bool isPrimary(int server) const;
     // Callers name each request before they send it.
     void expect(const std::string &request);
+    // Adds a line to the trace, which also has each request at a server and its answer.
+    void note(const std::string &line);
+    std::string trace() const;
     // How often the request stands in the log.
     int count(const std::string &request) const;
     // What was seen that must never happen.
@@ -73,6 +76,8 @@
     };
 
     // All with m_mutex held.
+    std::optional<std::string> answerLocked(Connection &connection, const std::string &line);
+    void addTrace(const std::string &line);
     std::optional<std::string> query(Connection &connection, const std::string &request,
                                      const std::string &text);
     std::optional<std::string> finish(Connection &connection, const std::string &request,
@@ -94,6 +99,7 @@
     std::vector<GroupCommit> m_log;
     std::set<std::string> m_expected;
     std::vector<std::string> m_violations;
+    std::string m_trace;
 };
 
 } // namespace nutmegtide::test
--- a/test/soak/site_soak.cpp
+++ b/test/soak/site_soak.cpp
@@ -114,7 +114,10 @@
                     m_servers.group().promotions());
         std::fflush(stdout);
     }
-    std::string logs() const { return m_site.logs(); }
+    std::string logs() const
+    {
+        return m_site.logs() + "== servers and callers, times in us\n" + m_servers.trace();
+    }
 
 private:
     std::vector<int> served() const
@@ -138,7 +141,9 @@
     {
         ++m_faults;
         const int server = static_cast<int>(m_random() % SoakServers::Count);
-        switch (m_random() % 8) {
+        const auto kind = m_random() % 8;
+        m_servers.group().note("fault " + std::to_string(kind));
+        switch (kind) {
         case 0:
             anyProcess().sendSignal(SIGKILL);
             break;
--- a/test/soak/soakcallers.cpp
+++ b/test/soak/soakcallers.cpp
@@ -63,6 +63,7 @@
         return false;
     }
     m_leastValue = 0;
+    m_group.note("caller " + std::to_string(m_number) + " connects");
     if (m_client->ask("START casks soak").rfind("READY I", 0) == 0)
         return true;
     m_client.reset();
@@ -70,6 +71,16 @@
 }
 
 SoakCaller::Answer SoakCaller::ask(const std::string &statement, std::string &request)
+{
+    std::string lines;
+    const Answer answer = exchange(statement, request, lines);
+    m_group.note("caller " + std::to_string(m_number) + " \"" + request + ' ' + statement
+                 + "\": " + lines);
+    return answer;
+}
+
+SoakCaller::Answer SoakCaller::exchange(const std::string &statement, std::string &request,
+                                        std::string &lines)
 {
     request = std::to_string(m_number) + '-' + std::to_string(++m_requests);
     m_group.expect(request);
@@ -78,6 +89,7 @@
     bool isAnswered = false;
     while (true) {
         const std::string line = m_client->ask("");
+        lines += line + ';';
         if (line.rfind("ROW ", 0) == 0) {
             answer.row = line.substr(4);
         } else if (line.rfind("DONE ", 0) == 0) {
--- a/test/soak/soakcallers.h
+++ b/test/soak/soakcallers.h
@@ -49,6 +49,8 @@
     void write();
     void read();
     void transaction();
+    // The lines that answer are for the trace.
+    Answer exchange(const std::string &statement, std::string &request, std::string &lines);
     void settle(const std::vector<std::string> &requests, Outcome outcome, int value);
     void checkRead(const std::string &row, int least);
 
--- a/test/soak/soakservers.cpp
+++ b/test/soak/soakservers.cpp
@@ -41,6 +41,18 @@
     m_promotions->stop();
 }
 
+void SoakServers::cut(int server)
+{
+    m_group.note(DatabaseGroup::id(server) + " cut");
+    at(server).relay->cut();
+}
+
+void SoakServers::heal(int server)
+{
+    m_group.note(DatabaseGroup::id(server) + " healed");
+    at(server).relay->heal();
+}
+
 void SoakServers::announceTo(std::vector<Endpoint> controls)
 {
     m_controls = std::move(controls);
--- a/test/soak/soakservers.h
+++ b/test/soak/soakservers.h
@@ -30,10 +30,11 @@
     // Breaks the server's connections, and lets it listen again.
     void crash(int server) { m_group.setUp(server, false); }
     void revive(int server) { m_group.setUp(server, true); }
-    void cut(int server) { at(server).relay->cut(); }
-    void heal(int server) { at(server).relay->heal(); }
+    void cut(int server);
+    void heal(int server);
 
     DatabaseGroup &group() { return m_group; }
+    std::string trace() const { return m_group.trace(); }
 
 private:
     struct Server
