--- a/test/soak/databasegroup.cpp
+++ b/test/soak/databasegroup.cpp
@@ -10,6 +10,7 @@
 
 const std::string OwnRequest = "-";
 constexpr std::size_t LongestTrace = 64 * 1024 * 1024; // bytes; a longer one loses its first half
+constexpr int RefusalInterval = 12; // statements; some 8% of them are refused as busy
 
 // Takes the text up to the next blank off.
 std::string takeWord(std::string &text)
@@ -26,6 +27,12 @@
     : m_servers(static_cast<std::size_t>(servers))
 { }
 
+void DatabaseGroup::refuseSome()
+{
+    const std::lock_guard lock(m_mutex);
+    m_isRefusing = true;
+}
+
 std::optional<std::string> DatabaseGroup::answer(Connection &connection, const std::string &line)
 {
     const std::lock_guard lock(m_mutex);
@@ -70,6 +77,8 @@
         if (number > server.received)
             return error(connection, "LAGGING");
     }
+    if (isRefused(verb))
+        return busy(connection);
     if (verb == "STATUS")
         return standing(connection);
     if (verb == "PAUSE" && std::stoul(rest) > m_term) {
@@ -175,6 +184,22 @@
     return "ERR " + code + ' ' + id(connection.server) + "\r\n" + ready(connection);
 }
 
+// The commands between proxies and servers need no slot and are not refused.
+bool DatabaseGroup::isRefused(const std::string &verb)
+{
+    static const std::set<std::string> InSlots {"READ", "WRITE", "BEGIN", "COMMIT"};
+    if (!m_isRefusing || InSlots.count(verb) == 0 || ++m_statements % RefusalInterval != 0)
+        return false;
+    ++m_refused;
+    return true;
+}
+
+// Unlike other errors, a busy refusal doesn't fail the transaction.
+std::string DatabaseGroup::busy(const Connection &connection) const
+{
+    return "ERR BUSY " + id(connection.server) + "\r\n" + ready(connection);
+}
+
 std::string DatabaseGroup::done(const Connection &connection, const std::string &proof) const
 {
     return "DONE " + proof + "\r\n" + ready(connection);
@@ -293,6 +318,12 @@
     return m_violations;
 }
 
+int DatabaseGroup::refused() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_refused;
+}
+
 int DatabaseGroup::promotions() const
 {
     const std::lock_guard lock(m_mutex);
--- a/test/soak/databasegroup.h
+++ b/test/soak/databasegroup.h
@@ -44,6 +44,9 @@
 
     explicit DatabaseGroup(int servers);
 
+    // From now on each server refuses a part of the callers' statements as busy, without running
+    // them.
+    void refuseSome();
     // Returns the lines that answer one line; nothing where the connection breaks instead.
     std::optional<std::string> answer(Connection &connection, const std::string &line);
     // Makes the server the primary of the next term, with what it holds. False for a server that
@@ -63,6 +66,8 @@
     // What was seen that must never happen.
     std::vector<std::string> violations() const;
     int promotions() const;
+    // How many statements were refused as busy.
+    int refused() const;
 
     static std::string id(int server) { return "i-" + std::to_string(server); }
 
@@ -89,6 +94,8 @@
     std::string ready(const Connection &connection) const;
     std::string standing(const Connection &connection) const;
     bool leads(const Connection &connection) const;
+    bool isRefused(const std::string &verb);
+    std::string busy(const Connection &connection) const;
     bool replicate();
 
     mutable std::mutex m_mutex;
@@ -100,6 +107,9 @@
     std::set<std::string> m_expected;
     std::vector<std::string> m_violations;
     std::string m_trace;
+    bool m_isRefusing = false;
+    int m_statements = 0; // that may be refused
+    int m_refused = 0;
 };
 
 } // namespace nutmegtide::test
--- a/test/soak/site_soak.cpp
+++ b/test/soak/site_soak.cpp
@@ -2,6 +2,9 @@
 // callers and backend servers see: no acknowledged write is lost, none takes effect twice or after
 // a promise that it didn't run, a session reads its own writes, and every answer has its proof.
 //
+// With an odd seed the service is balanced, and its servers refuse a part of the statements as busy
+// and answer a part late.
+//
 //   site_soak [SEED [SEEDS [SECONDS]]]
 
 #include "process/support/linesite.h"
@@ -26,6 +29,13 @@
 constexpr int Callers = 6;
 constexpr std::chrono::seconds DefaultTime {8};
 constexpr std::chrono::milliseconds SignalTime {100}; // for a process to handle a signal
+// The latency objective of SiteRoutes is longer.
+const char *const BalancedSettings = "[balancing]\npatient_objective = \"100ms\"\n";
+
+bool isLoaded(std::uint64_t seed)
+{
+    return seed % 2 == 1;
+}
 
 class Soak
 {
@@ -33,12 +43,15 @@
     explicit Soak(std::uint64_t seed)
         : m_random(seed)
         , m_seed(seed)
-        , m_site({Controls, Entries, 1, m_servers.promotions()})
+        , m_site({Controls, Entries, 1, m_servers.promotions(),
+                  isLoaded(seed) ? BalancedSettings : ""})
     { }
 
     // Waits for the site and starts the callers. Throws TimeoutError.
     void start()
     {
+        if (isLoaded(m_seed))
+            m_servers.load();
         m_site.configure(SiteRoutes);
         std::vector<Endpoint> controls;
         for (int number = 0; number < Controls; ++number)
@@ -109,9 +122,9 @@
         int total = 0;
         for (const int count : served())
             total += count;
-        std::printf("seed %llu: %d faults, %d served, %d promotions\n",
+        std::printf("seed %llu: %d faults, %d served, %d promotions, %d refused as busy\n",
                     static_cast<unsigned long long>(seed), m_faults, total,
-                    m_servers.group().promotions());
+                    m_servers.group().promotions(), m_servers.group().refused());
         std::fflush(stdout);
     }
     std::string logs() const
--- a/test/soak/soakservers.cpp
+++ b/test/soak/soakservers.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::chrono::milliseconds AnnounceInterval {300};
 constexpr std::chrono::milliseconds PromotionTime {150};
+constexpr std::chrono::milliseconds SlowTime {60}; // far below the site's time limits
+constexpr int SlowInterval = 16; // lines; one of them is answered late
 
 } // namespace
 
@@ -21,7 +23,9 @@
             DatabaseGroup::Connection connection;
             connection.server = number;
             return [this, connection](const std::string &line) mutable {
-                return m_group.answer(connection, line);
+                const std::optional<std::string> lines = m_group.answer(connection, line);
+                delay();
+                return lines;
             };
         });
         server.relay = std::make_unique<Relay>(server.listener->endpoint());
@@ -41,6 +45,12 @@
     m_promotions->stop();
 }
 
+void SoakServers::load()
+{
+    m_isLoaded = true;
+    m_group.refuseSome();
+}
+
 void SoakServers::cut(int server)
 {
     m_group.note(DatabaseGroup::id(server) + " cut");
@@ -53,6 +63,14 @@
     at(server).relay->heal();
 }
 
+// Delays the answer and not the execution: a server that has received a write of a killed VM may
+// run it after later writes of the same caller, which the callers' checks don't allow for.
+void SoakServers::delay()
+{
+    if (m_isLoaded && ++m_lines % SlowInterval == 0)
+        std::this_thread::sleep_for(SlowTime);
+}
+
 void SoakServers::announceTo(std::vector<Endpoint> controls)
 {
     m_controls = std::move(controls);
--- a/test/soak/soakservers.h
+++ b/test/soak/soakservers.h
@@ -25,6 +25,8 @@
 
     // Where changes of primary are ordered.
     Endpoint promotions() const { return m_promotions->bound(); }
+    // From now on the servers refuse a part of the statements as busy and answer a part late.
+    void load();
     // Announces to these control VMs until the end.
     void announceTo(std::vector<Endpoint> controls);
     // Breaks the server's connections, and lets it listen again.
@@ -46,6 +48,7 @@
     Server &at(int server) { return m_servers.at(static_cast<std::size_t>(server)); }
     HttpResponse promote(const HttpRequest &request);
     void announce();
+    void delay();
     std::string announcement(int server, int sequence) const;
 
     DatabaseGroup m_group {Count};
@@ -55,6 +58,8 @@
     std::unique_ptr<HttpServer> m_promotions;
     std::vector<Endpoint> m_controls;
     std::atomic<bool> m_isStopping = false;
+    std::atomic<bool> m_isLoaded = false;
+    std::atomic<int> m_lines = 0;
     std::thread m_announcing;
 };
 
