--- a/test/soak/databasegroup.h
+++ b/test/soak/databasegroup.h
@@ -44,6 +44,9 @@
 
     explicit DatabaseGroup(int servers);
 
+    // From now on each server refuses a part of the callers' statements as busy, without running
+    // them.
+    void refuseSome();
     // Returns the lines that answer one line; nothing where the connection breaks instead.
     std::optional<std::string> answer(Connection &connection, const std::string &line);
     // Makes the server the primary of the next term, with what it holds. False for a server that
@@ -55,11 +58,16 @@
     bool isPrimary(int server) const;
     // Callers name each request before they send it.
     void expect(const std::string &request);
+    // Adds a line to the trace, which also has each request at a server and its answer.
+    void note(const std::string &line);
+    std::string trace() const;
     // How often the request stands in the log.
     int count(const std::string &request) const;
     // What was seen that must never happen.
     std::vector<std::string> violations() const;
     int promotions() const;
+    // How many statements were refused as busy.
+    int refused() const;
 
     static std::string id(int server) { return "i-" + std::to_string(server); }
 
@@ -73,6 +81,8 @@
     };
 
     // All with m_mutex held.
+    std::optional<std::string> answerLocked(Connection &connection, const std::string &line);
+    void addTrace(const std::string &line);
     std::optional<std::string> query(Connection &connection, const std::string &request,
                                      const std::string &text);
     std::optional<std::string> finish(Connection &connection, const std::string &request,
@@ -84,6 +94,8 @@
     std::string ready(const Connection &connection) const;
     std::string standing(const Connection &connection) const;
     bool leads(const Connection &connection) const;
+    bool isRefused(const std::string &verb);
+    std::string busy(const Connection &connection) const;
     bool replicate();
 
     mutable std::mutex m_mutex;
@@ -94,6 +106,10 @@
     std::vector<GroupCommit> m_log;
     std::set<std::string> m_expected;
     std::vector<std::string> m_violations;
+    std::string m_trace;
+    bool m_isRefusing = false;
+    int m_statements = 0; // that may be refused
+    int m_refused = 0;
 };
 
 } // namespace nutmegtide::test
--- a/test/soak/site_soak.cpp
+++ b/test/soak/site_soak.cpp
@@ -2,6 +2,9 @@
 // callers and backend servers see: no acknowledged write is lost, none takes effect twice or after
 // a promise that it didn't run, a session reads its own writes, and every answer has its proof.
 //
+// With an odd seed the service is balanced, and its servers refuse a part of the statements as busy
+// and answer a part late.
+//
 //   site_soak [SEED [SEEDS [SECONDS]]]
 
 #include "process/support/linesite.h"
@@ -9,9 +12,11 @@
 #include "soak/soakcallers.h"
 #include "soak/soakservers.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <functional>
 #include <iostream>
 
 using namespace nutmegtide;
@@ -23,14 +28,30 @@
 constexpr int Entries = 2;
 constexpr int Callers = 6;
 constexpr std::chrono::seconds DefaultTime {8};
+constexpr std::chrono::milliseconds SignalTime {100}; // for a process to handle a signal
+// The latency objective of SiteRoutes is longer.
+const char *const BalancedSettings = "[balancing]\npatient_objective = \"100ms\"\n";
+
+bool isLoaded(std::uint64_t seed)
+{
+    return seed % 2 == 1;
+}
 
 class Soak
 {
 public:
     explicit Soak(std::uint64_t seed)
         : m_random(seed)
-        , m_site({Controls, Entries, 1, m_servers.promotions()})
+        , m_seed(seed)
+        , m_site({Controls, Entries, 1, m_servers.promotions(),
+                  isLoaded(seed) ? BalancedSettings : ""})
+    { }
+
+    // Waits for the site and starts the callers. Throws TimeoutError.
+    void start()
     {
+        if (isLoaded(m_seed))
+            m_servers.load();
         m_site.configure(SiteRoutes);
         std::vector<Endpoint> controls;
         for (int number = 0; number < Controls; ++number)
@@ -40,7 +61,8 @@
         for (int number = 0; number < Callers; ++number) {
             m_callers.push_back(
                     std::make_unique<SoakCaller>(number,
-                                                 seed * Callers + static_cast<std::uint64_t>(number),
+                                                 m_seed * Callers
+                                                         + static_cast<std::uint64_t>(number),
                                                  m_servers.group(), [this] {
                                                      return m_site.callers(++m_choice % Entries);
                                                  }));
@@ -55,9 +77,23 @@
             fault();
             std::this_thread::sleep_for(std::chrono::milliseconds(50 + m_random() % 600));
         }
+        // They still run at the heal, and end after it.
+        for (int number = 0; number < Entries; ++number)
+            m_site.entry(number).sendSignal(SIGTERM);
+        std::this_thread::sleep_for(SignalTime);
         heal();
+        const auto areReady = [&] {
+            restartEnded();
+            return m_site.isReady(0) && m_site.isReady(1);
+        };
+        waitUntil(areReady, "the entry VMs to be ready after the faults");
         const std::vector<int> before = served();
-        waitUntil([&] { return served() > before; }, "each caller to be served after the faults");
+        const auto areServed = [&] {
+            restartEnded();
+            const std::vector<int> now = served();
+            return std::equal(now.begin(), now.end(), before.begin(), std::greater<>());
+        };
+        waitUntil(areServed, "each caller to be served after the faults");
         for (const auto &caller : m_callers)
             caller->stop();
         for (const auto &caller : m_callers)
@@ -86,12 +122,15 @@
         int total = 0;
         for (const int count : served())
             total += count;
-        std::printf("seed %llu: %d faults, %d served, %d promotions\n",
+        std::printf("seed %llu: %d faults, %d served, %d promotions, %d refused as busy\n",
                     static_cast<unsigned long long>(seed), m_faults, total,
-                    m_servers.group().promotions());
+                    m_servers.group().promotions(), m_servers.group().refused());
         std::fflush(stdout);
     }
-    std::string logs() const { return m_site.logs(); }
+    std::string logs() const
+    {
+        return m_site.logs() + "== servers and callers, times in us\n" + m_servers.trace();
+    }
 
 private:
     std::vector<int> served() const
@@ -115,7 +154,9 @@
     {
         ++m_faults;
         const int server = static_cast<int>(m_random() % SoakServers::Count);
-        switch (m_random() % 8) {
+        const auto kind = m_random() % 8;
+        m_servers.group().note("fault " + std::to_string(kind));
+        switch (kind) {
         case 0:
             anyProcess().sendSignal(SIGKILL);
             break;
@@ -149,19 +190,27 @@
             if (!m_servers.group().isUp(server))
                 m_servers.revive(server);
         }
-        for (int number = 0; number < Controls; ++number) {
+        for (int number = 0; number < Controls; ++number)
             m_site.control(number).sendSignal(SIGCONT);
+        for (int number = 0; number < Entries; ++number)
+            m_site.entry(number).sendSignal(SIGCONT);
+        restartEnded();
+    }
+    // A process that was told to stop may end long after the signal.
+    void restartEnded()
+    {
+        for (int number = 0; number < Controls; ++number) {
             if (!m_site.control(number).isRunning())
                 m_site.restartControl(number);
         }
         for (int number = 0; number < Entries; ++number) {
-            m_site.entry(number).sendSignal(SIGCONT);
             if (!m_site.entry(number).isRunning())
                 m_site.restartEntry(number);
         }
     }
 
     std::mt19937_64 m_random;
+    const std::uint64_t m_seed;
     SoakServers m_servers;
     LineSite m_site;
     std::atomic<int> m_choice = 0;
@@ -175,6 +224,7 @@
     Soak soak(seed);
     std::vector<std::string> found;
     try {
+        soak.start();
         soak.run(time);
         found = soak.violations();
     } catch (const TimeoutError &fault) {
--- a/test/soak/soakservers.h
+++ b/test/soak/soakservers.h
@@ -25,15 +25,18 @@
 
     // Where changes of primary are ordered.
     Endpoint promotions() const { return m_promotions->bound(); }
+    // From now on the servers refuse a part of the statements as busy and answer a part late.
+    void load();
     // Announces to these control VMs until the end.
     void announceTo(std::vector<Endpoint> controls);
     // Breaks the server's connections, and lets it listen again.
     void crash(int server) { m_group.setUp(server, false); }
     void revive(int server) { m_group.setUp(server, true); }
-    void cut(int server) { at(server).relay->cut(); }
-    void heal(int server) { at(server).relay->heal(); }
+    void cut(int server);
+    void heal(int server);
 
     DatabaseGroup &group() { return m_group; }
+    std::string trace() const { return m_group.trace(); }
 
 private:
     struct Server
@@ -45,6 +48,7 @@
     Server &at(int server) { return m_servers.at(static_cast<std::size_t>(server)); }
     HttpResponse promote(const HttpRequest &request);
     void announce();
+    void delay();
     std::string announcement(int server, int sequence) const;
 
     DatabaseGroup m_group {Count};
@@ -54,6 +58,8 @@
     std::unique_ptr<HttpServer> m_promotions;
     std::vector<Endpoint> m_controls;
     std::atomic<bool> m_isStopping = false;
+    std::atomic<bool> m_isLoaded = false;
+    std::atomic<int> m_lines = 0;
     std::thread m_announcing;
 };
 
