--- a/test/process/hostilehttp_test.cpp
+++ b/test/process/hostilehttp_test.cpp
@@ -49,7 +49,7 @@
             const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
             REQUIRE(socket >= 0);
             const auto *generic = reinterpret_cast<const sockaddr *>(&address);
-            ::connect(socket, generic, sizeof address); // goes on by itself
+            (void)::connect(socket, generic, sizeof address); // goes on by itself
             m_sockets.push_back({socket, POLLOUT, 0});
             m_sent.push_back(0);
         }
--- a/test/soak/databasegroup.cpp
+++ b/test/soak/databasegroup.cpp
@@ -187,8 +187,8 @@
 // The commands between proxies and servers need no slot and are not refused.
 bool DatabaseGroup::isRefused(const std::string &verb)
 {
-    static const std::set<std::string> InSlots {"READ", "WRITE", "BEGIN", "COMMIT"};
-    if (!m_isRefusing || InSlots.count(verb) == 0 || ++m_statements % RefusalInterval != 0)
+    static const std::set<std::string> inSlots {"READ", "WRITE", "BEGIN", "COMMIT"};
+    if (!m_isRefusing || inSlots.count(verb) == 0 || ++m_statements % RefusalInterval != 0)
         return false;
     ++m_refused;
     return true;
