--- a/include/nutmegtide/statement/admissionqueue.h
+++ b/include/nutmegtide/statement/admissionqueue.h
@@ -2,6 +2,7 @@
 
 #include "nutmegtide/base/ids.h"
 #include "nutmegtide/statement/concurrencylimit.h"
+#include "nutmegtide/statement/fairrounds.h"
 
 #include <array>
 #include <compare>
@@ -63,7 +64,7 @@
 //   run(queue.finish(ticket, AdmissionEnd::Answered, now));
 //   run(queue.expire(now)); // at nextExpiry()
 //
-// Statements run in fair rounds (start-time fair queueing): each session may run
+// Statements run in fair rounds (FairRounds): each session may run
 // one write a round, a read with an age every 4 rounds and another read every 16.
 // Within a round the earliest deadline is first, and a statement that would be late
 // otherwise is taken out of its turn. So every waiting statement is
@@ -113,7 +114,6 @@
     using Flow = std::pair<SessionId, AdmissionClass>;
     using ClassCounts = std::array<int, AdmissionClassCount>;
 
-    std::uint64_t nextRound(const AdmissionRequest &request) const;
     bool hasPlace(const AdmissionRequest &request, TimePoint now) const;
     // Returns how many may wait before the newcomer so that it finishes in time.
     std::size_t placesInTime(const AdmissionRequest &request, TimePoint now) const;
@@ -153,8 +153,7 @@
     std::array<std::size_t, AdmissionClassCount> m_waitingOfClass {};
     std::map<SessionId, ClassCounts> m_waitingOfSession; // those that have any
     std::map<AdmissionTicket, Running> m_running;
-    std::map<Flow, std::uint64_t> m_lastRounds;
-    std::uint64_t m_round = 0; // of the statement started last
+    FairRounds<Flow> m_rounds;
     std::optional<TimePoint> m_busyAt; // the last busy refusal
     TimePoint m_heldUntil; // nothing starts after a busy refusal
     TimePoint m_progressAt;
--- a/src/statement/admissionqueue.cpp
+++ b/src/statement/admissionqueue.cpp
@@ -48,14 +48,6 @@
     m_queueLength = static_cast<std::size_t>(std::max(0, queueLength));
 }
 
-std::uint64_t AdmissionQueue::nextRound(const AdmissionRequest &request) const
-{
-    const auto last = m_lastRounds.find({request.session, request.kind});
-    const std::uint64_t from = last == m_lastRounds.end() ? m_round
-                                                          : std::max(m_round, last->second);
-    return from + RoundsBetween[indexOf(request.kind)];
-}
-
 std::size_t AdmissionQueue::placesInTime(const AdmissionRequest &request, TimePoint now) const
 {
     const Duration left = request.deadline - now - m_limit.slowServiceTime();
@@ -159,7 +151,8 @@
         start(request, now, actions);
         return actions;
     }
-    const Waiting newcomer {nextRound(request), request};
+    const Flow flow {request.session, request.kind};
+    const Waiting newcomer {m_rounds.next(flow, RoundsBetween[indexOf(request.kind)]), request};
     const auto at = std::lower_bound(m_waiting.begin(), m_waiting.end(), newcomer,
                                      [](const Waiting &left, const Waiting &right) {
                                          return left.isBefore(right);
@@ -172,7 +165,7 @@
         return actions;
     }
     count(request);
-    m_lastRounds[{request.session, request.kind}] = newcomer.round;
+    m_rounds.assign(flow, newcomer.round);
     startNext(now, actions);
     return actions;
 }
@@ -241,12 +234,12 @@
         m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(turn));
         // One that is taken out of its turn doesn't move the round on.
         if (turn == 0)
-            m_round = std::max(m_round, next.round);
+            m_rounds.advance(next.round);
         forget(next.request);
         start(next.request, now, actions);
     }
     if (m_waiting.empty())
-        m_lastRounds.clear();
+        m_rounds.clear();
 }
 
 AdmissionActions AdmissionQueue::finish(AdmissionTicket ticket, AdmissionEnd end, TimePoint now)
@@ -280,7 +273,7 @@
     // No round is below the first one, so that nothing waits before it.
     m_waiting.insert(m_waiting.begin(), Waiting {0, request});
     // The session has had less than its turn, so its next ones count from now.
-    m_lastRounds[{request.session, request.kind}] = m_round;
+    m_rounds.restart({request.session, request.kind});
     count(request);
     return expire(now);
 }
