--- a/include/nutmegtide/proxy/serverhome.h
+++ b/include/nutmegtide/proxy/serverhome.h
@@ -85,7 +85,10 @@
 
     // Sets the services whose servers are shared by load with other homes. A busy refusal of such a
     // server is kept from the lane as long as its statement may wait.
-    void setBalancedServices(std::set<ServiceName> services) { m_balanced = std::move(services); }
+    void setBalancedServices(std::set<ServiceName> services);
+    // Sets the priorities of the configuration's workspaces. If there are any, the servers of
+    // balanced services are shared fairly between workspaces.
+    void setWorkspacePriorities(std::map<WorkspaceName, int> priorities);
 
     // Sets how long a leaving server gets new work. After that only open transactions and proofs of
     // position go on there.
@@ -120,6 +123,8 @@
     bool isInUse() const;
     // Returns how often a statement was sent again after a busy refusal.
     std::uint64_t resentCount() const { return m_resent; }
+    // Returns how many statements were refused in favour of others after they had been queued.
+    std::uint64_t shedCount() const { return m_shed; }
     std::size_t connectionCount() const { return m_connections.size(); }
 
 private:
@@ -185,6 +190,9 @@
     int homeCount(const ServerId &server) const;
     int maxRunning(const Server &server) const;
     bool isBalanced(const Server &server) const;
+    // Returns whether the server is shared fairly between workspaces.
+    bool isFair(const Server &server) const;
+    int priorityOf(const WorkspaceName &workspace) const;
     void setBounds(Server &server) const;
     bool isFull(const Server &server, TimePoint now) const;
     static bool isProof(const Lane &lane);
@@ -193,6 +201,8 @@
     void wait(const LaneKey &key, Lane &lane, TimePoint now);
     bool enqueue(const LaneKey &key, Lane &lane, const Urgency &urgency, Duration perStatement,
                  TimePoint now);
+    // Refuses the statements that the latest addition to the queue removed from it.
+    void refuseShed(const ServerId &server, TimePoint now);
     void serve(const ServerId &server, TimePoint now);
     bool serveOne(const ServerId &server, TimePoint now);
     // Returns this home's share of the connections that the server accepts.
@@ -238,7 +248,9 @@
     std::map<ServerId, int> m_homeCounts;
     std::map<ServiceName, int> m_connectionLimits;
     std::set<ServiceName> m_balanced;
+    std::map<WorkspaceName, int> m_priorities; // of the workspaces
     std::uint64_t m_resent = 0;
+    std::uint64_t m_shed = 0;
     std::map<LaneKey, Lane> m_lanes;
     std::map<ConnectionKey, Connection> m_connections;
     ConnectionKey m_lastConnection = 0;
--- a/src/proxy/serverhome.cpp
+++ b/src/proxy/serverhome.cpp
@@ -58,8 +58,34 @@
     return m_balanced.count(server.record.announcement.service) != 0;
 }
 
+bool ServerHome::isFair(const Server &server) const
+{
+    return !m_priorities.empty() && isBalanced(server);
+}
+
+int ServerHome::priorityOf(const WorkspaceName &workspace) const
+{
+    const auto known = m_priorities.find(workspace);
+    return known == m_priorities.end() ? 0 : known->second;
+}
+
+void ServerHome::setBalancedServices(std::set<ServiceName> services)
+{
+    m_balanced = std::move(services);
+    for (auto &[id, server] : m_servers)
+        setBounds(server);
+}
+
+void ServerHome::setWorkspacePriorities(std::map<WorkspaceName, int> priorities)
+{
+    m_priorities = std::move(priorities);
+    for (auto &[id, server] : m_servers)
+        setBounds(server);
+}
+
 void ServerHome::setBounds(Server &server) const
 {
+    server.queue.setFair(isFair(server));
     const ServerAnnouncement &announcement = server.record.announcement;
     server.limiter.setBounds(announcement.slots, homeCount(announcement.server));
 }
@@ -206,13 +232,32 @@
 {
     Server &server = m_servers.at(lane.server);
     const HomeQueue::Ticket ticket = ++m_lastTicket;
-    if (!server.queue.add(ticket, urgency, perStatement, now))
-        return false;
-    lane.ticket = ticket;
-    lane.waitsUntil = now + urgency.maxWait;
-    server.waiting[ticket] = key;
-    m_dueAt = std::min(m_dueAt, lane.waitsUntil);
-    return true;
+    const WorkspaceShare share {lane.workspace, priorityOf(lane.workspace)};
+    const bool isQueued = server.queue.add(ticket, urgency, perStatement, now, share);
+    if (isQueued) {
+        lane.ticket = ticket;
+        lane.waitsUntil = now + urgency.maxWait;
+        server.waiting[ticket] = key;
+        m_dueAt = std::min(m_dueAt, lane.waitsUntil);
+    }
+    refuseShed(lane.server, now);
+    return isQueued;
+}
+
+void ServerHome::refuseShed(const ServerId &id, TimePoint now)
+{
+    Server &server = m_servers.at(id);
+    for (const HomeQueue::Ticket ticket : server.queue.takeShed()) {
+        const auto found = server.waiting.find(ticket);
+        if (found == server.waiting.end())
+            continue;
+        const LaneKey key = found->second;
+        server.waiting.erase(found);
+        Lane &lane = m_lanes.at(key);
+        lane.ticket = 0;
+        ++m_shed;
+        refuseForLoad(key, lane, now);
+    }
 }
 
 void ServerHome::serve(const ServerId &server, TimePoint now)
@@ -230,9 +275,12 @@
     Server &server = found->second;
     const bool isServerFull = isFull(server, now);
     for (const HomeQueue::Item &item : server.queue.items()) {
-        // Rank 0, which includes proofs, is at the front.
-        if (isServerFull && item.rank > 0)
+        // Rank 0, which includes proofs, is at the front, or behind one statement of another rank.
+        if (isServerFull && item.rank > 0) {
+            if (&item == &server.queue.items().front())
+                continue;
             break;
+        }
         const LaneKey key = server.waiting.at(item.ticket);
         Lane &lane = m_lanes.at(key);
         if (isServerFull && !isProof(lane))
@@ -242,6 +290,9 @@
             continue;
         if (item.rank > 0)
             noteQueued(lane, now - lane.queuedAt, now);
+        // Proofs take no slot, and no turn from the others.
+        if (item.rank > 0 || runsInSlot(lane.pending.front().kind))
+            server.queue.start(lane.ticket);
         leaveQueue(lane);
         if (lane.connection == 0) {
             std::erase(server.idle, idle);
--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -307,6 +307,8 @@
     }
     for (const LaneKey &key : lanes) {
         Lane &lane = m_lanes.at(key);
+        if (lane.ticket == 0)
+            continue;
         leaveQueue(lane);
         refuseNext(key, lane, now);
     }
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -277,6 +277,7 @@
         m_home->setCutOff(m_isolatedSince || m_suspectedSince);
         m_home->flush();
         m_counts.setResent(m_home->resentCount());
+        m_counts.setShed(m_home->shedCount());
         wake = std::min(wake, m_home->wakeAt());
     }
     if (m_isDraining || m_isolatedSince || m_suspectedSince)
--- a/src/site/homeport.cpp
+++ b/src/site/homeport.cpp
@@ -154,6 +154,17 @@
     frame->__isset.loans = true;
 }
 
+void HomePort::setWorkspaces(const std::optional<WorkspaceTable> &workspaces)
+{
+    m_lender.setWorkspaces(workspaces);
+    std::map<WorkspaceName, int> priorities;
+    if (workspaces) {
+        for (const auto &[name, workspace] : workspaces->workspaces())
+            priorities[name] = workspace.priority;
+    }
+    m_home.setWorkspacePriorities(std::move(priorities));
+}
+
 void HomePort::setServers(const std::vector<ServerRecord> &records)
 {
     m_home.setServers(records, EventLoop::now());
--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -51,10 +51,7 @@
     void leave();
     // Sets the homes of each server. `own` is this VM's listener for lanes.
     void setHomes(const ServerHomes &homes, const Endpoint &own);
-    void setWorkspaces(const std::optional<WorkspaceTable> &workspaces)
-    {
-        m_lender.setWorkspaces(workspaces);
-    }
+    void setWorkspaces(const std::optional<WorkspaceTable> &workspaces);
     // Whether this VM's failure domain is cut off from the others, which then have lenders of their
     // own.
     void setCutOff(bool isCutOff);
@@ -75,6 +72,7 @@
     void flush();
     bool isInUse() const { return m_home.isInUse(); }
     std::uint64_t resentCount() const { return m_home.resentCount(); }
+    std::uint64_t shedCount() const { return m_home.shedCount(); }
 
 private:
     struct Link
--- a/src/site/sitemetrics.cpp
+++ b/src/site/sitemetrics.cpp
@@ -38,6 +38,9 @@
     , m_resent(registry.counter("nutmegtide_home_resent_total",
                                 "Statements that a home sent again, since their server refused "
                                 "them as busy."))
+    , m_shed(registry.counter("nutmegtide_home_shed_total",
+                              "Statements that a home had queued and refused in favour of "
+                              "others."))
     , m_sessions(registry.gauge("nutmegtide_site_sessions", "Sessions of callers that are open."))
     , m_revision(registry.gauge("nutmegtide_site_revision", "Revision of the routes in force."))
 { }
@@ -60,6 +63,11 @@
     m_resent.add(count - std::exchange(m_resentCount, count));
 }
 
+void SiteMetrics::setShed(std::uint64_t count)
+{
+    m_shed.add(count - std::exchange(m_shedCount, count));
+}
+
 void SiteMetrics::recordAnswer(const RequestDecision &decision)
 {
     if (decision.withheld)
--- a/src/site/sitemetrics.h
+++ b/src/site/sitemetrics.h
@@ -17,6 +17,8 @@
     void countLimitedCaller() { m_limitedCallers.add(); }
     // Sets how often this VM, as a home, has sent statements again after busy refusals.
     void setResent(std::uint64_t count);
+    // Sets how many queued statements this VM, as a home, has refused in favour of others.
+    void setShed(std::uint64_t count);
     void setSessions(std::size_t count) { m_sessions.set(static_cast<double>(count)); }
     void setRevision(Revision revision) { m_revision.set(static_cast<double>(revision)); }
 
@@ -34,6 +36,8 @@
     Counter &m_limitedCallers;
     Counter &m_resent;
     std::uint64_t m_resentCount = 0;
+    Counter &m_shed;
+    std::uint64_t m_shedCount = 0;
     Gauge &m_sessions;
     Gauge &m_revision;
 };
