--- a/include/nutmegtide/proxy/serverhome.h
+++ b/include/nutmegtide/proxy/serverhome.h
@@ -53,7 +53,8 @@
 // A connection belongs to the workspace in whose name it was opened, and only statements of that
 // workspace run on it; proofs of position run on any. A home has a share of the connections that
 // the server accepts. Where that is used up, an idle connection is closed before one for another
-// workspace is opened.
+// workspace is opened. Where workspaces share a server fairly, that is a connection of the
+// workspace most above its share, and one workspace leaves a part of the connections to the others.
 //
 // A statement runs at most once. A statement that was not sent is answered with Busy, which
 // guarantees that it didn't run. Where homes balance the load of a server, a statement that the
@@ -125,6 +126,8 @@
     std::uint64_t resentCount() const { return m_resent; }
     // Returns how many statements were refused in favour of others after they had been queued.
     std::uint64_t shedCount() const { return m_shed; }
+    // Returns how many idle connections were closed to open one for another workspace.
+    std::uint64_t evictedCount() const { return m_evicted; }
     std::size_t connectionCount() const { return m_connections.size(); }
 
 private:
@@ -213,8 +216,12 @@
     // Returns the most recently used idle connection that the lane may use; 0 without one.
     ConnectionKey idleFor(const Server &server, const Lane &lane) const;
     void openWanted(const ServerId &server, TimePoint now);
-    // Makes room for another connection. Returns whether there is some.
-    bool makeRoom(Server &server, TimePoint now);
+    // Makes room for another connection of the workspace. Returns whether there is some.
+    bool makeRoom(Server &server, const WorkspaceName &workspace, TimePoint now);
+    // Returns the idle connection to close for one of the workspace; 0 if none is worth it.
+    ConnectionKey evictedFor(const Server &server, const WorkspaceName &workspace) const;
+    // Returns how many connections one workspace may hold to the server.
+    std::size_t maxOfWorkspace(const Server &server, TimePoint now) const;
     void openConnection(const ServerId &server, const WorkspaceName &workspace, TimePoint now);
     void attach(const LaneKey &key, Lane &lane, ConnectionKey connection, TimePoint now);
     void sendNext(Lane &lane, TimePoint now);
@@ -251,6 +258,7 @@
     std::map<WorkspaceName, int> m_priorities; // of the workspaces
     std::uint64_t m_resent = 0;
     std::uint64_t m_shed = 0;
+    std::uint64_t m_evicted = 0;
     std::map<LaneKey, Lane> m_lanes;
     std::map<ConnectionKey, Connection> m_connections;
     ConnectionKey m_lastConnection = 0;
--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -24,6 +24,12 @@
 // whose home is lost.
 constexpr int ReserveParts = 8;
 constexpr int MinReserve = 3; // connections
+// Opening a connection occupies a slot of the server for so long.
+constexpr auto OpeningCost = 12ms;
+// Part of a home's connections that one workspace leaves to the others, since those of its open
+// transactions can't be closed.
+constexpr std::size_t OthersParts = 4;
+constexpr int MaxPrioritySteps = 4; // up and down
 
 } // namespace
 
@@ -85,24 +91,78 @@
             continue;
         if (opening[lane.workspace]-- > 0)
             continue;
-        if (!makeRoom(server, now))
-            return;
+        if (!makeRoom(server, lane.workspace, now)) {
+            if (!isFair(server))
+                return;
+            // Another workspace may have better reason to open one.
+            freeSlots += isProof(lane) ? 0 : 1;
+            continue;
+        }
         openConnection(id, lane.workspace, now);
     }
 }
 
-bool ServerHome::makeRoom(Server &server, TimePoint now)
+bool ServerHome::makeRoom(Server &server, const WorkspaceName &workspace, TimePoint now)
 {
+    if (isFair(server) && server.connections.size() >= maxOfWorkspace(server, now)) {
+        const auto held = std::count_if(server.connections.begin(), server.connections.end(),
+                                        [&](ConnectionKey key) {
+                                            return m_connections.at(key).workspace == workspace;
+                                        });
+        if (static_cast<std::size_t>(held) >= maxOfWorkspace(server, now))
+            return false;
+    }
     if (server.connections.size() < maxConnections(server, now))
         return true;
     if (server.idle.empty())
         return false;
-    const ConnectionKey oldest = server.idle.front();
-    m_delegate.close(oldest);
-    forget(oldest);
+    const ConnectionKey evicted = isFair(server) ? evictedFor(server, workspace)
+                                                 : server.idle.front();
+    if (evicted == 0)
+        return false;
+    ++m_evicted;
+    m_delegate.close(evicted);
+    forget(evicted);
     return true;
 }
 
+// A workspace may use all slots of the server, however few connections the home has.
+std::size_t ServerHome::maxOfWorkspace(const Server &server, TimePoint now) const
+{
+    const std::size_t all = maxConnections(server, now);
+    return std::max(all - all / OthersParts, static_cast<std::size_t>(maxRunning(server)));
+}
+
+// The connection of the workspace that is most above its share, then the one that was unused for
+// longest. A workspace that has none of its own gets one in any case, since its statements can't run
+// without it. Otherwise one is closed only if its workspace stays at least as far above its share as
+// the other one gets, and if no own connection is expected back before another one is open.
+ConnectionKey ServerHome::evictedFor(const Server &server, const WorkspaceName &workspace) const
+{
+    std::map<WorkspaceName, std::size_t> held;
+    for (const ConnectionKey key : server.connections)
+        ++held[m_connections.at(key).workspace];
+    const auto load = [this](const WorkspaceName &name, std::size_t connections) {
+        const int steps = std::clamp(priorityOf(name), -MaxPrioritySteps, MaxPrioritySteps);
+        return connections << (steps + MaxPrioritySteps);
+    };
+    ConnectionKey evicted = 0;
+    std::size_t most = 0;
+    for (const ConnectionKey key : server.idle) {
+        const WorkspaceName &owner = m_connections.at(key).workspace;
+        const std::size_t ownerLoad = load(owner, held[owner]);
+        if (ownerLoad > most) {
+            most = ownerLoad;
+            evicted = key;
+        }
+    }
+    const std::size_t own = held[workspace];
+    if (own == 0)
+        return evicted;
+    const bool isBackSooner = server.averageTime.value() / static_cast<int>(own) <= OpeningCost;
+    return isBackSooner || most <= load(workspace, own + 1) ? 0 : evicted;
+}
+
 void ServerHome::openConnection(const ServerId &id, const WorkspaceName &workspace, TimePoint now)
 {
     Server &server = m_servers.at(id);
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -278,6 +278,7 @@
         m_home->flush();
         m_counts.setResent(m_home->resentCount());
         m_counts.setShed(m_home->shedCount());
+        m_counts.setEvicted(m_home->evictedCount());
         wake = std::min(wake, m_home->wakeAt());
     }
     if (m_isDraining || m_isolatedSince || m_suspectedSince)
--- a/src/site/homeport.cpp
+++ b/src/site/homeport.cpp
@@ -244,8 +244,21 @@
 void HomePort::tick(TimePoint now)
 {
     m_home.tick(now);
-    if (now >= m_lenderDueAt)
+    if (now >= m_lenderDueAt) {
         updateLender(now);
+        logShed();
+    }
+}
+
+void HomePort::logShed()
+{
+    const std::uint64_t count = m_home.shedCount();
+    if (count != m_shedLogged) {
+        m_onFault("home_shed",
+                  std::to_string(count - m_shedLogged)
+                          + " queued statements were refused in favour of others");
+    }
+    m_shedLogged = count;
 }
 
 void HomePort::flush()
--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -73,6 +73,7 @@
     bool isInUse() const { return m_home.isInUse(); }
     std::uint64_t resentCount() const { return m_home.resentCount(); }
     std::uint64_t shedCount() const { return m_home.shedCount(); }
+    std::uint64_t evictedCount() const { return m_home.evictedCount(); }
 
 private:
     struct Link
@@ -93,6 +94,7 @@
     static LenderId lenderRun();
     void handleLoanRequest(std::uint64_t link, const wire::LoanRequest &request);
     void updateLender(TimePoint now);
+    void logShed();
     void forwardReachWarning(std::uint64_t from, TimePoint now);
     void end(std::uint64_t link);
     // Returns the next frame to send on the link, null where the link is closed.
@@ -119,6 +121,7 @@
     ServerHome m_home {*this};
     CapLender m_lender {lenderRun()};
     TimePoint m_lenderDueAt {};
+    std::uint64_t m_shedLogged = 0; // part of shedCount()
     bool m_isCutOff = false;
     ServerHomes m_homesByServer;
     std::map<ServerId, FailureDomain> m_domainOf;
--- a/src/site/sitemetrics.cpp
+++ b/src/site/sitemetrics.cpp
@@ -41,6 +41,9 @@
     , m_shed(registry.counter("nutmegtide_home_shed_total",
                               "Statements that a home had queued and refused in favour of "
                               "others."))
+    , m_evicted(registry.counter("nutmegtide_home_evicted_total",
+                                 "Idle connections to servers that a home closed to open "
+                                 "others."))
     , m_sessions(registry.gauge("nutmegtide_site_sessions", "Sessions of callers that are open."))
     , m_revision(registry.gauge("nutmegtide_site_revision", "Revision of the routes in force."))
 { }
@@ -68,6 +71,11 @@
     m_shed.add(count - std::exchange(m_shedCount, count));
 }
 
+void SiteMetrics::setEvicted(std::uint64_t count)
+{
+    m_evicted.add(count - std::exchange(m_evictedCount, count));
+}
+
 void SiteMetrics::recordAnswer(const RequestDecision &decision)
 {
     if (decision.withheld)
--- a/src/site/sitemetrics.h
+++ b/src/site/sitemetrics.h
@@ -19,6 +19,8 @@
     void setResent(std::uint64_t count);
     // Sets how many queued statements this VM, as a home, has refused in favour of others.
     void setShed(std::uint64_t count);
+    // Sets how many idle connections it has closed for those of other workspaces.
+    void setEvicted(std::uint64_t count);
     void setSessions(std::size_t count) { m_sessions.set(static_cast<double>(count)); }
     void setRevision(Revision revision) { m_revision.set(static_cast<double>(revision)); }
 
@@ -38,6 +40,8 @@
     std::uint64_t m_resentCount = 0;
     Counter &m_shed;
     std::uint64_t m_shedCount = 0;
+    Counter &m_evicted;
+    std::uint64_t m_evictedCount = 0;
     Gauge &m_sessions;
     Gauge &m_revision;
 };
