--- a/src/proxy/replicalag.cpp
+++ b/src/proxy/replicalag.cpp
@@ -77,11 +77,12 @@
     m_missedAt = askedAt;
 }
 
-// An estimate is at least twice the age at which a position was missing.
+// An estimate is at least twice the age at which a position was missing. Positions that are half as
+// old again lie within it too, as the position ages while it is asked for.
 bool ReplicaLag::hasLackedLately(const ReadNeed &need, TimePoint now) const
 {
     const bool isRecent = now - m_missedAt < RecentMiss;
-    return isRecent && m_held < need.position && (now - need.reachedAt) * 2 <= m_lag;
+    return isRecent && m_held < need.position && (now - need.reachedAt) * 4 <= m_lag * 3;
 }
 
 bool ReplicaLag::probablyHolds(const ReadNeed &need, TimePoint now, Duration usual) const
