--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -18,6 +18,7 @@
 // Remaining open work is ended this long before the drain timeout, so that the process exits by
 // itself.
 constexpr auto DrainEndMargin = 900ms;
+constexpr int DrainTurns = 32; // of the loop, which takes 32 ready sockets or more in each
 constexpr auto FlushMargin = 600ms; // the loop stops this long before the drain timeout
 constexpr Duration StartTime = 2s; // for receiving the routes and processing held statements
 // A leaving server gets no new work this long before its time ends, so that statements on their way
@@ -153,7 +154,9 @@
 {
     m_isReady = false;
     m_isDraining = true;
-    m_loop.post([this] {
+    // Sessions without a statement are ended, so statements that have arrived are read first: after
+    // a long turn, as when a large configuration is applied, many wait on their sockets.
+    m_loop.postAfter(DrainTurns, [this] {
         m_drainStartedAt = EventLoop::now();
         logLine(LogLevel::Info, "node_draining",
                 {{"sessions", std::to_string(m_proxy.sessionCount())}});
--- a/src/site/eventloop.cpp
+++ b/src/site/eventloop.cpp
@@ -90,6 +90,15 @@
     [[maybe_unused]] const ssize_t written = write(m_pipe[1], &byte, 1);
 }
 
+// A turn ends the events that were ready when it began, and a task that is posted from a task runs
+// in a later turn.
+void EventLoop::postAfter(int turns, Task task)
+{
+    if (turns == 0)
+        return post(std::move(task));
+    post([this, turns, task = std::move(task)]() mutable { postAfter(turns - 1, std::move(task)); });
+}
+
 void EventLoop::onPosted(int /*socket*/, short /*what*/, void *self)
 {
     static_cast<EventLoop *>(self)->runTasks();
--- a/src/site/eventloop.h
+++ b/src/site/eventloop.h
@@ -34,6 +34,9 @@
     void stop() { m_isStopping = true; }
     // Runs a task on the loop's thread. Thread-safe.
     void post(Task task);
+    // Runs a task on the loop's thread after so many turns of the loop, so that what had arrived on
+    // its sockets is handled first. Thread-safe.
+    void postAfter(int turns, Task task);
     // Destroys an object after the current event, because a socket can't be destroyed inside its
     // own handler.
     template <typename Object>
--- a/test/unit/site/eventloop_test.cpp
+++ b/test/unit/site/eventloop_test.cpp
@@ -1,7 +1,12 @@
 #include "site/eventloop.h"
 
 #include <algorithm>
+#include <array>
 #include <doctest/doctest.h>
+#include <event2/event.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
 
 using namespace nutmegtide;
 
@@ -26,3 +31,44 @@
     loop.run();
     CHECK(mostOverdue < 100);
 }
+
+// Guards against a planned stop that ends sessions whose statements have arrived and aren't read
+// yet, since the loop was busy meanwhile.
+TEST_CASE("a task that is posted to run after some turns finds all that had arrived handled")
+{
+    struct Row
+    {
+        int turns;
+        bool isAllRead;
+    };
+    constexpr int Callers = 200;
+    for (const Row &row : {Row {0, false}, Row {32, true}}) {
+        CAPTURE(row.turns);
+        EventLoop loop;
+        int read = 0;
+        int readBefore = 0;
+        loop.postAfter(row.turns, [&] {
+            readBefore = read;
+            loop.stop();
+        });
+        std::vector<std::array<int, 2>> pairs(Callers);
+        std::vector<event *> events;
+        for (auto &pair : pairs) {
+            REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, pair.data()) == 0);
+            REQUIRE(write(pair[1], "x", 1) == 1);
+            const auto onReady = [](int /*socket*/, short /*what*/, void *count) {
+                ++*static_cast<int *>(count);
+            };
+            events.push_back(event_new(loop.base(), pair[0], EV_READ, onReady, &read));
+            event_add(events.back(), nullptr);
+        }
+        loop.run();
+        CHECK((readBefore == Callers) == row.isAllRead);
+        for (event *one : events)
+            event_free(one);
+        for (const auto &pair : pairs) {
+            close(pair[0]);
+            close(pair[1]);
+        }
+    }
+}
