--- a/test/process/hostilehttp_test.cpp
+++ b/test/process/hostilehttp_test.cpp
@@ -119,7 +119,7 @@
             + repeated(chunk, static_cast<int>(sent / ChunkBytes));
 }
 
-void checkFootprint(pid_t process, std::size_t mostResident)
+void checkFootprint(pid_t process, [[maybe_unused]] std::size_t mostResident)
 {
 #ifndef __SANITIZE_ADDRESS__ // a sanitizer's own memory is no part of the bound
     const std::size_t resident = peakResidentBytes(process);
