--- a/include/nutmegtide/proxy/serverpool.h
+++ b/include/nutmegtide/proxy/serverpool.h
@@ -229,6 +229,9 @@
     const std::map<ServerId, PooledServer> &servers() const { return m_servers; }
 
 private:
+    void listByService();
+    // Returns the known servers of the service in the order of their ids, also those that are gone.
+    const std::vector<ServerId> &listOf(const ServiceName &service) const;
     double costOf(const PooledServer &state, const ReadNeed &need, TimePoint now) const;
     bool mayRead(const PooledServer &state, const std::set<ServerId> &tried, TimePoint now) const;
     std::optional<ServerId> drawReader(const ServiceName &service, const ReadNeed &need,
@@ -251,6 +254,7 @@
     std::vector<ShareChange> m_shareChanges;
     Duration m_leaveTime = Duration::max();
     std::map<ServerId, PooledServer> m_servers;
+    std::map<ServiceName, std::vector<ServerId>> m_byService; // keys of m_servers
     std::map<ConnectionKey, ServerConnection> m_connections;
     ConnectionKey m_lastKey = 0;
 };
--- a/src/proxy/serverpool.cpp
+++ b/src/proxy/serverpool.cpp
@@ -87,15 +87,31 @@
         return listed.count(item.first) == 0 && item.second.connections.empty()
                 && item.second.waiting.empty();
     });
+    listByService();
     return orphans;
 }
 
+// Each read looks at the servers of one service, of thousands of servers in a large deployment.
+void ServerPool::listByService()
+{
+    m_byService.clear();
+    for (const auto &[server, state] : m_servers)
+        m_byService[state.record.announcement.service].push_back(server);
+}
+
+const std::vector<ServerId> &ServerPool::listOf(const ServiceName &service) const
+{
+    static const std::vector<ServerId> none;
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? none : found->second;
+}
+
 std::optional<ServerId> ServerPool::primary(const ServiceName &service, TimePoint now) const
 {
     const PooledServer *best = nullptr;
-    for (const auto &[server, state] : m_servers) {
-        const bool isCandidate = state.record.announcement.service == service
-                && !state.record.isGone && state.record.announcement.isPrimary
+    for (const ServerId &server : listOf(service)) {
+        const PooledServer &state = m_servers.at(server);
+        const bool isCandidate = !state.record.isGone && state.record.announcement.isPrimary
                 && !state.refusesWrites && !state.hasWrongAddress;
         if (!isCandidate)
             continue;
@@ -163,8 +179,9 @@
         return drawReader(service, need, tried, now);
     std::optional<ServerId> best;
     double lowest = 0;
-    for (const auto &[server, state] : m_servers) {
-        if (state.record.announcement.service != service || !mayRead(state, tried, now))
+    for (const ServerId &server : listOf(service)) {
+        const PooledServer &state = m_servers.at(server);
+        if (!mayRead(state, tried, now))
             continue;
         const double cost = costOf(state, need, now);
         if (best && cost >= lowest)
@@ -178,8 +195,8 @@
 std::vector<ServerId> ServerPool::serversOf(const ServiceName &service) const
 {
     std::vector<ServerId> servers;
-    for (const auto &[server, state] : m_servers) {
-        if (state.record.announcement.service == service && !state.record.isGone)
+    for (const ServerId &server : listOf(service)) {
+        if (!m_servers.at(server).record.isGone)
             servers.push_back(server);
     }
     return servers;
@@ -188,9 +205,10 @@
 std::vector<ServerId> ServerPool::askableServers(const ServiceName &service, TimePoint now) const
 {
     std::vector<const PooledServer *> askable;
-    for (const auto &[server, state] : m_servers) {
-        const bool isCandidate = state.record.announcement.service == service
-                && !state.record.isGone && !state.hasWrongAddress && !state.failingSince;
+    for (const ServerId &server : listOf(service)) {
+        const PooledServer &state = m_servers.at(server);
+        const bool isCandidate = !state.record.isGone && !state.hasWrongAddress
+                && !state.failingSince;
         if (isCandidate && (!state.idle.empty() || state.connectionLimitUntil <= now))
             askable.push_back(&state);
     }
--- a/src/proxy/serverpoolbalance.cpp
+++ b/src/proxy/serverpoolbalance.cpp
@@ -46,9 +46,9 @@
 {
     Duration sum {};
     int count = 0;
-    for (const auto &[server, state] : m_servers) {
-        const bool isOfService = state.record.announcement.service == service;
-        if (!isOfService || now - state.timedAt > RecentAnswer)
+    for (const ServerId &server : listOf(service)) {
+        const PooledServer &state = m_servers.at(server);
+        if (now - state.timedAt > RecentAnswer)
             continue;
         sum += state.averageTime.value();
         ++count;
@@ -86,11 +86,11 @@
 {
     const Duration usual = usualTime(service, now);
     std::vector<ServerEstimate> estimates;
-    for (const auto &[server, state] : m_servers) {
-        const ServerAnnouncement &announcement = state.record.announcement;
-        if (announcement.service != service || !mayRead(state, tried, now))
+    for (const ServerId &server : listOf(service)) {
+        const PooledServer &state = m_servers.at(server);
+        if (!mayRead(state, tried, now))
             continue;
-        if (announcement.isPrimary || !state.lag.hasLackedLately(need, now))
+        if (state.record.announcement.isPrimary || !state.lag.hasLackedLately(need, now))
             estimates.push_back(estimateOf(state, need, usual, now));
     }
     if (estimates.empty())
--- a/test/unit/proxy/serverpool_test.cpp
+++ b/test/unit/proxy/serverpool_test.cpp
@@ -65,6 +65,24 @@
     CHECK((pool.chooseReader(Service, need, {}, now) == ServerId("a")));
 }
 
+// Guards against a list by service that still has servers which moved or were removed.
+TEST_CASE("a server is chosen only for the service that it was announced for last")
+{
+    const TimePoint now(100s);
+    ServerPool pool = threeServers(now);
+    const ServiceName other("other");
+    std::vector<ServerRecord> records;
+    for (const auto &[server, state] : pool.servers())
+        records.push_back(state.record);
+    records[1].announcement.service = other;
+    records.pop_back();
+    pool.setServers(records, now);
+    CHECK((pool.chooseReader(Service, {}, {ServerId("a")}, now) == std::nullopt));
+    CHECK((pool.chooseReader(other, {}, {}, now) == ServerId("b")));
+    CHECK(pool.serversOf(Service) == std::vector<ServerId> {ServerId("a")});
+    CHECK((pool.primary(other, now) == std::nullopt));
+}
+
 TEST_CASE("a server that failed, or at whose address another one replies, gets no reads")
 {
     const TimePoint now(100s);
