--- a/src/serve/changerole.cpp
+++ b/src/serve/changerole.cpp
@@ -176,6 +176,7 @@
         const bool isLeader = m_log.load()->isLeader();
         noteLeading(isLeader, Clock::now());
         for (auto &[database, group] : m_groups) {
+            recordAdoption(database, group);
             const bool isReported = std::exchange(group.isReported, false);
             if (!isLeader)
                 group.change.reset(); // the next leader takes it up from the ledger
@@ -299,11 +300,14 @@
         m_proposals.pop_front();
         lock.unlock();
         bool isCommitted = false;
+        bool isUnknown = false;
         try {
             m_log.load()->propose({CommandKind::Group, encode(command)}, ProposalTime);
             isCommitted = true;
+        } catch (const ProposalUnknownError &) {
+            isUnknown = true;
         } catch (const ProposalError &) {
-            isCommitted = false;
+            // It is never committed.
         }
         const auto known = m_ledger.find(command.database);
         feed(command.database, [&](PrimaryChange &change) {
@@ -311,12 +315,24 @@
                                         : change.onProposalFailed(command, Clock::now());
         });
         lock.lock();
-        m_groups.at(command.database).isProposing = false;
-        if (isCommitted && command.kind == GroupCommandKind::Adopt)
-            record(command.database,
-                   {EventKind::PrimaryPublished, command.term, command.primary, ""});
+        Group &group = m_groups.at(command.database);
+        group.isProposing = false;
+        if (command.kind == GroupCommandKind::Adopt && (isCommitted || isUnknown)) {
+            group.unconfirmed = command;
+            recordAdoption(command.database, group);
+        }
         m_changed.notify_all();
     }
 }
 
+void ChangeRole::recordAdoption(const DatabaseName &database, Group &group)
+{
+    const auto known = group.unconfirmed ? m_ledger.find(database) : std::nullopt;
+    if (!known)
+        return;
+    const GroupCommand adoption = *std::exchange(group.unconfirmed, std::nullopt);
+    if (known->term == adoption.term && known->primary == adoption.primary)
+        record(database, {EventKind::PrimaryPublished, adoption.term, adoption.primary, ""});
+}
+
 } // namespace nutmegtide
--- a/src/serve/changerole.h
+++ b/src/serve/changerole.h
@@ -67,6 +67,7 @@
         std::map<ServerId, VoterObservation> presence;
         int queuedReads = 0;
         std::optional<GroupCommand> announced; // an adoption, from what the primary announces
+        std::optional<GroupCommand> unconfirmed; // an adoption proposed with unknown outcome
         std::unique_ptr<PrimaryChange> change;
         EventId cause; // of the change's next event
         bool isProposing = false;
@@ -83,6 +84,8 @@
     bool isAnyChangeOpen() const;
     void propose();
     // These expect the lock to be held.
+    // Records an adoption once it is committed, which may be after its proposal has timed out.
+    void recordAdoption(const DatabaseName &database, Group &group);
     void step(const DatabaseName &database, Group &group, TimePoint now);
     bool isGathered(const DatabaseName &database, const Group &group, TimePoint now) const;
     void startChange(const DatabaseName &database, Group &group, const GroupRecord &record,
