--- a/include/nutmegtide/proxy/averagetime.h
+++ b/include/nutmegtide/proxy/averagetime.h
@@ -16,12 +16,12 @@
     // Adds a sample. The first one replaces the initial value.
     void note(Duration time) { m_time += (time - m_time) / (isKnown() ? Weight : 1); }
     Duration value() const { return isKnown() ? m_time : InitialValue; }
+    // Returns whether there was a sample.
+    bool isKnown() const { return m_time.count() != 0; }
 
 private:
     static constexpr int Weight = 8; // the inverse of a sample's weight
 
-    bool isKnown() const { return m_time.count() != 0; }
-
     Duration m_time {};
 };
 
--- a/include/nutmegtide/proxy/replicalag.h
+++ b/include/nutmegtide/proxy/replicalag.h
@@ -50,6 +50,10 @@
     // Returns whether the log lacked a position of about this age a moment ago, so that it would be
     // asked in vain.
     bool hasLackedLately(const ReadNeed &need, TimePoint now) const;
+    // Returns the estimate as it was when it was last updated, and that time; TimePoint() if it
+    // never was.
+    Duration notedLag() const { return m_lag; }
+    TimePoint notedAt() const { return m_notedAt; }
 
 private:
     Duration estimate(TimePoint now) const;
--- a/include/nutmegtide/proxy/serverpool.h
+++ b/include/nutmegtide/proxy/serverpool.h
@@ -3,6 +3,7 @@
 #include "nutmegtide/proxy/averagetime.h"
 #include "nutmegtide/proxy/commitconfirmations.h"
 #include "nutmegtide/proxy/loadbalancer.h"
+#include "nutmegtide/proxy/readexplanation.h"
 #include "nutmegtide/proxy/replicalag.h"
 #include "nutmegtide/proxy/serverregistry.h"
 #include "nutmegtide/proxy/sharewatch.h"
@@ -152,6 +153,10 @@
     // cost or, for a balanced service, the one that LoadBalancer draws.
     std::optional<ServerId> chooseReader(const ServiceName &service, const ReadNeed &need,
                                          const std::set<ServerId> &tried, TimePoint now);
+    // Returns what chooseReader() would choose from, and what it would choose; for a balanced
+    // service, the server with the highest probability. At most `most` candidates are returned.
+    ReaderExplanation explainReaders(const ServiceName &service, const ReadNeed &need,
+                                     std::size_t most, TimePoint now) const;
     // Returns the servers of balanced services whose share of the reads has become low, or is no
     // longer low, since the last call.
     std::vector<ShareChange> takeShareChanges() { return std::exchange(m_shareChanges, {}); }
@@ -173,6 +178,10 @@
     std::optional<ConnectionKey> takeIdle(const ServerId &server, const WorkspaceName &workspace,
                                           const SessionState &session,
                                           const PreparedStatement *prepared);
+    // Returns the connection that takeIdle() would take.
+    std::optional<ConnectionKey> closestIdle(const ServerId &server, const WorkspaceName &workspace,
+                                             const SessionState &session,
+                                             const PreparedStatement *prepared) const;
     // Returns a connection to the idle ones.
     void putIdle(ConnectionKey key, TimePoint now);
     // Removes the connection. Returns its borrower.
@@ -230,7 +239,23 @@
 
 private:
     double costOf(const PooledServer &state, const ReadNeed &need, TimePoint now) const;
-    bool mayRead(const PooledServer &state, const std::set<ServerId> &tried, TimePoint now) const;
+    double addPrices(double cost, const PooledServer &state, const ReadNeed &need,
+                     TimePoint now) const;
+    // Returns the first reason why the server gets no reads, whatever they need.
+    static std::optional<ReadExclusion> exclusionOf(const PooledServer &state, TimePoint now);
+    static bool mayRead(const PooledServer &state, const std::set<ServerId> &tried, TimePoint now);
+    // Returns whether a replica of a balanced service would be asked in vain.
+    static bool isBehind(const PooledServer &state, const ReadNeed &need, TimePoint now);
+    std::optional<ServerId> cheapestReader(const ServiceName &service, const ReadNeed &need,
+                                           const std::set<ServerId> &tried, TimePoint now) const;
+    // Returns the servers of a balanced service among which a read is drawn.
+    std::vector<ServerEstimate> readerEstimates(const ServiceName &service, const ReadNeed &need,
+                                                const std::set<ServerId> &tried,
+                                                TimePoint now) const;
+    ReadCandidate candidateOf(const PooledServer &state, const ReadNeed &need, Duration usualTime,
+                              TimePoint now) const;
+    void explainDraw(ReaderExplanation &explanation, const ServiceName &service,
+                     const ReadNeed &need, TimePoint now) const;
     std::optional<ServerId> drawReader(const ServiceName &service, const ReadNeed &need,
                                        const std::set<ServerId> &tried, TimePoint now);
     ServerEstimate estimateOf(const PooledServer &state, const ReadNeed &need, Duration usualTime,
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -3,6 +3,7 @@
 #include "nutmegtide/proxy/caplender.h"
 #include "nutmegtide/proxy/homequeue.h"
 #include "nutmegtide/proxy/positionproofs.h"
+#include "nutmegtide/proxy/routeexplanation.h"
 #include "nutmegtide/proxy/routetable.h"
 #include "nutmegtide/proxy/serverpool.h"
 #include "nutmegtide/proxy/sessionproxydelegate.h"
@@ -125,10 +126,15 @@
     std::vector<PrimaryComplaint> complaints(TimePoint now) const;
     // Returns whether at least one server of each configured service is known.
     bool knowsServers() const;
+    // Returns where a request outside a transaction, of a new session, would go now.
+    RouteAnswer explain(const RouteQuestion &question, TimePoint now) const;
 
 private:
     // Interval of the checks of pooled connections.
     static constexpr Duration PoolInterval = 100ms;
+    // Pause before the next attempt of a statement that no server could take.
+    static constexpr Duration RetryPause = 30ms;
+    static constexpr int MaxAttempts = 4; // of sending one statement
 
     // Stage of a statement.
     enum class Phase {
@@ -268,6 +274,11 @@
         TimePoint refusedUntil {}; // no operation is asked for before
     };
     bool needsLoan(const Session &session) const;
+    OperationCap capOf(const WorkspaceName &name) const;
+    // Returns whether an operation that was lent and not used is left for the next statement.
+    static bool hasReturnedLoan(const CapQueue &queue, TimePoint now);
+    // Returns the reason if the next statement is refused without asking for an operation.
+    static std::optional<std::string> capRefusal(const CapQueue &queue, TimePoint now);
     void charge(SessionKey key, TimePoint now);
     void startCharged(SessionKey key, TimePoint now);
     void returnLoan(SessionKey key, TimePoint now);
@@ -275,7 +286,12 @@
 
     // Servers (sessionrouting.cpp, sessionreplies.cpp).
     void route(SessionKey key, TimePoint now);
-    void extendForPrimaryChange(Work &work, TimePoint now) const;
+    // Returns why a write would be refused immediately, if it would.
+    std::optional<std::string_view> writeRefusal(const ServiceName &service, bool isInTransaction,
+                                                 TimePoint now) const;
+    // Returns the time since which a proof must have been requested for a read on the route; `from`
+    // is the time of the read.
+    static TimePoint coveredSince(const Route &route, TimePoint from, TimePoint now);
     bool findNeed(SessionKey key, TimePoint now);
     // Returns whether this VM is cut off from the service's primary, or none is known.
     bool isPrimaryCutOff(const ServiceName &service, TimePoint now) const;
@@ -310,6 +326,23 @@
     void noteHeld(const Work &work, const ServerReply &reply);
     const PreparedStatement *preparedOf(const Session &session, const SessionStatement &s) const;
 
+    // Waiting times (sessionwaits.cpp).
+    // Returns the state of a statement that arrives now, with its deadlines.
+    Work newWork(const Route &route, TimePoint now) const;
+    void extendForPrimaryChange(Work &work, TimePoint now) const;
+    // Returns whether the statement's deadline and attempts allow another attempt after a pause.
+    static bool mayRetryLater(const Work &work, TimePoint now);
+
+    // Explanations (sessionexplain.cpp).
+    void explainRead(const Work &work, RouteExplanation &explanation, TimePoint now) const;
+    void explainWrite(const Work &work, RouteExplanation &explanation, TimePoint now) const;
+    // Explains a statement that no server can take now.
+    static void explainWait(const Work &work, std::string_view reason,
+                            RouteExplanation &explanation, TimePoint now);
+    // Explains the refusals that don't depend on servers.
+    void explainAdmission(const WorkspaceName &workspace, RouteExplanation &explanation,
+                          TimePoint now) const;
+
     // Proofs of position (sessionproofs.cpp).
     // Finds the balanced services of the routes, and those of them whose proofs are wanted.
     void findBalancedServices();
--- a/src/proxy/serverpool.cpp
+++ b/src/proxy/serverpool.cpp
@@ -134,7 +134,13 @@
     const int slots = std::max(1, state.record.announcement.slots);
     const auto queued = static_cast<double>(state.running)
             + static_cast<double>(state.waiting.size());
-    double cost = average * (1 + queued / slots);
+    return addPrices(average * (1 + queued / slots), state, need, now);
+}
+
+// Adds the prices to the cost one by one, so that explaining doesn't change how the cost is rounded.
+double ServerPool::addPrices(double cost, const PooledServer &state, const ReadNeed &need,
+                             TimePoint now) const
+{
     if (state.record.announcement.failureDomain != m_own)
         cost += OtherDomainCost;
     if (state.record.announcement.isPrimary)
@@ -146,14 +152,9 @@
     return cost;
 }
 
-bool ServerPool::mayRead(const PooledServer &state, const std::set<ServerId> &tried,
-                         TimePoint now) const
+bool ServerPool::mayRead(const PooledServer &state, const std::set<ServerId> &tried, TimePoint now)
 {
-    const ServerAnnouncement &announcement = state.record.announcement;
-    const bool isUsable = !state.record.isGone && !announcement.isLeaving && !state.hasWrongAddress
-            && !state.failingSince && state.avoidUntil <= now
-            && tried.count(announcement.server) == 0;
-    return isUsable && (!state.idle.empty() || state.connectionLimitUntil <= now);
+    return tried.count(state.record.announcement.server) == 0 && !exclusionOf(state, now);
 }
 
 std::optional<ServerId> ServerPool::chooseReader(const ServiceName &service, const ReadNeed &need,
@@ -161,6 +162,13 @@
 {
     if (m_balanced.count(service) != 0)
         return drawReader(service, need, tried, now);
+    return cheapestReader(service, need, tried, now);
+}
+
+std::optional<ServerId> ServerPool::cheapestReader(const ServiceName &service, const ReadNeed &need,
+                                                   const std::set<ServerId> &tried,
+                                                   TimePoint now) const
+{
     std::optional<ServerId> best;
     double lowest = 0;
     for (const auto &[server, state] : m_servers) {
@@ -254,7 +262,18 @@
                                                   const SessionState &session,
                                                   const PreparedStatement *prepared)
 {
-    PooledServer &state = m_servers.at(server);
+    const auto key = closestIdle(server, workspace, session, prepared);
+    if (key)
+        std::erase(m_servers.at(server).idle, *key);
+    return key;
+}
+
+std::optional<ConnectionKey> ServerPool::closestIdle(const ServerId &server,
+                                                     const WorkspaceName &workspace,
+                                                     const SessionState &session,
+                                                     const PreparedStatement *prepared) const
+{
+    const PooledServer &state = m_servers.at(server);
     auto best = state.idle.end();
     std::size_t lowest = 0;
     for (auto candidate = state.idle.begin(); candidate != state.idle.end(); ++candidate) {
@@ -269,9 +288,7 @@
     }
     if (best == state.idle.end())
         return std::nullopt;
-    const ConnectionKey key = *best;
-    state.idle.erase(best);
-    return key;
+    return *best;
 }
 
 void ServerPool::putIdle(ConnectionKey key, TimePoint now)
--- a/src/proxy/serverpoolbalance.cpp
+++ b/src/proxy/serverpoolbalance.cpp
@@ -81,8 +81,15 @@
     return estimate;
 }
 
-std::optional<ServerId> ServerPool::drawReader(const ServiceName &service, const ReadNeed &need,
-                                               const std::set<ServerId> &tried, TimePoint now)
+bool ServerPool::isBehind(const PooledServer &state, const ReadNeed &need, TimePoint now)
+{
+    return !state.record.announcement.isPrimary && state.lag.hasLackedLately(need, now);
+}
+
+std::vector<ServerEstimate> ServerPool::readerEstimates(const ServiceName &service,
+                                                        const ReadNeed &need,
+                                                        const std::set<ServerId> &tried,
+                                                        TimePoint now) const
 {
     const Duration usual = usualTime(service, now);
     std::vector<ServerEstimate> estimates;
@@ -90,9 +97,16 @@
         const ServerAnnouncement &announcement = state.record.announcement;
         if (announcement.service != service || !mayRead(state, tried, now))
             continue;
-        if (announcement.isPrimary || !state.lag.hasLackedLately(need, now))
+        if (!isBehind(state, need, now))
             estimates.push_back(estimateOf(state, need, usual, now));
     }
+    return estimates;
+}
+
+std::optional<ServerId> ServerPool::drawReader(const ServiceName &service, const ReadNeed &need,
+                                               const std::set<ServerId> &tried, TimePoint now)
+{
+    const std::vector<ServerEstimate> estimates = readerEstimates(service, need, tried, now);
     if (estimates.empty())
         return std::nullopt;
     const std::vector<double> weights = LoadBalancer::weightsOf(estimates);
--- a/src/proxy/sessioncaps.cpp
+++ b/src/proxy/sessioncaps.cpp
@@ -23,23 +23,40 @@
 
 bool SessionProxy::needsLoan(const Session &session) const
 {
-    if (session.isCharged || session.workspace.isEmpty() || !m_routes->workspaces)
-        return false;
-    const Workspace *workspace = m_routes->workspaces->find(session.workspace);
-    return workspace != nullptr && workspace->cap.isSet();
+    return !session.isCharged && capOf(session.workspace).isSet();
+}
+
+OperationCap SessionProxy::capOf(const WorkspaceName &name) const
+{
+    if (name.isEmpty() || !m_routes->workspaces)
+        return {};
+    const Workspace *workspace = m_routes->workspaces->find(name);
+    return workspace == nullptr ? OperationCap() : workspace->cap;
+}
+
+bool SessionProxy::hasReturnedLoan(const CapQueue &queue, TimePoint now)
+{
+    return queue.returned > 0 && now - queue.returnedAt < UnusedLoanTime;
+}
+
+std::optional<std::string> SessionProxy::capRefusal(const CapQueue &queue, TimePoint now)
+{
+    if (hasReturnedLoan(queue, now) || now >= queue.refusedUntil)
+        return std::nullopt;
+    return overCapReason(queue.refusedUntil - now);
 }
 
 void SessionProxy::charge(SessionKey key, TimePoint now)
 {
     Session &session = m_sessions.at(key);
     CapQueue &queue = m_capQueues[session.workspace];
-    if (queue.returned > 0 && now - queue.returnedAt < UnusedLoanTime) {
+    if (hasReturnedLoan(queue, now)) {
         --queue.returned;
         return startCharged(key, now);
     }
     queue.returned = 0;
-    if (now < queue.refusedUntil)
-        return fail(key, StatementFault::OverCap, overCapReason(queue.refusedUntil - now), now);
+    if (const auto reason = capRefusal(queue, now))
+        return fail(key, StatementFault::OverCap, *reason, now);
     session.work->phase = Phase::Cap;
     queue.waiting.push_back(key);
     setTimer(key, now + LoanWait);
--- a/src/proxy/sessionproxy.cpp
+++ b/src/proxy/sessionproxy.cpp
@@ -11,9 +11,6 @@
 constexpr std::size_t MaxQueuedStatements = 256;
 // How long a session waits for the first routes.
 constexpr Duration MaxRoutesWait = 1s;
-// An unsent statement waits for this fraction of the latency objective.
-constexpr int QueueWaitDivisor = 4;
-constexpr int StartQueueWaitDivisor = 2; // the same in the startup phase
 
 } // namespace
 
@@ -94,14 +91,9 @@
     const Route *current = m_routes->find(session.database);
     if (!isInTransaction && current == nullptr)
         return answerFault(key, statement, StatementFault::UnknownDatabase, "no such route", now);
-    Work work;
+    Work work = isInTransaction ? newWork(*session.transactionRoute, now) : newWork(*current, now);
     work.statement = statement;
-    work.route = isInTransaction ? *session.transactionRoute : *current;
     work.revision = isInTransaction ? session.transactionRevision : m_routes->revision;
-    work.arrivedAt = now;
-    const int parts = now < m_startsUntil ? StartQueueWaitDivisor : QueueWaitDivisor;
-    work.sendDeadline = now + work.route.latencyObjective / parts;
-    work.replyDeadline = now + work.route.statementTimeout;
     const PreparedStatement *prepared = preparedOf(session, statement);
     work.isWrite = statement.kind == StatementKind::Write || (prepared && prepared->isWrite);
     // An open transaction occupies a connection and has done work already, so it waits longer.
--- a/src/proxy/sessionrouting.cpp
+++ b/src/proxy/sessionrouting.cpp
@@ -1,5 +1,6 @@
 // Server side of SessionProxy: choice of a server, use of connections and retries.
 #include "nutmegtide/proxy/sessionproxy.h"
+#include "proxy/sessionreasons.h"
 
 #include <algorithm>
 
@@ -7,28 +8,18 @@
 
 namespace {
 
-// Pause before the next attempt of a statement that no server could take.
-constexpr auto RetryPause = 30ms;
 constexpr auto BeginTimeout = 300ms; // for a server's reply to a begin
 // A read without a reply for so long is sent to another server.
 constexpr auto MinReadTimeout = 250ms;
 // A primary that has not replied to a write for so long counts as stuck.
 constexpr Duration StuckWriteTimeout = 350ms;
 constexpr auto AgeMargin = 20ms; // covers the delay of the caller's request to this process
-constexpr auto UsualChangeTime = 3s; // from the failure of a primary until it is replaced
-// A statement waits for a change of primary for this fraction of its timeout.
-constexpr int ChangeWaitDivisor = 2;
 // If the share of this process is smaller, connections to the server are scarce.
 constexpr int MinConnectionShare = 1;
-constexpr int MaxAttempts = 4; // of sending one statement
 constexpr auto MinQueueWait = 10ms; // in the queue of the server's home
 // A home must refuse a queued statement before its server is taken for silent.
 constexpr auto MaxQueueWait = 150ms;
 
-constexpr std::string_view PastLeaveTimeReason = "the server's time to leave is over";
-constexpr std::string_view StalledReason = "no recorded replica can confirm commits";
-constexpr std::string_view CutOffReason = "this VM is cut off from the primary";
-
 // Returns the position that the server must have reached. The position of an empty log needs no
 // check.
 std::optional<LogPosition> positionOf(const std::optional<ReadNeed> &need)
@@ -64,14 +55,13 @@
     Work &work = *session.work;
     std::optional<ServerId> server;
     if (needsPrimary(session, work)) {
-        if (m_isIsolated)
-            return fail(key, StatementFault::Busy, CutOffReason, now);
-        if (session.state != TransactionState::Open && isStalled(work.route.service, now))
-            return fail(key, StatementFault::Busy, StalledReason, now);
+        const bool isInTransaction = session.state == TransactionState::Open;
+        if (const auto reason = writeRefusal(work.route.service, isInTransaction, now))
+            return fail(key, StatementFault::Busy, *reason, now);
         server = m_pool.primary(work.route.service, now);
         extendForPrimaryChange(work, now);
         if (!server)
-            return retryLater(key, "no primary is known", now);
+            return retryLater(key, NoPrimaryReason, now);
     } else {
         if (!findNeed(key, now))
             return;
@@ -79,7 +69,7 @@
         reportShareChanges();
         if (!server) {
             work.tried.clear();
-            return retryLater(key, "no server is left to ask", now);
+            return retryLater(key, NoServerReason, now);
         }
     }
     acquire({key, {}, session.workspace}, *server, now);
@@ -95,18 +85,20 @@
     }
 }
 
-// Extends the wait of a statement while a failed or leaving primary may soon be replaced. Otherwise
-// its caller would use up its retries on refusals that come immediately.
-void SessionProxy::extendForPrimaryChange(Work &work, TimePoint now) const
+std::optional<std::string_view> SessionProxy::writeRefusal(const ServiceName &service,
+                                                           bool isInTransaction,
+                                                           TimePoint now) const
+{
+    if (m_isIsolated)
+        return CutOffReason;
+    if (!isInTransaction && isStalled(service, now))
+        return StalledReason;
+    return std::nullopt;
+}
+
+TimePoint SessionProxy::coveredSince(const Route &route, TimePoint from, TimePoint now)
 {
-    const auto primary = m_pool.primary(work.route.service, now);
-    const auto failingSince = primary ? m_pool.find(*primary)->failingSince : std::nullopt;
-    const bool isChanging = !primary || m_pool.isPastLeaveTime(*primary, now)
-            || (failingSince && now - *failingSince < UsualChangeTime);
-    if (isChanging)
-        work.sendDeadline = std::max(work.sendDeadline,
-                                     work.arrivedAt
-                                             + work.route.statementTimeout / ChangeWaitDivisor);
+    return route.consistency == Consistency::Latest ? from : now - route.largestAge + AgeMargin;
 }
 
 // Finds the position that the server of a read must have reached. If there is no suitable proof,
@@ -117,9 +109,7 @@
     Work &work = *session.work;
     const bool isInTransaction = session.state == TransactionState::Open;
     const TimePoint from = isInTransaction ? session.begunAt : work.arrivedAt;
-    const TimePoint coverSince = work.route.consistency == Consistency::Latest
-            ? from
-            : now - work.route.largestAge + AgeMargin;
+    const TimePoint coverSince = coveredSince(work.route, from, now);
     ProofState &proof = m_proofs[work.route.service];
     if (work.route.consistency != Consistency::Latest)
         proof.agedReadAt = now;
@@ -373,7 +363,7 @@
 void SessionProxy::retryLater(SessionKey key, std::string_view reason, TimePoint now)
 {
     Work &work = *m_sessions.at(key).work;
-    if (now + RetryPause >= work.sendDeadline || work.attempts >= MaxAttempts)
+    if (!mayRetryLater(work, now))
         return fail(key, work.lastFault.value_or(StatementFault::Busy), reason, now);
     work.phase = Phase::Pause;
     setTimer(key, now + RetryPause);
