--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -18,6 +18,7 @@
 // Remaining open work is ended this long before the drain timeout, so that the process exits by
 // itself.
 constexpr auto DrainEndMargin = 900ms;
+constexpr Duration ExplainTime = 1s; // for the event loop to answer an operator's question
 constexpr int DrainTurns = 32; // of the loop, which takes 32 ready sockets or more in each
 constexpr auto FlushMargin = 600ms; // the loop stops this long before the drain timeout
 constexpr Duration StartTime = 2s; // for receiving the routes and processing held statements
@@ -90,6 +91,7 @@
                               {{"reason", reason}});
                   });
               })
+    , m_explainQuestion([this](EventLoop::Task task) { m_loop.post(std::move(task)); }, ExplainTime)
 {
     m_links.setOnLoan([this](const Endpoint &lender, const WorkspaceName &workspace,
                              LenderRole role, const CapLoan &loan) {
@@ -144,6 +146,7 @@
 void EntryNode::run()
 {
     m_loop.run();
+    m_explainQuestion.close();
     // Closes the listeners, since this process no longer answers.
     m_callers.reset();
     m_home.reset();
@@ -331,16 +334,4 @@
     return response;
 }
 
-HttpResponse EntryNode::answerOperators(const HttpRequest &request) const
-{
-    HttpResponse response;
-    if (request.path != "/metrics") {
-        response.status = 404;
-        return response;
-    }
-    response.contentType = "text/plain; version=0.0.4";
-    response.body = m_metrics.text();
-    return response;
-}
-
 } // namespace nutmegtide
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -7,8 +7,10 @@
 #include "serve/httpserver.h"
 #include "site/controlfollower.h"
 #include "site/eventloop.h"
+#include "site/explainjson.h"
 #include "site/homeport.h"
 #include "site/lanelinks.h"
+#include "site/loopquestion.h"
 #include "site/siteidentity.h"
 #include "site/sitelog.h"
 #include "site/sitemetrics.h"
@@ -87,7 +89,10 @@
     void checkIsolation(TimePoint now);
     void refuseCallersIfCutOff(TimePoint now);
     HttpResponse answerHealth() const;
-    HttpResponse answerOperators(const HttpRequest &request) const;
+    HttpResponse answerOperators(const HttpRequest &request);
+    using ExplainAnswer = std::variant<SiteExplanation, QuestionFault>;
+    HttpResponse answerExplain(const HttpRequest &request);
+    ExplainAnswer explain(const RouteQuestion &question) const;
     void logUnconfirmed(const RequestDecision &decision);
     void logLine(LogLevel level, const std::string &event, const std::vector<LogField> &fields);
 
@@ -105,6 +110,7 @@
     CapBorrower m_borrower;
     std::unique_ptr<HomePort> m_home; // null where this VM accepts no lanes
     ControlFollower m_follower;
+    LoopQuestion<ExplainAnswer> m_explainQuestion;
     std::unique_ptr<HttpServer> m_health;
     std::unique_ptr<HttpServer> m_operators;
     Revision m_revision = 0; // of the active routes
--- a/src/site/lanelinks.cpp
+++ b/src/site/lanelinks.cpp
@@ -170,6 +170,25 @@
     m_lanes.erase(lane);
 }
 
+std::optional<Endpoint> LaneLinks::homeOf(ConnectionKey connection) const
+{
+    const auto lane = m_lanes.find(connection);
+    return lane == m_lanes.end() ? std::nullopt : std::optional(lane->second.home);
+}
+
+std::optional<Endpoint> LaneLinks::nextHomeOf(const ServerId &server,
+                                              const WorkspaceName &workspace, TimePoint now) const
+{
+    const auto named = m_homesByServer.find(server);
+    if (named == m_homesByServer.end() || isHomeBypassed(server, now))
+        return std::nullopt;
+    for (const Endpoint &at : homesFor(workspace, named->second)) {
+        if (isUsable(at))
+            return at;
+    }
+    return std::nullopt;
+}
+
 void LaneLinks::bypassHome(const ServerId &server)
 {
     m_directUntil[server] = EventLoop::now() + BypassTime;
--- a/src/site/lanelinks.h
+++ b/src/site/lanelinks.h
@@ -69,6 +69,11 @@
     void requestLoan(const Endpoint &at, const WorkspaceName &workspace, LenderRole role,
                      int wanted, const std::vector<LoanHistory> &reports);
     bool isLane(ConnectionKey connection) const { return m_lanes.count(connection) != 0; }
+    // Returns the home of a lane; nothing for a direct connection.
+    std::optional<Endpoint> homeOf(ConnectionKey connection) const;
+    // Returns the home through which open() would go; nothing if it would open a direct connection.
+    std::optional<Endpoint> nextHomeOf(const ServerId &server, const WorkspaceName &workspace,
+                                       TimePoint now) const;
     // Another source reports that other failure domains may be unreachable, or that they are
     // reachable.
     void suspectCutOff(TimePoint now) { m_reach.noteOverdueAnswer(now); }
