--- a/src/cli/commandline.h
+++ b/src/cli/commandline.h
@@ -7,6 +7,7 @@
     ExitOk = 0,
     ExitFailed = 1,
     ExitBadSettings = 2,
+    ExitBadQuestion = 2, // wrong usage of `explain`
     ExitConflict = 3,
     ExitUnknownOutcome = 4,
     ExitUsage = 64,
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -10,6 +10,7 @@
 int runCheck(const CheckOptions &options);
 int runApply(const ApplyOptions &options);
 int runStatus(const StatusOptions &options);
+int runExplain(const ExplainOptions &options);
 int runTimeline(const TimelineOptions &options);
 int runDrain(const DrainOptions &options);
 
--- a/src/cli/options.cpp
+++ b/src/cli/options.cpp
@@ -22,6 +22,10 @@
     std::string base;
     std::string changeId;
     std::string html;
+    std::string workspace;
+    std::string access;
+    std::string age;
+    std::string word; // the argument that isn't a flag
     bool print = false;
     bool json = false;
     bool help = false;
@@ -48,6 +52,11 @@
                            {"base", &GivenFlags::base, "REVISION"},
                            {"change-id", &GivenFlags::changeId, "ID"}};
 const Flag StatusFlags[] = {AtFlag, JsonFlag};
+const Flag ExplainFlags[] = {AtFlag,
+                             {"workspace", &GivenFlags::workspace, "NAME"},
+                             {"access", &GivenFlags::access, "read|write"},
+                             {"age", &GivenFlags::age, "MS"},
+                             JsonFlag};
 const Flag TimelineFlags[] = {{"at", &GivenFlags::at, "HOST:PORT[,...]", IsRequired},
                               {"html", &GivenFlags::html, "FILE"},
                               JsonFlag};
@@ -108,6 +117,16 @@
     return StatusOptions {readEndpoint(given.at), given.json};
 }
 
+Options readExplain(const GivenFlags &given)
+{
+    return ExplainOptions {DatabaseName(given.word),
+                           readEndpoint(given.at),
+                           WorkspaceName(given.workspace),
+                           given.access,
+                           given.age,
+                           given.json};
+}
+
 Options readTimeline(const GivenFlags &given)
 {
     return TimelineOptions {readEndpoints(given.at), given.html, given.json};
@@ -124,6 +143,7 @@
     std::span<const Flag> flags;
     Options (*read)(const GivenFlags &);
     const char *help;
+    const char *word = nullptr; // what usage() calls its argument; null for none
 };
 
 const Command Commands[] = {
@@ -131,6 +151,8 @@
         {"check", CheckFlags, readCheck, "merge and check a settings folder"},
         {"apply", ApplyFlags, readApply, "submit the fleet's settings"},
         {"status", StatusFlags, readStatus, "show the fleet, its groups and its revision"},
+        {"explain", ExplainFlags, readExplain, "show where a request would go now, and why",
+         "DATABASE"},
         {"timeline", TimelineFlags, readTimeline, "show the events of all processes"},
         {"drain", DrainFlags, readDrain, "take a VM out of work as planned"},
 };
@@ -171,6 +193,8 @@
 
 void checkRequired(const Command &command, const GivenFlags &given)
 {
+    if (command.word != nullptr && given.word.empty())
+        throw UsageError(std::string("missing ") + command.word);
     for (const Flag &flag : command.flags) {
         if (!flag.isRequired)
             continue;
@@ -200,6 +224,8 @@
         throw UsageError(std::string(poptBadOption(context.get(), POPT_BADOPTION_NOALIAS)) + ": "
                          + poptStrerror(place));
     }
+    if (command.word != nullptr && poptPeekArg(context.get()) != nullptr)
+        given.word = poptGetArg(context.get());
     if (const char *word = poptPeekArg(context.get()))
         throw UsageError(std::string("unknown word \"") + word + '"');
     return given;
@@ -209,6 +235,8 @@
 {
     std::ostringstream text;
     text << Program << ' ' << command.name;
+    if (command.word != nullptr)
+        text << ' ' << command.word;
     for (const Flag &flag : command.flags) {
         const std::string value = flag.argument == nullptr ? "" : std::string(" ") + flag.argument;
         const std::string whole = std::string("--") + flag.name + value;
--- a/src/cli/options.h
+++ b/src/cli/options.h
@@ -49,6 +49,17 @@
     bool json = false;
 };
 
+struct ExplainOptions
+{
+    DatabaseName database;
+    Endpoint at; // the operators' listener of an entry VM of a site
+    WorkspaceName workspace; // empty: none
+    // Checked by the listener; empty: its default.
+    std::string access;
+    std::string age;
+    bool json = false;
+};
+
 struct TimelineOptions
 {
     std::vector<Endpoint> at;
@@ -63,7 +74,7 @@
 
 // What the command line asks for: one alternative for each command.
 using Options = std::variant<HelpOptions, VersionOptions, ServeOptions, CheckOptions, ApplyOptions,
-                             StatusOptions, TimelineOptions, DrainOptions>;
+                             StatusOptions, ExplainOptions, TimelineOptions, DrainOptions>;
 
 // Reads the arguments after the program's name. Throws UsageError.
 Options parseOptions(const std::vector<std::string> &arguments);
--- a/test/process/support/lineserver.cpp
+++ b/test/process/support/lineserver.cpp
@@ -38,6 +38,7 @@
         const std::string position = "1." + std::to_string(m_commits.load());
         result = "ROW primary 1 " + position + " 0 0 0 1\r\nDONE -\r\n";
     } else if (contains(" READ ")) {
+        ++m_reads;
         const std::string item = line.substr(line.rfind(' ') + 1);
         result = "ROW " + (item.size() > LongItem ? item : "row") + "\r\nDONE proof\r\n";
     } else if (contains(" WRITE ") && !contains(" PREPARE ")) {
--- a/test/process/support/lineserver.h
+++ b/test/process/support/lineserver.h
@@ -18,6 +18,8 @@
     const Endpoint &endpoint() const { return m_listener.endpoint(); }
     // Writes that took effect.
     int commits() const { return m_commits; }
+    // Reads that it answered.
+    int reads() const { return m_reads; }
     // While it holds, statements get no answer.
     void setHolding(bool isHolding) { m_isHolding = isHolding; }
 
@@ -28,6 +30,7 @@
     const std::string m_service;
     const std::string m_id;
     std::atomic<int> m_commits = 0;
+    std::atomic<int> m_reads = 0;
     std::atomic<bool> m_isHolding = false;
     LineListener m_listener;
 };
--- a/test/unit/cli/commandline_test.cpp
+++ b/test/unit/cli/commandline_test.cpp
@@ -52,6 +52,8 @@
             {{"apply", "--config", good.path(), "--at", Refusing, "--base", "1"}, ExitFailed},
             {{"status", "--at", Refusing}, ExitFailed},
             {{"drain", "--at", Refusing}, ExitFailed},
+            {{"explain", "casks"}, ExitBadQuestion},
+            {{"explain", "casks", "--at", Refusing}, ExitFailed},
             {{"timeline", "--at", Refusing}, ExitFailed},
     };
     for (const Row &row : rows) {
@@ -131,6 +133,35 @@
     }
 }
 
+// Guards against scripts that take a refused request, or a failed question, for a served one.
+TEST_CASE("explain exits by the outcome")
+{
+    struct Row
+    {
+        FakeOperator::Answer answer;
+        int code;
+    };
+    const Row rows[] = {
+            {{200, R"({"outcome":"server","candidates":[{"server":"i-1"}]})"}, ExitOk},
+            {{200, R"({"outcome":"refused"})"}, ExitFailed},
+            {{200, R"({"outcome":"waits"})"}, ExitFailed},
+            {{200, "[]"}, ExitFailed},
+            {{200, "no json"}, ExitFailed},
+            {{400, R"({"error":"age: no","parameter":"age"})"}, ExitBadQuestion},
+            {{404, R"({"error":"unknown database"})"}, ExitFailed},
+            {{503, R"({"error":"busy"})"}, ExitFailed},
+            {{0, ""}, ExitFailed},
+    };
+    FakeOperator fake;
+    for (const Row &row : rows) {
+        CAPTURE(row.answer.status);
+        CAPTURE(row.answer.body);
+        fake.setAnswers({{"/v1/explain", row.answer}});
+        CHECK(run({"explain", "casks", "--at", toString(fake.endpoint())}) == row.code);
+        CHECK(run({"explain", "casks", "--at", toString(fake.endpoint()), "--json"}) == row.code);
+    }
+}
+
 TEST_CASE("status, timeline and drain exit by the answer")
 {
     struct Row
--- a/test/unit/cli/options_test.cpp
+++ b/test/unit/cli/options_test.cpp
@@ -25,6 +25,20 @@
     const auto status = std::get<StatusOptions>(parseOptions({"status", "--at", "[::1]:1"}));
     CHECK(toString(status.at) == "[::1]:1");
     CHECK_FALSE(status.json);
+    const auto explain = std::get<ExplainOptions>(
+            parseOptions({"explain", "casks", "--at", "127.0.0.1:1", "--workspace", "w", "--access",
+                          "write", "--age", "5", "--json"}));
+    CHECK(explain.database == DatabaseName("casks"));
+    CHECK(toString(explain.at) == "127.0.0.1:1");
+    CHECK(explain.workspace == WorkspaceName("w"));
+    CHECK(explain.access == "write");
+    CHECK(explain.age == "5");
+    CHECK(explain.json);
+    const auto shortest = std::get<ExplainOptions>(
+            parseOptions({"explain", "--at", "127.0.0.1:1", "casks"}));
+    CHECK(shortest.database == DatabaseName("casks"));
+    CHECK(shortest.access.empty());
+    CHECK_FALSE(shortest.json);
     const auto timeline = std::get<TimelineOptions>(
             parseOptions({"timeline", "--at", "127.0.0.1:1,127.0.0.1:2", "--html", "f", "--json"}));
     CHECK(timeline.at == std::vector<Endpoint> {{"127.0.0.1", 1}, {"127.0.0.1", 2}});
@@ -64,6 +78,11 @@
              "--base: no revision number in \"1x\""},
             {{"status"}, "missing --at"},
             {{"status", "--at", "host:1"}, "--at: no numeric IP address in \"host:1\""},
+            {{"status", "word", "--at", "127.0.0.1:1"}, "unknown word \"word\""},
+            {{"explain", "--at", "127.0.0.1:1"}, "missing DATABASE"},
+            {{"explain", "casks"}, "missing --at"},
+            {{"explain", "casks", "more", "--at", "127.0.0.1:1"}, "unknown word \"more\""},
+            {{"explain", "casks", "--at", "127.0.0.1:1", "--age"}, "--age: missing argument"},
             {{"timeline"}, "missing --at"},
             {{"timeline", "--at", "127.0.0.1:1,"}, "--at: no port in \"\""},
             {{"drain"}, "missing --at"},
@@ -81,4 +100,6 @@
         CAPTURE(name);
         CHECK(usage().find(std::string("nutmegtide ") + name + " --") != std::string::npos);
     }
+    CHECK(usage().find("nutmegtide explain DATABASE --at HOST:PORT [--workspace NAME]")
+          != std::string::npos);
 }
