--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -308,7 +308,8 @@
     m_links.setUnlistedLenders(m_borrower.unlistedLenders());
     if (m_home)
         m_home->tick(now);
-    if (!m_isDraining)
+    // stop() sets the flag on another thread, some turns before the drain starts.
+    if (!m_isDraining || m_drainStartedAt == TimePoint())
         return;
     const Duration draining = now - m_drainStartedAt;
     if (draining >= m_settings.drainTimeout / 2)
