--- a/test/process/explain_test.cpp
+++ b/test/process/explain_test.cpp
@@ -3,6 +3,7 @@
 #include "process/support/linesite.h"
 #include "process/support/waituntil.h"
 
+#include <csignal>
 #include <doctest/doctest.h>
 #include <fstream>
 #include <iterator>
@@ -127,3 +128,23 @@
     CHECK(explain(site, {"casks", "--access", "both"}).code == 2);
     CHECK(explain(site, {"casks", "--colour", "red"}).code == 2);
 }
+
+// Guards against a stop that waits for a question, and a question that outlives the entry VM's state.
+TEST_CASE("a site: an entry VM that is asked for explanations all the time stops as planned")
+{
+    LineServer server("db", "i-1");
+    LineSite site;
+    site.configure(SiteRoutes);
+    site.announce(server);
+    waitUntil([&site] { return site.isReady(); }, "the entry VM to be ready");
+    site.entry().sendSignal(SIGTERM);
+    int answered = 0;
+    const auto isStopped = [&] {
+        const int status = statusOf(site.operators(), "GET", "/v1/explain?database=casks", "");
+        answered += status == 200 ? 1 : 0;
+        return status == 0;
+    };
+    waitUntil(isStopped, "the operators' listener to close");
+    CHECK(answered > 0);
+    CHECK(site.entry().waitForExit() == ExitStatus {0, 0});
+}
