--- a/include/nutmegtide/failover/serverroster.h
+++ b/include/nutmegtide/failover/serverroster.h
@@ -53,12 +53,15 @@
     std::set<ServerId> presentServers() const;
     // Returns the announcements of the servers of all services.
     std::vector<ServerAnnouncement> announcements() const;
+    // Increases whenever the servers of a service are replaced.
+    std::uint64_t version() const;
 
 private:
     // Throws Json::exception or EndpointError.
     void apply(const nlohmann::json &json);
 
     mutable std::mutex m_mutex;
+    std::uint64_t m_version = 0;
     std::map<ServiceName, Servers> m_services;
     std::map<ServiceName, std::set<ServerId>> m_departed;
     std::map<ServiceName, std::set<ServerId>> m_openOrders;
--- a/include/nutmegtide/proxy/serverregistry.h
+++ b/include/nutmegtide/proxy/serverregistry.h
@@ -74,6 +74,9 @@
     std::vector<ServerRecord> present() const;
     // Returns all records, for merging into other registries.
     std::vector<ServerRecord> all() const;
+    // Returns the records that changed in more than their sequence number after the version.
+    std::vector<ServerRecord> changedSince(std::uint64_t version) const;
+    std::size_t size() const { return m_entries.size(); }
     // Removes servers that left longer than `age` ago. Until then the record rejects announcements
     // that arrive late.
     void forget(std::chrono::milliseconds age, TimePoint now);
@@ -85,6 +88,7 @@
     {
         ServerRecord record;
         TimePoint heardAt;
+        std::uint64_t changedAt = 0; // the version of the latest change
     };
 
     std::map<ServerId, Entry> m_entries;
--- a/src/failover/serverroster.cpp
+++ b/src/failover/serverroster.cpp
@@ -117,6 +117,7 @@
         const std::lock_guard lock(m_mutex);
         m_services[service] = std::move(servers);
         m_departed[service] = std::move(departed);
+        ++m_version;
     }
 }
 
@@ -162,6 +163,13 @@
     m_services = std::move(services);
     m_departed = std::move(departed);
     m_openOrders = std::move(orders);
+    ++m_version;
+}
+
+std::uint64_t ServerRoster::version() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_version;
 }
 
 std::set<ServerId> ServerRoster::openOrders(const ServiceName &service) const
--- a/src/proxy/serverhome.cpp
+++ b/src/proxy/serverhome.cpp
@@ -332,9 +332,12 @@
         restartSilenceTimers(now);
     closeUnused(now);
     probeServers(now);
+    // Of thousands of servers, this VM is home of a few.
     std::vector<ServerId> servers;
-    for (const auto &[id, server] : m_servers)
-        servers.push_back(id);
+    for (const auto &[id, server] : m_servers) {
+        if (!server.queue.isEmpty() || server.limiter.heldUntil() > now)
+            servers.push_back(id);
+    }
     for (const ServerId &id : servers) {
         refuseOverdue(id, now);
         serve(id, now);
--- a/src/proxy/serverregistry.cpp
+++ b/src/proxy/serverregistry.cpp
@@ -47,8 +47,7 @@
     if (found == m_entries.end()) {
         ServerRecord first = record;
         first.leavingSince = leavingSince(record.announcement, {&record}, now);
-        m_entries[record.announcement.server] = {first, now};
-        ++m_version;
+        m_entries[record.announcement.server] = {first, now, ++m_version};
         return true;
     }
     Entry &entry = found->second;
@@ -66,7 +65,7 @@
     latest.leavingSince = leavingSince(latest.announcement, {&entry.record, &record}, now);
     const bool isChanged = latest != entry.record;
     if (!isSameState(entry.record, latest))
-        ++m_version;
+        entry.changedAt = ++m_version;
     entry.record = latest;
     return isChanged;
 }
@@ -78,7 +77,7 @@
         return false;
     found->second.record.isGone = true;
     found->second.heardAt = now;
-    ++m_version;
+    found->second.changedAt = ++m_version;
     return true;
 }
 
@@ -93,7 +92,7 @@
             continue;
         record.confirmedTerm = term;
         record.announcement.isPrimary = isPrimary;
-        ++m_version;
+        entry.changedAt = ++m_version;
     }
 }
 
@@ -121,6 +120,16 @@
     return records;
 }
 
+std::vector<ServerRecord> ServerRegistry::changedSince(std::uint64_t version) const
+{
+    std::vector<ServerRecord> records;
+    for (const auto &[server, entry] : m_entries) {
+        if (entry.changedAt > version)
+            records.push_back(entry.record);
+    }
+    return records;
+}
+
 void ServerRegistry::forget(std::chrono::milliseconds age, TimePoint now)
 {
     std::erase_if(m_entries, [age, now](const auto &item) {
--- a/src/proxy/sessionproxy.cpp
+++ b/src/proxy/sessionproxy.cpp
@@ -337,6 +337,7 @@
     m_poolDueAt = now + PoolInterval;
     refusePendingSessions(now - MaxRoutesWait);
     endRevoked(now);
+    m_pool.forgetRecovered();
     for (const ConnectionKey key : m_pool.silent(now)) {
         m_delegate.close(key);
         lost(key, Loss::Silent, now);
--- a/src/proxy/sessionreports.cpp
+++ b/src/proxy/sessionreports.cpp
@@ -13,14 +13,17 @@
 std::vector<PrimaryComplaint> SessionProxy::complaints(TimePoint now) const
 {
     std::vector<PrimaryComplaint> complaints;
-    for (const auto &[server, state] : m_pool.servers()) {
-        std::optional<TimePoint> failedAt = state.failingSince;
-        if (!failedAt || (state.writeUnansweredSince && *state.writeUnansweredSince < *failedAt))
-            failedAt = state.writeUnansweredSince;
-        if (!state.record.announcement.isPrimary || !failedAt || now - *failedAt >= ComplaintAge)
+    for (const ServerId &server : m_pool.troubledServers()) {
+        const PooledServer *state = m_pool.find(server);
+        if (state == nullptr)
+            continue;
+        std::optional<TimePoint> failedAt = state->failingSince;
+        if (!failedAt || (state->writeUnansweredSince && *state->writeUnansweredSince < *failedAt))
+            failedAt = state->writeUnansweredSince;
+        if (!state->record.announcement.isPrimary || !failedAt || now - *failedAt >= ComplaintAge)
             continue;
         const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - *failedAt);
-        complaints.push_back({state.record.announcement.service, server, since});
+        complaints.push_back({state->record.announcement.service, server, since});
     }
     return complaints;
 }
--- a/src/site/controlnode.cpp
+++ b/src/site/controlnode.cpp
@@ -22,6 +22,8 @@
 constexpr RaftTimings LogTimings {80ms, 300ms, 550ms, 50ms};
 constexpr Duration LeaderTick = 30ms; // interval of decisions on changes of primary
 constexpr Duration FollowerTick = 300ms;
+// Each decision goes over all servers, so the leader takes longer intervals beyond this number.
+constexpr std::size_t ServersPerLeaderTick = 256;
 
 std::vector<VmName> namesOf(const std::vector<Endpoint> &endpoints)
 {
@@ -302,11 +304,18 @@
     m_proofCollector = std::make_unique<ProofCollector>(
             [this](ServerEvents &events) { return makeServerLinks(m_loop, "control", events); },
             m_proofs);
-    m_loop.every([this] { return m_log.isLeader() ? LeaderTick : FollowerTick; },
+    m_loop.every([this] { return m_log.isLeader() ? leaderTick() : FollowerTick; },
                  [this] { tickChanges(); });
     m_loopThread = std::thread([this] { m_loop.run(); });
 }
 
+Duration ControlNode::leaderTick() const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto steps = static_cast<Duration::rep>(m_registry.size() / ServersPerLeaderTick);
+    return std::min(LeaderTick * (1 + steps), FollowerTick);
+}
+
 void ControlNode::tickChanges()
 {
     std::vector<ServerRecord> servers;
--- a/src/site/controlnode.h
+++ b/src/site/controlnode.h
@@ -48,7 +48,8 @@
 
     // Requests of other processes.
     wire::FollowReply answerFollow(const wire::Header &from, const wire::FollowRequest &request);
-    std::optional<RecordedServers> knownRecordedServers(bool isCurrent) const;
+    // Returns null where this VM can't tell them.
+    std::shared_ptr<const RecordedServers> knownRecordedServers(bool isCurrent);
     std::vector<wire::AgedProof> answerProofs(const std::vector<std::string> &services);
     void receiveUpdates(const wire::Header &from, const wire::SiteNews &news);
     void receiveComplaints(const std::vector<wire::PrimaryComplaint> &complaints);
@@ -58,6 +59,7 @@
     {
         TimePoint askedAt;
         std::optional<HomeCandidate> home; // set where it accepts lanes
+        TimePoint toldAllAt {}; // when it was sent the whole directory
     };
     // What another control VM reported about the entry VMs that poll it.
     struct FollowerCount
@@ -67,6 +69,8 @@
         std::vector<HomeCandidate> homes;
     };
 
+    // Returns the records that the follower may lack. Expects the lock to be held.
+    std::vector<ServerRecord> updatesFor(const wire::FollowRequest &request, Follower &follower);
     void applyView(const ControlView &view);
     // Merges the records of another control VM or of the control log, and logs each server that
     // this VM hadn't heard of. Requires m_mutex to be held.
@@ -100,6 +104,7 @@
     void startChanges();
     // Performs the leader's duties for primaries: changes, and proofs that they still lead.
     void tickChanges();
+    Duration leaderTick() const;
     std::set<ServerId> departedServers() const;
     void confirmPrimary(const ServiceName &service, const ServerId &server, Term term);
     void log(LogLevel level, const std::string &event, const std::vector<LogField> &fields) const;
@@ -136,7 +141,11 @@
     std::string m_compressed; // m_configuration, compressed
     bool m_isFollowerConnected = false;
     std::optional<Endpoint> m_followedLeader;
-    std::optional<RecordedServers> m_followedRecorded; // as a member told them
+    std::shared_ptr<const RecordedServers> m_followedRecorded; // as a member told them
+    std::shared_ptr<const RecordedServers> m_ownRecorded; // from m_roster's m_ownRecordedVersion
+    std::uint64_t m_ownRecordedVersion = 0;
+    std::uint64_t m_importedRoster = 0; // version of m_roster that was merged last
+    TimePoint m_rosterImportedAt {};
     std::map<Endpoint, std::unique_ptr<UpdateSender>> m_updateSenders;
 
     ProofCache m_proofs;
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -18,6 +18,10 @@
 constexpr auto FollowerTime = 1s; // an entry VM counts for this long after its last request
 constexpr auto HomeTime = 3s; // an entry VM stays a home for this long after its last request
 constexpr auto OtherCountTime = 7s; // validity of another control VM's count of entry VMs
+// A larger directory is sent to entry VMs as changes; a whole one would take most of their links.
+constexpr std::size_t MostSentWhole = 256; // records
+// A large directory is sent as a whole after this, for the sequence numbers of unchanged records.
+constexpr auto WholeInterval = 20s;
 constexpr std::size_t CompressFrom = 2048; // bytes; smaller configurations aren't compressed
 
 // Returns the requesting entry VM where it accepts lanes. Throws EndpointError.
@@ -44,12 +48,15 @@
     reply.isCurrent = isConnected();
     reply.isMember = reply.isCurrent && hearsLeader();
     reply.leader = leaderName().text();
-    const std::optional<RecordedServers> recorded = knownRecordedServers(reply.isCurrent);
+    const auto recorded = knownRecordedServers(reply.isCurrent);
     if (recorded)
         putRecordedServers(*recorded, request, reply);
+    const std::optional<HomeCandidate> home = homeOf(from, request.lanes);
     const std::lock_guard lock(m_mutex);
-    if (request.folder.empty())
-        m_followers[from.vm] = {EventLoop::now(), homeOf(from, request.lanes)};
+    Follower unlisted;
+    Follower &follower = request.folder.empty() ? m_followers[from.vm] : unlisted;
+    follower.askedAt = EventLoop::now();
+    follower.home = home;
     reply.entryCount = entryCount();
     reply.homesVersion = m_homes.version();
     if (reply.homesVersion != request.homesVersion) {
@@ -68,7 +75,7 @@
     reply.directoryVersion = static_cast<std::int64_t>(m_versionBase + m_registry.version());
     if (reply.directoryVersion != request.directoryVersion) {
         reply.__isset.servers = true;
-        for (const ServerRecord &record : m_registry.all())
+        for (const ServerRecord &record : updatesFor(request, follower))
             reply.servers.push_back(toWire(record, EventLoop::now()));
     }
     for (const auto &[peers, domain] : m_seedDomains) {
@@ -80,16 +87,37 @@
     return reply;
 }
 
+std::vector<ServerRecord> ControlNode::updatesFor(const wire::FollowRequest &request,
+                                                  Follower &follower)
+{
+    const TimePoint now = EventLoop::now();
+    const std::int64_t known = request.directoryVersion - static_cast<std::int64_t>(m_versionBase);
+    const bool isKnown = known > 0 && known <= static_cast<std::int64_t>(m_registry.version());
+    const bool isLarge = m_registry.size() > MostSentWhole;
+    if (isKnown && isLarge && now - follower.toldAllAt < WholeInterval)
+        return m_registry.changedSince(static_cast<std::uint64_t>(known));
+    follower.toldAllAt = now;
+    return m_registry.all();
+}
+
 // Returns the servers that the control log's rosters name: from the own copy of the log where that
 // is current, otherwise as a member told them last. An outdated set does no harm.
-std::optional<RecordedServers> ControlNode::knownRecordedServers(bool isCurrent) const
+std::shared_ptr<const RecordedServers> ControlNode::knownRecordedServers(bool isCurrent)
 {
     if (!m_settings.promotions || !isCurrent)
-        return std::nullopt;
-    if (hearsLeader())
-        return recordedServers(m_roster.presentServers());
+        return nullptr;
+    const bool isOwnCopyUsed = hearsLeader();
     const std::lock_guard lock(m_mutex);
-    return m_followedRecorded;
+    if (!isOwnCopyUsed)
+        return m_followedRecorded;
+    // Read before the servers, so that a change between the two is taken into account next time.
+    const std::uint64_t version = m_roster.version();
+    if (!m_ownRecorded || version != m_ownRecordedVersion) {
+        m_ownRecorded = std::make_shared<const RecordedServers>(
+                recordedServers(m_roster.presentServers()));
+        m_ownRecordedVersion = version;
+    }
+    return m_ownRecorded;
 }
 
 std::vector<wire::AgedProof> ControlNode::answerProofs(const std::vector<std::string> &services)
@@ -163,8 +191,10 @@
         setConfiguration(view.revision, *view.configuration);
     const std::lock_guard lock(m_mutex);
     m_followedLeader = view.leader;
-    if (view.recorded || !view.knowsRecorded)
-        m_followedRecorded = view.recorded;
+    if (view.recorded)
+        m_followedRecorded = std::make_shared<const RecordedServers>(*view.recorded);
+    else if (!view.knowsRecorded)
+        m_followedRecorded.reset();
     if (!view.servers)
         return;
     learn(*view.servers, view.leader ? toString(*view.leader) : "followed");
@@ -197,8 +227,15 @@
     m_compressed.clear();
 }
 
+// Merges the roster again from time to time, since the registry forgets departed servers.
 void ControlNode::importRoster()
 {
+    const std::uint64_t version = m_roster.version();
+    const TimePoint now = EventLoop::now();
+    if (version == m_importedRoster && now - m_rosterImportedAt < BroadcastInterval)
+        return;
+    m_importedRoster = version;
+    m_rosterImportedAt = now;
     const std::vector<ServerAnnouncement> known = m_roster.announcements();
     const std::set<ServerId> departed = m_roster.departed();
     m_hasRoster = !known.empty();
--- a/src/site/homedirectory.cpp
+++ b/src/site/homedirectory.cpp
@@ -42,11 +42,17 @@
     std::map<FailureDomain, std::vector<ServerId>> serversOf;
     for (const ServerRecord &record : servers)
         serversOf[record.announcement.failureDomain].push_back(record.announcement.server);
-    m_homes.clear();
-    for (auto &[domain, own] : serversOf) {
+    for (auto &[domain, own] : serversOf)
         std::sort(own.begin(), own.end());
-        if (candidatesOf.count(domain) != 0)
-            assignDomain(own, candidatesOf.at(domain));
+    // Most changes of a record, such as a new primary, leave the homes as they are.
+    if (serversOf == m_servers && candidatesOf == m_candidates)
+        return;
+    m_servers = std::move(serversOf);
+    m_candidates = std::move(candidatesOf);
+    m_homes.clear();
+    for (const auto &[domain, own] : m_servers) {
+        if (m_candidates.count(domain) != 0)
+            assignDomain(own, m_candidates.at(domain));
     }
     m_version = versionOf(m_homes);
 }
--- a/src/site/homedirectory.h
+++ b/src/site/homedirectory.h
@@ -46,6 +46,9 @@
     void assignDomain(const std::vector<ServerId> &servers,
                       const std::vector<HomeCandidate> &candidates);
 
+    // What m_homes was derived from.
+    std::map<FailureDomain, std::vector<ServerId>> m_servers;
+    std::map<FailureDomain, std::vector<HomeCandidate>> m_candidates;
     ServerHomes m_homes;
     std::int64_t m_version = 0; // 0 stands for no homes
 };
