Test hostile clients of an entry VM's port for lanes

Cause: the port for lanes has no limits but the length of a frame and the unread answers of one link, and no test.

Change: hostilelanes_test.cpp starts a site with one entry VM of 160 MB and 256 descriptors, and crowds that send frames that stop, expand, announce too much, run ahead, aren't read, or hold links. The crowds' sockets move from hostilehttp_test.cpp to the tests' support, unchanged but for an optional size of the pieces sent.

--- a/test/process/hostilehttp_test.cpp
+++ b/test/process/hostilehttp_test.cpp
@@ -1,17 +1,13 @@
 // Clients of the HTTP listeners that stop half-way, stay, or send more than is allowed. None of
 // them may end the process, fill its memory or keep an ordinary request from being answered.
+#include "process/support/hostileclients.h"
 #include "process/support/httpclient.h"
 #include "process/support/linesite.h"
 #include "process/support/processfootprint.h"
 #include "process/support/testfleet.h"
 #include "process/support/waituntil.h"
 
-#include <arpa/inet.h>
 #include <doctest/doctest.h>
-#include <fcntl.h>
-#include <poll.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace nutmegtide;
 using namespace nutmegtide::test;
@@ -24,80 +20,6 @@
 constexpr std::size_t MostResidentControl = 128 * MebiByte; // of a control VM of 256 MB
 constexpr std::size_t MostDescriptors = 250;
 constexpr auto AnswerTime = 20s; // for an ordinary request, generous on a busy machine
-constexpr int QuietTime = 1'000; // ms without a byte sent after which the crowd is complete
-
-// What each client of a crowd sends before it stops.
-struct Crowd
-{
-    int clients;
-    std::string text;
-};
-
-// Connections that all send at once, never read and stay open.
-class HostileClients
-{
-public:
-    HostileClients(const Endpoint &server, const Crowd &crowd)
-        : m_text(crowd.text)
-    {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(server.port);
-        inet_pton(AF_INET, server.address.c_str(), &address.sin_addr);
-        // A client without anything to send is complete once it is connected.
-        for (int client = 0; client < crowd.clients; ++client) {
-            const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-            REQUIRE(socket >= 0);
-            const auto *generic = reinterpret_cast<const sockaddr *>(&address);
-            (void)::connect(socket, generic, sizeof address); // goes on by itself
-            m_sockets.push_back({socket, POLLOUT, 0});
-            m_sent.push_back(0);
-        }
-        sendAll();
-    }
-    ~HostileClients()
-    {
-        for (const pollfd &entry : m_sockets)
-            ::close(entry.fd < 0 ? ~entry.fd : entry.fd);
-    }
-    HostileClients(const HostileClients &) = delete;
-    HostileClients &operator=(const HostileClients &) = delete;
-
-private:
-    // Sends until each client has sent all of its text or was refused, or the server takes no more.
-    void sendAll()
-    {
-        while (::poll(m_sockets.data(), m_sockets.size(), QuietTime) > 0) {
-            for (std::size_t client = 0; client < m_sockets.size(); ++client) {
-                if (m_sockets[client].revents != 0)
-                    sendSome(client);
-            }
-        }
-    }
-    void sendSome(std::size_t client)
-    {
-        pollfd &entry = m_sockets[client];
-        const ssize_t count = ::send(entry.fd, m_text.data() + m_sent[client],
-                                     m_text.size() - m_sent[client], MSG_NOSIGNAL);
-        if (count > 0)
-            m_sent[client] += static_cast<std::size_t>(count);
-        const bool isRefused = count < 0 && errno != EAGAIN && errno != EINTR;
-        if (isRefused || m_sent[client] == m_text.size())
-            entry.fd = ~entry.fd; // poll() passes over a negative one
-    }
-
-    const std::string m_text;
-    std::vector<pollfd> m_sockets;
-    std::vector<std::size_t> m_sent; // bytes
-};
-
-std::string repeated(const std::string &text, int count)
-{
-    std::string result;
-    for (int i = 0; i < count; ++i)
-        result += text;
-    return result;
-}
 
 std::string headerOf(const std::string &method, const std::string &path)
 {
--- a/test/process/support/linesite.cpp
+++ b/test/process/support/linesite.cpp
@@ -73,6 +73,16 @@
     return at(m_entries, number).health.endpoint();
 }
 
+const Endpoint &LineSite::lanes(int number) const
+{
+    return at(m_entries, number).lanes.endpoint();
+}
+
+const Endpoint &LineSite::controlPeers(int number) const
+{
+    return at(m_controls, number).peers.endpoint();
+}
+
 ChildProcess &LineSite::control(int number)
 {
     return *at(m_controls, number).process;
--- a/test/process/support/linesite.h
+++ b/test/process/support/linesite.h
@@ -47,6 +47,10 @@
     const Endpoint &operators(int number = 0) const;
     // The entry VM's listener for health checks.
     const Endpoint &health(int number = 0) const;
+    // The entry VM's listener for lanes.
+    const Endpoint &lanes(int number = 0) const;
+    // The control VM's listener for other processes.
+    const Endpoint &controlPeers(int number = 0) const;
     bool isReady(int number = 0) const;
     // Returns once a control VM, the one that leads, has accepted the configuration.
     void configure(const std::string &configuration) const;
