Close new connections while the process has no descriptor left

Cause: with no descriptor left, accept() failed, the connection stayed in the kernel's queue, and the event loop woke for it without an end.

Change: StreamListener keeps one spare descriptor, gives it up to accept and close one connection at each such wake-up, and opens it again.

--- a/src/site/streamlistener.h
+++ b/src/site/streamlistener.h
@@ -6,10 +6,12 @@
 
 struct event_base;
 struct evconnlistener;
+struct sockaddr;
 
 namespace nutmegtide {
 
-// Accepts connections, to be carried by StreamSocket.
+// Accepts connections, to be carried by StreamSocket. While the process has no descriptor left, it
+// closes each new connection: one that stays in the kernel's queue would wake the loop for ever.
 //
 //   StreamListener listener(loop.base(), endpoint, [&](int socket) { add(socket); });
 class StreamListener
@@ -25,7 +27,13 @@
     StreamListener &operator=(const StreamListener &) = delete;
 
 private:
+    static void onAccepted(evconnlistener *listener, int socket, sockaddr *address, int size,
+                           void *self);
+    static void onError(evconnlistener *listener, void *self);
+    void refuseOne();
+
     OnAccept m_onAccept;
+    int m_spare; // descriptor that is given up to refuse a connection; -1 while there is none
     evconnlistener *m_listener = nullptr;
 };
 
