Limit what a lane frame of a peer may take beyond its bytes

Cause: the generated code allocates a list's elements by the announced number before it reads them, and an empty struct takes one byte. A frame of 11 bytes with 2^31 - 1 announced requests ended an entry VM, and one of 4 MB took 1,190 MB. A buffer kept the memory of its longest frame.

Change: BoundedLists counts the memory of a message's lists as they begin; a peer's frame may have 32 MiB of it and expand to 16 times its compressed bytes (the product's frames, Huffman codes only, expand to 8 times at most). The body is read where it is in place of from a copy. A buffer gives its memory back.

--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -82,7 +82,7 @@
     struct Link
     {
         std::unique_ptr<StreamSocket> socket;
-        FrameBuffer frames;
+        FrameBuffer frames {FrameBuffer::PeerLimits};
         wire::LaneFrame outgoing;
         FailureDomain failureDomain; // of the entry VM, empty until it has reported it
     };
--- a/src/site/lanewire.cpp
+++ b/src/site/lanewire.cpp
@@ -1,5 +1,6 @@
 #include "site/lanewire.h"
 
+#include "serve/boundedlists.h"
 #include "serve/wireconvert.h"
 
 #include <algorithm>
@@ -26,12 +27,20 @@
 constexpr std::size_t CompressedFlag = 0x80000000; // flag in the length: the body is compressed
 constexpr std::size_t MinCompressedBody = 128; // bytes; compressing a shorter body saves nothing
 
-wire::LaneFrame readFrame(std::string_view body)
+constexpr std::size_t KeptCapacity = 4'096; // bytes of a buffer that needs fewer
+
+constexpr std::size_t LargestStruct = std::max(
+        {sizeof(wire::LaneRequest), sizeof(wire::LaneCommand), sizeof(wire::LaneReply),
+         sizeof(wire::LaneEvidence), sizeof(wire::LoanRequest), sizeof(wire::LoanHistory),
+         sizeof(wire::Loan)});
+
+wire::LaneFrame readFrame(std::string_view body, std::size_t mostListBytes)
 {
-    const auto memory = std::make_shared<TMemoryBuffer>();
-    memory->write(reinterpret_cast<const std::uint8_t *>(body.data()),
-                  static_cast<std::uint32_t>(body.size()));
-    TCompactProtocol protocol(memory);
+    // The protocol reads the body where it is.
+    auto *bytes = reinterpret_cast<std::uint8_t *>(const_cast<char *>(body.data()));
+    const auto memory = std::make_shared<TMemoryBuffer>(bytes,
+                                                        static_cast<std::uint32_t>(body.size()));
+    BoundedLists<TCompactProtocol> protocol({mostListBytes, LargestStruct}, memory);
     wire::LaneFrame frame;
     try {
         frame.read(&protocol);
@@ -76,22 +85,34 @@
 std::optional<wire::LaneFrame> FrameBuffer::next(FrameExpander &expander)
 {
     std::size_t head = 0;
-    const std::size_t size = m_bytes.size() - m_start;
-    for (std::size_t i = 0; i < LengthSize && size >= LengthSize; ++i)
+    for (std::size_t i = 0; i < LengthSize && size() >= LengthSize; ++i)
         head = (head << BitsPerByte) | static_cast<unsigned char>(m_bytes[m_start + i]);
     const std::size_t length = head & ~CompressedFlag;
     if (length > LongestFrame)
         throw MessageError("lane frame of " + std::to_string(length) + " bytes is too long");
-    if (size < LengthSize || size < LengthSize + length) {
-        m_bytes.erase(0, m_start);
-        m_start = 0;
+    if (size() < LengthSize + length) {
+        dropRead();
         return std::nullopt;
     }
     const std::string_view body(m_bytes.data() + m_start + LengthSize, length);
     m_start += LengthSize + length;
-    if ((head & CompressedFlag) != 0)
-        return readFrame(expander.expand(body, LongestFrame));
-    return readFrame(body);
+    if ((head & CompressedFlag) == 0)
+        return readFrame(body, m_limits.mostListBytes);
+    const bool isLongAllowed = length > LongestFrame / m_limits.mostExpansion;
+    const std::size_t longest = isLongAllowed ? LongestFrame : length * m_limits.mostExpansion;
+    return readFrame(expander.expand(body, longest), m_limits.mostListBytes);
+}
+
+// Keeps little memory between frames, since there may be thousands of connections.
+void FrameBuffer::dropRead()
+{
+    if (m_start == 0)
+        return;
+    if (m_bytes.capacity() > KeptCapacity)
+        m_bytes.substr(m_start).swap(m_bytes); // an assignment would keep the memory
+    else
+        m_bytes.erase(0, m_start);
+    m_start = 0;
 }
 
 wire::LaneCommand toWire(const ServerCommand &command)
--- a/test/unit/site/lanewire_test.cpp
+++ b/test/unit/site/lanewire_test.cpp
@@ -148,6 +148,64 @@
     CHECK_THROWS_AS(fromWire(negative), MessageError);
 }
 
+// Guards against frames of a few bytes that take the memory of millions of elements.
+TEST_CASE("a peer's frame is refused where its body or its lists expand beyond the limits")
+{
+    constexpr std::size_t ManyRequests = 500'000;
+    wire::LaneFrame lists;
+    lists.requests.resize(ManyRequests);
+    wire::LaneFrame ordinary;
+    ordinary.requests.resize(10'000, sampleFrame().requests.front());
+    FrameWriter writer;
+    const std::string compressed = FrameCompressor().compress(std::string(1'000'000, 'x'));
+    const std::string zeros = writer.write(lists, Way::LeavesDomain);
+    struct Row
+    {
+        const char *what;
+        std::string bytes;
+        bool isAccepted;
+    };
+    const Row rows[] = {
+            {"many empty requests", writer.write(lists, Way::StaysInDomain), false},
+            {"the same, compressed", zeros, false},
+            {"ordinary requests", writer.write(ordinary, Way::StaysInDomain), true},
+            {"the same, compressed", writer.write(ordinary, Way::LeavesDomain), true},
+            {"a list that announces more than it has",
+             std::string("\0\0\0\7\x19\xfc\xff\xff\xff\xff\7", 11), false},
+    };
+    FrameExpander expander;
+    for (const Row &row : rows) {
+        CAPTURE(row.what);
+        FrameBuffer buffer(FrameBuffer::PeerLimits);
+        buffer.append(row.bytes);
+        if (row.isAccepted)
+            CHECK((buffer.next(expander) == ordinary));
+        else
+            CHECK_THROWS_AS(buffer.next(expander), MessageError);
+    }
+    // A body that the product's compressor writes expands to at most 8 times its bytes.
+    CHECK(compressed.size() * FrameBuffer::PeerLimits.mostExpansion > 1'000'000);
+}
+
+// Guards against thousands of connections that each keep the memory of their longest frame.
+TEST_CASE("a buffer gives back the memory of what was read")
+{
+    FrameWriter writer;
+    FrameExpander expander;
+    FrameBuffer buffer;
+    wire::LaneFrame large;
+    large.failureDomain = std::string(1'000'000, 'x');
+    const std::string bytes = writer.write(large, Way::StaysInDomain);
+    buffer.append(bytes.substr(0, bytes.size() - 1));
+    CHECK_FALSE(buffer.next(expander));
+    CHECK(buffer.memory() >= buffer.size());
+    buffer.append(bytes.substr(bytes.size() - 1) + "\1");
+    CHECK(buffer.next(expander));
+    CHECK_FALSE(buffer.next(expander));
+    CHECK(buffer.size() == 1);
+    CHECK(buffer.memory() < 100);
+}
+
 TEST_CASE("random bytes cause at most a MessageError, which ends the connection")
 {
     constexpr int Rounds = 20'000;
