Limit the links of an entry VM's port for lanes

Cause: incomplete frames, lanes, their commands and unread answers were held without a bound over all links, and links without one on their number.

Change: LinkLimits, a class without sockets, decides which link is closed: the one that takes the most memory while all together take too much, the oldest one without a whole frame while there are too many, and one whose frame is overdue. The new settings connections.lane_memory and connections.most_lane_links change the defaults. Waits in requests are bounded, since a longer one overflowed.

--- a/include/nutmegtide/proxy/serverhome.h
+++ b/include/nutmegtide/proxy/serverhome.h
@@ -122,6 +122,9 @@
     std::uint64_t resentCount() const { return m_resent; }
     // Returns the bytes of the statements that are held for lanes.
     std::size_t heldBytes() const;
+    // Returns about how many bytes the lanes of a link take, with their commands and session
+    // values.
+    std::size_t memoryOf(std::uint64_t link) const;
     std::size_t connectionCount() const { return m_connections.size(); }
 
 private:
--- a/include/nutmegtide/session/sessionstate.h
+++ b/include/nutmegtide/session/sessionstate.h
@@ -31,6 +31,8 @@
     // Returns null for a name that isn't prepared.
     const PreparedStatement *findPrepared(const std::string &name) const;
     const std::map<std::string, std::string> &values() const { return m_values; }
+    // Returns about how many bytes the values and statements take.
+    std::size_t memory() const;
 
 private:
     std::map<std::string, std::string> m_values;
--- a/include/nutmegtide/settings/nodesettings.h
+++ b/include/nutmegtide/settings/nodesettings.h
@@ -58,7 +58,7 @@
     bool operator==(const CapSettings &) const = default;
 };
 
-// [connections]: what callers may use of a site's entry VM.
+// [connections]: what callers and other processes may use of a site's entry VM.
 struct ConnectionSettings
 {
     std::uint64_t memory = 0; // bytes that the VM has; 0: unknown
@@ -67,6 +67,8 @@
     int descriptors = 0; // that the VM has; 0: as many as the process may open
     int mostCallers = 0; // 0: three quarters of the descriptors
     std::chrono::milliseconds messageTime {30'000}; // for a message to arrive whole
+    std::uint64_t laneMemory = 0; // bytes for all links of lanes; 0: a quarter of the memory
+    int mostLaneLinks = 0; // 0: three quarters of the descriptors
     std::uint64_t httpBodies = 33'554'432; // bytes for the bodies of all HTTP requests together
 
     bool operator==(const ConnectionSettings &) const = default;
--- a/src/session/sessionstate.cpp
+++ b/src/session/sessionstate.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+// Bytes of an entry of a map beside its texts.
+constexpr std::size_t MapEntryBytes = sizeof(std::pair<std::string, PreparedStatement>)
+        + 4 * sizeof(void *);
+
 std::string hexOf(const std::string &bytes)
 {
     constexpr std::string_view Digits = "0123456789abcdef";
@@ -41,6 +45,16 @@
     return found == m_prepared.end() ? nullptr : &found->second;
 }
 
+std::size_t SessionState::memory() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[name, value] : m_values)
+        bytes += MapEntryBytes + name.capacity() + value.capacity();
+    for (const auto &[name, statement] : m_prepared)
+        bytes += MapEntryBytes + name.capacity() + statement.shape.capacity();
+    return bytes;
+}
+
 bool ServerConnectionState::hasOtherSessionsValue(const SessionState &session) const
 {
     return std::any_of(m_values.begin(), m_values.end(), [&session](const auto &value) {
--- a/src/settings/nodeschema.cpp
+++ b/src/settings/nodeschema.cpp
@@ -70,6 +70,8 @@
         {"descriptors", &ConnectionSettings::descriptors, DescriptorsRange},
         {"most_callers", &ConnectionSettings::mostCallers, DescriptorsRange},
         {"message_time", &ConnectionSettings::messageTime, MessageTimeRange},
+        {"lane_memory", &ConnectionSettings::laneMemory, BufferedRange},
+        {"most_lane_links", &ConnectionSettings::mostLaneLinks, DescriptorsRange},
         {"http_bodies", &ConnectionSettings::httpBodies, BufferedRange},
 };
 
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -132,6 +132,7 @@
         return;
     m_home = std::make_unique<HomePort>(
             m_loop, lanes, m_settings.name.text(), m_settings.failureDomain,
+            linkLimits(m_settings.connections, mostDescriptors()),
             [this](const std::string &event, const std::string &reason) {
                 logLine(LogLevel::Warning, event, {{"reason", reason}});
             },
--- a/src/site/homeport.cpp
+++ b/src/site/homeport.cpp
@@ -1,6 +1,7 @@
 #include "site/homeport.h"
 
 #include <algorithm>
+#include <event2/util.h>
 #include <limits>
 #include <random>
 
@@ -16,16 +17,24 @@
 constexpr auto MissingDomainTime = 30s;
 constexpr auto LenderInterval = 1s; // between updates of the lender without new homes or servers
 
+// A longer time would overflow where it is added to others.
+Duration durationOf(std::int64_t microseconds)
+{
+    constexpr std::int64_t Longest = std::chrono::microseconds(24h).count();
+    return std::chrono::microseconds(std::clamp(microseconds, -Longest, Longest));
+}
+
 } // namespace
 
 HomePort::HomePort(EventLoop &loop, const Endpoint &at, const std::string &self, FailureDomain own,
-                   OnFault onFault, FindOwner findOwner)
+                   const LinkLimitSettings &limits, OnFault onFault, FindOwner findOwner)
     : m_loop(loop)
     , m_own(std::move(own))
     , m_onFault(std::move(onFault))
     , m_findOwner(std::move(findOwner))
     , m_servers(makeServerLinks(loop, self, *this))
     , m_listener(loop.base(), at, [this](int socket) { take(socket); })
+    , m_limits(limits, [this](LinkKey link) { return measure(link); })
 { }
 
 LenderId HomePort::lenderRun()
@@ -38,6 +47,10 @@
 void HomePort::take(int socket)
 {
     const std::uint64_t link = ++m_lastLink;
+    if (!makeRoomFor(link)) {
+        evutil_closesocket(socket);
+        return;
+    }
     StreamSocket::Handlers handlers;
     handlers.received = [this, link](std::string_view bytes) { return read(link, bytes); };
     handlers.ended = [this, link](StreamSocket::End /*end*/) { end(link); };
@@ -66,16 +79,22 @@
         closeAllLinks();
         return false;
     }
+    FrameBuffer &frames = from->second.frames;
     try {
-        from->second.frames.append(bytes);
-        while (const auto frame = from->second.frames.next(m_expander))
+        frames.append(bytes);
+        while (const auto frame = frames.next(m_expander)) {
+            m_limits.frameTaken(link, EventLoop::now());
             handleFrame(link, *frame);
+            if (m_links.count(link) == 0)
+                return false;
+        }
     } catch (const MessageError &fault) {
         m_onFault("lane_frame_refused", fault.what());
         end(link);
         return false;
     }
-    return true;
+    m_limits.setIncomplete(link, frames.size(), frames.memory(), EventLoop::now());
+    return keepWithinMemory(link);
 }
 
 bool HomePort::wasStalled() const
@@ -101,8 +120,10 @@
     const TimePoint now = EventLoop::now();
     if (frame.isQuestion)
         outgoing(link)->isAnswer = true;
-    if (!frame.failureDomain.empty())
+    if (!frame.failureDomain.empty()) {
         m_links.at(link).failureDomain = FailureDomain(frame.failureDomain);
+        m_limits.noteHeld(link, frame.failureDomain.size());
+    }
     if (frame.isReachDoubted)
         forwardReachWarning(link, now);
     for (const wire::LaneRequest &request : frame.requests) {
@@ -110,17 +131,24 @@
         std::vector<ServerCommand> commands;
         for (const wire::LaneCommand &command : request.commands)
             commands.push_back(fromWire(command));
+        m_limits.noteHeld(link, bytesFor(commands));
         if (!commands.empty())
             m_home.take(lane, {ServerId(request.server), WorkspaceName(request.workspace)},
                         commands,
-                        {request.rank, std::chrono::microseconds(request.patienceMicroseconds),
-                         std::chrono::microseconds(request.workMicroseconds)},
+                        {request.rank, durationOf(request.patienceMicroseconds),
+                         durationOf(request.workMicroseconds)},
                         now);
         if (request.isClosed)
             m_home.closeLane(lane, now);
+        if (!keepWithinMemory(link))
+            return;
     }
-    for (const wire::LoanRequest &request : frame.loanRequests)
+    for (const wire::LoanRequest &request : frame.loanRequests) {
         handleLoanRequest(link, request);
+        m_limits.noteHeld(link, sizeof(wire::Loan) + request.workspace.size());
+        if (!keepWithinMemory(link))
+            return;
+    }
 }
 
 void HomePort::handleLoanRequest(std::uint64_t link, const wire::LoanRequest &request)
@@ -216,6 +244,7 @@
     const auto found = m_links.find(link);
     if (found == m_links.end())
         return;
+    m_limits.remove(link);
     m_loop.destroyLater(std::move(found->second.socket));
     m_links.erase(found);
     m_home.linkLost(link, EventLoop::now());
@@ -243,6 +272,7 @@
 void HomePort::tick(TimePoint now)
 {
     m_home.tick(now);
+    closeLimited(m_limits.takeOverdue(now), "a frame is overdue");
     if (now >= m_lenderDueAt)
         updateLender(now);
 }
@@ -261,7 +291,9 @@
         const FailureDomain &domain = link->second.failureDomain;
         const auto way = domain.isEmpty() || domain == m_own ? FrameWriter::Way::StaysInDomain
                                                              : FrameWriter::Way::LeavesDomain;
-        link->second.socket->send(m_writer.write(std::exchange(link->second.outgoing, {}), way));
+        const std::string bytes = m_writer.write(std::exchange(link->second.outgoing, {}), way);
+        link->second.socket->send(bytes);
+        m_limits.noteHeld(key, bytes.size());
         if (link->second.socket->isSendBufferFull())
             slowReaders.push_back(key);
     }
@@ -269,6 +301,7 @@
         m_onFault("lane_peer_cut", "the peer doesn't read its data");
         end(key);
     }
+    closeExcess();
 }
 
 void HomePort::open(ConnectionKey connection, const ServerAnnouncement &server,
--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -4,6 +4,7 @@
 #include "nutmegtide/proxy/caplender.h"
 #include "nutmegtide/proxy/serverhome.h"
 #include "nutmegtide/site/adapters.h"
+#include "nutmegtide/site/linklimits.h"
 #include "site/eventloop.h"
 #include "site/homedirectory.h"
 #include "site/lanewire.h"
@@ -42,7 +43,7 @@
 
     // Throws ListenError.
     HomePort(EventLoop &loop, const Endpoint &at, const std::string &self, FailureDomain own,
-             OnFault onFault, FindOwner findOwner);
+             const LinkLimitSettings &limits, OnFault onFault, FindOwner findOwner);
     HomePort(const HomePort &) = delete;
     HomePort &operator=(const HomePort &) = delete;
 
@@ -99,6 +100,17 @@
     void updateLender(TimePoint now);
     void forwardReachWarning(std::uint64_t from, TimePoint now);
     void end(std::uint64_t link);
+    bool makeRoomFor(std::uint64_t link);
+    // Closes links for a limit.
+    void closeLimited(const std::vector<LinkKey> &links, const std::string &reason);
+    // Closes the links with the most while all together have too much.
+    void closeExcess();
+    // The same. Returns whether this link is still open.
+    bool keepWithinMemory(std::uint64_t link);
+    // Returns the bytes that are held for the link.
+    std::size_t measure(std::uint64_t link) const;
+    // Returns about how many bytes a lane takes with these commands and their answers.
+    static std::size_t bytesFor(const std::vector<ServerCommand> &commands);
     // Returns the next frame to send on the link, null where the link is closed.
     wire::LaneFrame *outgoing(std::uint64_t link);
 
@@ -131,6 +143,7 @@
     std::unique_ptr<ServerLinks> m_servers;
     StreamListener m_listener;
     std::map<std::uint64_t, Link> m_links;
+    LinkLimits m_limits;
     FrameWriter m_writer;
     FrameExpander m_expander;
     std::set<std::uint64_t> m_unsent; // links with an outgoing frame
