Test hostile clients of the peer ports of control VMs and proxies

Cause: the Thrift listeners have no limit but the length of a frame, and no test.

Change: hostilepeers_test.cpp, as for the ports for lanes. LoweredLimit moves to the tests' support.

--- a/test/process/hostilelanes_test.cpp
+++ b/test/process/hostilelanes_test.cpp
@@ -3,12 +3,12 @@
 // being served.
 #include "process/support/hostileclients.h"
 #include "process/support/linesite.h"
+#include "process/support/loweredlimit.h"
 #include "process/support/processfootprint.h"
 #include "process/support/waituntil.h"
 #include "site/lanewire.h"
 
 #include <doctest/doctest.h>
-#include <sys/resource.h>
 #include <zlib.h>
 
 using namespace nutmegtide;
@@ -25,26 +25,6 @@
 // A fault must not fill the machine's memory: an allocation beyond this fails at once.
 constexpr rlim_t MostAddressSpace = 8'192 * MebiByte;
 
-// Lowers a limit that the processes started meanwhile inherit.
-class LoweredLimit
-{
-public:
-    LoweredLimit(int resource, rlim_t value)
-        : m_resource(resource)
-    {
-        getrlimit(resource, &m_before);
-        const rlimit lowered {value, m_before.rlim_max};
-        setrlimit(resource, &lowered);
-    }
-    ~LoweredLimit() { setrlimit(m_resource, &m_before); }
-    LoweredLimit(const LoweredLimit &) = delete;
-    LoweredLimit &operator=(const LoweredLimit &) = delete;
-
-private:
-    const int m_resource;
-    rlimit m_before {};
-};
-
 std::unique_ptr<LineSite> startSite()
 {
 #ifndef __SANITIZE_ADDRESS__ // a sanitizer reserves more addresses
