Limit the connections and frames of the peer ports

Cause: Thrift's server buffers incomplete frames of all connections without a bound, keeps buffers as large as the largest call, allocates lists by the announced number, and stops serving once no descriptor is left.

Change: PeerConnections follows the server's connections through the sockets that it reads from; LinkLimits decides which one is shut down. BoundedLists refuses calls with too many elements. Buffers over 64 KiB are given back after each call. PeerListener closes new connections while there is no descriptor. Ended connections are logged as peer_limited.

--- a/src/serve/node.cpp
+++ b/src/serve/node.cpp
@@ -127,7 +127,10 @@
     const HeaderSource headerSource = [this] { return header(); };
     auto service = std::make_shared<PeerService>(m_identity, m_recorder, headerSource,
                                                  m_peerHandlers);
-    m_peerServer = std::make_unique<PeerServer>(m_settings.listen.peers, PeerServer::Options(),
+    PeerServer::Options peerOptions;
+    peerOptions.limits = peerLimits(m_settings.connections);
+    peerOptions.onLimited = peerLimitLog({m_identity.vm, m_identity.failureDomain, "proxy"});
+    m_peerServer = std::make_unique<PeerServer>(m_settings.listen.peers, peerOptions,
                                                 std::move(service));
     const HttpServer::Options callerOptions {m_settings.callerThreads,
                                              m_fleetSettings.current()->limits.largestBody};
--- a/src/serve/peerserver.cpp
+++ b/src/serve/peerserver.cpp
@@ -1,17 +1,38 @@
 #include "serve/peerserver.h"
 
+#include "serve/boundedlists.h"
 #include "serve/httpserver.h"
 
+#include <algorithm>
 #include <future>
 #include <thrift/concurrency/ThreadFactory.h>
 #include <thrift/concurrency/ThreadManager.h>
 #include <thrift/protocol/TBinaryProtocol.h>
-#include <thrift/transport/TNonblockingServerSocket.h>
 
 namespace nutmegtide {
 
 namespace {
 
+// Tens of thousands of records; the largest calls of today have some thousand.
+constexpr std::size_t MostListBytes = 32 * 1024 * 1024; // memory of the lists of one call
+constexpr std::size_t LargestStruct = std::max(
+        {sizeof(wire::ServerRecord), sizeof(wire::PrimaryComplaint), sizeof(wire::HomeVm),
+         sizeof(wire::RaftMessage), sizeof(wire::RaftEntry), sizeof(wire::MemberUpdate),
+         sizeof(wire::GroupReport), sizeof(wire::ServerReport)});
+constexpr std::size_t IdleBuffer = 65'536; // bytes that a connection keeps between two calls
+
+class BoundedProtocolFactory : public apache::thrift::protocol::TProtocolFactory
+{
+public:
+    std::shared_ptr<apache::thrift::protocol::TProtocol> getProtocol(
+            std::shared_ptr<apache::thrift::transport::TTransport> transport) override
+    {
+        using Protocol = BoundedLists<apache::thrift::protocol::TBinaryProtocol>;
+        return std::make_shared<Protocol>(ListBound {MostListBytes, LargestStruct},
+                                          std::move(transport));
+    }
+};
+
 // Tells the starting thread that the server listens.
 class ListeningSignal : public apache::thrift::server::TServerEventHandler
 {
@@ -25,19 +46,26 @@
 
 } // namespace
 
-PeerServer::PeerServer(const Endpoint &endpoint, Options options,
+PeerServer::PeerServer(const Endpoint &endpoint, const Options &options,
                        std::shared_ptr<wire::PeerIf> service)
 {
     using namespace apache::thrift;
-    auto socket = std::make_shared<transport::TNonblockingServerSocket>(endpoint.address,
-                                                                        endpoint.port);
+    auto socket =
+            std::make_shared<PeerListener>(endpoint,
+                                           std::make_shared<PeerConnections>(options.limits,
+                                                                             options.onLimited));
     m_workers = concurrency::ThreadManager::newSimpleThreadManager(
             static_cast<std::size_t>(options.workers));
     m_workers->threadFactory(std::make_shared<concurrency::ThreadFactory>(false));
     m_workers->start();
-    m_server = std::make_unique<server::TNonblockingServer>(
-            std::make_shared<wire::PeerProcessor>(std::move(service)),
-            std::make_shared<protocol::TBinaryProtocolFactory>(), socket, m_workers);
+    m_server =
+            std::make_unique<server::TNonblockingServer>(std::make_shared<wire::PeerProcessor>(
+                                                                 std::move(service)),
+                                                         std::make_shared<BoundedProtocolFactory>(),
+                                                         socket, m_workers);
+    m_server->setIdleReadBufferLimit(IdleBuffer);
+    m_server->setIdleWriteBufferLimit(IdleBuffer);
+    m_server->setResizeBufferEveryN(1);
     m_server->setMaxFrameSize(static_cast<std::size_t>(options.largestFrame));
     auto signal = std::make_shared<ListeningSignal>();
     m_server->setServerEventHandler(signal);
--- a/src/serve/peerserver.h
+++ b/src/serve/peerserver.h
@@ -2,6 +2,7 @@
 
 #include "Peer.h"
 #include "nutmegtide/base/endpoint.h"
+#include "serve/peerconnections.h"
 
 #include <memory>
 #include <thread>
@@ -19,10 +20,13 @@
     {
         int workers = 16;
         int largestFrame = 16'777'216; // bytes
+        LinkLimitSettings limits = peerLimits({});
+        PeerConnections::OnLimited onLimited = [](const std::string & /*reason*/) {};
     };
 
     // Throws ListenError.
-    PeerServer(const Endpoint &endpoint, Options options, std::shared_ptr<wire::PeerIf> service);
+    PeerServer(const Endpoint &endpoint, const Options &options,
+               std::shared_ptr<wire::PeerIf> service);
     ~PeerServer();
     PeerServer(const PeerServer &) = delete;
     PeerServer &operator=(const PeerServer &) = delete;
--- a/src/site/controlnode.cpp
+++ b/src/site/controlnode.cpp
@@ -91,6 +91,8 @@
             m_identity, m_recorder, [this] { return headerOf(m_identity, m_recorder); }, m_handlers);
     PeerServer::Options options;
     options.workers = PeerWorkers;
+    options.limits = peerLimits(settings.connections);
+    options.onLimited = peerLimitLog({m_identity.vm, m_identity.failureDomain, "control"});
     m_peerServer = std::make_unique<PeerServer>(settings.listen.peers, options, std::move(service));
     m_port = makeControlPort(settings, *this);
     startChanges();
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -1,10 +1,10 @@
 #include "site/entrynode.h"
 
+#include "base/descriptors.h"
 #include "serve/httplimitlog.h"
 
 #include <algorithm>
 #include <random>
-#include <sys/resource.h>
 
 namespace nutmegtide {
 
@@ -36,14 +36,6 @@
     return {caps.window, caps.overage, static_cast<double>(caps.slack)};
 }
 
-// Returns how many descriptors this process may open.
-std::size_t mostDescriptors()
-{
-    rlimit limit {};
-    getrlimit(RLIMIT_NOFILE, &limit);
-    return limit.rlim_cur;
-}
-
 // Returns how long a leaving server still gets new work.
 Duration leaveTime(const NodeSettings &settings)
 {
