Test that an ordinary site stays within the limits of links

Cause: the default limits must not meet 3,100 links, and a link near the limit must not be measured with each frame; no test showed it.

Change: a unit test with 3,100 busy links of 50 lanes each.

Measured: passes; fewer than half of the frames cause a measurement.

--- a/test/unit/site/linklimits_test.cpp
+++ b/test/unit/site/linklimits_test.cpp
@@ -101,7 +101,34 @@
     CHECK(fixture.limits.takeOverdue(Start + 51s) == std::vector<LinkKey> {3});
 }
 
-// Guards against limits that an ordinary site reaches: 3,100 links, and the longest frame.
+// Guards against limits that an ordinary site reaches, and against measurements with each frame.
+TEST_CASE("3,100 busy links with 50 lanes each stay within the default limits")
+{
+    constexpr LinkKey Links = 3'100;
+    constexpr std::size_t Held = 70'000; // bytes of 50 lanes
+    constexpr int Rounds = 50;
+    std::size_t measurements = 0;
+    LinkLimits limits(linkLimits({}, 8'192), [&measurements](LinkKey) {
+        ++measurements;
+        return Held;
+    });
+    for (LinkKey link = 1; link <= Links; ++link)
+        CHECK_FALSE(limits.add(link, Start));
+    for (int round = 0; round < Rounds; ++round) {
+        const TimePoint now = Start + round * 1s;
+        for (LinkKey link = 1; link <= Links; ++link) {
+            limits.frameTaken(link, now);
+            limits.noteHeld(link, 10'000);
+            limits.setIncomplete(link, 100, 4'096, now);
+            limits.setIncomplete(link, 0, 0, now);
+            REQUIRE(limits.takeExcess().empty());
+        }
+        CHECK(limits.takeOverdue(now).empty());
+    }
+    CHECK(measurements < Links * Rounds / 2);
+}
+
+// Guards against a VM with little memory that refuses the longest frame.
 TEST_CASE("the limits of links come from the settings, the memory or the descriptors")
 {
     constexpr std::size_t MebiByte = 1024 * 1024;
