--- a/include/nutmegtide/proxy/serverregistry.h
+++ b/include/nutmegtide/proxy/serverregistry.h
@@ -74,8 +74,17 @@
     std::vector<ServerRecord> present() const;
     // Returns all records, for merging into other registries.
     std::vector<ServerRecord> all() const;
-    // Returns the records that changed in more than their sequence number after the version.
-    std::vector<ServerRecord> changedSince(std::uint64_t version) const;
+    // Some records, and the version up to which a reader of them has been told all changes.
+    struct Changes
+    {
+        std::vector<ServerRecord> records;
+        std::uint64_t version = 0;
+    };
+    // Returns the records that changed in more than their sequence number after the version, at
+    // most `most` of them, in the order of their changes.
+    Changes changedSince(std::uint64_t version, std::size_t most) const;
+    // Returns at most `most` records after the server in the order of ids.
+    std::vector<ServerRecord> recordsAfter(const ServerId &server, std::size_t most) const;
     std::size_t size() const { return m_entries.size(); }
     // Removes servers that left longer than `age` ago. Until then the record rejects announcements
     // that arrive late.
--- a/src/proxy/serverregistry.cpp
+++ b/src/proxy/serverregistry.cpp
@@ -120,13 +120,35 @@
     return records;
 }
 
-std::vector<ServerRecord> ServerRegistry::changedSince(std::uint64_t version) const
+ServerRegistry::Changes ServerRegistry::changedSince(std::uint64_t version, std::size_t most) const
 {
-    std::vector<ServerRecord> records;
+    std::vector<const Entry *> changed;
     for (const auto &[server, entry] : m_entries) {
         if (entry.changedAt > version)
-            records.push_back(entry.record);
+            changed.push_back(&entry);
     }
+    Changes changes {{}, m_version};
+    if (changed.size() > most) {
+        const auto isEarlier = [](const Entry *left, const Entry *right) {
+            return left->changedAt < right->changedAt;
+        };
+        const auto end = changed.begin() + static_cast<std::ptrdiff_t>(most);
+        std::partial_sort(changed.begin(), end, changed.end(), isEarlier);
+        changed.erase(end, changed.end());
+        changes.version = changed.empty() ? version : changed.back()->changedAt;
+    }
+    for (const Entry *entry : changed)
+        changes.records.push_back(entry->record);
+    return changes;
+}
+
+std::vector<ServerRecord> ServerRegistry::recordsAfter(const ServerId &server,
+                                                       std::size_t most) const
+{
+    std::vector<ServerRecord> records;
+    for (auto entry = m_entries.upper_bound(server);
+         entry != m_entries.end() && records.size() < most; ++entry)
+        records.push_back(entry->second.record);
     return records;
 }
 
--- a/src/site/controlnode.h
+++ b/src/site/controlnode.h
@@ -59,7 +59,9 @@
     {
         TimePoint askedAt;
         std::optional<HomeCandidate> home; // set where it accepts lanes
-        TimePoint toldAllAt {}; // when it was sent the whole directory
+        // Of a large directory: when unchanged records were repeated, and the last one of these.
+        TimePoint repeatedAt {};
+        ServerId repeatedUpTo;
     };
     // What another control VM reported about the entry VMs that poll it.
     struct FollowerCount
@@ -69,8 +71,8 @@
         std::vector<HomeCandidate> homes;
     };
 
-    // Returns the records that the follower may lack. Expects the lock to be held.
-    std::vector<ServerRecord> updatesFor(const wire::FollowRequest &request, Follower &follower);
+    // Returns the next records that the follower may lack. Expects the lock to be held.
+    ServerRegistry::Changes updatesFor(const wire::FollowRequest &request, Follower &follower);
     void applyView(const ControlView &view);
     // Merges the records of another control VM or of the control log, and logs each server that
     // this VM hadn't heard of. Requires m_mutex to be held.
@@ -101,6 +103,8 @@
     void maintainMembers();
     void maintainPeers();
     void maintainHomes();
+    // Returns the shortest time between two lists for all entry VMs. Expects the lock to be held.
+    Duration listInterval() const;
     void startChanges();
     // Performs the leader's duties for primaries: changes, and proofs that they still lead.
     void tickChanges();
@@ -134,6 +138,7 @@
     HomeDirectory m_homes;
     std::vector<HomeCandidate> m_homeCandidates; // the input of m_homes
     std::optional<std::uint64_t> m_homesRegistryVersion; // version of the registry behind m_homes
+    TimePoint m_homesAssignedAt {};
     std::vector<HomeCandidate> m_sentHomes; // own ones, as last sent to the other control VMs
     std::map<Endpoint, FollowerCount> m_otherFollowers; // by other control VM
     Revision m_revision = 0;
@@ -144,6 +149,7 @@
     std::shared_ptr<const RecordedServers> m_followedRecorded; // as a member told them
     std::shared_ptr<const RecordedServers> m_ownRecorded; // from m_roster's m_ownRecordedVersion
     std::uint64_t m_ownRecordedVersion = 0;
+    TimePoint m_recordedAt {}; // when m_ownRecorded was made
     std::uint64_t m_importedRoster = 0; // version of m_roster that was merged last
     TimePoint m_rosterImportedAt {};
     std::map<Endpoint, std::unique_ptr<UpdateSender>> m_updateSenders;
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -18,10 +18,17 @@
 constexpr auto FollowerTime = 1s; // an entry VM counts for this long after its last request
 constexpr auto HomeTime = 3s; // an entry VM stays a home for this long after its last request
 constexpr auto OtherCountTime = 7s; // validity of another control VM's count of entry VMs
-// A larger directory is sent to entry VMs as changes; a whole one would take most of their links.
-constexpr std::size_t MostSentWhole = 256; // records
-// A large directory is sent as a whole after this, for the sequence numbers of unchanged records.
-constexpr auto WholeInterval = 20s;
+// A larger directory is sent as changes, of at most this number in one answer: 279 entry VMs that
+// were sent 3,600 records at each change took more than the memory and links of the control VMs.
+constexpr std::size_t MostSentAtOnce = 256; // records
+// Of a large directory, unchanged records are repeated at this interval for their sequence numbers.
+constexpr auto RepeatInterval = 2s;
+// A new list of homes or of recorded servers goes to all entry VMs as a whole. So the shortest time
+// between two of them grows by MaintainInterval for so many servers.
+constexpr std::size_t ServersPerListInterval = 256;
+constexpr auto LongestListInterval = 2s;
+constexpr std::size_t ServersPerBroadcastInterval = 1'024; // as above, for BroadcastInterval
+constexpr auto LongestBroadcastInterval = 5s; // shorter than OtherCountTime
 constexpr std::size_t CompressFrom = 2048; // bytes; smaller configurations aren't compressed
 
 // Returns the requesting entry VM where it accepts lanes. Throws EndpointError.
@@ -72,10 +79,12 @@
         reply.configuration.isCompressed = !m_compressed.empty();
         reply.configuration.text = m_compressed.empty() ? m_configuration : m_compressed;
     }
-    reply.directoryVersion = static_cast<std::int64_t>(m_versionBase + m_registry.version());
-    if (reply.directoryVersion != request.directoryVersion) {
+    const ServerRegistry::Changes updates = updatesFor(request, follower);
+    reply.directoryVersion = static_cast<std::int64_t>(m_versionBase + updates.version);
+    if (reply.directoryVersion != request.directoryVersion || !updates.records.empty()) {
         reply.__isset.servers = true;
-        for (const ServerRecord &record : updatesFor(request, follower))
+        reply.servers.reserve(updates.records.size());
+        for (const ServerRecord &record : updates.records)
             reply.servers.push_back(toWire(record, EventLoop::now()));
     }
     for (const auto &[peers, domain] : m_seedDomains) {
@@ -87,17 +96,26 @@
     return reply;
 }
 
-std::vector<ServerRecord> ControlNode::updatesFor(const wire::FollowRequest &request,
-                                                  Follower &follower)
+ServerRegistry::Changes ControlNode::updatesFor(const wire::FollowRequest &request,
+                                                Follower &follower)
 {
+    const std::int64_t asked = request.directoryVersion - static_cast<std::int64_t>(m_versionBase);
+    const bool isOurs = asked > 0 && asked <= static_cast<std::int64_t>(m_registry.version());
+    const std::uint64_t known = isOurs ? static_cast<std::uint64_t>(asked) : 0;
+    if (m_registry.size() <= MostSentAtOnce) {
+        if (known == m_registry.version())
+            return {{}, known};
+        return {m_registry.all(), m_registry.version()};
+    }
+    ServerRegistry::Changes changes = m_registry.changedSince(known, MostSentAtOnce);
     const TimePoint now = EventLoop::now();
-    const std::int64_t known = request.directoryVersion - static_cast<std::int64_t>(m_versionBase);
-    const bool isKnown = known > 0 && known <= static_cast<std::int64_t>(m_registry.version());
-    const bool isLarge = m_registry.size() > MostSentWhole;
-    if (isKnown && isLarge && now - follower.toldAllAt < WholeInterval)
-        return m_registry.changedSince(static_cast<std::uint64_t>(known));
-    follower.toldAllAt = now;
-    return m_registry.all();
+    if (!changes.records.empty() || now - follower.repeatedAt < RepeatInterval)
+        return changes;
+    follower.repeatedAt = now;
+    changes.records = m_registry.recordsAfter(follower.repeatedUpTo, MostSentAtOnce);
+    follower.repeatedUpTo = changes.records.empty() ? ServerId()
+                                                    : changes.records.back().announcement.server;
+    return changes;
 }
 
 // Returns the servers that the control log's rosters name: from the own copy of the log where that
@@ -112,7 +130,12 @@
         return m_followedRecorded;
     // Read before the servers, so that a change between the two is taken into account next time.
     const std::uint64_t version = m_roster.version();
-    if (!m_ownRecorded || version != m_ownRecordedVersion) {
+    const TimePoint now = EventLoop::now();
+    const bool isChanged = !m_ownRecorded || version != m_ownRecordedVersion;
+    // The whole set is sent when it changes, so a large one changes less often. An outdated one
+    // does no harm.
+    if (isChanged && now - m_recordedAt >= listInterval()) {
+        m_recordedAt = now;
         m_ownRecorded = std::make_shared<const RecordedServers>(
                 recordedServers(m_roster.presentServers()));
         m_ownRecordedVersion = version;
@@ -297,8 +320,11 @@
         maintainHomes();
         if (Clock::now() < broadcastAt)
             continue;
-        broadcastAt = Clock::now() + BroadcastInterval;
         const std::lock_guard lock(m_mutex);
+        const auto steps = static_cast<Duration::rep>(m_registry.size()
+                                                      / ServersPerBroadcastInterval);
+        broadcastAt = Clock::now()
+                + std::min<Duration>(BroadcastInterval * (1 + steps), LongestBroadcastInterval);
         m_registry.forget(ForgottenAfter, EventLoop::now());
         std::vector<wire::ServerRecord> records;
         for (const ServerRecord &record : m_registry.all())
@@ -315,6 +341,12 @@
     }
 }
 
+Duration ControlNode::listInterval() const
+{
+    const auto steps = static_cast<Duration::rep>(m_registry.size() / ServersPerListInterval);
+    return std::min<Duration>(MaintainInterval * steps, LongestListInterval);
+}
+
 std::vector<HomeCandidate> ControlNode::ownHomes() const
 {
     const TimePoint now = EventLoop::now();
@@ -338,7 +370,10 @@
         if (now - other.receivedAt < OtherCountTime)
             candidates.insert(candidates.end(), other.homes.begin(), other.homes.end());
     }
-    if (m_homesRegistryVersion != m_registry.version() || candidates != m_homeCandidates) {
+    const bool isChanged = m_homesRegistryVersion != m_registry.version()
+            || candidates != m_homeCandidates;
+    if (isChanged && now - m_homesAssignedAt >= listInterval()) {
+        m_homesAssignedAt = now;
         m_homes.assign(m_registry.present(), candidates);
         m_homesRegistryVersion = m_registry.version();
         m_homeCandidates = std::move(candidates);
--- a/test/unit/proxy/serverregistry_test.cpp
+++ b/test/unit/proxy/serverregistry_test.cpp
@@ -1,5 +1,6 @@
 #include "nutmegtide/proxy/serverregistry.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace nutmegtide;
@@ -137,3 +138,46 @@
     CHECK(leaving.isPastLeaveTime(6s, TimePoint(16s)));
     CHECK_FALSE(leaving.isPastLeaveTime(Duration::max(), TimePoint(1h)));
 }
+
+// Guards against a follower that is told changes only and misses one.
+TEST_CASE("the changes since a version are those of each kind, once each")
+{
+    const auto named = [](const char *server, std::uint64_t sequence) {
+        ServerRecord result = record(1, sequence);
+        result.announcement.server = ServerId(server);
+        result.announcement.service = ServiceName(server);
+        return result;
+    };
+    ServerRegistry registry;
+    for (const char *server : {"a", "b", "c", "d"})
+        registry.merge(named(server, 1), TimePoint());
+    const std::uint64_t before = registry.version();
+    CHECK(registry.changedSince(0, 10).records.size() == registry.size());
+    CHECK(registry.changedSince(before, 10).records.empty());
+
+    registry.merge(named("a", 2), TimePoint()); // the sequence alone is no change
+    ServerRecord leaving = named("b", 2);
+    leaving.announcement.isLeaving = true;
+    registry.merge(leaving, TimePoint());
+    registry.noteDeparture(ServerId("c"), TimePoint());
+    registry.confirmPrimary(ServiceName("d"), ServerId("d"), 1);
+    registry.merge(named("e", 1), TimePoint());
+    for (const std::size_t most : {1U, 3U, 10U}) { // in one answer
+        CAPTURE(most);
+        std::vector<ServerId> changed;
+        std::uint64_t known = before;
+        while (known != registry.version()) {
+            const ServerRegistry::Changes next = registry.changedSince(known, most);
+            REQUIRE(next.records.size() <= most);
+            REQUIRE(next.version > known);
+            known = next.version;
+            for (const ServerRecord &one : next.records)
+                changed.push_back(one.announcement.server);
+        }
+        std::sort(changed.begin(), changed.end());
+        CHECK(changed
+              == std::vector<ServerId> {ServerId("b"), ServerId("c"), ServerId("d"), ServerId("e")});
+    }
+    CHECK(registry.recordsAfter(ServerId("b"), 2).front().announcement.server == ServerId("c"));
+    CHECK(registry.recordsAfter(ServerId("e"), 2).empty());
+}
