--- a/include/nutmegtide/proxy/serverregistry.h
+++ b/include/nutmegtide/proxy/serverregistry.h
@@ -72,6 +72,7 @@
     const ServerRecord *find(const ServerId &server) const;
     // Returns the servers that have not left.
     std::vector<ServerRecord> present() const;
+    std::vector<ServerRecord> presentOf(const ServiceName &service) const;
     // Returns all records, for merging into other registries.
     std::vector<ServerRecord> all() const;
     // Some records, and the version up to which a reader of them has been told all changes.
@@ -100,7 +101,10 @@
         std::uint64_t changedAt = 0; // the version of the latest change
     };
 
+    void noteChange(const ServerId &server, Entry &entry);
+
     std::map<ServerId, Entry> m_entries;
+    std::map<std::uint64_t, ServerId> m_byChange; // by Entry::changedAt
     std::uint64_t m_version = 0;
 };
 
--- a/src/proxy/serverregistry.cpp
+++ b/src/proxy/serverregistry.cpp
@@ -47,7 +47,9 @@
     if (found == m_entries.end()) {
         ServerRecord first = record;
         first.leavingSince = leavingSince(record.announcement, {&record}, now);
-        m_entries[record.announcement.server] = {first, now, ++m_version};
+        Entry &entry = m_entries[record.announcement.server];
+        entry = {first, now};
+        noteChange(record.announcement.server, entry);
         return true;
     }
     Entry &entry = found->second;
@@ -65,7 +67,7 @@
     latest.leavingSince = leavingSince(latest.announcement, {&entry.record, &record}, now);
     const bool isChanged = latest != entry.record;
     if (!isSameState(entry.record, latest))
-        entry.changedAt = ++m_version;
+        noteChange(record.announcement.server, entry);
     entry.record = latest;
     return isChanged;
 }
@@ -77,7 +79,7 @@
         return false;
     found->second.record.isGone = true;
     found->second.heardAt = now;
-    found->second.changedAt = ++m_version;
+    noteChange(server, found->second);
     return true;
 }
 
@@ -92,7 +94,7 @@
             continue;
         record.confirmedTerm = term;
         record.announcement.isPrimary = isPrimary;
-        entry.changedAt = ++m_version;
+        noteChange(id, entry);
     }
 }
 
@@ -112,6 +114,16 @@
     return records;
 }
 
+std::vector<ServerRecord> ServerRegistry::presentOf(const ServiceName &service) const
+{
+    std::vector<ServerRecord> records;
+    for (const auto &[server, entry] : m_entries) {
+        if (!entry.record.isGone && entry.record.announcement.service == service)
+            records.push_back(entry.record);
+    }
+    return records;
+}
+
 std::vector<ServerRecord> ServerRegistry::all() const
 {
     std::vector<ServerRecord> records;
@@ -120,25 +132,23 @@
     return records;
 }
 
+void ServerRegistry::noteChange(const ServerId &server, Entry &entry)
+{
+    m_byChange.erase(entry.changedAt);
+    entry.changedAt = ++m_version;
+    m_byChange.emplace(entry.changedAt, server);
+}
+
 ServerRegistry::Changes ServerRegistry::changedSince(std::uint64_t version, std::size_t most) const
 {
-    std::vector<const Entry *> changed;
-    for (const auto &[server, entry] : m_entries) {
-        if (entry.changedAt > version)
-            changed.push_back(&entry);
-    }
     Changes changes {{}, m_version};
-    if (changed.size() > most) {
-        const auto isEarlier = [](const Entry *left, const Entry *right) {
-            return left->changedAt < right->changedAt;
-        };
-        const auto end = changed.begin() + static_cast<std::ptrdiff_t>(most);
-        std::partial_sort(changed.begin(), end, changed.end(), isEarlier);
-        changed.erase(end, changed.end());
-        changes.version = changed.empty() ? version : changed.back()->changedAt;
+    for (auto change = m_byChange.upper_bound(version); change != m_byChange.end(); ++change) {
+        if (changes.records.size() == most)
+            return changes;
+        changes.records.push_back(m_entries.at(change->second).record);
+        changes.version = change->first;
     }
-    for (const Entry *entry : changed)
-        changes.records.push_back(entry->record);
+    changes.version = m_version;
     return changes;
 }
 
@@ -154,8 +164,11 @@
 
 void ServerRegistry::forget(std::chrono::milliseconds age, TimePoint now)
 {
-    std::erase_if(m_entries, [age, now](const auto &item) {
-        return item.second.record.isGone && now - item.second.heardAt > age;
+    std::erase_if(m_entries, [this, age, now](const auto &item) {
+        const bool isForgotten = item.second.record.isGone && now - item.second.heardAt > age;
+        if (isForgotten)
+            m_byChange.erase(item.second.changedAt);
+        return isForgotten;
     });
 }
 
--- a/src/site/controlnode.cpp
+++ b/src/site/controlnode.cpp
@@ -273,12 +273,10 @@
     {
         const std::lock_guard lock(m_mutex);
         m_registry.confirmPrimary(service, server, term);
-        records = m_registry.present();
-    }
-    for (const ServerRecord &record : records) {
-        if (record.announcement.service == service)
-            broadcast(record);
+        records = m_registry.presentOf(service);
     }
+    for (const ServerRecord &record : records)
+        broadcast(record);
 }
 
 std::set<ServerId> ControlNode::departedServers() const
