--- a/include/nutmegtide/proxy/serverpool.h
+++ b/include/nutmegtide/proxy/serverpool.h
@@ -237,8 +237,8 @@
 
     const std::map<ServerId, PooledServer> &servers() const { return m_servers; }
     // Returns the servers with a failure or an overdue write, and perhaps others that had one.
-    const std::set<ServerId> &troubledServers() const { return m_troubled; }
-    // Removes those that have recovered from troubledServers().
+    const std::set<ServerId> &failingServers() const { return m_failing; }
+    // Removes those that have recovered from failingServers().
     void forgetRecovered();
 
 private:
@@ -284,7 +284,7 @@
     Duration m_leaveTime = Duration::max();
     std::map<ServerId, PooledServer> m_servers;
     std::map<ServiceName, std::vector<ServerId>> m_byService; // keys of m_servers
-    std::set<ServerId> m_troubled;
+    std::set<ServerId> m_failing;
     std::map<ConnectionKey, ServerConnection> m_connections;
     ConnectionKey m_lastKey = 0;
 };
--- a/src/proxy/serverpoolnotes.cpp
+++ b/src/proxy/serverpoolnotes.cpp
@@ -36,7 +36,7 @@
     state->avoidUntil = now + AvoidTime;
     if (!state->failingSince)
         state->failingSince = now;
-    m_troubled.insert(server);
+    m_failing.insert(server);
 }
 
 void ServerPool::noteHeld(const ServerId &server, const LogPosition &position, const ReadNeed &need,
@@ -91,12 +91,12 @@
     PooledServer &state = m_servers.at(server);
     if (!state.writeUnansweredSince)
         state.writeUnansweredSince = sentAt;
-    m_troubled.insert(server);
+    m_failing.insert(server);
 }
 
 void ServerPool::forgetRecovered()
 {
-    std::erase_if(m_troubled, [this](const ServerId &server) {
+    std::erase_if(m_failing, [this](const ServerId &server) {
         const PooledServer *state = find(server);
         return state == nullptr || (!state->failingSince && !state->writeUnansweredSince);
     });
--- a/src/proxy/sessionreports.cpp
+++ b/src/proxy/sessionreports.cpp
@@ -13,7 +13,7 @@
 std::vector<PrimaryComplaint> SessionProxy::complaints(TimePoint now) const
 {
     std::vector<PrimaryComplaint> complaints;
-    for (const ServerId &server : m_pool.troubledServers()) {
+    for (const ServerId &server : m_pool.failingServers()) {
         const PooledServer *state = m_pool.find(server);
         if (state == nullptr)
             continue;
--- a/src/serve/changerole.cpp
+++ b/src/serve/changerole.cpp
@@ -11,6 +11,7 @@
 constexpr auto RoundInterval = 20ms; // the longest wait for a due decision of an open change
 constexpr auto IdleInterval = 500ms; // without one, only reports bring decisions
 constexpr auto ProposalTime = 3s;
+constexpr auto LateAdoption = 10s; // an adoption that is committed later isn't recorded
 
 LogPosition fromWire(const wire::Position &position)
 {
@@ -318,7 +319,8 @@
         Group &group = m_groups.at(command.database);
         group.isProposing = false;
         if (command.kind == GroupCommandKind::Adopt && (isCommitted || isUnknown)) {
-            group.unconfirmed = command;
+            group.unrecorded = command;
+            group.unrecordedSince = Clock::now();
             recordAdoption(command.database, group);
         }
         m_changed.notify_all();
@@ -327,11 +329,15 @@
 
 void ChangeRole::recordAdoption(const DatabaseName &database, Group &group)
 {
-    const auto known = group.unconfirmed ? m_ledger.find(database) : std::nullopt;
+    // After a long cut another leader may have recorded it, and a later change may be under way.
+    if (Clock::now() - group.unrecordedSince > LateAdoption)
+        group.unrecorded.reset();
+    const auto known = group.unrecorded ? m_ledger.find(database) : std::nullopt;
     if (!known)
         return;
-    const GroupCommand adoption = *std::exchange(group.unconfirmed, std::nullopt);
-    if (known->term == adoption.term && known->primary == adoption.primary)
+    const GroupCommand adoption = *std::exchange(group.unrecorded, std::nullopt);
+    const bool isOurs = known->term == adoption.term && known->primary == adoption.primary;
+    if (isOurs && !std::exchange(group.isAdoptionRecorded, true))
         record(database, {EventKind::PrimaryPublished, adoption.term, adoption.primary, ""});
 }
 
--- a/src/serve/changerole.h
+++ b/src/serve/changerole.h
@@ -67,7 +67,10 @@
         std::map<ServerId, VoterObservation> presence;
         int queuedReads = 0;
         std::optional<GroupCommand> announced; // an adoption, from what the primary announces
-        std::optional<GroupCommand> unconfirmed; // an adoption proposed with unknown outcome
+        // An adoption that was proposed, but isn't recorded yet, and when its outcome was unknown.
+        std::optional<GroupCommand> unrecorded;
+        TimePoint unrecordedSince {};
+        bool isAdoptionRecorded = false;
         std::unique_ptr<PrimaryChange> change;
         EventId cause; // of the change's next event
         bool isProposing = false;
--- a/src/site/controlfollower.cpp
+++ b/src/site/controlfollower.cpp
@@ -109,8 +109,8 @@
         if (m_isPaused)
             m_isConnected.reset();
         const bool isAnswered = m_isPaused || ask();
-        m_signal.restUntil(Clock::now()
-                           + (isAnswered && !m_useFastPolling ? AskInterval : FastPollInterval));
+        const bool isUrgent = !isAnswered || m_useFastPolling || m_mayLackServers;
+        m_signal.restUntil(Clock::now() + (isUrgent ? FastPollInterval : AskInterval));
     }
 }
 
@@ -198,6 +198,7 @@
         view.configuration = reply.configuration.isCompressed ? decompress(reply.configuration.text)
                                                               : reply.configuration.text;
     }
+    view.mayLackServers = reply.__isset.servers && reply.servers.size() >= MostDirectoryChanges;
     if (reply.__isset.servers) {
         ReceivedServers received = fromWire(reply.servers, askedAt);
         logRefusedServers(received, toString(from));
@@ -226,6 +227,7 @@
             m_recordedVersion.reset();
         if (isTrusted)
             m_selector.succeeded(from);
+        m_mayLackServers = view.mayLackServers;
     }
     // A control VM that is itself disconnected may have outdated information.
     if (isTrusted)
--- a/src/site/controlfollower.h
+++ b/src/site/controlfollower.h
@@ -16,6 +16,9 @@
 
 namespace nutmegtide {
 
+// Changes of the directory in one answer. A larger directory is sent in several answers.
+constexpr std::size_t MostDirectoryChanges = 256; // records
+
 // What a control VM answered last.
 struct ControlView
 {
@@ -23,6 +26,7 @@
     std::optional<std::string> configuration; // set where it is newer than the previous one
     Revision revision = 0;
     std::optional<std::vector<ServerRecord>> servers; // set where they changed
+    bool mayLackServers = false; // the next answers may hold further records of a large directory
     std::vector<ControlLocation> controls;
     std::optional<Endpoint> leader; // its listener for peers
     int entryCount = 0; // known entry VMs of the site
@@ -89,6 +93,7 @@
     std::atomic<bool> m_isStopping = false;
     std::atomic<bool> m_isPaused = false;
     std::atomic<bool> m_useFastPolling = true;
+    bool m_mayLackServers = false; // see ControlView; used on the follower's thread only
     mutable std::mutex m_mutex;
     ControlVmSelector m_selector; // guarded by m_mutex, like all below
     TimePoint m_heardOtherDomainAt {};
--- a/src/site/controlnode.cpp
+++ b/src/site/controlnode.cpp
@@ -22,8 +22,9 @@
 constexpr RaftTimings LogTimings {80ms, 300ms, 550ms, 50ms};
 constexpr Duration LeaderTick = 30ms; // interval of decisions on changes of primary
 constexpr Duration FollowerTick = 300ms;
-// Each decision goes over all servers, so the leader takes longer intervals beyond this number.
+// Each decision goes over all servers, so beyond this number the leader takes longer intervals.
 constexpr std::size_t ServersPerLeaderTick = 256;
+constexpr Duration LongestLeaderTick = 150ms;
 
 std::vector<VmName> namesOf(const std::vector<Endpoint> &endpoints)
 {
@@ -312,8 +313,10 @@
 Duration ControlNode::leaderTick() const
 {
     const std::lock_guard lock(m_mutex);
-    const auto steps = static_cast<Duration::rep>(m_registry.size() / ServersPerLeaderTick);
-    return std::min(LeaderTick * (1 + steps), FollowerTick);
+    const std::size_t further = std::max(m_registry.size(), ServersPerLeaderTick)
+            - ServersPerLeaderTick;
+    const auto steps = (further + ServersPerLeaderTick - 1) / ServersPerLeaderTick;
+    return std::min(LeaderTick * static_cast<Duration::rep>(1 + steps), LongestLeaderTick);
 }
 
 void ControlNode::tickChanges()
--- a/src/site/controlnode.h
+++ b/src/site/controlnode.h
@@ -129,8 +129,9 @@
 
     mutable std::mutex m_mutex;
     ServerRegistry m_registry;
-    // Added to the registry's version, so that versions differ between runs of this process.
-    const std::uint32_t m_versionBase = std::random_device()();
+    // Added to the registry's version. Other runs of this process have other bases, and their
+    // ranges don't overlap.
+    const std::int64_t m_versionBase = std::int64_t(std::random_device()() & 0x7fff'ffffU) << 32U;
     ControlMemberPlanner m_memberPlanner;
     std::map<Endpoint, FailureDomain> m_seedDomains; // all control VMs heard since the start
     std::map<Endpoint, TimePoint> m_heardAt;
@@ -149,8 +150,8 @@
     std::shared_ptr<const RecordedServers> m_followedRecorded; // as a member told them
     std::shared_ptr<const RecordedServers> m_ownRecorded; // from m_roster's m_ownRecordedVersion
     std::uint64_t m_ownRecordedVersion = 0;
-    TimePoint m_recordedAt {}; // when m_ownRecorded was made
-    std::uint64_t m_importedRoster = 0; // version of m_roster that was merged last
+    TimePoint m_ownRecordedAt {}; // when it was made
+    std::uint64_t m_importedRosterVersion = 0; // of m_roster, as merged last
     TimePoint m_rosterImportedAt {};
     std::map<Endpoint, std::unique_ptr<UpdateSender>> m_updateSenders;
 
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -18,17 +18,14 @@
 constexpr auto FollowerTime = 1s; // an entry VM counts for this long after its last request
 constexpr auto HomeTime = 3s; // an entry VM stays a home for this long after its last request
 constexpr auto OtherCountTime = 7s; // validity of another control VM's count of entry VMs
-// A larger directory is sent as changes, of at most this number in one answer: 279 entry VMs that
-// were sent 3,600 records at each change took more than the memory and links of the control VMs.
-constexpr std::size_t MostSentAtOnce = 256; // records
-// Of a large directory, unchanged records are repeated at this interval for their sequence numbers.
+// Of a large directory, unchanged records are repeated for their sequence numbers, since a newer
+// announcement clears what an entry VM has noted against a server.
 constexpr auto RepeatInterval = 2s;
-// A new list of homes or of recorded servers goes to all entry VMs as a whole. So the shortest time
-// between two of them grows by MaintainInterval for so many servers.
+constexpr std::size_t MostRepeated = 128; // records in one answer
+// Each new list of homes and of recorded servers is sent to all entry VMs as a whole, so a list of
+// many servers changes less often: for each further 256 servers after 200 ms more.
 constexpr std::size_t ServersPerListInterval = 256;
 constexpr auto LongestListInterval = 2s;
-constexpr std::size_t ServersPerBroadcastInterval = 1'024; // as above, for BroadcastInterval
-constexpr auto LongestBroadcastInterval = 5s; // shorter than OtherCountTime
 constexpr std::size_t CompressFrom = 2048; // bytes; smaller configurations aren't compressed
 
 // Returns the requesting entry VM where it accepts lanes. Throws EndpointError.
@@ -80,7 +77,7 @@
         reply.configuration.text = m_compressed.empty() ? m_configuration : m_compressed;
     }
     const ServerRegistry::Changes updates = updatesFor(request, follower);
-    reply.directoryVersion = static_cast<std::int64_t>(m_versionBase + updates.version);
+    reply.directoryVersion = m_versionBase + static_cast<std::int64_t>(updates.version);
     if (reply.directoryVersion != request.directoryVersion || !updates.records.empty()) {
         reply.__isset.servers = true;
         reply.servers.reserve(updates.records.size());
@@ -99,22 +96,23 @@
 ServerRegistry::Changes ControlNode::updatesFor(const wire::FollowRequest &request,
                                                 Follower &follower)
 {
-    const std::int64_t asked = request.directoryVersion - static_cast<std::int64_t>(m_versionBase);
-    const bool isOurs = asked > 0 && asked <= static_cast<std::int64_t>(m_registry.version());
-    const std::uint64_t known = isOurs ? static_cast<std::uint64_t>(asked) : 0;
-    if (m_registry.size() <= MostSentAtOnce) {
+    const std::int64_t asked = request.directoryVersion - m_versionBase;
+    const bool isOfThisRun = asked > 0 && asked <= static_cast<std::int64_t>(m_registry.version());
+    const std::uint64_t known = isOfThisRun ? static_cast<std::uint64_t>(asked) : 0;
+    if (m_registry.size() <= MostDirectoryChanges) {
         if (known == m_registry.version())
             return {{}, known};
         return {m_registry.all(), m_registry.version()};
     }
-    ServerRegistry::Changes changes = m_registry.changedSince(known, MostSentAtOnce);
+    ServerRegistry::Changes changes = m_registry.changedSince(known, MostDirectoryChanges);
     const TimePoint now = EventLoop::now();
-    if (!changes.records.empty() || now - follower.repeatedAt < RepeatInterval)
+    const bool isFromEntry = request.folder.empty();
+    if (!isFromEntry || now - follower.repeatedAt < RepeatInterval)
         return changes;
     follower.repeatedAt = now;
-    changes.records = m_registry.recordsAfter(follower.repeatedUpTo, MostSentAtOnce);
-    follower.repeatedUpTo = changes.records.empty() ? ServerId()
-                                                    : changes.records.back().announcement.server;
+    const auto repeated = m_registry.recordsAfter(follower.repeatedUpTo, MostRepeated);
+    follower.repeatedUpTo = repeated.empty() ? ServerId() : repeated.back().announcement.server;
+    changes.records.insert(changes.records.end(), repeated.begin(), repeated.end());
     return changes;
 }
 
@@ -134,8 +132,8 @@
     const bool isChanged = !m_ownRecorded || version != m_ownRecordedVersion;
     // The whole set is sent when it changes, so a large one changes less often. An outdated one
     // does no harm.
-    if (isChanged && now - m_recordedAt >= listInterval()) {
-        m_recordedAt = now;
+    if (isChanged && now - m_ownRecordedAt >= listInterval()) {
+        m_ownRecordedAt = now;
         m_ownRecorded = std::make_shared<const RecordedServers>(
                 recordedServers(m_roster.presentServers()));
         m_ownRecordedVersion = version;
@@ -250,15 +248,21 @@
     m_compressed.clear();
 }
 
-// Merges the roster again from time to time, since the registry forgets departed servers.
 void ControlNode::importRoster()
 {
     const std::uint64_t version = m_roster.version();
     const TimePoint now = EventLoop::now();
-    if (version == m_importedRoster && now - m_rosterImportedAt < BroadcastInterval)
-        return;
-    m_importedRoster = version;
-    m_rosterImportedAt = now;
+    {
+        const std::lock_guard lock(m_mutex);
+        const bool isLarge = m_registry.size() > MostDirectoryChanges;
+        // An unchanged roster is merged again from time to time, since the registry forgets
+        // departed servers.
+        if (isLarge && version == m_importedRosterVersion
+            && now - m_rosterImportedAt < BroadcastInterval)
+            return;
+        m_importedRosterVersion = version;
+        m_rosterImportedAt = now;
+    }
     const std::vector<ServerAnnouncement> known = m_roster.announcements();
     const std::set<ServerId> departed = m_roster.departed();
     m_hasRoster = !known.empty();
@@ -320,11 +324,8 @@
         maintainHomes();
         if (Clock::now() < broadcastAt)
             continue;
+        broadcastAt = Clock::now() + BroadcastInterval;
         const std::lock_guard lock(m_mutex);
-        const auto steps = static_cast<Duration::rep>(m_registry.size()
-                                                      / ServersPerBroadcastInterval);
-        broadcastAt = Clock::now()
-                + std::min<Duration>(BroadcastInterval * (1 + steps), LongestBroadcastInterval);
         m_registry.forget(ForgottenAfter, EventLoop::now());
         std::vector<wire::ServerRecord> records;
         for (const ServerRecord &record : m_registry.all())
@@ -343,6 +344,8 @@
 
 Duration ControlNode::listInterval() const
 {
+    if (m_registry.size() <= MostDirectoryChanges)
+        return {};
     const auto steps = static_cast<Duration::rep>(m_registry.size() / ServersPerListInterval);
     return std::min<Duration>(MaintainInterval * steps, LongestListInterval);
 }
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -194,6 +194,7 @@
     }
     if (view.homes)
         applyHomes(*view.homes);
+    m_mayLackServers = view.mayLackServers;
     if (view.servers) {
         bool isChanged = !m_hasServerList;
         for (const ServerRecord &record : *view.servers)
@@ -253,7 +254,9 @@
 
 void EntryNode::updateReadiness()
 {
-    if (m_isDraining || m_isReady || m_isolatedSince || m_revision == 0 || !m_proxy.knowsServers())
+    if (m_isDraining || m_isReady || m_isolatedSince || m_revision == 0)
+        return;
+    if (m_mayLackServers || !m_proxy.knowsServers())
         return;
     m_isReady = true;
     m_follower.setFastPolling(false);
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -116,6 +116,7 @@
     Revision m_revision = 0; // of the active routes
     ServerRegistry m_registry;
     bool m_hasServerList = false;
+    bool m_mayLackServers = false; // as the latest view says
     std::optional<TimePoint> m_controlLostAt;
     std::optional<TimePoint> m_suspectedSince; // suspects that its failure domain is cut off
     std::optional<TimePoint> m_isolatedSince; // has confirmed that it is cut off
--- a/test/unit/serve/changerole_test.cpp
+++ b/test/unit/serve/changerole_test.cpp
@@ -87,6 +87,8 @@
     CHECK(publications(recorder) == 0);
     log.commit(role.ledger());
     CHECK(comesTrue([&recorder] { return publications(recorder) > 0; }));
+    log.commit(role.ledger()); // a repeated proposal
+    role.report(headerOf(identity, recorder), {reportOfPrimary()});
     role.stop();
     CHECK(publications(recorder) == 1);
 }
