--- a/review/rig-2/databases.cpp
+++ b/review/rig-2/databases.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr auto HeartbeatInterval = 1200ms;
-constexpr auto PromoteTime = 600ms;
 constexpr auto WorkTime = 8ms; // of a statement
 // A connection whose remote end is unreachable is dropped after this.
 constexpr auto UnreachableTime = 3s;
@@ -132,6 +131,34 @@
     server.isDark = false;
 }
 
+void Databases::setCut(int number, bool isCut)
+{
+    m_servers.at(static_cast<std::size_t>(number))->isCut = isCut;
+    m_record.add("server " + id(number) + (isCut ? " is cut off from" : " reaches")
+                 + " the control VMs and front-" + std::to_string(number));
+}
+
+void Databases::crash(int number)
+{
+    Server &server = *m_servers.at(static_cast<std::size_t>(number));
+    const std::lock_guard lock(m_mutex);
+    server.isDown = true;
+    ++server.life;
+    m_record.add("server " + id(number) + " crashes");
+}
+
+void Databases::restart(int number)
+{
+    Server &server = *m_servers.at(static_cast<std::size_t>(number));
+    const std::lock_guard lock(m_mutex);
+    server.heldTerm = 0;
+    server.sequence = 0;
+    server.isDown = false;
+    replicate();
+    m_record.add("server " + id(number) + " is started again and has received "
+                 + std::to_string(server.received) + " commits");
+}
+
 void Databases::accept(int number)
 {
     Server &server = *m_servers[static_cast<std::size_t>(number)];
@@ -145,7 +172,9 @@
         if (server.isDark)
             continue;
         const int socket = ::accept4(server.listener, nullptr, nullptr, SOCK_CLOEXEC);
-        if (socket >= 0)
+        if (socket >= 0 && server.isDown)
+            ::close(socket);
+        else if (socket >= 0)
             start(std::thread([this, number, socket] { serve(number, socket); }));
     }
 }
@@ -170,9 +199,10 @@
     connection.socket = socket;
     LineReader reader(socket);
     std::string line;
-    while (!m_isStopping) {
-        const LineReader::Result result = reader.next(line, 100ms);
-        if (result == LineReader::Result::End)
+    const int life = server.life;
+    while (!m_isStopping && server.life == life) {
+        const LineReader::Result result = reader.next(line, Tick);
+        if (result == LineReader::Result::End || server.life != life)
             break;
         if (result == LineReader::Result::Timeout && waitWhileDark(server))
             continue;
@@ -180,7 +210,15 @@
             break;
         if (!waitWhileDark(server))
             break;
+        // The entry VM in the server's zone is its home.
+        if (line.rfind("START ", 0) == 0)
+            connection.isCut = line.find(" control ") != std::string::npos
+                    || line.find(" front-" + std::to_string(number) + ' ') != std::string::npos;
+        if (connection.isCut && server.isCut)
+            continue;
         const std::string lines = answer(connection, line);
+        if (server.life != life)
+            break;
         if (!waitWhileDark(server) || lines.empty() || !sendAll(socket, lines)
             || lines.rfind("ERR MISROUTED", 0) == 0)
             break;
@@ -318,7 +356,7 @@
     if (m_servers[static_cast<std::size_t>(m_primary)]->isDark)
         return;
     for (const auto &server : m_servers) {
-        if (!server->isDark && server->heldTerm == 0)
+        if (!server->isDark && !server->isDown && server->heldTerm == 0)
             server->received = m_log.size();
     }
     m_changed.notify_all();
@@ -381,7 +419,7 @@
     while (!m_isStopping) {
         for (std::size_t number = 0; number < m_servers.size(); ++number) {
             Server &server = *m_servers[number];
-            if (server.isDark)
+            if (server.isDark || server.isDown || server.isCut)
                 continue;
             std::ostringstream body;
             const std::uint64_t sequence = ++server.sequence;
@@ -390,7 +428,8 @@
                  << R"(","version":"v1","slots":)" << m_slots
                  << R"(,"phase":"ready","coldRemainingMs":0,"dbRole":")"
                  << (static_cast<int>(number) == primary() ? "primary" : "replica")
-                 << R"(","sequence":)" << sequence << R"(,"born":1767225600000})";
+                 << R"(","sequence":)" << sequence << R"(,"born":)"
+                 << 1'767'225'600'000 + server.life << '}';
             for (std::size_t offset = 0; offset < m_controls.size(); ++offset) {
                 const Address &control = m_controls[(number + offset) % m_controls.size()];
                 const std::string path = "/instances/" + id(static_cast<int>(number));
@@ -446,11 +485,13 @@
         if (token < m_highestToken || m_servers.at(static_cast<std::size_t>(number))->isDark)
             return 409;
         m_highestToken = token;
+        m_orderedServer = number;
+        ++m_orderCount;
         if (number == m_primary)
             return 200;
     }
     start(std::thread([this, number] {
-        std::this_thread::sleep_for(PromoteTime);
+        std::this_thread::sleep_for(m_promoteTime.load());
         const std::lock_guard lock(m_mutex);
         m_primary = number;
         ++m_term;
--- a/review/rig-2/databases.h
+++ b/review/rig-2/databases.h
@@ -4,6 +4,7 @@
 #include "sockets.h"
 
 #include <atomic>
+#include <chrono>
 #include <condition_variable>
 #include <map>
 #include <memory>
@@ -37,6 +38,17 @@
     }
     // A dark server neither answers nor accepts connections; it goes on where it stopped.
     void setDark(int server, bool isDark);
+    // Cuts the server off from the control VMs and the entry VM of its zone, or ends the cut.
+    void setCut(int server, bool isCut);
+    // Ends the server's connections and refuses new ones, until it is started again with its log.
+    // What held it back before is forgotten then.
+    void crash(int server);
+    void restart(int server);
+    void setPromoteTime(std::chrono::milliseconds time) { m_promoteTime = time; }
+    // Returns how many orders to promote were accepted.
+    int orderCount() const { return m_orderCount; }
+    // Returns the server that the latest of these named.
+    int orderedServer() const { return m_orderedServer; }
     // Returns how many commits of this statement or transaction the present primary's log holds.
     int count(const std::string &request) const;
     int promotionCount() const { return m_promotionCount; }
@@ -58,6 +70,9 @@
         std::size_t received = 0;
         std::uint64_t heldTerm = 0;
         std::vector<int> fillers {};
+        std::atomic<bool> isCut = false;
+        std::atomic<bool> isDown = false;
+        std::atomic<int> life = 0;
         std::atomic<std::uint64_t> sequence = 0;
     };
     struct Connection
@@ -65,6 +80,7 @@
         int server = 0;
         int socket = -1;
         char state = 'I';
+        bool isCut = false; // while the server is cut off from the control VMs
         bool isReadOnly = false;
         std::uint64_t term = 0;
         std::vector<Entry> writes {};
@@ -102,6 +118,9 @@
     int m_primary = 0;
     std::uint64_t m_highestToken = 0;
     std::atomic<int> m_promotionCount = 0;
+    std::atomic<int> m_orderCount = 0;
+    std::atomic<int> m_orderedServer = -1;
+    std::atomic<std::chrono::milliseconds> m_promoteTime {std::chrono::milliseconds(600)};
     std::vector<Address> m_controls;
     std::atomic<bool> m_isStopping = false;
     std::mutex m_threadsMutex;
