--- a/review/rig-2/restart.cpp
+++ b/review/rig-2/restart.cpp
@@ -22,8 +22,8 @@
 
 constexpr int Entries = 3;
 constexpr int Servers = 3;
-constexpr auto PromoteTime = 1000ms; // as on the site's sheet
-constexpr auto CrashAfter = 350ms; // from the order
+constexpr auto PromoteTime = 600ms; // as on the site's sheet
+constexpr auto CrashAfter = 150ms; // from the order
 constexpr auto DownTime = 50ms;
 constexpr auto CutTime = 5s;
 constexpr int Rounds = 8;
@@ -31,9 +31,9 @@
 
 const char *const DesiredState = R"({"version":3,
     "routes":[{"name":"r","databaseName":"casks","pathPrefix":"/","type":"read_own_writes",
-               "timeoutMs":1000,"targetLatencyMs":400,"priority":1,"service":"db",
+               "timeoutMs":800,"targetLatencyMs":250,"priority":1,"service":"db",
                "maxAttempts":2,"maxStalenessMs":2500}],
-    "services":[{"name":"db","healthPath":"/health","maxConnections":21,"protocol":"h1",
+    "services":[{"name":"db","healthPath":"/health","maxConnections":46,"protocol":"h1",
                  "tls":false,"syncReplicas":1}],
     "limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,
               "idleTimeoutMs":15000,"txIdleMs":3000}})";
