--- a/gen/Peer.cpp
+++ b/gen/Peer.cpp
@@ -954,14 +954,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->messages.clear();
-            uint32_t _size285;
-            ::apache::thrift::protocol::TType _etype288;
-            xfer += iprot->readListBegin(_etype288, _size285);
-            this->messages.resize(_size285);
-            uint32_t _i289;
-            for (_i289 = 0; _i289 < _size285; ++_i289)
+            uint32_t _size293;
+            ::apache::thrift::protocol::TType _etype296;
+            xfer += iprot->readListBegin(_etype296, _size293);
+            this->messages.resize(_size293);
+            uint32_t _i297;
+            for (_i297 = 0; _i297 < _size293; ++_i297)
             {
-              xfer += this->messages[_i289].read(iprot);
+              xfer += this->messages[_i297].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -994,10 +994,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->messages.size()));
-    std::vector<RaftMessage> ::const_iterator _iter290;
-    for (_iter290 = this->messages.begin(); _iter290 != this->messages.end(); ++_iter290)
+    std::vector<RaftMessage> ::const_iterator _iter298;
+    for (_iter298 = this->messages.begin(); _iter298 != this->messages.end(); ++_iter298)
     {
-      xfer += (*_iter290).write(oprot);
+      xfer += (*_iter298).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1025,10 +1025,10 @@
   xfer += oprot->writeFieldBegin("messages", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->messages)).size()));
-    std::vector<RaftMessage> ::const_iterator _iter291;
-    for (_iter291 = (*(this->messages)).begin(); _iter291 != (*(this->messages)).end(); ++_iter291)
+    std::vector<RaftMessage> ::const_iterator _iter299;
+    for (_iter299 = (*(this->messages)).begin(); _iter299 != (*(this->messages)).end(); ++_iter299)
     {
-      xfer += (*_iter291).write(oprot);
+      xfer += (*_iter299).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1834,14 +1834,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size292;
-            ::apache::thrift::protocol::TType _etype295;
-            xfer += iprot->readListBegin(_etype295, _size292);
-            this->reports.resize(_size292);
-            uint32_t _i296;
-            for (_i296 = 0; _i296 < _size292; ++_i296)
+            uint32_t _size300;
+            ::apache::thrift::protocol::TType _etype303;
+            xfer += iprot->readListBegin(_etype303, _size300);
+            this->reports.resize(_size300);
+            uint32_t _i304;
+            for (_i304 = 0; _i304 < _size300; ++_i304)
             {
-              xfer += this->reports[_i296].read(iprot);
+              xfer += this->reports[_i304].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1874,10 +1874,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<GroupReport> ::const_iterator _iter297;
-    for (_iter297 = this->reports.begin(); _iter297 != this->reports.end(); ++_iter297)
+    std::vector<GroupReport> ::const_iterator _iter305;
+    for (_iter305 = this->reports.begin(); _iter305 != this->reports.end(); ++_iter305)
     {
-      xfer += (*_iter297).write(oprot);
+      xfer += (*_iter305).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1905,10 +1905,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>((*(this->reports)).size()));
-    std::vector<GroupReport> ::const_iterator _iter298;
-    for (_iter298 = (*(this->reports)).begin(); _iter298 != (*(this->reports)).end(); ++_iter298)
+    std::vector<GroupReport> ::const_iterator _iter306;
+    for (_iter306 = (*(this->reports)).begin(); _iter306 != (*(this->reports)).end(); ++_iter306)
     {
-      xfer += (*_iter298).write(oprot);
+      xfer += (*_iter306).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2734,14 +2734,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->services.clear();
-            uint32_t _size299;
-            ::apache::thrift::protocol::TType _etype302;
-            xfer += iprot->readListBegin(_etype302, _size299);
-            this->services.resize(_size299);
-            uint32_t _i303;
-            for (_i303 = 0; _i303 < _size299; ++_i303)
+            uint32_t _size307;
+            ::apache::thrift::protocol::TType _etype310;
+            xfer += iprot->readListBegin(_etype310, _size307);
+            this->services.resize(_size307);
+            uint32_t _i311;
+            for (_i311 = 0; _i311 < _size307; ++_i311)
             {
-              xfer += iprot->readString(this->services[_i303]);
+              xfer += iprot->readString(this->services[_i311]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2774,10 +2774,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
-    std::vector<std::string> ::const_iterator _iter304;
-    for (_iter304 = this->services.begin(); _iter304 != this->services.end(); ++_iter304)
+    std::vector<std::string> ::const_iterator _iter312;
+    for (_iter312 = this->services.begin(); _iter312 != this->services.end(); ++_iter312)
     {
-      xfer += oprot->writeString((*_iter304));
+      xfer += oprot->writeString((*_iter312));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2805,10 +2805,10 @@
   xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>((*(this->services)).size()));
-    std::vector<std::string> ::const_iterator _iter305;
-    for (_iter305 = (*(this->services)).begin(); _iter305 != (*(this->services)).end(); ++_iter305)
+    std::vector<std::string> ::const_iterator _iter313;
+    for (_iter313 = (*(this->services)).begin(); _iter313 != (*(this->services)).end(); ++_iter313)
     {
-      xfer += oprot->writeString((*_iter305));
+      xfer += oprot->writeString((*_iter313));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2849,14 +2849,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->success.clear();
-            uint32_t _size306;
-            ::apache::thrift::protocol::TType _etype309;
-            xfer += iprot->readListBegin(_etype309, _size306);
-            this->success.resize(_size306);
-            uint32_t _i310;
-            for (_i310 = 0; _i310 < _size306; ++_i310)
+            uint32_t _size314;
+            ::apache::thrift::protocol::TType _etype317;
+            xfer += iprot->readListBegin(_etype317, _size314);
+            this->success.resize(_size314);
+            uint32_t _i318;
+            for (_i318 = 0; _i318 < _size314; ++_i318)
             {
-              xfer += this->success[_i310].read(iprot);
+              xfer += this->success[_i318].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2895,10 +2895,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_LIST, 0);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->success.size()));
-      std::vector<AgedProof> ::const_iterator _iter311;
-      for (_iter311 = this->success.begin(); _iter311 != this->success.end(); ++_iter311)
+      std::vector<AgedProof> ::const_iterator _iter319;
+      for (_iter319 = this->success.begin(); _iter319 != this->success.end(); ++_iter319)
       {
-        xfer += (*_iter311).write(oprot);
+        xfer += (*_iter319).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -2943,14 +2943,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             (*(this->success)).clear();
-            uint32_t _size312;
-            ::apache::thrift::protocol::TType _etype315;
-            xfer += iprot->readListBegin(_etype315, _size312);
-            (*(this->success)).resize(_size312);
-            uint32_t _i316;
-            for (_i316 = 0; _i316 < _size312; ++_i316)
+            uint32_t _size320;
+            ::apache::thrift::protocol::TType _etype323;
+            xfer += iprot->readListBegin(_etype323, _size320);
+            (*(this->success)).resize(_size320);
+            uint32_t _i324;
+            for (_i324 = 0; _i324 < _size320; ++_i324)
             {
-              xfer += (*(this->success))[_i316].read(iprot);
+              xfer += (*(this->success))[_i324].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2980,6 +2980,213 @@
 }
 
 
+Peer_openChanges_args::~Peer_openChanges_args() noexcept {
+}
+
+
+uint32_t Peer_openChanges_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->header.read(iprot);
+          this->__isset.header = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_openChanges_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_openChanges_args");
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->header.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_openChanges_pargs::~Peer_openChanges_pargs() noexcept {
+}
+
+
+uint32_t Peer_openChanges_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Peer_openChanges_pargs");
+
+  xfer += oprot->writeFieldBegin("header", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->header)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_openChanges_result::~Peer_openChanges_result() noexcept {
+}
+
+
+uint32_t Peer_openChanges_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->refusal.read(iprot);
+          this->__isset.refusal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Peer_openChanges_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("Peer_openChanges_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.refusal) {
+    xfer += oprot->writeFieldBegin("refusal", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->refusal.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+Peer_openChanges_presult::~Peer_openChanges_presult() noexcept {
+}
+
+
+uint32_t Peer_openChanges_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->refusal.read(iprot);
+          this->__isset.refusal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
 Peer_status_args::~Peer_status_args() noexcept {
 }
 
@@ -3978,6 +4185,67 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "agedProofs failed: unknown result");
 }
 
+void PeerClient::openChanges(OpenChanges& _return, const Header& header)
+{
+  send_openChanges(header);
+  recv_openChanges(_return);
+}
+
+void PeerClient::send_openChanges(const Header& header)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("openChanges", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Peer_openChanges_pargs args;
+  args.header = &header;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void PeerClient::recv_openChanges(OpenChanges& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("openChanges") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  Peer_openChanges_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  if (result.__isset.refusal) {
+    throw result.refusal;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "openChanges failed: unknown result");
+}
+
 void PeerClient::status(NodeStatusReply& _return, const Header& header)
 {
   send_status(header);
@@ -4796,6 +5064,63 @@
   }
 }
 
+void PeerProcessor::process_openChanges(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("Peer.openChanges", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "Peer.openChanges");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "Peer.openChanges");
+  }
+
+  Peer_openChanges_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "Peer.openChanges", bytes);
+  }
+
+  Peer_openChanges_result result;
+  try {
+    iface_->openChanges(result.success, args.header);
+    result.__isset.success = true;
+  } catch (PeerRefusal &refusal) {
+    result.refusal = std::move(refusal);
+    result.__isset.refusal = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "Peer.openChanges");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("openChanges", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "Peer.openChanges");
+  }
+
+  oprot->writeMessageBegin("openChanges", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "Peer.openChanges", bytes);
+  }
+}
+
 void PeerProcessor::process_status(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
@@ -6000,6 +6325,94 @@
   } // end while(true)
 }
 
+void PeerConcurrentClient::openChanges(OpenChanges& _return, const Header& header)
+{
+  int32_t seqid = send_openChanges(header);
+  recv_openChanges(_return, seqid);
+}
+
+int32_t PeerConcurrentClient::send_openChanges(const Header& header)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("openChanges", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  Peer_openChanges_pargs args;
+  args.header = &header;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void PeerConcurrentClient::recv_openChanges(OpenChanges& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("openChanges") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      Peer_openChanges_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      if (result.__isset.refusal) {
+        sentry.commit();
+        throw result.refusal;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "openChanges failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 void PeerConcurrentClient::status(NodeStatusReply& _return, const Header& header)
 {
   int32_t seqid = send_status(header);
--- a/gen/Peer.h
+++ b/gen/Peer.h
@@ -35,6 +35,7 @@
   virtual void follow(FollowReply& _return, const Header& header, const FollowRequest& request) = 0;
   virtual void spreadNews(const Header& header, const SiteNews& news) = 0;
   virtual void agedProofs(std::vector<AgedProof> & _return, const Header& header, const std::vector<std::string> & services) = 0;
+  virtual void openChanges(OpenChanges& _return, const Header& header) = 0;
   virtual void status(NodeStatusReply& _return, const Header& header) = 0;
 };
 
@@ -104,6 +105,9 @@
   void agedProofs(std::vector<AgedProof> & /* _return */, const Header& /* header */, const std::vector<std::string> & /* services */) override {
     return;
   }
+  void openChanges(OpenChanges& /* _return */, const Header& /* header */) override {
+    return;
+  }
   void status(NodeStatusReply& /* _return */, const Header& /* header */) override {
     return;
   }
@@ -1644,6 +1648,118 @@
 
 };
 
+typedef struct _Peer_openChanges_args__isset {
+  _Peer_openChanges_args__isset() : header(false) {}
+  bool header :1;
+} _Peer_openChanges_args__isset;
+
+class Peer_openChanges_args {
+ public:
+
+  Peer_openChanges_args(const Peer_openChanges_args&);
+  Peer_openChanges_args& operator=(const Peer_openChanges_args&);
+  Peer_openChanges_args() noexcept {
+  }
+
+  virtual ~Peer_openChanges_args() noexcept;
+  Header header;
+
+  _Peer_openChanges_args__isset __isset;
+
+  void __set_header(const Header& val);
+
+  bool operator == (const Peer_openChanges_args & rhs) const
+  {
+    if (!(header == rhs.header))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_openChanges_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_openChanges_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class Peer_openChanges_pargs {
+ public:
+
+
+  virtual ~Peer_openChanges_pargs() noexcept;
+  const Header* header;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Peer_openChanges_result__isset {
+  _Peer_openChanges_result__isset() : success(false), refusal(false) {}
+  bool success :1;
+  bool refusal :1;
+} _Peer_openChanges_result__isset;
+
+class Peer_openChanges_result {
+ public:
+
+  Peer_openChanges_result(const Peer_openChanges_result&);
+  Peer_openChanges_result& operator=(const Peer_openChanges_result&);
+  Peer_openChanges_result() noexcept {
+  }
+
+  virtual ~Peer_openChanges_result() noexcept;
+  OpenChanges success;
+  PeerRefusal refusal;
+
+  _Peer_openChanges_result__isset __isset;
+
+  void __set_success(const OpenChanges& val);
+
+  void __set_refusal(const PeerRefusal& val);
+
+  bool operator == (const Peer_openChanges_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    if (!(refusal == rhs.refusal))
+      return false;
+    return true;
+  }
+  bool operator != (const Peer_openChanges_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Peer_openChanges_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _Peer_openChanges_presult__isset {
+  _Peer_openChanges_presult__isset() : success(false), refusal(false) {}
+  bool success :1;
+  bool refusal :1;
+} _Peer_openChanges_presult__isset;
+
+class Peer_openChanges_presult {
+ public:
+
+
+  virtual ~Peer_openChanges_presult() noexcept;
+  OpenChanges* success;
+  PeerRefusal refusal;
+
+  _Peer_openChanges_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 typedef struct _Peer_status_args__isset {
   _Peer_status_args__isset() : header(false) {}
   bool header :1;
@@ -1820,6 +1936,9 @@
   void agedProofs(std::vector<AgedProof> & _return, const Header& header, const std::vector<std::string> & services) override;
   void send_agedProofs(const Header& header, const std::vector<std::string> & services);
   void recv_agedProofs(std::vector<AgedProof> & _return);
+  void openChanges(OpenChanges& _return, const Header& header) override;
+  void send_openChanges(const Header& header);
+  void recv_openChanges(OpenChanges& _return);
   void status(NodeStatusReply& _return, const Header& header) override;
   void send_status(const Header& header);
   void recv_status(NodeStatusReply& _return);
@@ -1851,6 +1970,7 @@
   void process_follow(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_spreadNews(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_agedProofs(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_openChanges(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_status(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   PeerProcessor(::std::shared_ptr<PeerIf> iface) :
@@ -1868,6 +1988,7 @@
     processMap_["follow"] = &PeerProcessor::process_follow;
     processMap_["spreadNews"] = &PeerProcessor::process_spreadNews;
     processMap_["agedProofs"] = &PeerProcessor::process_agedProofs;
+    processMap_["openChanges"] = &PeerProcessor::process_openChanges;
     processMap_["status"] = &PeerProcessor::process_status;
   }
 
@@ -2024,6 +2145,16 @@
     return;
   }
 
+  void openChanges(OpenChanges& _return, const Header& header) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->openChanges(_return, header);
+    }
+    ifaces_[i]->openChanges(_return, header);
+    return;
+  }
+
   void status(NodeStatusReply& _return, const Header& header) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
@@ -2105,6 +2236,9 @@
   void agedProofs(std::vector<AgedProof> & _return, const Header& header, const std::vector<std::string> & services) override;
   int32_t send_agedProofs(const Header& header, const std::vector<std::string> & services);
   void recv_agedProofs(std::vector<AgedProof> & _return, const int32_t seqid);
+  void openChanges(OpenChanges& _return, const Header& header) override;
+  int32_t send_openChanges(const Header& header);
+  void recv_openChanges(OpenChanges& _return, const int32_t seqid);
   void status(NodeStatusReply& _return, const Header& header) override;
   int32_t send_status(const Header& header);
   void recv_status(NodeStatusReply& _return, const int32_t seqid);
--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -2536,8 +2536,8 @@
   this->members = val;
 }
 
-void RaftMessage::__set_round(const int64_t val) {
-  this->round = val;
+void RaftMessage::__set_stamp(const int64_t val) {
+  this->stamp = val;
 }
 
 void RaftMessage::__set_identity(const std::string& val) {
@@ -2687,8 +2687,8 @@
         break;
       case 12:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->round);
-          this->__isset.round = true;
+          xfer += iprot->readI64(this->stamp);
+          this->__isset.stamp = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2778,8 +2778,8 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 12);
-  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldBegin("stamp", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->stamp);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("identity", ::apache::thrift::protocol::T_STRING, 13);
@@ -2804,7 +2804,7 @@
   swap(a.entries, b.entries);
   swap(a.snapshot, b.snapshot);
   swap(a.members, b.members);
-  swap(a.round, b.round);
+  swap(a.stamp, b.stamp);
   swap(a.identity, b.identity);
   swap(a.__isset, b.__isset);
 }
@@ -2821,7 +2821,7 @@
   entries = other52.entries;
   snapshot = other52.snapshot;
   members = other52.members;
-  round = other52.round;
+  stamp = other52.stamp;
   identity = other52.identity;
   __isset = other52.__isset;
 }
@@ -2837,7 +2837,7 @@
   entries = other53.entries;
   snapshot = other53.snapshot;
   members = other53.members;
-  round = other53.round;
+  stamp = other53.stamp;
   identity = other53.identity;
   __isset = other53.__isset;
   return *this;
@@ -2856,7 +2856,7 @@
   out << ", " << "entries=" << to_string(entries);
   out << ", " << "snapshot=" << to_string(snapshot);
   out << ", " << "members=" << to_string(members);
-  out << ", " << "round=" << to_string(round);
+  out << ", " << "stamp=" << to_string(stamp);
   out << ", " << "identity=" << to_string(identity);
   out << ")";
 }
@@ -6122,6 +6122,11 @@
   this->recordedVersion = val;
 __isset.recordedVersion = true;
 }
+
+void FollowRequest::__set_asksChanges(const bool val) {
+  this->asksChanges = val;
+__isset.asksChanges = true;
+}
 std::ostream& operator<<(std::ostream& out, const FollowRequest& obj)
 {
   obj.printTo(out);
@@ -6238,6 +6243,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->asksChanges);
+          this->__isset.asksChanges = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6304,6 +6317,11 @@
     xfer += oprot->writeI64(this->recordedVersion);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.asksChanges) {
+    xfer += oprot->writeFieldBegin("asksChanges", ::apache::thrift::protocol::T_BOOL, 9);
+    xfer += oprot->writeBool(this->asksChanges);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6319,6 +6337,7 @@
   swap(a.lanes, b.lanes);
   swap(a.homesVersion, b.homesVersion);
   swap(a.recordedVersion, b.recordedVersion);
+  swap(a.asksChanges, b.asksChanges);
   swap(a.__isset, b.__isset);
 }
 
@@ -6331,6 +6350,7 @@
   lanes = other177.lanes;
   homesVersion = other177.homesVersion;
   recordedVersion = other177.recordedVersion;
+  asksChanges = other177.asksChanges;
   __isset = other177.__isset;
 }
 FollowRequest& FollowRequest::operator=(const FollowRequest& other178) {
@@ -6342,6 +6362,7 @@
   lanes = other178.lanes;
   homesVersion = other178.homesVersion;
   recordedVersion = other178.recordedVersion;
+  asksChanges = other178.asksChanges;
   __isset = other178.__isset;
   return *this;
 }
@@ -6356,6 +6377,7 @@
   out << ", " << "lanes=" << to_string(lanes);
   out << ", " << "homesVersion=" << to_string(homesVersion);
   out << ", " << "recordedVersion="; (__isset.recordedVersion ? (out << to_string(recordedVersion)) : (out << "<null>"));
+  out << ", " << "asksChanges="; (__isset.asksChanges ? (out << to_string(asksChanges)) : (out << "<null>"));
   out << ")";
 }
 
@@ -6604,6 +6626,138 @@
 }
 
 
+OpenChanges::~OpenChanges() noexcept {
+}
+
+
+void OpenChanges::__set_services(const std::vector<std::string> & val) {
+  this->services = val;
+}
+
+void OpenChanges::__set_ageMicroseconds(const int64_t val) {
+  this->ageMicroseconds = val;
+}
+std::ostream& operator<<(std::ostream& out, const OpenChanges& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t OpenChanges::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->services.clear();
+            uint32_t _size183;
+            ::apache::thrift::protocol::TType _etype186;
+            xfer += iprot->readListBegin(_etype186, _size183);
+            this->services.resize(_size183);
+            uint32_t _i187;
+            for (_i187 = 0; _i187 < _size183; ++_i187)
+            {
+              xfer += iprot->readString(this->services[_i187]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.services = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMicroseconds);
+          this->__isset.ageMicroseconds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t OpenChanges::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("OpenChanges");
+
+  xfer += oprot->writeFieldBegin("services", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->services.size()));
+    std::vector<std::string> ::const_iterator _iter188;
+    for (_iter188 = this->services.begin(); _iter188 != this->services.end(); ++_iter188)
+    {
+      xfer += oprot->writeString((*_iter188));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMicroseconds", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->ageMicroseconds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(OpenChanges &a, OpenChanges &b) {
+  using ::std::swap;
+  swap(a.services, b.services);
+  swap(a.ageMicroseconds, b.ageMicroseconds);
+  swap(a.__isset, b.__isset);
+}
+
+OpenChanges::OpenChanges(const OpenChanges& other189) {
+  services = other189.services;
+  ageMicroseconds = other189.ageMicroseconds;
+  __isset = other189.__isset;
+}
+OpenChanges& OpenChanges::operator=(const OpenChanges& other190) {
+  services = other190.services;
+  ageMicroseconds = other190.ageMicroseconds;
+  __isset = other190.__isset;
+  return *this;
+}
+void OpenChanges::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "OpenChanges(";
+  out << "services=" << to_string(services);
+  out << ", " << "ageMicroseconds=" << to_string(ageMicroseconds);
+  out << ")";
+}
+
+
 FollowReply::~FollowReply() noexcept {
 }
 
@@ -6664,6 +6818,16 @@
   this->recordedVersion = val;
 __isset.recordedVersion = true;
 }
+
+void FollowReply::__set_tellsChanges(const bool val) {
+  this->tellsChanges = val;
+__isset.tellsChanges = true;
+}
+
+void FollowReply::__set_openChanges(const OpenChanges& val) {
+  this->openChanges = val;
+__isset.openChanges = true;
+}
 std::ostream& operator<<(std::ostream& out, const FollowReply& obj)
 {
   obj.printTo(out);
@@ -6720,14 +6884,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->servers.clear();
-            uint32_t _size183;
-            ::apache::thrift::protocol::TType _etype186;
-            xfer += iprot->readListBegin(_etype186, _size183);
-            this->servers.resize(_size183);
-            uint32_t _i187;
-            for (_i187 = 0; _i187 < _size183; ++_i187)
+            uint32_t _size191;
+            ::apache::thrift::protocol::TType _etype194;
+            xfer += iprot->readListBegin(_etype194, _size191);
+            this->servers.resize(_size191);
+            uint32_t _i195;
+            for (_i195 = 0; _i195 < _size191; ++_i195)
             {
-              xfer += this->servers[_i187].read(iprot);
+              xfer += this->servers[_i195].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6740,14 +6904,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->controls.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->controls.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size196;
+            ::apache::thrift::protocol::TType _etype199;
+            xfer += iprot->readListBegin(_etype199, _size196);
+            this->controls.resize(_size196);
+            uint32_t _i200;
+            for (_i200 = 0; _i200 < _size196; ++_i200)
             {
-              xfer += this->controls[_i192].read(iprot);
+              xfer += this->controls[_i200].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6784,14 +6948,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->proofs.clear();
-            uint32_t _size193;
-            ::apache::thrift::protocol::TType _etype196;
-            xfer += iprot->readListBegin(_etype196, _size193);
-            this->proofs.resize(_size193);
-            uint32_t _i197;
-            for (_i197 = 0; _i197 < _size193; ++_i197)
+            uint32_t _size201;
+            ::apache::thrift::protocol::TType _etype204;
+            xfer += iprot->readListBegin(_etype204, _size201);
+            this->proofs.resize(_size201);
+            uint32_t _i205;
+            for (_i205 = 0; _i205 < _size201; ++_i205)
             {
-              xfer += this->proofs[_i197].read(iprot);
+              xfer += this->proofs[_i205].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6812,14 +6976,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->homes.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->homes.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size206;
+            ::apache::thrift::protocol::TType _etype209;
+            xfer += iprot->readListBegin(_etype209, _size206);
+            this->homes.resize(_size206);
+            uint32_t _i210;
+            for (_i210 = 0; _i210 < _size206; ++_i210)
             {
-              xfer += this->homes[_i202].read(iprot);
+              xfer += this->homes[_i210].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6832,14 +6996,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->recordedServers.clear();
-            uint32_t _size203;
-            ::apache::thrift::protocol::TType _etype206;
-            xfer += iprot->readListBegin(_etype206, _size203);
-            this->recordedServers.resize(_size203);
-            uint32_t _i207;
-            for (_i207 = 0; _i207 < _size203; ++_i207)
+            uint32_t _size211;
+            ::apache::thrift::protocol::TType _etype214;
+            xfer += iprot->readListBegin(_etype214, _size211);
+            this->recordedServers.resize(_size211);
+            uint32_t _i215;
+            for (_i215 = 0; _i215 < _size211; ++_i215)
             {
-              xfer += iprot->readString(this->recordedServers[_i207]);
+              xfer += iprot->readString(this->recordedServers[_i215]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6856,6 +7020,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->tellsChanges);
+          this->__isset.tellsChanges = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->openChanges.read(iprot);
+          this->__isset.openChanges = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6890,10 +7070,10 @@
     xfer += oprot->writeFieldBegin("servers", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->servers.size()));
-      std::vector<ServerRecord> ::const_iterator _iter208;
-      for (_iter208 = this->servers.begin(); _iter208 != this->servers.end(); ++_iter208)
+      std::vector<ServerRecord> ::const_iterator _iter216;
+      for (_iter216 = this->servers.begin(); _iter216 != this->servers.end(); ++_iter216)
       {
-        xfer += (*_iter208).write(oprot);
+        xfer += (*_iter216).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -6902,10 +7082,10 @@
   xfer += oprot->writeFieldBegin("controls", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->controls.size()));
-    std::vector<ControlVm> ::const_iterator _iter209;
-    for (_iter209 = this->controls.begin(); _iter209 != this->controls.end(); ++_iter209)
+    std::vector<ControlVm> ::const_iterator _iter217;
+    for (_iter217 = this->controls.begin(); _iter217 != this->controls.end(); ++_iter217)
     {
-      xfer += (*_iter209).write(oprot);
+      xfer += (*_iter217).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6926,10 +7106,10 @@
   xfer += oprot->writeFieldBegin("proofs", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->proofs.size()));
-    std::vector<AgedProof> ::const_iterator _iter210;
-    for (_iter210 = this->proofs.begin(); _iter210 != this->proofs.end(); ++_iter210)
+    std::vector<AgedProof> ::const_iterator _iter218;
+    for (_iter218 = this->proofs.begin(); _iter218 != this->proofs.end(); ++_iter218)
     {
-      xfer += (*_iter210).write(oprot);
+      xfer += (*_iter218).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6943,10 +7123,10 @@
     xfer += oprot->writeFieldBegin("homes", ::apache::thrift::protocol::T_LIST, 11);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->homes.size()));
-      std::vector<ServerHome> ::const_iterator _iter211;
-      for (_iter211 = this->homes.begin(); _iter211 != this->homes.end(); ++_iter211)
+      std::vector<ServerHome> ::const_iterator _iter219;
+      for (_iter219 = this->homes.begin(); _iter219 != this->homes.end(); ++_iter219)
       {
-        xfer += (*_iter211).write(oprot);
+        xfer += (*_iter219).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -6956,10 +7136,10 @@
     xfer += oprot->writeFieldBegin("recordedServers", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->recordedServers.size()));
-      std::vector<std::string> ::const_iterator _iter212;
-      for (_iter212 = this->recordedServers.begin(); _iter212 != this->recordedServers.end(); ++_iter212)
+      std::vector<std::string> ::const_iterator _iter220;
+      for (_iter220 = this->recordedServers.begin(); _iter220 != this->recordedServers.end(); ++_iter220)
       {
-        xfer += oprot->writeString((*_iter212));
+        xfer += oprot->writeString((*_iter220));
       }
       xfer += oprot->writeListEnd();
     }
@@ -6970,6 +7150,16 @@
     xfer += oprot->writeI64(this->recordedVersion);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.tellsChanges) {
+    xfer += oprot->writeFieldBegin("tellsChanges", ::apache::thrift::protocol::T_BOOL, 14);
+    xfer += oprot->writeBool(this->tellsChanges);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.openChanges) {
+    xfer += oprot->writeFieldBegin("openChanges", ::apache::thrift::protocol::T_STRUCT, 15);
+    xfer += this->openChanges.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6990,40 +7180,46 @@
   swap(a.homes, b.homes);
   swap(a.recordedServers, b.recordedServers);
   swap(a.recordedVersion, b.recordedVersion);
+  swap(a.tellsChanges, b.tellsChanges);
+  swap(a.openChanges, b.openChanges);
   swap(a.__isset, b.__isset);
 }
 
-FollowReply::FollowReply(const FollowReply& other213) {
-  isCurrent = other213.isCurrent;
-  configuration = other213.configuration;
-  directoryVersion = other213.directoryVersion;
-  servers = other213.servers;
-  controls = other213.controls;
-  leader = other213.leader;
-  isMember = other213.isMember;
-  entryCount = other213.entryCount;
-  proofs = other213.proofs;
-  homesVersion = other213.homesVersion;
-  homes = other213.homes;
-  recordedServers = other213.recordedServers;
-  recordedVersion = other213.recordedVersion;
-  __isset = other213.__isset;
-}
-FollowReply& FollowReply::operator=(const FollowReply& other214) {
-  isCurrent = other214.isCurrent;
-  configuration = other214.configuration;
-  directoryVersion = other214.directoryVersion;
-  servers = other214.servers;
-  controls = other214.controls;
-  leader = other214.leader;
-  isMember = other214.isMember;
-  entryCount = other214.entryCount;
-  proofs = other214.proofs;
-  homesVersion = other214.homesVersion;
-  homes = other214.homes;
-  recordedServers = other214.recordedServers;
-  recordedVersion = other214.recordedVersion;
-  __isset = other214.__isset;
+FollowReply::FollowReply(const FollowReply& other221) {
+  isCurrent = other221.isCurrent;
+  configuration = other221.configuration;
+  directoryVersion = other221.directoryVersion;
+  servers = other221.servers;
+  controls = other221.controls;
+  leader = other221.leader;
+  isMember = other221.isMember;
+  entryCount = other221.entryCount;
+  proofs = other221.proofs;
+  homesVersion = other221.homesVersion;
+  homes = other221.homes;
+  recordedServers = other221.recordedServers;
+  recordedVersion = other221.recordedVersion;
+  tellsChanges = other221.tellsChanges;
+  openChanges = other221.openChanges;
+  __isset = other221.__isset;
+}
+FollowReply& FollowReply::operator=(const FollowReply& other222) {
+  isCurrent = other222.isCurrent;
+  configuration = other222.configuration;
+  directoryVersion = other222.directoryVersion;
+  servers = other222.servers;
+  controls = other222.controls;
+  leader = other222.leader;
+  isMember = other222.isMember;
+  entryCount = other222.entryCount;
+  proofs = other222.proofs;
+  homesVersion = other222.homesVersion;
+  homes = other222.homes;
+  recordedServers = other222.recordedServers;
+  recordedVersion = other222.recordedVersion;
+  tellsChanges = other222.tellsChanges;
+  openChanges = other222.openChanges;
+  __isset = other222.__isset;
   return *this;
 }
 void FollowReply::printTo(std::ostream& out) const {
@@ -7042,6 +7238,8 @@
   out << ", " << "homes="; (__isset.homes ? (out << to_string(homes)) : (out << "<null>"));
   out << ", " << "recordedServers="; (__isset.recordedServers ? (out << to_string(recordedServers)) : (out << "<null>"));
   out << ", " << "recordedVersion="; (__isset.recordedVersion ? (out << to_string(recordedVersion)) : (out << "<null>"));
+  out << ", " << "tellsChanges="; (__isset.tellsChanges ? (out << to_string(tellsChanges)) : (out << "<null>"));
+  out << ", " << "openChanges="; (__isset.openChanges ? (out << to_string(openChanges)) : (out << "<null>"));
   out << ")";
 }
 
@@ -7227,25 +7425,25 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneCommand::LaneCommand(const LaneCommand& other215) {
-  kind = other215.kind;
-  requestId = other215.requestId;
-  after = other215.after;
-  name = other215.name;
-  argument = other215.argument;
-  preparesWrite = other215.preparesWrite;
-  asksStatus = other215.asksStatus;
-  __isset = other215.__isset;
-}
-LaneCommand& LaneCommand::operator=(const LaneCommand& other216) {
-  kind = other216.kind;
-  requestId = other216.requestId;
-  after = other216.after;
-  name = other216.name;
-  argument = other216.argument;
-  preparesWrite = other216.preparesWrite;
-  asksStatus = other216.asksStatus;
-  __isset = other216.__isset;
+LaneCommand::LaneCommand(const LaneCommand& other223) {
+  kind = other223.kind;
+  requestId = other223.requestId;
+  after = other223.after;
+  name = other223.name;
+  argument = other223.argument;
+  preparesWrite = other223.preparesWrite;
+  asksStatus = other223.asksStatus;
+  __isset = other223.__isset;
+}
+LaneCommand& LaneCommand::operator=(const LaneCommand& other224) {
+  kind = other224.kind;
+  requestId = other224.requestId;
+  after = other224.after;
+  name = other224.name;
+  argument = other224.argument;
+  preparesWrite = other224.preparesWrite;
+  asksStatus = other224.asksStatus;
+  __isset = other224.__isset;
   return *this;
 }
 void LaneCommand::printTo(std::ostream& out) const {
@@ -7346,14 +7544,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->commands.clear();
-            uint32_t _size217;
-            ::apache::thrift::protocol::TType _etype220;
-            xfer += iprot->readListBegin(_etype220, _size217);
-            this->commands.resize(_size217);
-            uint32_t _i221;
-            for (_i221 = 0; _i221 < _size217; ++_i221)
+            uint32_t _size225;
+            ::apache::thrift::protocol::TType _etype228;
+            xfer += iprot->readListBegin(_etype228, _size225);
+            this->commands.resize(_size225);
+            uint32_t _i229;
+            for (_i229 = 0; _i229 < _size225; ++_i229)
             {
-              xfer += this->commands[_i221].read(iprot);
+              xfer += this->commands[_i229].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7430,10 +7628,10 @@
   xfer += oprot->writeFieldBegin("commands", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->commands.size()));
-    std::vector<LaneCommand> ::const_iterator _iter222;
-    for (_iter222 = this->commands.begin(); _iter222 != this->commands.end(); ++_iter222)
+    std::vector<LaneCommand> ::const_iterator _iter230;
+    for (_iter230 = this->commands.begin(); _iter230 != this->commands.end(); ++_iter230)
     {
-      xfer += (*_iter222).write(oprot);
+      xfer += (*_iter230).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7478,27 +7676,27 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneRequest::LaneRequest(const LaneRequest& other223) {
-  lane = other223.lane;
-  server = other223.server;
-  commands = other223.commands;
-  rank = other223.rank;
-  patienceMicroseconds = other223.patienceMicroseconds;
-  isClosed = other223.isClosed;
-  workMicroseconds = other223.workMicroseconds;
-  workspace = other223.workspace;
-  __isset = other223.__isset;
+LaneRequest::LaneRequest(const LaneRequest& other231) {
+  lane = other231.lane;
+  server = other231.server;
+  commands = other231.commands;
+  rank = other231.rank;
+  patienceMicroseconds = other231.patienceMicroseconds;
+  isClosed = other231.isClosed;
+  workMicroseconds = other231.workMicroseconds;
+  workspace = other231.workspace;
+  __isset = other231.__isset;
 }
-LaneRequest& LaneRequest::operator=(const LaneRequest& other224) {
-  lane = other224.lane;
-  server = other224.server;
-  commands = other224.commands;
-  rank = other224.rank;
-  patienceMicroseconds = other224.patienceMicroseconds;
-  isClosed = other224.isClosed;
-  workMicroseconds = other224.workMicroseconds;
-  workspace = other224.workspace;
-  __isset = other224.__isset;
+LaneRequest& LaneRequest::operator=(const LaneRequest& other232) {
+  lane = other232.lane;
+  server = other232.server;
+  commands = other232.commands;
+  rank = other232.rank;
+  patienceMicroseconds = other232.patienceMicroseconds;
+  isClosed = other232.isClosed;
+  workMicroseconds = other232.workMicroseconds;
+  workspace = other232.workspace;
+  __isset = other232.__isset;
   return *this;
 }
 void LaneRequest::printTo(std::ostream& out) const {
@@ -7557,6 +7755,11 @@
   this->waitMicroseconds = val;
 __isset.waitMicroseconds = true;
 }
+
+void LaneReply::__set_isUnvouched(const bool val) {
+  this->isUnvouched = val;
+__isset.isUnvouched = true;
+}
 std::ostream& operator<<(std::ostream& out, const LaneReply& obj)
 {
   obj.printTo(out);
@@ -7597,14 +7800,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size225;
-            ::apache::thrift::protocol::TType _etype228;
-            xfer += iprot->readListBegin(_etype228, _size225);
-            this->rows.resize(_size225);
-            uint32_t _i229;
-            for (_i229 = 0; _i229 < _size225; ++_i229)
+            uint32_t _size233;
+            ::apache::thrift::protocol::TType _etype236;
+            xfer += iprot->readListBegin(_etype236, _size233);
+            this->rows.resize(_size233);
+            uint32_t _i237;
+            for (_i237 = 0; _i237 < _size233; ++_i237)
             {
-              xfer += iprot->readString(this->rows[_i229]);
+              xfer += iprot->readString(this->rows[_i237]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7669,6 +7872,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isUnvouched);
+          this->__isset.isUnvouched = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7693,10 +7904,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->rows.size()));
-    std::vector<std::string> ::const_iterator _iter230;
-    for (_iter230 = this->rows.begin(); _iter230 != this->rows.end(); ++_iter230)
+    std::vector<std::string> ::const_iterator _iter238;
+    for (_iter238 = this->rows.begin(); _iter238 != this->rows.end(); ++_iter238)
     {
-      xfer += oprot->writeString((*_iter230));
+      xfer += oprot->writeString((*_iter238));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7732,6 +7943,11 @@
     xfer += oprot->writeI32(this->waitMicroseconds);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.isUnvouched) {
+    xfer += oprot->writeFieldBegin("isUnvouched", ::apache::thrift::protocol::T_BOOL, 10);
+    xfer += oprot->writeBool(this->isUnvouched);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7748,32 +7964,35 @@
   swap(a.isLost, b.isLost);
   swap(a.ranMicroseconds, b.ranMicroseconds);
   swap(a.waitMicroseconds, b.waitMicroseconds);
+  swap(a.isUnvouched, b.isUnvouched);
   swap(a.__isset, b.__isset);
 }
 
-LaneReply::LaneReply(const LaneReply& other231) {
-  lane = other231.lane;
-  rows = other231.rows;
-  fault = other231.fault;
-  detail = other231.detail;
-  state = other231.state;
-  position = other231.position;
-  isLost = other231.isLost;
-  ranMicroseconds = other231.ranMicroseconds;
-  waitMicroseconds = other231.waitMicroseconds;
-  __isset = other231.__isset;
-}
-LaneReply& LaneReply::operator=(const LaneReply& other232) {
-  lane = other232.lane;
-  rows = other232.rows;
-  fault = other232.fault;
-  detail = other232.detail;
-  state = other232.state;
-  position = other232.position;
-  isLost = other232.isLost;
-  ranMicroseconds = other232.ranMicroseconds;
-  waitMicroseconds = other232.waitMicroseconds;
-  __isset = other232.__isset;
+LaneReply::LaneReply(const LaneReply& other239) {
+  lane = other239.lane;
+  rows = other239.rows;
+  fault = other239.fault;
+  detail = other239.detail;
+  state = other239.state;
+  position = other239.position;
+  isLost = other239.isLost;
+  ranMicroseconds = other239.ranMicroseconds;
+  waitMicroseconds = other239.waitMicroseconds;
+  isUnvouched = other239.isUnvouched;
+  __isset = other239.__isset;
+}
+LaneReply& LaneReply::operator=(const LaneReply& other240) {
+  lane = other240.lane;
+  rows = other240.rows;
+  fault = other240.fault;
+  detail = other240.detail;
+  state = other240.state;
+  position = other240.position;
+  isLost = other240.isLost;
+  ranMicroseconds = other240.ranMicroseconds;
+  waitMicroseconds = other240.waitMicroseconds;
+  isUnvouched = other240.isUnvouched;
+  __isset = other240.__isset;
   return *this;
 }
 void LaneReply::printTo(std::ostream& out) const {
@@ -7788,6 +8007,7 @@
   out << ", " << "isLost=" << to_string(isLost);
   out << ", " << "ranMicroseconds=" << to_string(ranMicroseconds);
   out << ", " << "waitMicroseconds="; (__isset.waitMicroseconds ? (out << to_string(waitMicroseconds)) : (out << "<null>"));
+  out << ", " << "isUnvouched="; (__isset.isUnvouched ? (out << to_string(isUnvouched)) : (out << "<null>"));
   out << ")";
 }
 
@@ -7884,15 +8104,15 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneEvidence::LaneEvidence(const LaneEvidence& other233) {
-  server = other233.server;
-  evidence = other233.evidence;
-  __isset = other233.__isset;
+LaneEvidence::LaneEvidence(const LaneEvidence& other241) {
+  server = other241.server;
+  evidence = other241.evidence;
+  __isset = other241.__isset;
 }
-LaneEvidence& LaneEvidence::operator=(const LaneEvidence& other234) {
-  server = other234.server;
-  evidence = other234.evidence;
-  __isset = other234.__isset;
+LaneEvidence& LaneEvidence::operator=(const LaneEvidence& other242) {
+  server = other242.server;
+  evidence = other242.evidence;
+  __isset = other242.__isset;
   return *this;
 }
 void LaneEvidence::printTo(std::ostream& out) const {
@@ -7959,14 +8179,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lent.clear();
-            uint32_t _size235;
-            ::apache::thrift::protocol::TType _etype238;
-            xfer += iprot->readListBegin(_etype238, _size235);
-            this->lent.resize(_size235);
-            uint32_t _i239;
-            for (_i239 = 0; _i239 < _size235; ++_i239)
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->lent.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
             {
-              xfer += iprot->readI32(this->lent[_i239]);
+              xfer += iprot->readI32(this->lent[_i247]);
             }
             xfer += iprot->readListEnd();
           }
@@ -8007,10 +8227,10 @@
   xfer += oprot->writeFieldBegin("lent", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->lent.size()));
-    std::vector<int32_t> ::const_iterator _iter240;
-    for (_iter240 = this->lent.begin(); _iter240 != this->lent.end(); ++_iter240)
+    std::vector<int32_t> ::const_iterator _iter248;
+    for (_iter248 = this->lent.begin(); _iter248 != this->lent.end(); ++_iter248)
     {
-      xfer += oprot->writeI32((*_iter240));
+      xfer += oprot->writeI32((*_iter248));
     }
     xfer += oprot->writeListEnd();
   }
@@ -8033,17 +8253,17 @@
   swap(a.__isset, b.__isset);
 }
 
-LoanHistory::LoanHistory(const LoanHistory& other241) {
-  lender = other241.lender;
-  lent = other241.lent;
-  ageMilliseconds = other241.ageMilliseconds;
-  __isset = other241.__isset;
+LoanHistory::LoanHistory(const LoanHistory& other249) {
+  lender = other249.lender;
+  lent = other249.lent;
+  ageMilliseconds = other249.ageMilliseconds;
+  __isset = other249.__isset;
 }
-LoanHistory& LoanHistory::operator=(const LoanHistory& other242) {
-  lender = other242.lender;
-  lent = other242.lent;
-  ageMilliseconds = other242.ageMilliseconds;
-  __isset = other242.__isset;
+LoanHistory& LoanHistory::operator=(const LoanHistory& other250) {
+  lender = other250.lender;
+  lent = other250.lent;
+  ageMilliseconds = other250.ageMilliseconds;
+  __isset = other250.__isset;
   return *this;
 }
 void LoanHistory::printTo(std::ostream& out) const {
@@ -8132,14 +8352,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size243;
-            ::apache::thrift::protocol::TType _etype246;
-            xfer += iprot->readListBegin(_etype246, _size243);
-            this->reports.resize(_size243);
-            uint32_t _i247;
-            for (_i247 = 0; _i247 < _size243; ++_i247)
+            uint32_t _size251;
+            ::apache::thrift::protocol::TType _etype254;
+            xfer += iprot->readListBegin(_etype254, _size251);
+            this->reports.resize(_size251);
+            uint32_t _i255;
+            for (_i255 = 0; _i255 < _size251; ++_i255)
             {
-              xfer += this->reports[_i247].read(iprot);
+              xfer += this->reports[_i255].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8181,10 +8401,10 @@
     xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-      std::vector<LoanHistory> ::const_iterator _iter248;
-      for (_iter248 = this->reports.begin(); _iter248 != this->reports.end(); ++_iter248)
+      std::vector<LoanHistory> ::const_iterator _iter256;
+      for (_iter256 = this->reports.begin(); _iter256 != this->reports.end(); ++_iter256)
       {
-        xfer += (*_iter248).write(oprot);
+        xfer += (*_iter256).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -8204,19 +8424,19 @@
   swap(a.__isset, b.__isset);
 }
 
-LoanRequest::LoanRequest(const LoanRequest& other249) {
-  workspace = other249.workspace;
-  wanted = other249.wanted;
-  isForStandIn = other249.isForStandIn;
-  reports = other249.reports;
-  __isset = other249.__isset;
+LoanRequest::LoanRequest(const LoanRequest& other257) {
+  workspace = other257.workspace;
+  wanted = other257.wanted;
+  isForStandIn = other257.isForStandIn;
+  reports = other257.reports;
+  __isset = other257.__isset;
 }
-LoanRequest& LoanRequest::operator=(const LoanRequest& other250) {
-  workspace = other250.workspace;
-  wanted = other250.wanted;
-  isForStandIn = other250.isForStandIn;
-  reports = other250.reports;
-  __isset = other250.__isset;
+LoanRequest& LoanRequest::operator=(const LoanRequest& other258) {
+  workspace = other258.workspace;
+  wanted = other258.wanted;
+  isForStandIn = other258.isForStandIn;
+  reports = other258.reports;
+  __isset = other258.__isset;
   return *this;
 }
 void LoanRequest::printTo(std::ostream& out) const {
@@ -8413,25 +8633,25 @@
   swap(a.__isset, b.__isset);
 }
 
-Loan::Loan(const Loan& other251) {
-  workspace = other251.workspace;
-  granted = other251.granted;
-  retryMilliseconds = other251.retryMilliseconds;
-  isFromStandIn = other251.isFromStandIn;
-  history = other251.history;
-  isUnable = other251.isUnable;
-  owner = other251.owner;
-  __isset = other251.__isset;
-}
-Loan& Loan::operator=(const Loan& other252) {
-  workspace = other252.workspace;
-  granted = other252.granted;
-  retryMilliseconds = other252.retryMilliseconds;
-  isFromStandIn = other252.isFromStandIn;
-  history = other252.history;
-  isUnable = other252.isUnable;
-  owner = other252.owner;
-  __isset = other252.__isset;
+Loan::Loan(const Loan& other259) {
+  workspace = other259.workspace;
+  granted = other259.granted;
+  retryMilliseconds = other259.retryMilliseconds;
+  isFromStandIn = other259.isFromStandIn;
+  history = other259.history;
+  isUnable = other259.isUnable;
+  owner = other259.owner;
+  __isset = other259.__isset;
+}
+Loan& Loan::operator=(const Loan& other260) {
+  workspace = other260.workspace;
+  granted = other260.granted;
+  retryMilliseconds = other260.retryMilliseconds;
+  isFromStandIn = other260.isFromStandIn;
+  history = other260.history;
+  isUnable = other260.isUnable;
+  owner = other260.owner;
+  __isset = other260.__isset;
   return *this;
 }
 void Loan::printTo(std::ostream& out) const {
@@ -8525,14 +8745,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size253;
-            ::apache::thrift::protocol::TType _etype256;
-            xfer += iprot->readListBegin(_etype256, _size253);
-            this->requests.resize(_size253);
-            uint32_t _i257;
-            for (_i257 = 0; _i257 < _size253; ++_i257)
+            uint32_t _size261;
+            ::apache::thrift::protocol::TType _etype264;
+            xfer += iprot->readListBegin(_etype264, _size261);
+            this->requests.resize(_size261);
+            uint32_t _i265;
+            for (_i265 = 0; _i265 < _size261; ++_i265)
             {
-              xfer += this->requests[_i257].read(iprot);
+              xfer += this->requests[_i265].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8545,14 +8765,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->replies.clear();
-            uint32_t _size258;
-            ::apache::thrift::protocol::TType _etype261;
-            xfer += iprot->readListBegin(_etype261, _size258);
-            this->replies.resize(_size258);
-            uint32_t _i262;
-            for (_i262 = 0; _i262 < _size258; ++_i262)
+            uint32_t _size266;
+            ::apache::thrift::protocol::TType _etype269;
+            xfer += iprot->readListBegin(_etype269, _size266);
+            this->replies.resize(_size266);
+            uint32_t _i270;
+            for (_i270 = 0; _i270 < _size266; ++_i270)
             {
-              xfer += this->replies[_i262].read(iprot);
+              xfer += this->replies[_i270].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8565,14 +8785,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->evidence.clear();
-            uint32_t _size263;
-            ::apache::thrift::protocol::TType _etype266;
-            xfer += iprot->readListBegin(_etype266, _size263);
-            this->evidence.resize(_size263);
-            uint32_t _i267;
-            for (_i267 = 0; _i267 < _size263; ++_i267)
+            uint32_t _size271;
+            ::apache::thrift::protocol::TType _etype274;
+            xfer += iprot->readListBegin(_etype274, _size271);
+            this->evidence.resize(_size271);
+            uint32_t _i275;
+            for (_i275 = 0; _i275 < _size271; ++_i275)
             {
-              xfer += this->evidence[_i267].read(iprot);
+              xfer += this->evidence[_i275].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8625,14 +8845,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loanRequests.clear();
-            uint32_t _size268;
-            ::apache::thrift::protocol::TType _etype271;
-            xfer += iprot->readListBegin(_etype271, _size268);
-            this->loanRequests.resize(_size268);
-            uint32_t _i272;
-            for (_i272 = 0; _i272 < _size268; ++_i272)
+            uint32_t _size276;
+            ::apache::thrift::protocol::TType _etype279;
+            xfer += iprot->readListBegin(_etype279, _size276);
+            this->loanRequests.resize(_size276);
+            uint32_t _i280;
+            for (_i280 = 0; _i280 < _size276; ++_i280)
             {
-              xfer += this->loanRequests[_i272].read(iprot);
+              xfer += this->loanRequests[_i280].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8645,14 +8865,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->loans.clear();
-            uint32_t _size273;
-            ::apache::thrift::protocol::TType _etype276;
-            xfer += iprot->readListBegin(_etype276, _size273);
-            this->loans.resize(_size273);
-            uint32_t _i277;
-            for (_i277 = 0; _i277 < _size273; ++_i277)
+            uint32_t _size281;
+            ::apache::thrift::protocol::TType _etype284;
+            xfer += iprot->readListBegin(_etype284, _size281);
+            this->loans.resize(_size281);
+            uint32_t _i285;
+            for (_i285 = 0; _i285 < _size281; ++_i285)
             {
-              xfer += this->loans[_i277].read(iprot);
+              xfer += this->loans[_i285].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8681,10 +8901,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<LaneRequest> ::const_iterator _iter278;
-    for (_iter278 = this->requests.begin(); _iter278 != this->requests.end(); ++_iter278)
+    std::vector<LaneRequest> ::const_iterator _iter286;
+    for (_iter286 = this->requests.begin(); _iter286 != this->requests.end(); ++_iter286)
     {
-      xfer += (*_iter278).write(oprot);
+      xfer += (*_iter286).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8693,10 +8913,10 @@
   xfer += oprot->writeFieldBegin("replies", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->replies.size()));
-    std::vector<LaneReply> ::const_iterator _iter279;
-    for (_iter279 = this->replies.begin(); _iter279 != this->replies.end(); ++_iter279)
+    std::vector<LaneReply> ::const_iterator _iter287;
+    for (_iter287 = this->replies.begin(); _iter287 != this->replies.end(); ++_iter287)
     {
-      xfer += (*_iter279).write(oprot);
+      xfer += (*_iter287).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8705,10 +8925,10 @@
   xfer += oprot->writeFieldBegin("evidence", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->evidence.size()));
-    std::vector<LaneEvidence> ::const_iterator _iter280;
-    for (_iter280 = this->evidence.begin(); _iter280 != this->evidence.end(); ++_iter280)
+    std::vector<LaneEvidence> ::const_iterator _iter288;
+    for (_iter288 = this->evidence.begin(); _iter288 != this->evidence.end(); ++_iter288)
     {
-      xfer += (*_iter280).write(oprot);
+      xfer += (*_iter288).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8738,10 +8958,10 @@
     xfer += oprot->writeFieldBegin("loanRequests", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loanRequests.size()));
-      std::vector<LoanRequest> ::const_iterator _iter281;
-      for (_iter281 = this->loanRequests.begin(); _iter281 != this->loanRequests.end(); ++_iter281)
+      std::vector<LoanRequest> ::const_iterator _iter289;
+      for (_iter289 = this->loanRequests.begin(); _iter289 != this->loanRequests.end(); ++_iter289)
       {
-        xfer += (*_iter281).write(oprot);
+        xfer += (*_iter289).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -8751,10 +8971,10 @@
     xfer += oprot->writeFieldBegin("loans", ::apache::thrift::protocol::T_LIST, 10);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->loans.size()));
-      std::vector<Loan> ::const_iterator _iter282;
-      for (_iter282 = this->loans.begin(); _iter282 != this->loans.end(); ++_iter282)
+      std::vector<Loan> ::const_iterator _iter290;
+      for (_iter290 = this->loans.begin(); _iter290 != this->loans.end(); ++_iter290)
       {
-        xfer += (*_iter282).write(oprot);
+        xfer += (*_iter290).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -8780,31 +9000,31 @@
   swap(a.__isset, b.__isset);
 }
 
-LaneFrame::LaneFrame(const LaneFrame& other283) {
-  requests = other283.requests;
-  replies = other283.replies;
-  evidence = other283.evidence;
-  isQuestion = other283.isQuestion;
-  isAnswer = other283.isAnswer;
-  isLeaving = other283.isLeaving;
-  failureDomain = other283.failureDomain;
-  isReachDoubted = other283.isReachDoubted;
-  loanRequests = other283.loanRequests;
-  loans = other283.loans;
-  __isset = other283.__isset;
-}
-LaneFrame& LaneFrame::operator=(const LaneFrame& other284) {
-  requests = other284.requests;
-  replies = other284.replies;
-  evidence = other284.evidence;
-  isQuestion = other284.isQuestion;
-  isAnswer = other284.isAnswer;
-  isLeaving = other284.isLeaving;
-  failureDomain = other284.failureDomain;
-  isReachDoubted = other284.isReachDoubted;
-  loanRequests = other284.loanRequests;
-  loans = other284.loans;
-  __isset = other284.__isset;
+LaneFrame::LaneFrame(const LaneFrame& other291) {
+  requests = other291.requests;
+  replies = other291.replies;
+  evidence = other291.evidence;
+  isQuestion = other291.isQuestion;
+  isAnswer = other291.isAnswer;
+  isLeaving = other291.isLeaving;
+  failureDomain = other291.failureDomain;
+  isReachDoubted = other291.isReachDoubted;
+  loanRequests = other291.loanRequests;
+  loans = other291.loans;
+  __isset = other291.__isset;
+}
+LaneFrame& LaneFrame::operator=(const LaneFrame& other292) {
+  requests = other292.requests;
+  replies = other292.replies;
+  evidence = other292.evidence;
+  isQuestion = other292.isQuestion;
+  isAnswer = other292.isAnswer;
+  isLeaving = other292.isLeaving;
+  failureDomain = other292.failureDomain;
+  isReachDoubted = other292.isReachDoubted;
+  loanRequests = other292.loanRequests;
+  loans = other292.loans;
+  __isset = other292.__isset;
   return *this;
 }
 void LaneFrame::printTo(std::ostream& out) const {
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -174,6 +174,8 @@
 
 class ControlVm;
 
+class OpenChanges;
+
 class FollowReply;
 
 class LaneCommand;
@@ -1116,7 +1118,7 @@
 std::ostream& operator<<(std::ostream& out, const RaftEntry& obj);
 
 typedef struct _RaftMessage__isset {
-  _RaftMessage__isset() : kind(false), sender(false), receiver(false), term(false), lastIndex(false), lastTerm(false), commit(false), isGranted(false), entries(false), snapshot(false), members(false), round(false), identity(false) {}
+  _RaftMessage__isset() : kind(false), sender(false), receiver(false), term(false), lastIndex(false), lastTerm(false), commit(false), isGranted(false), entries(false), snapshot(false), members(false), stamp(false), identity(false) {}
   bool kind :1;
   bool sender :1;
   bool receiver :1;
@@ -1128,7 +1130,7 @@
   bool entries :1;
   bool snapshot :1;
   bool members :1;
-  bool round :1;
+  bool stamp :1;
   bool identity :1;
 } _RaftMessage__isset;
 
@@ -1147,7 +1149,7 @@
                 commit(0),
                 isGranted(0),
                 snapshot(),
-                round(0),
+                stamp(0),
                 identity() {
   }
 
@@ -1167,7 +1169,7 @@
   std::vector<RaftEntry>  entries;
   std::string snapshot;
   std::vector<std::string>  members;
-  int64_t round;
+  int64_t stamp;
   std::string identity;
 
   _RaftMessage__isset __isset;
@@ -1194,7 +1196,7 @@
 
   void __set_members(const std::vector<std::string> & val);
 
-  void __set_round(const int64_t val);
+  void __set_stamp(const int64_t val);
 
   void __set_identity(const std::string& val);
 
@@ -1222,7 +1224,7 @@
       return false;
     if (!(members == rhs.members))
       return false;
-    if (!(round == rhs.round))
+    if (!(stamp == rhs.stamp))
       return false;
     if (!(identity == rhs.identity))
       return false;
@@ -2472,7 +2474,7 @@
 std::ostream& operator<<(std::ostream& out, const SiteNews& obj);
 
 typedef struct _FollowRequest__isset {
-  _FollowRequest__isset() : revision(false), directoryVersion(false), complaints(false), folder(false), agedServices(false), lanes(false), homesVersion(false), recordedVersion(false) {}
+  _FollowRequest__isset() : revision(false), directoryVersion(false), complaints(false), folder(false), agedServices(false), lanes(false), homesVersion(false), recordedVersion(false), asksChanges(false) {}
   bool revision :1;
   bool directoryVersion :1;
   bool complaints :1;
@@ -2481,6 +2483,7 @@
   bool lanes :1;
   bool homesVersion :1;
   bool recordedVersion :1;
+  bool asksChanges :1;
 } _FollowRequest__isset;
 
 class FollowRequest : public virtual ::apache::thrift::TBase {
@@ -2494,7 +2497,8 @@
                   folder(),
                   lanes(),
                   homesVersion(0),
-                  recordedVersion(0) {
+                  recordedVersion(0),
+                  asksChanges(0) {
   }
 
   virtual ~FollowRequest() noexcept;
@@ -2506,6 +2510,7 @@
   std::string lanes;
   int64_t homesVersion;
   int64_t recordedVersion;
+  bool asksChanges;
 
   _FollowRequest__isset __isset;
 
@@ -2525,6 +2530,8 @@
 
   void __set_recordedVersion(const int64_t val);
 
+  void __set_asksChanges(const bool val);
+
   bool operator == (const FollowRequest & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -2545,6 +2552,10 @@
       return false;
     else if (__isset.recordedVersion && !(recordedVersion == rhs.recordedVersion))
       return false;
+    if (__isset.asksChanges != rhs.__isset.asksChanges)
+      return false;
+    else if (__isset.asksChanges && !(asksChanges == rhs.asksChanges))
+      return false;
     return true;
   }
   bool operator != (const FollowRequest &rhs) const {
@@ -2669,8 +2680,57 @@
 
 std::ostream& operator<<(std::ostream& out, const ControlVm& obj);
 
+typedef struct _OpenChanges__isset {
+  _OpenChanges__isset() : services(false), ageMicroseconds(false) {}
+  bool services :1;
+  bool ageMicroseconds :1;
+} _OpenChanges__isset;
+
+class OpenChanges : public virtual ::apache::thrift::TBase {
+ public:
+
+  OpenChanges(const OpenChanges&);
+  OpenChanges& operator=(const OpenChanges&);
+  OpenChanges() noexcept
+              : ageMicroseconds(0) {
+  }
+
+  virtual ~OpenChanges() noexcept;
+  std::vector<std::string>  services;
+  int64_t ageMicroseconds;
+
+  _OpenChanges__isset __isset;
+
+  void __set_services(const std::vector<std::string> & val);
+
+  void __set_ageMicroseconds(const int64_t val);
+
+  bool operator == (const OpenChanges & rhs) const
+  {
+    if (!(services == rhs.services))
+      return false;
+    if (!(ageMicroseconds == rhs.ageMicroseconds))
+      return false;
+    return true;
+  }
+  bool operator != (const OpenChanges &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OpenChanges & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OpenChanges &a, OpenChanges &b);
+
+std::ostream& operator<<(std::ostream& out, const OpenChanges& obj);
+
 typedef struct _FollowReply__isset {
-  _FollowReply__isset() : isCurrent(false), configuration(false), directoryVersion(false), servers(false), controls(false), leader(false), isMember(false), entryCount(false), proofs(false), homesVersion(false), homes(false), recordedServers(false), recordedVersion(false) {}
+  _FollowReply__isset() : isCurrent(false), configuration(false), directoryVersion(false), servers(false), controls(false), leader(false), isMember(false), entryCount(false), proofs(false), homesVersion(false), homes(false), recordedServers(false), recordedVersion(false), tellsChanges(false), openChanges(false) {}
   bool isCurrent :1;
   bool configuration :1;
   bool directoryVersion :1;
@@ -2684,6 +2744,8 @@
   bool homes :1;
   bool recordedServers :1;
   bool recordedVersion :1;
+  bool tellsChanges :1;
+  bool openChanges :1;
 } _FollowReply__isset;
 
 class FollowReply : public virtual ::apache::thrift::TBase {
@@ -2698,7 +2760,8 @@
                 isMember(0),
                 entryCount(0),
                 homesVersion(0),
-                recordedVersion(0) {
+                recordedVersion(0),
+                tellsChanges(0) {
   }
 
   virtual ~FollowReply() noexcept;
@@ -2715,6 +2778,8 @@
   std::vector<ServerHome>  homes;
   std::vector<std::string>  recordedServers;
   int64_t recordedVersion;
+  bool tellsChanges;
+  OpenChanges openChanges;
 
   _FollowReply__isset __isset;
 
@@ -2744,6 +2809,10 @@
 
   void __set_recordedVersion(const int64_t val);
 
+  void __set_tellsChanges(const bool val);
+
+  void __set_openChanges(const OpenChanges& val);
+
   bool operator == (const FollowReply & rhs) const
   {
     if (!(isCurrent == rhs.isCurrent))
@@ -2782,6 +2851,14 @@
       return false;
     else if (__isset.recordedVersion && !(recordedVersion == rhs.recordedVersion))
       return false;
+    if (__isset.tellsChanges != rhs.__isset.tellsChanges)
+      return false;
+    else if (__isset.tellsChanges && !(tellsChanges == rhs.tellsChanges))
+      return false;
+    if (__isset.openChanges != rhs.__isset.openChanges)
+      return false;
+    else if (__isset.openChanges && !(openChanges == rhs.openChanges))
+      return false;
     return true;
   }
   bool operator != (const FollowReply &rhs) const {
@@ -2982,7 +3059,7 @@
 std::ostream& operator<<(std::ostream& out, const LaneRequest& obj);
 
 typedef struct _LaneReply__isset {
-  _LaneReply__isset() : lane(false), rows(false), fault(false), detail(false), state(false), position(false), isLost(false), ranMicroseconds(false), waitMicroseconds(false) {}
+  _LaneReply__isset() : lane(false), rows(false), fault(false), detail(false), state(false), position(false), isLost(false), ranMicroseconds(false), waitMicroseconds(false), isUnvouched(false) {}
   bool lane :1;
   bool rows :1;
   bool fault :1;
@@ -2992,6 +3069,7 @@
   bool isLost :1;
   bool ranMicroseconds :1;
   bool waitMicroseconds :1;
+  bool isUnvouched :1;
 } _LaneReply__isset;
 
 class LaneReply : public virtual ::apache::thrift::TBase {
@@ -3006,7 +3084,8 @@
               state(0),
               isLost(0),
               ranMicroseconds(0),
-              waitMicroseconds(0) {
+              waitMicroseconds(0),
+              isUnvouched(0) {
   }
 
   virtual ~LaneReply() noexcept;
@@ -3019,6 +3098,7 @@
   bool isLost;
   int64_t ranMicroseconds;
   int32_t waitMicroseconds;
+  bool isUnvouched;
 
   _LaneReply__isset __isset;
 
@@ -3040,6 +3120,8 @@
 
   void __set_waitMicroseconds(const int32_t val);
 
+  void __set_isUnvouched(const bool val);
+
   bool operator == (const LaneReply & rhs) const
   {
     if (!(lane == rhs.lane))
@@ -3064,6 +3146,10 @@
       return false;
     else if (__isset.waitMicroseconds && !(waitMicroseconds == rhs.waitMicroseconds))
       return false;
+    if (__isset.isUnvouched != rhs.__isset.isUnvouched)
+      return false;
+    else if (__isset.isUnvouched && !(isUnvouched == rhs.isUnvouched))
+      return false;
     return true;
   }
   bool operator != (const LaneReply &rhs) const {
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -159,7 +159,7 @@
   9: list<RaftEntry> entries,
   10: binary snapshot,
   11: list<string> members,
-  12: i64 round,
+  12: i64 stamp,                        // of the leader's message; its answer returns it
   13: string identity, // of the sender's data folder, so that an emptied one is not taken for it
 }
 
@@ -331,6 +331,7 @@
   6: string lanes,                      // listener for lanes, empty where none are taken
   7: i64 homesVersion,                  // from the last answer
   8: optional i64 recordedVersion,      // of the recorded servers that the sender was told last
+  9: optional bool asksChanges,         // whether the sender needs openChanges
 }
 
 // A position that a primary gave which proved that it leads.
@@ -345,6 +346,12 @@
   2: string failureDomain,
 }
 
+// The services of which a change of primary relies on holds, or may still promote a server.
+struct OpenChanges {
+  1: list<string> services,
+  2: i64 ageMicroseconds,               // when this was sent, since the leader certainly led
+}
+
 struct FollowReply {
   1: bool isCurrent,                    // the answering VM hears the leader of the control log
   2: optional SiteConfiguration configuration, // where the sender's is older
@@ -359,6 +366,8 @@
   11: optional list<ServerHome> homes,  // where the sender's version is another one
   12: optional list<string> recordedServers, // of the control log, where the sender's version is another one
   13: optional i64 recordedVersion,     // absent where the answering VM can't tell the servers
+  14: optional bool tellsChanges,       // whether the answering VM and the leader know openChanges
+  15: optional OpenChanges openChanges, // where the request asks for them and they are known
 }
 
 // Lanes: what entry VMs use in place of connections of their own to a backend server. Both sides
@@ -398,6 +407,7 @@
   7: bool isLost,                       // the lane ended with its connection to the server
   8: i64 ranMicroseconds,               // that a statement took at the server, 0 for none
   9: optional i32 waitMicroseconds,     // that further statements can expect to wait at the home
+  10: optional bool isUnvouched,        // the server's connection isn't vouched for (ConnectionVouches)
 }
 
 // What the home found out about a backend server.
@@ -459,5 +469,6 @@
   FollowReply follow(1: Header header, 2: FollowRequest request) throws (1: PeerRefusal refusal),
   void spreadNews(1: Header header, 2: SiteNews news) throws (1: PeerRefusal refusal),
   list<AgedProof> agedProofs(1: Header header, 2: list<string> services) throws (1: PeerRefusal refusal),
+  OpenChanges openChanges(1: Header header) throws (1: PeerRefusal refusal),
   NodeStatusReply status(1: Header header) throws (1: PeerRefusal refusal),
 }
--- a/include/nutmegtide/control/raftmessage.h
+++ b/include/nutmegtide/control/raftmessage.h
@@ -95,6 +95,8 @@
     RaftTerm lastTerm = 0;
     LogIndex commit = 0;
     bool isGranted = false;
+    // Append and Snapshot: the leader's stamp. Their replies return it; 0 from older versions.
+    std::uint64_t stamp = 0;
     std::vector<LogEntry> entries;
     LogSnapshot snapshot; // for Snapshot only
 
--- a/include/nutmegtide/control/raftnode.h
+++ b/include/nutmegtide/control/raftnode.h
@@ -77,6 +77,8 @@
     RaftActions receive(const RaftMessage &message, TimePoint now);
     // Sends heartbeats or starts an election where that is due; see deadline().
     RaftActions tick(TimePoint now);
+    // Sets the stamp of the messages sent from now on: a number that never decreases, such as a time.
+    void setStamp(std::uint64_t stamp) { m_stamp = stamp; }
     // Reports that all disk actions up to `write` are durable.
     RaftActions synced(WriteNumber write);
     // Appends commands after lastIndex(), in order. Throws NotLeaderError.
@@ -101,6 +103,9 @@
     std::size_t uncommittedBytes() const;
     const RaftLog &log() const { return m_log; }
     RaftStatus status() const;
+    // Returns the highest stamp of which a quorum has shown that this node still led after it was
+    // set; nullopt where it doesn't lead.
+    std::optional<std::uint64_t> confirmedStamp() const;
     // The time at which tick() has something to do.
     TimePoint deadline() const;
     // Returns equal texts for nodes that behave alike from now on, with times relative to
@@ -115,6 +120,7 @@
         LogIndex match = 0; // the last entry known to be stored there
         TimePoint heard {};
         std::optional<TimePoint> snapshotSent; // while the answer to a snapshot is awaited
+        std::uint64_t stamp = 0; // of the latest message that it answered
     };
     // A message to be sent once `write` is durable.
     struct DeferredMessage
@@ -185,6 +191,7 @@
     void persistVote();
     void installSnapshot(LogSnapshot snapshot);
     RaftMessage messageTo(const VmName &receiver, RaftMessageKind kind) const;
+    RaftMessage leaderMessageTo(const VmName &peer, RaftMessageKind kind) const;
     void refuse(const RaftMessage &message, RaftMessageKind kind);
     void dispatch(const RaftMessage &message);
     bool rejectStaleTerm(const RaftMessage &message);
@@ -199,6 +206,7 @@
     std::minstd_rand m_generator;
     ChartInstance m_role;
     TimePoint m_now;
+    std::uint64_t m_stamp = 0;
     TimePoint m_electionDue;
     int m_startupElectionsLeft = MaxStartupElections;
     TimePoint m_heartbeatDue;
--- a/include/nutmegtide/failover/semisyncchange.h
+++ b/include/nutmegtide/failover/semisyncchange.h
@@ -127,6 +127,10 @@
     // may be recorded, since the choice doesn't cover what it acknowledges.
     bool hasChosen() const;
 
+    // Returns whether the choice of a server rests on holds, or may do so without asking for new
+    // ones, or whether an order may still be carried out.
+    bool reliesOnHolds() const;
+
     // Begins the change and returns its first actions.
     SemiSyncChangeActions start(TimePoint now);
     // The answer to QueryStatus, HoldServer, DemoteServer or ResumeServer.
--- a/include/nutmegtide/failover/serverroster.h
+++ b/include/nutmegtide/failover/serverroster.h
@@ -49,6 +49,7 @@
     std::set<ServerId> departed() const;
     // Returns the servers whose promotion may still be carried out.
     std::set<ServerId> openOrders(const ServiceName &service) const;
+    std::set<ServiceName> servicesWithOpenOrders() const;
     // Returns the servers of all services.
     std::set<ServerId> presentServers() const;
     // Returns the announcements of the servers of all services.
--- a/include/nutmegtide/proxy/commitconfirmations.h
+++ b/include/nutmegtide/proxy/commitconfirmations.h
@@ -19,6 +19,7 @@
     LogPosition position;
     ServerId primary; // the server that acknowledged it
     TimePoint since; // when it was acknowledged
+    bool isVouched = true; // the acknowledgement arrived on a connection that was vouched for
 };
 
 // How a server is asked.
@@ -38,6 +39,7 @@
 // Why a question wasn't answered with yes.
 enum class ConfirmationMiss {
     Lags, // the server's log doesn't hold the position yet
+    Unvouched, // it arrived on a connection that isn't vouched for
     Failed, // no reply, or one that says nothing
 };
 
@@ -45,6 +47,10 @@
 // servers but one. A commit that two recorded servers hold is therefore in the log of a fenced one.
 // The primary that acknowledged a commit is one of the two if it is recorded itself.
 //
+// Only replies on connections that are vouched for count, those of the primary included: a server
+// that started again after a change of primary held it may receive what that change doesn't cover
+// (see ConnectionVouches).
+//
 // A server holds a commit if it reports a position of the same term that isn't lower, or if it
 // confirms that its log holds such a position. One question is outstanding at a time, and covers
 // all commits of its term that were waiting when it was asked. After a server that lags, another
@@ -75,6 +81,8 @@
     std::optional<ConfirmationQuestion> next(const std::vector<ServerId> &askable, TimePoint now);
     // Ends the outstanding question after the server confirmed it.
     void confirmed();
+    // Returns whether the server is known to hold a commit that waits for another one.
+    bool isHolder(const ServerId &server) const;
     // Ends the outstanding question.
     void missed(ConfirmationMiss miss, TimePoint now);
     const std::optional<ConfirmationQuestion> &asked() const { return m_asked; }
@@ -86,6 +94,10 @@
     bool isWaiting() const { return !m_commits.empty(); }
     // Returns the servers that were asked since the latest confirmation, and didn't confirm.
     const std::set<ServerId> &missedServers() const { return m_missed; }
+    // Returns the servers whose latest answer arrived on a connection that isn't vouched for.
+    const std::set<ServerId> &unvouchedServers() const { return m_unvouched; }
+    // Forgets them, since their connections may be vouched for by now.
+    void forgetUnvouched() { m_unvouched.clear(); }
     // Returns since when the oldest commit waits.
     std::optional<TimePoint> waitingSince() const;
 
@@ -101,7 +113,7 @@
     Duration pauseAfter(ConfirmationMiss miss) const;
     const UnconfirmedCommit *oldest() const;
     // Returns the highest commit of the oldest one's term.
-    const UnconfirmedCommit &highestOfOldestTerm() const;
+    const Waiting &highestOfOldestTerm() const;
 
     std::set<ServerId> m_recorded;
     std::map<SessionKey, Waiting> m_commits;
@@ -110,6 +122,7 @@
     TimePoint m_pausedUntil {};
     bool m_hasLagged = false; // a server lagged since the latest confirmation
     std::set<ServerId> m_missed; // servers that gave no confirmation since the latest one
+    std::set<ServerId> m_unvouched;
     bool m_hasOthers = false; // candidates were left beside the server that was asked
     bool m_asksReceivedFirst = false;
     bool m_hasStatusFailed = false; // the latest question for a status had no answer
--- a/include/nutmegtide/proxy/serverhome.h
+++ b/include/nutmegtide/proxy/serverhome.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "nutmegtide/proxy/connectionvouches.h"
 #include "nutmegtide/proxy/homequeue.h"
 #include "nutmegtide/proxy/queuewait.h"
 #include "nutmegtide/proxy/serverpool.h"
@@ -87,6 +88,9 @@
     // server is kept from the lane as long as its statement may wait.
     void setBalancedServices(std::set<ServiceName> services) { m_balanced = std::move(services); }
 
+    // Which connections' replies may confirm commits. Replies on others say so to the lanes.
+    ConnectionVouches &vouches() { return m_vouches; }
+
     // Sets how long a leaving server gets new work. After that only open transactions and proofs of
     // position go on there.
     void setLeaveTime(Duration time) { m_leaveTime = time; }
@@ -246,6 +250,7 @@
     std::uint64_t m_resent = 0;
     std::map<LaneKey, Lane> m_lanes;
     std::map<ConnectionKey, Connection> m_connections;
+    ConnectionVouches m_vouches;
     ConnectionKey m_lastConnection = 0;
     HomeQueue::Ticket m_lastTicket = 0;
     TimePoint m_dueAt {};
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegtide/proxy/caplender.h"
+#include "nutmegtide/proxy/connectionvouches.h"
 #include "nutmegtide/proxy/homequeue.h"
 #include "nutmegtide/proxy/positionproofs.h"
 #include "nutmegtide/proxy/routeexplanation.h"
@@ -70,6 +71,12 @@
     void setRecordedServers(std::set<ServerId> recorded);
     // From now on it isn't known which servers are recorded, so commits are answered at once.
     void forgetRecordedServers() { m_recorded.reset(); }
+    // Sets whether control tells the open changes of primary, and takes what it told. See
+    // ConnectionVouches.
+    void setChangesTold(bool isTold) { m_vouches.setTold(isTold); }
+    void takeOpenChanges(const OpenChanges &changes, TimePoint now);
+    // Returns whether the open changes have to be known for commits to be confirmed.
+    bool needsOpenChanges(TimePoint now) const;
     // Returns the services with recent reads that allow bounded staleness.
     std::vector<ServiceName> agedServices(TimePoint now) const;
     // Sets the number of entry proxies that share the servers' connections.
@@ -313,6 +320,7 @@
                         std::string_view reason, TimePoint now);
     void retryLater(SessionKey key, std::string_view reason, TimePoint now);
     void retryElsewhere(SessionKey key, std::string_view reason, TimePoint now);
+    void handleReply(ConnectionKey key, const ServerReply &reply, TimePoint now);
     void takeReply(ConnectionKey key, const ServerReply &reply, TimePoint now);
     void onStatement(SessionKey key, const ServerReply &reply, TimePoint now);
     void onBegun(SessionKey key, const ServerReply &reply, TimePoint now);
@@ -354,7 +362,7 @@
 
     // Confirmation of commits (sessionconfirmations.cpp).
     bool needsConfirmation(const ServiceName &service) const;
-    void withhold(SessionKey key, const SessionAnswer &answer, TimePoint now);
+    void withhold(SessionKey key, const SessionAnswer &answer, bool isVouched, TimePoint now);
     void askConfirmation(const ServiceName &service, TimePoint now);
     void sendQuestion(const ServiceName &service, ConnectionKey connection, TimePoint now);
     void onConfirmation(ConnectionKey key, const ServiceName &service, const ServerReply &reply,
@@ -382,6 +390,7 @@
     // Unknown while control tells none, as one of an older version.
     std::optional<std::set<ServerId>> m_recorded;
     std::map<ServiceName, ConfirmationState> m_confirmations;
+    ConnectionVouches m_vouches; // of direct connections; homes decide on those of lanes
     std::map<DatabaseName, AverageTime> m_runTimes; // run time of statements, by route
     std::set<std::pair<TimePoint, SessionKey>> m_timers;
     TimePoint m_poolDueAt;
--- a/include/nutmegtide/session/sessionstatement.h
+++ b/include/nutmegtide/session/sessionstatement.h
@@ -105,6 +105,8 @@
     std::optional<LogPosition> position; // of the server's log
     Duration ran {}; // execution time at the server, if the home proxy measured it
     Duration wait {}; // that further statements can expect at the home, if it reports one
+    // Whether it arrived on a connection that was vouched for; see ConnectionVouches.
+    bool isVouched = true;
 
     bool operator==(const ServerReply &) const = default;
 };
--- a/src/control/raftfollower.cpp
+++ b/src/control/raftfollower.cpp
@@ -31,6 +31,7 @@
         return;
     recordLeaderContact(message);
     RaftMessage answer = messageTo(message.sender, RaftMessageKind::AppendReply);
+    answer.stamp = message.stamp;
     if (message.lastIndex < m_commit) {
         // Committed entries are the same everywhere, so the leader can continue from there.
         answer.isGranted = true;
@@ -84,6 +85,7 @@
         m_actions.emplace_back(RestoreState {m_commit, message.snapshot.state});
     }
     RaftMessage answer = messageTo(message.sender, RaftMessageKind::SnapshotReply);
+    answer.stamp = message.stamp;
     answer.isGranted = true;
     answer.lastIndex = m_commit;
     sendWhenSynced(std::move(answer));
--- a/src/control/raftleader.cpp
+++ b/src/control/raftleader.cpp
@@ -2,6 +2,7 @@
 #include "nutmegtide/control/raftnode.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace nutmegtide {
 
@@ -16,7 +17,7 @@
 {
     m_progress.clear();
     for (const VmName &peer : receivers())
-        m_progress[peer] = {m_log.lastIndex() + 1, 0, m_now, std::nullopt};
+        m_progress[peer] = {m_log.lastIndex() + 1, 0, m_now, std::nullopt, 0};
     const LogIndex index = m_log.lastIndex() + 1;
     if (areFoldersKnown())
         return append({{m_vote.term, index, EntryKind::Barrier, {}}});
@@ -58,12 +59,19 @@
         sendTo(peer);
 }
 
+RaftMessage RaftNode::leaderMessageTo(const VmName &peer, RaftMessageKind kind) const
+{
+    RaftMessage message = messageTo(peer, kind);
+    message.stamp = m_stamp;
+    return message;
+}
+
 void RaftNode::sendTo(const VmName &peer)
 {
     Progress &progress = m_progress.at(peer);
     if (progress.next <= m_log.snapshot().index)
         return sendSnapshotTo(peer, progress);
-    RaftMessage message = messageTo(peer, RaftMessageKind::Append);
+    RaftMessage message = leaderMessageTo(peer, RaftMessageKind::Append);
     message.lastIndex = progress.next - 1;
     message.lastTerm = *m_log.termAt(message.lastIndex);
     message.commit = m_commit;
@@ -78,7 +86,7 @@
     if (progress.snapshotSent && m_now - *progress.snapshotSent < m_timings.maxElectionTimeout)
         return;
     progress.snapshotSent = m_now;
-    RaftMessage message = messageTo(peer, RaftMessageKind::Snapshot);
+    RaftMessage message = leaderMessageTo(peer, RaftMessageKind::Snapshot);
     message.snapshot = m_log.snapshot();
     message.commit = m_commit;
     send(std::move(message));
@@ -87,7 +95,7 @@
 // Keeps a peer that is busy with a snapshot from missing heartbeats and from seeming lost.
 void RaftNode::sendEmptyAppendTo(const VmName &peer)
 {
-    RaftMessage message = messageTo(peer, RaftMessageKind::Append);
+    RaftMessage message = leaderMessageTo(peer, RaftMessageKind::Append);
     message.lastIndex = m_log.snapshot().index;
     message.lastTerm = m_log.snapshot().term;
     message.commit = m_commit;
@@ -104,6 +112,8 @@
         return;
     Progress &progress = found->second;
     progress.heard = m_now;
+    // A VM of an older version returns no stamp; its answer counts from when it arrives.
+    progress.stamp = std::max(progress.stamp, message.stamp != 0 ? message.stamp : m_stamp);
     if (message.isGranted) {
         progress.match = std::max(progress.match, message.lastIndex);
         progress.next = std::max(progress.next, progress.match + 1);
@@ -158,6 +168,27 @@
         fire("quorum_lost");
 }
 
+// Each peer followed this node in its term when it took a message of that stamp. Whoever is elected
+// in a later term has a later vote of one of them.
+std::optional<std::uint64_t> RaftNode::confirmedStamp() const
+{
+    if (!isLeader())
+        return std::nullopt;
+    std::set<std::uint64_t, std::greater<>> stamps {m_stamp};
+    for (const auto &[peer, progress] : m_progress)
+        stamps.insert(progress.stamp);
+    for (const std::uint64_t stamp : stamps) {
+        std::set<VmName> confirming {m_self};
+        for (const auto &[peer, progress] : m_progress) {
+            if (progress.stamp >= stamp)
+                confirming.insert(peer);
+        }
+        if (isQuorum(confirming))
+            return stamp;
+    }
+    return std::nullopt;
+}
+
 void RaftNode::requireLeader() const
 {
     if (!isLeader())
@@ -201,7 +232,7 @@
     if (m_learner == member)
         return takeActions(); // already being brought up to date
     m_learner = member;
-    m_progress[member.vm] = {m_log.lastIndex() + 1, 0, m_now, std::nullopt};
+    m_progress[member.vm] = {m_log.lastIndex() + 1, 0, m_now, std::nullopt, 0};
     sendTo(member.vm);
     return takeActions();
 }
@@ -238,7 +269,7 @@
     std::set<VmName> kept;
     for (const VmName &peer : receivers()) {
         kept.insert(peer);
-        m_progress.try_emplace(peer, Progress {m_log.lastIndex(), 0, m_now, std::nullopt});
+        m_progress.try_emplace(peer, Progress {m_log.lastIndex(), 0, m_now, std::nullopt, 0});
     }
     std::erase_if(m_progress, [&kept](const auto &item) { return kept.count(item.first) == 0; });
     replicate();
--- a/src/failover/semisyncchangefence.cpp
+++ b/src/failover/semisyncchangefence.cpp
@@ -17,6 +17,14 @@
             || m_step == Step::Confirming;
 }
 
+// A probe discards what earlier attempts learnt of holds.
+bool SemiSyncChange::reliesOnHolds() const
+{
+    const bool isBetweenAttempts = m_step == Step::Probing || m_step == Step::Waiting
+            || m_step == Step::Over;
+    return !isBetweenAttempts || !m_openOrders.empty();
+}
+
 bool SemiSyncChange::mustGuardOrders() const
 {
     if (m_term == 0 || m_step == Step::Holding || m_step == Step::CatchingUp
--- a/src/failover/serverroster.cpp
+++ b/src/failover/serverroster.cpp
@@ -179,6 +179,17 @@
     return found == m_openOrders.end() ? std::set<ServerId>() : found->second;
 }
 
+std::set<ServiceName> ServerRoster::servicesWithOpenOrders() const
+{
+    std::set<ServiceName> services;
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[service, servers] : m_openOrders) {
+        if (!servers.empty())
+            services.insert(service);
+    }
+    return services;
+}
+
 std::set<ServerId> ServerRoster::serversOf(const ServiceName &service) const
 {
     std::set<ServerId> servers;
--- a/src/proxy/commitconfirmations.cpp
+++ b/src/proxy/commitconfirmations.cpp
@@ -23,7 +23,10 @@
 
 void CommitConfirmations::add(SessionKey session, const UnconfirmedCommit &commit)
 {
-    m_commits[session] = {commit, {commit.primary}};
+    Waiting &waiting = m_commits[session];
+    waiting = {commit, {}};
+    if (commit.isVouched)
+        waiting.holders.insert(commit.primary);
 }
 
 void CommitConfirmations::remove(SessionKey session)
@@ -37,6 +40,7 @@
     std::vector<SessionKey> confirmed;
     if (m_commits.empty() || m_recorded.count(server) == 0)
         return confirmed;
+    m_unvouched.erase(server);
     for (auto &[session, waiting] : m_commits) {
         if (!covers(position, waiting.commit.position))
             continue;
@@ -71,13 +75,14 @@
     return found == m_commits.end() ? nullptr : &found->second.commit;
 }
 
-const UnconfirmedCommit &CommitConfirmations::highestOfOldestTerm() const
+const CommitConfirmations::Waiting &CommitConfirmations::highestOfOldestTerm() const
 {
-    const UnconfirmedCommit *highest = oldest();
+    const Term term = oldest()->position.term;
+    const Waiting *highest = nullptr;
     for (const auto &[session, waiting] : m_commits) {
         const LogPosition &position = waiting.commit.position;
-        if (position.term == highest->position.term && position > highest->position)
-            highest = &waiting.commit;
+        if (position.term == term && (!highest || position > highest->commit.position))
+            highest = &waiting;
     }
     return *highest;
 }
@@ -87,11 +92,11 @@
 {
     if (m_asked || m_commits.empty() || now < m_pausedUntil)
         return std::nullopt;
-    const UnconfirmedCommit &highest = highestOfOldestTerm();
+    const Waiting &highest = highestOfOldestTerm();
     std::vector<ServerId> candidates;
     std::copy_if(askable.begin(), askable.end(), std::back_inserter(candidates),
                  [&](const ServerId &server) {
-                     return server != highest.primary && m_recorded.count(server) != 0;
+                     return highest.holders.count(server) == 0 && m_recorded.count(server) != 0;
                  });
     if (candidates.empty()) {
         m_pausedUntil = now + FailurePause;
@@ -105,7 +110,7 @@
         chosen = candidates.begin();
     }
     m_hasOthers = m_missed.size() + 1 < candidates.size();
-    m_asked = ConfirmationQuestion {*chosen, highest.position, nextKind(now)};
+    m_asked = ConfirmationQuestion {*chosen, highest.commit.position, nextKind(now)};
     m_askedAt = now;
     return m_asked;
 }
@@ -124,6 +129,13 @@
     m_asked.reset();
 }
 
+bool CommitConfirmations::isHolder(const ServerId &server) const
+{
+    return std::any_of(m_commits.begin(), m_commits.end(), [&server](const auto &item) {
+        return item.second.holders.count(server) != 0;
+    });
+}
+
 void CommitConfirmations::missed(ConfirmationMiss miss, TimePoint now)
 {
     if (!m_asked)
@@ -131,6 +143,8 @@
     const Duration pause = pauseAfter(miss);
     m_hasStatusFailed = miss == ConfirmationMiss::Failed && m_asked->kind == QuestionKind::Received;
     m_hasLagged = m_hasLagged || miss == ConfirmationMiss::Lags;
+    if (miss == ConfirmationMiss::Unvouched)
+        m_unvouched.insert(m_asked->server);
     m_missed.insert(m_asked->server);
     m_asked.reset();
     m_pausedUntil = now + pause;
@@ -141,6 +155,8 @@
 Duration CommitConfirmations::pauseAfter(ConfirmationMiss miss) const
 {
     const bool asksStatus = m_asked->kind == QuestionKind::Received;
+    if (miss == ConfirmationMiss::Unvouched)
+        return m_hasOthers ? Duration() : FailurePause;
     if (miss == ConfirmationMiss::Failed)
         return asksStatus && m_asksReceivedFirst ? LagPause : FailurePause;
     if (!asksStatus)
--- a/src/proxy/routetable.cpp
+++ b/src/proxy/routetable.cpp
@@ -28,4 +28,14 @@
     return services;
 }
 
+std::set<ServiceName> RouteTable::confirmedServices() const
+{
+    std::set<ServiceName> confirmed;
+    for (const auto &[name, service] : services) {
+        if (service.syncReplicas > 0)
+            confirmed.insert(name);
+    }
+    return confirmed;
+}
+
 } // namespace nutmegtide
--- a/src/proxy/serverhomeconnections.cpp
+++ b/src/proxy/serverhomeconnections.cpp
@@ -125,6 +125,7 @@
     Server &server = m_servers.at(found->second.server);
     --server.opening;
     server.isUnreachable = false;
+    m_vouches.opened(key, {found->second.server, server.record.announcement.service}, now);
     makeIdle(key, now);
 }
 
@@ -143,6 +144,7 @@
 {
     const Connection connection = m_connections.at(key);
     m_connections.erase(key);
+    m_vouches.closed(key);
     Server &server = m_servers.at(connection.server);
     server.connections.erase(key);
     std::erase(server.idle, key);
@@ -226,6 +228,7 @@
     noteUnanswered(lane);
     server.silentSince = server.unanswered > 0 ? std::optional(now) : std::nullopt;
     ServerReply measured = reply;
+    measured.isVouched = m_vouches.takeReply(key, lane.sentAt, now);
     if (ranInSlot) {
         measured.ran = now - lane.sentAt;
         if (!isBalanced(server) || reply.fault != StatementFault::Busy)
--- a/src/proxy/sessionconfirmations.cpp
+++ b/src/proxy/sessionconfirmations.cpp
@@ -39,7 +39,8 @@
 }
 
 // Keeps the answer to a commit until it is confirmed.
-void SessionProxy::withhold(SessionKey key, const SessionAnswer &answer, TimePoint now)
+void SessionProxy::withhold(SessionKey key, const SessionAnswer &answer, bool isVouched,
+                            TimePoint now)
 {
     Work &work = *m_sessions.at(key).work;
     work.phase = Phase::Confirm;
@@ -51,7 +52,7 @@
     CommitConfirmations &commits = m_confirmations[service].commits;
     commits.setRecorded(*m_recorded);
     commits.setAsksReceivedFirst(m_balanced.count(service) != 0);
-    commits.add(key, {*answer.position, work.server, now});
+    commits.add(key, {*answer.position, work.server, now, isVouched});
     askConfirmation(service, now);
 }
 
@@ -88,13 +89,17 @@
     state.connection = 0;
     const ConfirmationQuestion question = *state.commits.asked();
     const std::optional<LogPosition> known = heldPosition(question, reply);
+    if (known && !reply.isVouched) {
+        state.commits.missed(ConfirmationMiss::Unvouched, now);
+        return askConfirmation(service, now);
+    }
     if (!known) {
         const bool isBehind = reply.fault == StatementFault::Lagging;
         return state.commits.missed(isBehind ? ConfirmationMiss::Lags : ConfirmationMiss::Failed,
                                     now);
     }
     const std::vector<SessionKey> confirmed = state.commits.noteHeld(question.server, *known);
-    if (confirmed.empty())
+    if (confirmed.empty() && !state.commits.isHolder(question.server))
         state.commits.missed(ConfirmationMiss::Lags, now);
     else
         state.commits.confirmed();
@@ -172,11 +177,31 @@
         return true;
     const auto primary = m_pool.primary(service, now);
     const std::vector<ServerId> askable = m_pool.askableServers(service, now);
+    const auto state = m_confirmations.find(service);
     return std::any_of(askable.begin(), askable.end(), [&](const ServerId &server) {
-        return server != primary && m_recorded->count(server) != 0;
+        const bool isUnvouched = state != m_confirmations.end()
+                && state->second.commits.unvouchedServers().count(server) != 0;
+        return server != primary && m_recorded->count(server) != 0 && !isUnvouched;
     });
 }
 
+void SessionProxy::takeOpenChanges(const OpenChanges &changes, TimePoint now)
+{
+    m_vouches.learn(changes, now);
+    for (auto &[service, state] : m_confirmations) {
+        if (changes.services.count(service) == 0)
+            state.commits.forgetUnvouched();
+    }
+}
+
+bool SessionProxy::needsOpenChanges(TimePoint now) const
+{
+    return m_vouches.isAwaited(now)
+            || std::any_of(m_confirmations.begin(), m_confirmations.end(), [](const auto &item) {
+                   return !item.second.commits.unvouchedServers().empty();
+               });
+}
+
 // Returns whether a write of the service would not be confirmed, as no recorded replica is reachable.
 bool SessionProxy::isStalled(const ServiceName &service, TimePoint now) const
 {
--- a/src/proxy/sessionproxy.cpp
+++ b/src/proxy/sessionproxy.cpp
@@ -24,6 +24,7 @@
 {
     m_routes = std::move(routes);
     findBalancedServices();
+    m_vouches.setServices(m_routes->confirmedServices());
     revokeSessions(now);
     std::erase_if(m_capQueues, [](const auto &item) { return item.second.waiting.empty(); });
     std::erase_if(m_runTimes,
--- a/src/proxy/sessionreplies.cpp
+++ b/src/proxy/sessionreplies.cpp
@@ -12,6 +12,11 @@
         return;
     connection->isLane = isLane;
     m_pool.opened(key, now);
+    if (!isLane)
+        m_vouches.opened(key,
+                         {connection->server,
+                          m_pool.find(connection->server)->record.announcement.service},
+                         now);
     release(key, now);
 }
 
@@ -102,6 +107,7 @@
     const bool isOverloaded = loss == Loss::Silent
             && (connection->isLane || m_pool.hasAnsweredSince(server, connection->sentAt));
     const std::optional<Borrower> borrower = m_pool.remove(key);
+    m_vouches.closed(key);
     if (loss == Loss::HomeLost) {
         m_delegate.serverAssessed({server, service, "home_lost", "the home is lost"});
     } else if (isOverloaded) {
@@ -179,9 +185,18 @@
     const ServerConnection *connection = m_pool.connection(key);
     if (connection == nullptr)
         return;
-    const ServerId server = connection->server;
+    if (connection->isLane || m_vouches.takeReply(key, connection->sentAt, now))
+        return handleReply(key, reply, now);
+    ServerReply unvouched = reply;
+    unvouched.isVouched = false;
+    handleReply(key, unvouched, now);
+}
+
+void SessionProxy::handleReply(ConnectionKey key, const ServerReply &reply, TimePoint now)
+{
+    const ServerId server = m_pool.connection(key)->server;
     takeReply(key, reply, now);
-    if (reply.position)
+    if (reply.position && reply.isVouched)
         noteReplicated(server, *reply.position, now);
 }
 
@@ -316,7 +331,7 @@
     const SessionAnswer answer {reply.rows, reply.fault, reply.detail, session.state,
                                 reply.position};
     if (isOwnCommit && needsConfirmation(work.route.service))
-        return withhold(key, answer, now);
+        return withhold(key, answer, reply.isVouched, now);
     session.lastPosition = reply.position;
     finish(key, answer, now);
 }
--- a/src/proxy/sessionrouting.cpp
+++ b/src/proxy/sessionrouting.cpp
@@ -338,6 +338,7 @@
 {
     m_delegate.close(key);
     m_pool.remove(key);
+    m_vouches.closed(key);
 }
 
 void SessionProxy::retire(ConnectionKey key, TimePoint now)
--- a/src/serve/controllog.cpp
+++ b/src/serve/controllog.cpp
@@ -1,5 +1,6 @@
 #include "serve/controllog.h"
 
+#include "base/bootclock.h"
 #include "base/log.h"
 #include "serve/raftwire.h"
 
@@ -14,6 +15,16 @@
 // entry is still taken.
 constexpr std::size_t MaxUncommittedBytes = 16 * 1024 * 1024;
 
+std::uint64_t stampOf(TimePoint time)
+{
+    return static_cast<std::uint64_t>(time.time_since_epoch().count());
+}
+
+TimePoint timeOf(std::uint64_t stamp)
+{
+    return TimePoint(Duration(static_cast<Duration::rep>(stamp)));
+}
+
 std::string makeFolderId()
 {
     std::random_device device;
@@ -215,6 +226,7 @@
             const std::vector<Input> inputs = std::exchange(m_inputs, {});
             std::vector<Proposal> proposals = std::exchange(m_proposals, {});
             lock.unlock();
+            m_node->setStamp(stampOf(bootTime()));
             for (const Input &input : inputs)
                 input();
             takeProposals(std::move(proposals));
@@ -291,6 +303,15 @@
     const std::lock_guard lock(m_mutex);
     m_status = m_node->status();
     m_isLeader = m_node->isLeader();
+    m_leadProvedAt.reset();
+    if (const auto stamp = m_node->confirmedStamp())
+        m_leadProvedAt = timeOf(*stamp);
+}
+
+std::optional<TimePoint> ControlLog::leadProvedAt() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_leadProvedAt;
 }
 
 void ControlLog::failAll(const std::string &reason)
@@ -303,6 +324,7 @@
     m_proposals.clear();
     m_inputs.clear();
     m_isLeader = false;
+    m_leadProvedAt.reset();
     m_isStopped = true;
 }
 
--- a/src/serve/controllog.h
+++ b/src/serve/controllog.h
@@ -55,6 +55,9 @@
     void addMember(const ControlMember &member);
     void removeMember(const VmName &vm);
     RaftStatus status() const;
+    // Returns the latest time, by bootTime(), at which a majority of the control VMs is known to
+    // have followed this one; nullopt where it doesn't lead.
+    std::optional<TimePoint> leadProvedAt() const;
     // The id of the data folder, after start().
     const std::string &folder() const { return m_folder; }
     // The VMs that refuse this one's data folder, each with the reason.
@@ -142,6 +145,7 @@
     RaftStatus m_status;
     std::map<VmName, std::string> m_folderRefusals;
     bool m_isLeader = false;
+    std::optional<TimePoint> m_leadProvedAt;
     bool m_isStopping = false;
     bool m_isStopped = true;
     std::thread m_thread;
--- a/src/serve/peerclient.h
+++ b/src/serve/peerclient.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <thrift/TApplicationException.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
 
@@ -30,6 +31,13 @@
     bool m_wasSent;
 };
 
+// The peer doesn't know the call: it is of an older version.
+class UnknownCallError : public PeerError
+{
+public:
+    using PeerError::PeerError;
+};
+
 // What a call may take. A machine that isn't up answers nothing, so a connection is given up sooner
 // than an answer where another try helps more than waiting.
 struct CallTimeouts
@@ -128,6 +136,11 @@
     } catch (const wire::PeerRefusal &) {
         giveBack(peer, std::move(connection));
         throw;
+    } catch (const apache::thrift::TApplicationException &fault) {
+        const std::string what = toString(peer) + ": " + fault.what();
+        if (fault.getType() == apache::thrift::TApplicationException::UNKNOWN_METHOD)
+            throw UnknownCallError(what, true);
+        throw PeerError(what, true);
     } catch (const apache::thrift::TException &fault) {
         throw PeerError(toString(peer) + ": " + fault.what(), true);
     }
--- a/src/serve/peerhandlers.h
+++ b/src/serve/peerhandlers.h
@@ -28,6 +28,7 @@
     std::function<wire::FollowReply(const wire::Header &, const wire::FollowRequest &)> follow;
     std::function<void(const wire::Header &, const wire::SiteNews &)> spreadNews;
     std::function<std::vector<wire::AgedProof>(const std::vector<std::string> &services)> agedProofs;
+    std::function<wire::OpenChanges()> openChanges;
     std::function<wire::EventPage(std::int64_t after)> events;
     std::function<wire::NodeStatusReply()> status;
 };
--- a/src/serve/peerservice.cpp
+++ b/src/serve/peerservice.cpp
@@ -148,6 +148,12 @@
     proofs = answer(m_handlers.agedProofs, services);
 }
 
+void PeerService::openChanges(wire::OpenChanges &changes, const wire::Header &header)
+{
+    check(header);
+    changes = answer(m_handlers.openChanges);
+}
+
 void PeerService::events(wire::EventPage &page, const wire::Header &header,
                          std::int64_t afterSequence)
 {
--- a/src/serve/peerservice.h
+++ b/src/serve/peerservice.h
@@ -41,6 +41,7 @@
     void spreadNews(const wire::Header &header, const wire::SiteNews &news) override;
     void agedProofs(std::vector<wire::AgedProof> &proofs, const wire::Header &header,
                     const std::vector<std::string> &services) override;
+    void openChanges(wire::OpenChanges &changes, const wire::Header &header) override;
     void events(wire::EventPage &page, const wire::Header &header,
                 std::int64_t afterSequence) override;
     void status(wire::NodeStatusReply &reply, const wire::Header &header) override;
--- a/src/serve/raftwire.cpp
+++ b/src/serve/raftwire.cpp
@@ -52,6 +52,7 @@
     result.lastTerm = static_cast<std::int64_t>(lastTerm);
     result.commit = static_cast<std::int64_t>(message.commit);
     result.isGranted = message.isGranted;
+    result.stamp = static_cast<std::int64_t>(message.stamp);
     for (const LogEntry &entry : message.entries)
         result.entries.push_back(toWire(entry));
     if (isSnapshot) {
@@ -75,6 +76,7 @@
     result.lastTerm = countFromWire(message.lastTerm);
     result.commit = countFromWire(message.commit);
     result.isGranted = message.isGranted;
+    result.stamp = countFromWire(message.stamp);
     for (const wire::RaftEntry &entry : message.entries)
         result.entries.push_back(fromWire(entry));
     if (result.kind == RaftMessageKind::Snapshot) {
--- a/src/site/controlfollower.cpp
+++ b/src/site/controlfollower.cpp
@@ -65,6 +65,18 @@
     m_agedServices = std::move(services);
 }
 
+void ControlFollower::setAsksChanges(bool asksChanges)
+{
+    bool isNew = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        isNew = asksChanges && !m_asksChanges;
+        m_asksChanges = asksChanges;
+    }
+    if (isNew)
+        m_signal.notify();
+}
+
 void ControlFollower::setLanes(const std::string &lanes)
 {
     {
@@ -109,11 +121,17 @@
         if (m_isPaused)
             m_isConnected.reset();
         const bool isAnswered = m_isPaused || ask();
-        const bool isUrgent = !isAnswered || m_useFastPolling || m_mayLackServers;
+        const bool isUrgent = !isAnswered || m_useFastPolling || m_mayLackServers || asksChanges();
         m_signal.restUntil(Clock::now() + (isUrgent ? FastPollInterval : AskInterval));
     }
 }
 
+bool ControlFollower::asksChanges() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_asksChanges;
+}
+
 wire::FollowRequest ControlFollower::request() const
 {
     wire::FollowRequest request;
@@ -123,6 +141,8 @@
     request.homesVersion = m_homesVersion;
     if (m_recordedVersion)
         request.__set_recordedVersion(*m_recordedVersion);
+    if (m_asksChanges)
+        request.__set_asksChanges(true);
     for (const ServiceName &service : m_agedServices)
         request.agedServices.push_back(service.text());
     for (const PrimaryComplaint &complaint : m_complaints) {
@@ -208,6 +228,9 @@
         view.homes = fromWire(reply.homes);
     view.recorded = recordedServersOf(reply);
     view.knowsRecorded = reply.__isset.recordedVersion;
+    view.tellsChanges = reply.tellsChanges;
+    if (reply.__isset.openChanges)
+        view.openChanges = fromWire(reply.openChanges, askedAt);
     bool isTrusted = false;
     {
         const std::lock_guard lock(m_mutex);
--- a/src/site/controlfollower.h
+++ b/src/site/controlfollower.h
@@ -35,6 +35,8 @@
     // Set where they changed, by control VMs that tell them.
     std::optional<RecordedServers> recorded;
     bool knowsRecorded = false; // false from a control VM of an older version
+    bool tellsChanges = false; // the same
+    std::optional<OpenChanges> openChanges; // set where they were asked for and are known
     TimePoint askedAt; // when the request was sent; the ages of proofs count from here
 };
 
@@ -68,6 +70,8 @@
     void complain(std::vector<PrimaryComplaint> complaints);
     // Sets the services whose proofs are requested.
     void setAgedServices(std::vector<ServiceName> services);
+    // Sets whether the open changes of primary are requested. The first request is sent at once.
+    void setAsksChanges(bool asksChanges);
     // Sets this VM's listener for lanes; empty while it accepts none.
     void setLanes(const std::string &lanes);
     // Polls more often while this VM still lacks something that it needs to serve.
@@ -82,6 +86,7 @@
 private:
     void run();
     bool ask();
+    bool asksChanges() const;
     wire::FollowRequest request() const;
     bool applyReply(const Endpoint &from, const wire::FollowReply &reply, TimePoint askedAt);
     void report(bool isConnected, const std::string &reason);
@@ -99,6 +104,7 @@
     TimePoint m_heardOtherDomainAt {};
     std::vector<PrimaryComplaint> m_complaints;
     std::vector<ServiceName> m_agedServices;
+    bool m_asksChanges = false;
     std::string m_lanes;
     std::int64_t m_homesVersion = 0;
     std::optional<std::int64_t> m_recordedVersion;
--- a/src/site/controlnode.cpp
+++ b/src/site/controlnode.cpp
@@ -70,7 +70,7 @@
                           {{"reason", reason}});
               })
     , m_memberPlanner(settings.toleratedLosses)
-    , m_proofFetcher(m_peers, m_proofs, [this] { return otherLeader(); })
+    , m_leaderFetcher(m_peers, m_proofs, m_openChanges, [this] { return otherLeader(); })
 {
     m_log.registerMachine(CommandKind::Config, m_ledger);
     m_log.registerMachine(CommandKind::Group, m_roster);
@@ -86,6 +86,7 @@
     m_handlers.agedProofs = [this](const std::vector<std::string> &services) {
         return answerProofs(services);
     };
+    m_handlers.openChanges = [this] { return tellOpenChanges(); };
     for (const Endpoint &seed : seedPeers(settings))
         registerControlVm(seed, {}, {});
     m_log.start();
@@ -102,7 +103,7 @@
     m_thread = std::thread([this] { maintain(); });
     m_follower.setFastPolling(false);
     m_follower.start();
-    m_proofFetcher.start();
+    m_leaderFetcher.start();
     log(LogLevel::Info, "node_started", {{"folder", m_log.folder()}});
 }
 
@@ -115,7 +116,7 @@
     if (m_loopThread.joinable())
         m_loopThread.join();
     m_follower.stop();
-    m_proofFetcher.stop();
+    m_leaderFetcher.stop();
     m_port.reset();
     m_peerServer->stop();
     m_updateSenders.clear();
--- a/src/site/controlnode.h
+++ b/src/site/controlnode.h
@@ -11,9 +11,10 @@
 #include "serve/peerserver.h"
 #include "site/controlfollower.h"
 #include "site/homedirectory.h"
+#include "site/leaderfetcher.h"
+#include "site/openchangecache.h"
 #include "site/primarychangemanager.h"
 #include "site/proofcollector.h"
-#include "site/prooffetcher.h"
 #include "site/siteidentity.h"
 #include "site/updatesender.h"
 
@@ -51,6 +52,11 @@
     // Returns null where this VM can't tell them.
     std::shared_ptr<const RecordedServers> knownRecordedServers(bool isCurrent);
     std::vector<wire::AgedProof> answerProofs(const std::vector<std::string> &services);
+    // Returns nullopt unless this VM leads and can tell the changes.
+    std::optional<OpenChanges> ownOpenChanges() const;
+    // Throws wire::PeerRefusal where this VM can't tell them.
+    wire::OpenChanges tellOpenChanges() const;
+    void putOpenChanges(const wire::FollowRequest &request, wire::FollowReply &reply);
     void receiveUpdates(const wire::Header &from, const wire::SiteNews &news);
     void receiveComplaints(const std::vector<wire::PrimaryComplaint> &complaints);
 
@@ -156,7 +162,8 @@
     std::map<Endpoint, std::unique_ptr<UpdateSender>> m_updateSenders;
 
     ProofCache m_proofs;
-    ProofFetcher m_proofFetcher;
+    OpenChangeCache m_openChanges; // where another VM leads
+    LeaderFetcher m_leaderFetcher;
 
     EventLoop m_loop;
     std::unique_ptr<ProofCollector> m_proofCollector; // lives on the loop's thread
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -55,6 +55,7 @@
     const auto recorded = knownRecordedServers(reply.isCurrent);
     if (recorded)
         putRecordedServers(*recorded, request, reply);
+    putOpenChanges(request, reply);
     const std::optional<HomeCandidate> home = homeOf(from, request.lanes);
     const std::lock_guard lock(m_mutex);
     Follower unlisted;
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -192,6 +192,7 @@
                  {"from", toString(view.from)}});
         m_proxy.setRecordedServers(view.recorded->servers);
     }
+    applyOpenChanges(view, now);
     if (view.homes)
         applyHomes(*view.homes);
     m_mayLackServers = view.mayLackServers;
@@ -214,6 +215,28 @@
     updateReadiness();
 }
 
+void EntryNode::applyOpenChanges(const ControlView &view, TimePoint now)
+{
+    m_proxy.setChangesTold(view.tellsChanges);
+    if (m_home)
+        m_home->vouches().setTold(view.tellsChanges);
+    if (!view.openChanges)
+        return;
+    m_proxy.takeOpenChanges(*view.openChanges, now);
+    if (m_home)
+        m_home->vouches().learn(*view.openChanges, now);
+}
+
+void EntryNode::askForOpenChanges()
+{
+    const TimePoint now = EventLoop::now();
+    const bool asks = m_proxy.needsOpenChanges(now) || (m_home && m_home->vouches().isAwaited(now));
+    if (asks == std::exchange(m_asksOpenChanges, asks))
+        return;
+    m_follower.setAsksChanges(asks);
+    logLine(LogLevel::Info, asks ? "open_changes_asked" : "open_changes_known", {});
+}
+
 void EntryNode::applyRoutes(RouteTable table, const Endpoint &from)
 {
     const auto shared = std::make_shared<const RouteTable>(std::move(table));
@@ -228,6 +251,7 @@
     m_borrower.setWorkspaces(routes.workspaces);
     if (m_home) {
         m_home->setConnectionLimits(std::move(limits));
+        m_home->vouches().setServices(routes.confirmedServices());
         m_home->setBalancedServices(routes.balancedServices(m_settings.balancing.patientObjective));
         m_home->setWorkspaces(routes.workspaces);
     }
@@ -277,6 +301,7 @@
         m_complaints = complaints;
         m_follower.complain(std::move(complaints));
     }
+    askForOpenChanges();
     m_counts.setSessions(m_proxy.sessionCount());
     m_links.flush();
     TimePoint wake = std::min({m_proxy.wakeAt(), m_links.wakeAt(), m_borrower.wakeAt()});
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -81,6 +81,8 @@
     void updateLenders();
     void applyRoutes(RouteTable table, const Endpoint &from);
     void applyView(const ControlView &view);
+    void applyOpenChanges(const ControlView &view, TimePoint now);
+    void askForOpenChanges();
     void afterEvents();
     void onWakeTime();
     void applyHomes(ServerHomes homes);
@@ -117,6 +119,7 @@
     ServerRegistry m_registry;
     bool m_hasServerList = false;
     bool m_mayLackServers = false; // as the latest view says
+    bool m_asksOpenChanges = false;
     std::optional<TimePoint> m_controlLostAt;
     std::optional<TimePoint> m_suspectedSince; // suspects that its failure domain is cut off
     std::optional<TimePoint> m_isolatedSince; // has confirmed that it is cut off
--- a/src/site/eventloop.cpp
+++ b/src/site/eventloop.cpp
@@ -1,10 +1,10 @@
 #include "site/eventloop.h"
 
+#include "base/bootclock.h"
 #include "nutmegtide/base/errors.h"
 
 #include <algorithm>
 #include <array>
-#include <ctime>
 #include <event2/event.h>
 #include <fcntl.h>
 #include <unistd.h>
@@ -46,9 +46,7 @@
 
 TimePoint EventLoop::now()
 {
-    timespec time {};
-    clock_gettime(CLOCK_BOOTTIME, &time);
-    return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    return bootTime();
 }
 
 void EventLoop::run()
--- a/src/site/eventloop.h
+++ b/src/site/eventloop.h
@@ -54,8 +54,7 @@
     // Runs a task periodically, even when events arrive without a pause. Replaces onWakeTime() and
     // wakeAt().
     void every(std::function<Duration()> interval, Task task);
-    // Returns a monotonic time that, unlike Clock::now(), advances while the VM is suspended, so
-    // that information from before a suspension counts as old.
+    // Returns bootTime().
     static TimePoint now();
     event_base *base() const { return m_base; }
 
--- a/src/site/homeport.h
+++ b/src/site/homeport.h
@@ -70,6 +70,8 @@
     {
         m_home.setBalancedServices(std::move(services));
     }
+    // Which connections to servers are vouched for.
+    ConnectionVouches &vouches() { return m_home.vouches(); }
     void tick(TimePoint now);
     TimePoint wakeAt() const { return m_home.wakeAt(); }
     // Sends what the events since the last call produced. Must be called before each wait for
--- a/src/site/lanewire.cpp
+++ b/src/site/lanewire.cpp
@@ -164,6 +164,8 @@
                 std::min(reply.wait, MaxReportedWait));
         result.__set_waitMicroseconds(static_cast<std::int32_t>(wait.count()));
     }
+    if (!reply.isVouched)
+        result.__set_isUnvouched(true);
     return result;
 }
 
@@ -181,6 +183,7 @@
     // ServerPool ignores an impossible value.
     if (reply.__isset.waitMicroseconds)
         result.wait = std::chrono::microseconds(reply.waitMicroseconds);
+    result.isVouched = !reply.isUnvouched;
     return result;
 }
 
--- a/src/site/primarychangemanager.cpp
+++ b/src/site/primarychangemanager.cpp
@@ -49,7 +49,7 @@
         m_trigger.startLeading(m_listensSince);
         m_leadingSince = now;
     }
-    m_isLeading = isLeading;
+    setLeading(isLeading);
     checkLinks(now);
     if (!isLeading)
         return;
@@ -217,6 +217,7 @@
 
 void PrimaryChangeManager::perform(const ServiceName &service, const SemiSyncChangeActions &actions)
 {
+    noteReliance(service);
     for (const SemiSyncChangeAction &action : actions)
         std::visit([this, &service](const auto &kind) { perform(service, kind); }, action);
 }
@@ -331,6 +332,7 @@
         closeOrders(service);
     m_trigger.onChangeEnded(service, group.change->primary(), now);
     group.change.reset();
+    noteReliance(service);
 }
 
 // Tells who leads as the result of the change, once for each change.
--- a/src/site/primarychangemanager.h
+++ b/src/site/primarychangemanager.h
@@ -14,6 +14,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
 
 namespace nutmegtide {
 
@@ -41,6 +44,8 @@
     // `isLogCurrent` states whether all that was committed before this VM led is applied here.
     void tick(const std::vector<ServerRecord> &servers, int entryCount, bool isLogCurrent,
               TimePoint now);
+    // Returns the services of OpenChanges; nullopt while this VM doesn't lead. Thread-safe.
+    std::optional<std::set<ServiceName>> openChanges() const;
 
 private:
     // A connection to one server for the duration of a change.
@@ -120,6 +125,9 @@
     // Records that no open order for the service can be carried out any more.
     void closeOrders(const ServiceName &service);
     void abandonAll();
+    // Updates what openChanges() returns. Called before the change's actions are carried out.
+    void noteReliance(const ServiceName &service);
+    void setLeading(bool isLeading);
     void log(const std::string &event, const std::vector<LogField> &fields) const;
 
     EventLoop &m_loop;
@@ -136,6 +144,8 @@
     bool m_isLeading = false;
     TimePoint m_leadingSince {};
     std::map<ServiceName, Group> m_groups;
+    mutable std::mutex m_openMutex;
+    std::optional<std::set<ServiceName>> m_open; // guarded by m_openMutex; nullopt: not leading
     std::map<ConnectionKey, Link> m_links;
     std::map<ServerId, ServerAnnouncement> m_announcements;
     // Gone servers with the addresses that servers which haven't announced themselves use now.
--- a/src/site/sitewire.cpp
+++ b/src/site/sitewire.cpp
@@ -52,6 +52,23 @@
     return result;
 }
 
+wire::OpenChanges toWire(const OpenChanges &changes, TimePoint now)
+{
+    wire::OpenChanges result;
+    for (const ServiceName &service : changes.services)
+        result.services.push_back(service.text());
+    // Rounded up, since they must never look younger than they are.
+    result.ageMicroseconds = std::chrono::ceil<std::chrono::microseconds>(now - changes.asOf).count();
+    return result;
+}
+
+OpenChanges fromWire(const wire::OpenChanges &changes, TimePoint askedAt)
+{
+    const std::int64_t age = std::max<std::int64_t>(0, changes.ageMicroseconds);
+    return {{changes.services.begin(), changes.services.end()},
+            askedAt - std::chrono::microseconds(age)};
+}
+
 wire::ServerRecord toWire(const ServerRecord &record, TimePoint now)
 {
     wire::ServerRecord result;
--- a/src/site/sitewire.h
+++ b/src/site/sitewire.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "nutmegtide/failover/openchanges.h"
 #include "nutmegtide/proxy/proofcache.h"
 #include "nutmegtide/proxy/serverregistry.h"
 #include "peer_types.h"
@@ -19,6 +20,10 @@
 std::vector<wire::AgedProof> toWire(const std::vector<AgedProof> &proofs);
 std::vector<AgedProof> fromWire(const std::vector<wire::AgedProof> &proofs);
 
+wire::OpenChanges toWire(const OpenChanges &changes, TimePoint now);
+// `askedAt` is when the request for the changes was sent.
+OpenChanges fromWire(const wire::OpenChanges &changes, TimePoint askedAt);
+
 std::vector<wire::HomeVm> toWire(const std::vector<HomeCandidate> &candidates);
 std::vector<HomeCandidate> fromWire(const std::vector<wire::HomeVm> &candidates);
 
--- a/test/soak/databasegroup.cpp
+++ b/test/process/support/databasegroup.cpp
@@ -1,4 +1,4 @@
-#include "soak/databasegroup.h"
+#include "process/support/databasegroup.h"
 
 #include <algorithm>
 #include <chrono>
--- a/test/soak/soakcallers.h
+++ b/test/soak/soakcallers.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "process/support/databasegroup.h"
 #include "process/support/lineserver.h"
-#include "soak/databasegroup.h"
 
 #include <atomic>
 #include <functional>
--- a/test/soak/soakservers.h
+++ b/test/soak/soakservers.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "process/support/databasegroup.h"
 #include "process/support/linelistener.h"
 #include "process/support/relay.h"
 #include "serve/httpserver.h"
-#include "soak/databasegroup.h"
 
 #include <atomic>
 #include <memory>
--- a/test/unit/control/controlvms.h
+++ b/test/unit/control/controlvms.h
@@ -138,6 +138,10 @@
     void step()
     {
         m_now += 10ms;
+        for (auto &[name, vm] : m_vms) {
+            if (vm.node)
+                vm.node->setStamp(stamp());
+        }
         const std::deque<RaftMessage> messages = std::exchange(m_messages, {});
         for (const RaftMessage &message : messages) {
             const bool isCut = m_cut.count(message.sender) + m_cut.count(message.receiver) > 0;
@@ -186,6 +190,13 @@
             return isUp(name) && m_vms[name].state.find(payload + ";") != std::string::npos;
         });
     }
+    // Returns the present time as the nodes' stamp.
+    std::uint64_t stamp() const
+    {
+        return static_cast<std::uint64_t>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(m_now.time_since_epoch())
+                        .count());
+    }
     bool allHaveState(const std::string &state) const
     {
         return std::all_of(m_vms.begin(), m_vms.end(), [&state](const auto &item) {
--- a/test/unit/control/raftnode_test.cpp
+++ b/test/unit/control/raftnode_test.cpp
@@ -385,3 +385,29 @@
     }
     CHECK(vms.runUntil([&] { return vms.node(follower.text()).status().isCurrent; }));
 }
+
+// Guards against a deposed leader that tells which changes of primary are open.
+TEST_CASE("a leader that is cut off proves its lead for no moment after the cut")
+{
+    constexpr std::uint64_t LongestProof = 250; // ms; two heartbeat intervals and their answers
+    ControlVms vms(Seed);
+    REQUIRE(vms.commit("a"));
+    vms.run(1s);
+    const VmName old = *vms.leader();
+    RaftNode &leader = vms.node(old.text());
+    REQUIRE(leader.confirmedStamp());
+    CHECK(*leader.confirmedStamp() <= vms.stamp());
+    CHECK(*leader.confirmedStamp() + LongestProof >= vms.stamp());
+    CHECK_FALSE(vms.node(followerOf(vms).text()).confirmedStamp());
+
+    vms.cut(old);
+    const std::uint64_t cutAt = vms.stamp();
+    const auto isReplaced = [&] {
+        CHECK(leader.confirmedStamp().value_or(0) <= cutAt);
+        return vms.leader() != old;
+    };
+    CHECK(vms.runUntil(isReplaced));
+    vms.heal();
+    vms.run(1s);
+    CHECK(*vms.node(vms.leader()->text()).confirmedStamp() > cutAt);
+}
--- a/test/unit/failover/lostcommitcontrol.cpp
+++ b/test/unit/failover/lostcommitcontrol.cpp
@@ -108,10 +108,12 @@
     ModelServer &fenced = next.servers[at];
     fenced.fenced = 1;
     fenced.position = fenced.log;
+    if (at != state.primary)
+        fenced.held = 1;
+    else if (m_bounds.restartsEndDemotions)
+        next.demoted = state.primary;
     if (at == state.primary)
         next.primary = NoServer;
-    else
-        fenced.held = 1;
     visit(next, at == state.primary ? "is demoted:" : "is held:", at);
 }
 
--- a/test/unit/failover/lostcommitmodel.cpp
+++ b/test/unit/failover/lostcommitmodel.cpp
@@ -1,6 +1,7 @@
 #include "unit/failover/lostcommitmodel.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace nutmegtide::test {
 
@@ -22,6 +23,7 @@
     for (std::size_t at = 0; at < Joiner; ++at) {
         ModelServer &server = state.servers[at];
         server.exists = server.up = server.known = server.recorded = server.told = 1;
+        server.vouched = m_rules.vouchesConnections ? 1 : 0;
     }
     return state;
 }
@@ -33,6 +35,7 @@
     depart(state, visit);
     cover(state, visit);
     change(state, visit);
+    vouch(state, visit);
     for (std::size_t at = 0; at < ModelServers; ++at) {
         receive(state, at, visit);
         announce(state, at, visit);
@@ -68,6 +71,8 @@
     if (canWrite && state.commits < m_bounds.commits) {
         LostCommitState next = state;
         next.writers[next.commits] = next.primary;
+        if (next.servers[next.primary].vouched != 0)
+            next.vouchedWriters |= bitOf(next.commits);
         next.servers[next.primary].log |= bitOf(next.commits);
         ++next.commits;
         visit(next, "the primary executes a commit:", next.primary);
@@ -90,15 +95,36 @@
     const std::size_t writer = state.writers[commit];
     if (m_rules.confirmsRecordedWriter && state.servers[writer].told == 0)
         return false;
+    const bool isWriterMissing = m_rules.vouchesConnections
+            && (state.vouchedWriters & bitOf(commit)) == 0;
+    std::size_t needed = isWriterMissing ? 2 : 1;
     for (std::size_t at = 0; at < ModelServers; ++at) {
         const ModelServer &server = state.servers[at];
-        if (at != writer && server.isPresent() && server.told != 0
-            && (server.log & bitOf(commit)) != 0)
+        const bool isHolder = at != writer && server.isPresent() && server.told != 0
+                && (server.vouched != 0 || !m_rules.vouchesConnections)
+                && (server.log & bitOf(commit)) != 0;
+        if (isHolder && --needed == 0)
             return true;
     }
     return false;
 }
 
+// Control tells that no change relies on holds and no order is open, and the callers' connections
+// that stand at this moment count from now on.
+void LostCommitModel::vouch(const LostCommitState &state, const Visitor &visit) const
+{
+    const bool isAnyFenced = std::any_of(state.servers.begin(), state.servers.end(),
+                                         [](const auto &server) { return server.fenced != 0; });
+    if (!m_rules.vouchesConnections || state.phase == ModelPhase::Ordered || isAnyFenced
+        || state.hasOpenOrders != 0)
+        return;
+    LostCommitState next = state;
+    for (ModelServer &server : next.servers)
+        server.vouched = server.isPresent() ? 1 : 0;
+    if (!(next == state))
+        visit(next, "control vouches for the connections that stand", 0);
+}
+
 // The replica receives the first commit that it lacks, and the primary acknowledges it.
 void LostCommitModel::receive(const LostCommitState &state, std::size_t at,
                               const Visitor &visit) const
@@ -157,9 +183,20 @@
             ++next.restarts;
             startAgain(next, at, visit);
         }
+        if (server.isPresent() && state.serverCrashes < m_bounds.serverCrashes)
+            crash(state, at, visit);
     }
 }
 
+void LostCommitModel::crash(const LostCommitState &state, std::size_t at, const Visitor &visit) const
+{
+    LostCommitState next = state;
+    ++next.serverCrashes;
+    next.lastCrashed = static_cast<std::uint8_t>(at);
+    next.servers[at].up = 0;
+    visit(next, "crashes:", at);
+}
+
 // It has its log, and isn't held. The former primary leads if no other server was promoted.
 void LostCommitModel::startAgain(const LostCommitState &state, std::size_t at,
                                  const Visitor &visit) const
@@ -168,6 +205,9 @@
     ModelServer &server = next.servers[at];
     server.up = 1;
     server.held = 0;
+    server.vouched = 0;
+    if (m_bounds.restartsEndDemotions && at == state.demoted)
+        next.primary = std::exchange(next.demoted, NoServer);
     if (m_bounds.startsUnderNewId) {
         if (server.recorded != 0) {
             server.ghost = 1;
@@ -211,6 +251,7 @@
     const auto lost = static_cast<unsigned>(state.delivered & ~log);
     state.isLost = lost != 0 ? 1 : 0;
     state.primary = static_cast<std::uint8_t>(at);
+    state.demoted = NoServer;
     state.coverPosition = 0;
     state.acknowledged &= log;
     for (std::size_t other = 0; other < ModelServers; ++other) {
--- a/test/unit/failover/lostcommitmodel.h
+++ b/test/unit/failover/lostcommitmodel.h
@@ -28,6 +28,9 @@
     bool callsOffAfterOrders = false;
     // Only recorded servers are promoted.
     bool promotesRecorded = false;
+    // What a server says counts for a commit only on a connection that stood at a moment at which
+    // no change of primary relied on holds.
+    bool vouchesConnections = false;
 };
 
 // What may happen, and how often.
@@ -40,6 +43,8 @@
     int cuts = 0;
     int crashes = 0; // of the primary, with its return
     int restarts = 0; // of a replica, which end its hold
+    int serverCrashes = 0; // of any server, each with its return and its log
+    bool restartsEndDemotions = false; // a demoted primary that starts again leads again
     int leaderChanges = 0;
     bool startsUnderNewId = false; // a server that starts again does so as a new one
     bool departsBeforeExit = false; // control may hear of a departure before the server ends
@@ -64,6 +69,7 @@
     std::uint8_t member = 0; // of the present change
     std::uint8_t fenced = 0; // as the present change knows
     std::uint8_t position = 0; // that it told when it was fenced
+    std::uint8_t vouched = 0; // control vouched for the callers' connections to its present run
 
     bool isPresent() const { return exists != 0 && up != 0; }
     bool operator==(const ModelServer &) const = default;
@@ -91,8 +97,12 @@
     std::uint8_t acknowledged = 0;
     std::uint8_t delivered = 0;
     std::array<std::uint8_t, 2> writers {};
+    std::uint8_t vouchedWriters = 0; // bit i: the writer of commit i was vouched for
+    std::uint8_t demoted = NoServer; // the former primary, until another server is promoted
     std::uint8_t crashes = 0;
     std::uint8_t restarts = 0;
+    std::uint8_t serverCrashes = 0;
+    std::uint8_t lastCrashed = NoServer; // of these
     std::uint8_t leaderChanges = 0;
     std::uint8_t hasDeparted = 0;
     std::uint8_t isDepartureKnown = 0;
@@ -128,7 +138,9 @@
     void writeAndAnswer(const LostCommitState &state, const Visitor &visit) const;
     void receive(const LostCommitState &state, std::size_t at, const Visitor &visit) const;
     void disturb(const LostCommitState &state, const Visitor &visit) const;
+    void crash(const LostCommitState &state, std::size_t at, const Visitor &visit) const;
     void startAgain(const LostCommitState &state, std::size_t at, const Visitor &visit) const;
+    void vouch(const LostCommitState &state, const Visitor &visit) const;
     void depart(const LostCommitState &state, const Visitor &visit) const;
     void cover(const LostCommitState &state, const Visitor &visit) const;
     void record(const LostCommitState &state, std::size_t at, const Visitor &visit) const;
--- a/test/unit/failover/lostcommitmodel_test.cpp
+++ b/test/unit/failover/lostcommitmodel_test.cpp
@@ -119,7 +119,8 @@
                                 .recordsWithoutOrders = true,
                                 .confirms = true,
                                 .confirmsRecordedWriter = true,
-                                .callsOffAfterOrders = true};
+                                .callsOffAfterOrders = true,
+                                .vouchesConnections = true};
 const LostCommitRules DeparturesAlone {.keepsDeparted = true, .coversByRecorded = true};
 const LostCommitRules JoinsAlone {.holdsJoined = true, .recordsWithoutOrders = true};
 const LostCommitRules ConfirmAlone {.confirms = true};
@@ -138,6 +139,10 @@
                                              .departures = 1,
                                              .cuts = 1,
                                              .leaderChanges = 1};
+constexpr LostCommitBounds CutAndCrash {.cuts = 1, .serverCrashes = 1};
+constexpr LostCommitBounds DemotionAndCrash {.cuts = 1,
+                                             .serverCrashes = 1,
+                                             .restartsEndDemotions = true};
 constexpr LostCommitBounds LateOrder {.tokens = 2};
 constexpr LostCommitBounds LateOrderAndLeader {.tokens = 2, .joins = 1, .leaderChanges = 1};
 
@@ -168,6 +173,12 @@
     return hadJoinerLog(state) && state.servers.back().known == 0;
 }
 
+// Returns whether no hold ended with a crash: the server that crashed is the first primary.
+bool hasKeptHolds(const LostCommitState &state)
+{
+    return state.lastCrashed == 0;
+}
+
 // Sanitizers slow the search down several times, so sanitized builds skip the large rows.
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
 constexpr bool IsSanitized = true;
@@ -254,6 +265,10 @@
              completeWithout(&Rules::confirmsRecordedWriter), LateOrderAndLeader, hasLost, true},
             {"called off beside an older order", completeWithout(&Rules::callsOffAfterOrders),
              LateOrder},
+            {"a held replica crashes and starts again", completeWithout(&Rules::vouchesConnections),
+             CutAndCrash},
+            {"a demoted primary starts again and leads",
+             completeWithout(&Rules::vouchesConnections), DemotionAndCrash, hasKeptHolds},
     });
 }
 
@@ -294,6 +309,37 @@
     });
 }
 
+// Guards against answered commits that are lost when a server crashes and starts again with its log
+// between its hold and the promotion, or at any other moment.
+TEST_CASE("all rules together lose no answered commit when servers crash and start again")
+{
+    checkSafe({
+            {"a held replica starts again under its id", Complete, {.cuts = 1, .restarts = 1}},
+            {"a cut and a crash of any server", Complete, CutAndCrash},
+            {"a cut and a crash that ends a demotion", Complete, DemotionAndCrash},
+            {"two commits, a cut and two crashes",
+             Complete,
+             {.commits = 2, .cuts = 1, .serverCrashes = 2, .restartsEndDemotions = true},
+             true},
+            {"two orders, a cut and two crashes",
+             Complete,
+             {.tokens = 2, .cuts = 1, .serverCrashes = 2, .restartsEndDemotions = true},
+             true},
+            {"two orders, a cut, a crash and another control leader",
+             Complete,
+             {.tokens = 2, .cuts = 1, .serverCrashes = 1, .leaderChanges = 1},
+             true},
+            {"a departure, a cut and a crash",
+             Complete,
+             {.departures = 1, .cuts = 1, .serverCrashes = 1},
+             true},
+            {"a join, a cut and a crash",
+             Complete,
+             {.joins = 1, .cuts = 1, .serverCrashes = 1, .restartsEndDemotions = true},
+             true},
+    });
+}
+
 // Guards the page's statement that holds after the order serve the callers, not the invariant.
 TEST_CASE("no answered commit is lost when joined servers aren't held")
 {
@@ -310,7 +356,6 @@
 TEST_CASE("the known limits lose answered commits")
 {
     checkLosses({
-            {"limit: a held replica starts again under its id", Complete, {.cuts = 1, .restarts = 1}},
             {"limit: a departed server still receives",
              Complete,
              {.departures = 1, .departsBeforeExit = true}},
--- a/test/unit/failover/lostcommitrig.cpp
+++ b/test/unit/failover/lostcommitrig.cpp
@@ -56,6 +56,9 @@
 {
     m_now += StepTime;
     disturb();
+    if (m_crashesServers)
+        crashSome();
+    vouch();
     write();
     replicate();
     deliver();
@@ -121,6 +124,30 @@
     }
 }
 
+void LostCommitRig::crashSome()
+{
+    for (auto &[id, server] : m_servers) {
+        if (server.startsAgainAt && m_now >= *server.startsAgainAt) {
+            server.startsAgainAt.reset();
+            server.isUp = true;
+        } else if (server.isUp && m_generator() % 300 == 0) {
+            server.isUp = server.isVouched = false;
+            server.heldTerm = 0;
+            server.startsAgainAt = m_now + StepTime + upTo(300ms);
+        }
+    }
+}
+
+// Control tells from time to time whether a change relies on holds.
+void LostCommitRig::vouch()
+{
+    const bool isOpen = !m_openOrders.empty() || (m_change && m_change->reliesOnHolds());
+    if (!m_rules.vouchesConnections || isOpen || m_now.time_since_epoch() % 50ms != Duration())
+        return;
+    for (auto &[id, server] : m_servers)
+        server.isVouched = server.isUp;
+}
+
 void LostCommitRig::depart()
 {
     Server &server = m_servers.at(Departing);
@@ -138,7 +165,7 @@
     Server &primary = m_servers.at(m_primary);
     const LogPosition position {primary.term, lastOf(primary.log).index + 1};
     primary.log.push_back(position);
-    m_waiting.push_back({position, m_primary});
+    m_waiting.push_back({position, m_primary, false, primary.isVouched});
 }
 
 void LostCommitRig::replicate()
@@ -164,10 +191,13 @@
         return true;
     if (m_rules.confirmsRecordedWriter && !m_servers.at(commit.writer).isRecorded)
         return false;
-    return std::any_of(m_servers.begin(), m_servers.end(), [&](const auto &item) {
-        return item.first != commit.writer && item.second.isRecorded && item.second.exists
-                && item.second.isUp && holds(item.second, commit.position);
+    const auto holders = std::count_if(m_servers.begin(), m_servers.end(), [&](const auto &item) {
+        const auto &[id, server] = item;
+        return id != commit.writer && server.isRecorded && server.exists && server.isUp
+                && (server.isVouched || !m_rules.vouchesConnections)
+                && holds(server, commit.position);
     });
+    return holders >= (commit.isWriterVouched || !m_rules.vouchesConnections ? 1 : 2);
 }
 
 void LostCommitRig::deliver()
--- a/test/unit/failover/lostcommitrig.h
+++ b/test/unit/failover/lostcommitrig.h
@@ -25,6 +25,8 @@
 public:
     LostCommitRig(const LostCommitRules &rules, unsigned seed);
 
+    // From now on any server may crash at any moment, and starts again with its log soon after.
+    void crashServers() { m_crashesServers = true; }
     void run();
     // Returns the number of answered commits that promoted servers lacked.
     int lost() const { return m_lost; }
@@ -44,12 +46,15 @@
         bool isKnown = true; // to the control leader
         bool isRecorded = true; // in the control log
         TimePoint announcesAt {};
+        std::optional<TimePoint> startsAgainAt; // after a crash of crashServers()
+        bool isVouched = true; // control vouched for the callers' connections to its present run
     };
     struct Commit
     {
         LogPosition position;
         ServerId writer;
         bool isAcknowledged = false;
+        bool isWriterVouched = true;
     };
     struct Order
     {
@@ -73,6 +78,8 @@
 
     void step();
     void disturb();
+    void crashSome();
+    void vouch();
     void depart();
     void write();
     void replicate();
@@ -108,6 +115,7 @@
     std::uint64_t m_highestToken = 0;
     Term m_term = 1;
     Schedule m_schedule;
+    bool m_crashesServers = false;
     bool m_hasDeparted = false;
     bool m_isDepartureUncovered = false;
     std::optional<LogPosition> m_coverPosition;
--- a/test/unit/failover/lostcommitrig_test.cpp
+++ b/test/unit/failover/lostcommitrig_test.cpp
@@ -14,19 +14,29 @@
                                         .confirms = true,
                                         .confirmsRecordedWriter = true};
 
+LostCommitRules withVouches()
+{
+    LostCommitRules rules = RosterAndAnswers;
+    rules.vouchesConnections = true;
+    return rules;
+}
+
 struct ScheduleRow
 {
     const char *name;
     LostCommitRules rules;
     bool losesCommits;
     unsigned seeds;
+    bool crashesServers = false;
 };
 
 const ScheduleRow Rows[] = {
         {"without the rules", {}, true, 500},
         {"departed servers are kept", {.keepsDeparted = true, .coversByRecorded = true}, true, 500},
         {"answers are confirmed", {.confirms = true}, true, 500},
-        {"all rules", RosterAndAnswers, false, 500},
+        {"all rules but vouching", RosterAndAnswers, false, 500},
+        {"servers crash, all rules but vouching", RosterAndAnswers, true, 500, true},
+        {"servers crash, all rules", withVouches(), false, 1000, true},
 };
 
 } // namespace
@@ -42,6 +52,8 @@
         for (unsigned seed = 1; seed <= row.seeds; ++seed) {
             CAPTURE(seed);
             LostCommitRig rig(row.rules, seed);
+            if (row.crashesServers)
+                rig.crashServers();
             rig.run();
             lost += rig.lost();
             promotions += rig.promotions();
--- a/test/unit/failover/serverroster_test.cpp
+++ b/test/unit/failover/serverroster_test.cpp
@@ -93,8 +93,10 @@
     ServerRoster copy;
     copy.restore(roster.snapshot());
     CHECK((copy.openOrders(service) == std::set<ServerId> {ServerId("s2")}));
+    CHECK((copy.servicesWithOpenOrders() == std::set<ServiceName> {service}));
     copy.apply(2, ServerRoster::encodeOrdersClosed(service));
     CHECK(copy.openOrders(service).empty());
+    CHECK(copy.servicesWithOpenOrders().empty());
 }
 
 // Guards against a departed server that a restarted control VM takes for one that is present.
--- a/test/unit/proxy/commitconfirmations_test.cpp
+++ b/test/unit/proxy/commitconfirmations_test.cpp
@@ -59,6 +59,39 @@
     CHECK(commits.noteHeld(OtherReplica, {3, 20}) == std::vector<SessionKey> {Caller});
 }
 
+TEST_CASE("a commit whose acknowledgement doesn't count needs two replicas, or the primary's word")
+{
+    CommitConfirmations commits = confirmations();
+    const UnconfirmedCommit commit {{3, 20}, Primary, Start, false};
+    commits.add(Caller, commit);
+    CHECK(commits.noteHeld(Replica, {3, 20}).empty());
+    CHECK(commits.isHolder(Replica));
+    CHECK_FALSE(commits.isHolder(Primary));
+    const auto question = commits.next({Replica, Primary, OtherReplica}, Start);
+    REQUIRE(question);
+    CHECK(question->server == Primary);
+    CHECK(commits.noteHeld(Primary, {3, 20}) == std::vector<SessionKey> {Caller});
+    commits.confirmed();
+    commits.add(Caller, commit);
+    CHECK(commits.noteHeld(Replica, {3, 20}).empty());
+    CHECK(commits.noteHeld(OtherReplica, {3, 20}) == std::vector<SessionKey> {Caller});
+}
+
+TEST_CASE("a server whose answer doesn't count is asked again after the others")
+{
+    CommitConfirmations commits = confirmations();
+    commits.add(Caller, {{3, 20}, Primary, Start});
+    CHECK(commits.next({Replica, OtherReplica}, Start)->server == Replica);
+    commits.missed(ConfirmationMiss::Unvouched, Start);
+    CHECK(commits.unvouchedServers() == std::set<ServerId> {Replica});
+    CHECK(commits.next({Replica, OtherReplica}, Start)->server == OtherReplica);
+    commits.missed(ConfirmationMiss::Unvouched, Start);
+    CHECK_FALSE(commits.next({Replica, OtherReplica}, Start));
+    CHECK(commits.next({Replica, OtherReplica}, Start + 20ms)->server == Replica);
+    CHECK(commits.noteHeld(Replica, {3, 20}) == std::vector<SessionKey> {Caller});
+    CHECK(commits.unvouchedServers() == std::set<ServerId> {OtherReplica});
+}
+
 TEST_CASE("a server that is recorded later counts from then on")
 {
     CommitConfirmations commits = confirmations();
--- a/test/unit/proxy/serverhome_test.cpp
+++ b/test/unit/proxy/serverhome_test.cpp
@@ -394,3 +394,22 @@
     fixture.openAll();
     CHECK(fixture.wasSent("proof"));
 }
+
+// Guards against a confirmation by a server that started again after a change had held it.
+TEST_CASE("a lane is told that a reply came on a connection that isn't vouched for")
+{
+    ServerHomeFixture fixture;
+    fixture.home.vouches().setTold(true);
+    fixture.ask(1, ServerHomeFixture::read("q1"));
+    fixture.openAll();
+    fixture.answer("q1");
+    CHECK_FALSE(fixture.replies.back().reply.isVouched);
+    fixture.ask(1, ServerHomeFixture::read("q2"));
+    fixture.home.vouches().learn({{}, fixture.now}, fixture.now + 1ms);
+    fixture.answer("q2");
+    CHECK_FALSE(fixture.replies.back().reply.isVouched); // it was sent before
+    fixture.advanceTime(1ms);
+    fixture.ask(1, ServerHomeFixture::read("q3"));
+    fixture.answer("q3");
+    CHECK(fixture.replies.back().reply.isVouched);
+}
--- a/test/unit/proxy/sessionconfirmations_test.cpp
+++ b/test/unit/proxy/sessionconfirmations_test.cpp
@@ -345,3 +345,63 @@
     fixture.write("w2", 2);
     CHECK_FALSE(fixture.faultOf("w2"));
 }
+
+// Guards against lost commits that were answered: a replica that started again during a change of
+// primary receives what the change doesn't cover.
+TEST_CASE("a replica confirms no commit on a connection that isn't vouched for")
+{
+    ConfirmationFixture fixture;
+    fixture.proxy.setChangesTold(true);
+    fixture.server("r1").receives = fixture.server("r2").receives = true;
+    fixture.write("w1");
+    fixture.serveFor(200ms);
+    CHECK_FALSE(fixture.isAnswered("w1"));
+    CHECK(fixture.proxy.needsOpenChanges(fixture.now));
+    fixture.proxy.takeOpenChanges({{SessionProxyFixture::Service}, fixture.now}, fixture.now);
+    fixture.serveFor(50ms);
+    CHECK_FALSE(fixture.isAnswered("w1"));
+    fixture.proxy.takeOpenChanges({{}, fixture.now}, fixture.now);
+    fixture.serveFor(50ms);
+    CHECK_FALSE(fixture.faultOf("w1"));
+    CHECK_FALSE(fixture.proxy.needsOpenChanges(fixture.now));
+    fixture.write("w2");
+    fixture.serveFor(20ms);
+    CHECK_FALSE(fixture.faultOf("w2"));
+}
+
+TEST_CASE("a home's reply that isn't vouched for confirms no commit")
+{
+    ConfirmationFixture fixture;
+    fixture.hasHomes = true;
+    fixture.proxy.setChangesTold(true);
+    fixture.server("r1").receives = fixture.server("r2").receives = true;
+    fixture.server("r1").isVouched = fixture.server("r2").isVouched = false;
+    fixture.write("w1");
+    fixture.serveFor(100ms);
+    CHECK_FALSE(fixture.isAnswered("w1"));
+    CHECK(fixture.proxy.needsOpenChanges(fixture.now));
+    fixture.server("r2").isVouched = true;
+    fixture.serveFor(50ms);
+    CHECK_FALSE(fixture.faultOf("w1"));
+}
+
+TEST_CASE("writes are refused as not run while no replica's answer counts, until one may")
+{
+    ConfirmationFixture fixture;
+    fixture.hasHomes = true;
+    fixture.proxy.setChangesTold(true);
+    fixture.server("r1").receives = fixture.server("r2").receives = true;
+    fixture.server("r1").isVouched = fixture.server("r2").isVouched = false;
+    fixture.write("w1");
+    fixture.serveFor(400ms);
+    fixture.session(2, "casks");
+    fixture.write("w2", 2);
+    CHECK((fixture.faultOf("w2") == StatementFault::Busy));
+    fixture.server("r1").isVouched = true;
+    fixture.proxy.takeOpenChanges({{}, fixture.now}, fixture.now);
+    fixture.serveFor(50ms);
+    CHECK_FALSE(fixture.faultOf("w1"));
+    fixture.write("w3", 2);
+    fixture.serveFor(20ms);
+    CHECK_FALSE(fixture.faultOf("w3"));
+}
--- a/test/unit/proxy/sessionproxyfixture.h
+++ b/test/unit/proxy/sessionproxyfixture.h
@@ -25,6 +25,7 @@
     bool receives = false; // its log follows each commit of the primary at once
     Duration ran {}; // run time of a statement as its home reports it
     Duration wait {}; // wait at its home as that reports it
+    bool isVouched = true; // its home's connection is vouched for
     int statements = 0; // number of statements that it ran
 };
 
@@ -221,6 +222,7 @@
         ServerReply reply;
         reply.position = server.applied;
         reply.wait = server.wait;
+        reply.isVouched = server.isVouched;
         if (sent.command.kind == ServerCommandKind::Status) {
             reply.rows = {sent.server.text()};
             return reply;
--- a/test/unit/site/lanewire_test.cpp
+++ b/test/unit/site/lanewire_test.cpp
@@ -243,3 +243,11 @@
     encoded.asksStatus = false;
     CHECK((fromWire(encoded).kind == ServerCommandKind::BeginReadOnly));
 }
+
+TEST_CASE("a reply says that it isn't vouched for, and one of an older home counts")
+{
+    ServerReply reply;
+    reply.isVouched = false;
+    CHECK_FALSE(fromWire(toWire(7, reply)).isVouched);
+    CHECK(fromWire(wire::LaneReply()).isVouched);
+}
--- a/test/unit/site/sitewire_test.cpp
+++ b/test/unit/site/sitewire_test.cpp
@@ -32,6 +32,20 @@
     CHECK(fromWire(std::vector<wire::AgedProof> {encoded}).front().age == Duration::zero());
 }
 
+TEST_CASE("open changes keep their services, and never look younger than they are")
+{
+    const TimePoint now(100s);
+    const OpenChanges told {{ServiceName("db")}, now - 1500ns};
+    const wire::OpenChanges encoded = toWire(told, now);
+    CHECK(encoded.ageMicroseconds == 2);
+    const OpenChanges back = fromWire(encoded, now);
+    CHECK(back.services == told.services);
+    CHECK(back.asOf <= told.asOf);
+    wire::OpenChanges ahead;
+    ahead.ageMicroseconds = -5; // no process sends it
+    CHECK(fromWire(ahead, now).asOf == now);
+}
+
 TEST_CASE("invalid fields in a peer's message are refused on reading")
 {
     wire::HomeVm candidate;
