--- a/gen/peer_types.cpp
+++ b/gen/peer_types.cpp
@@ -5064,6 +5064,16 @@
   this->leavingMilliseconds = val;
 __isset.leavingMilliseconds = true;
 }
+
+void ServerRecord::__set_readySequence(const int64_t val) {
+  this->readySequence = val;
+__isset.readySequence = true;
+}
+
+void ServerRecord::__set_departedAfter(const int64_t val) {
+  this->departedAfter = val;
+__isset.departedAfter = true;
+}
 std::ostream& operator<<(std::ostream& out, const ServerRecord& obj)
 {
   obj.printTo(out);
@@ -5188,6 +5198,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->readySequence);
+          this->__isset.readySequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->departedAfter);
+          this->__isset.departedAfter = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5254,6 +5280,16 @@
     xfer += oprot->writeI64(this->leavingMilliseconds);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.readySequence) {
+    xfer += oprot->writeFieldBegin("readySequence", ::apache::thrift::protocol::T_I64, 13);
+    xfer += oprot->writeI64(this->readySequence);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.departedAfter) {
+    xfer += oprot->writeFieldBegin("departedAfter", ::apache::thrift::protocol::T_I64, 14);
+    xfer += oprot->writeI64(this->departedAfter);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5273,6 +5309,8 @@
   swap(a.isGone, b.isGone);
   swap(a.confirmedTerm, b.confirmedTerm);
   swap(a.leavingMilliseconds, b.leavingMilliseconds);
+  swap(a.readySequence, b.readySequence);
+  swap(a.departedAfter, b.departedAfter);
   swap(a.__isset, b.__isset);
 }
 
@@ -5289,6 +5327,8 @@
   isGone = other135.isGone;
   confirmedTerm = other135.confirmedTerm;
   leavingMilliseconds = other135.leavingMilliseconds;
+  readySequence = other135.readySequence;
+  departedAfter = other135.departedAfter;
   __isset = other135.__isset;
 }
 ServerRecord& ServerRecord::operator=(const ServerRecord& other136) {
@@ -5304,6 +5344,8 @@
   isGone = other136.isGone;
   confirmedTerm = other136.confirmedTerm;
   leavingMilliseconds = other136.leavingMilliseconds;
+  readySequence = other136.readySequence;
+  departedAfter = other136.departedAfter;
   __isset = other136.__isset;
   return *this;
 }
@@ -5322,6 +5364,8 @@
   out << ", " << "isGone=" << to_string(isGone);
   out << ", " << "confirmedTerm=" << to_string(confirmedTerm);
   out << ", " << "leavingMilliseconds="; (__isset.leavingMilliseconds ? (out << to_string(leavingMilliseconds)) : (out << "<null>"));
+  out << ", " << "readySequence="; (__isset.readySequence ? (out << to_string(readySequence)) : (out << "<null>"));
+  out << ", " << "departedAfter="; (__isset.departedAfter ? (out << to_string(departedAfter)) : (out << "<null>"));
   out << ")";
 }
 
--- a/gen/peer_types.h
+++ b/gen/peer_types.h
@@ -2056,7 +2056,7 @@
 std::ostream& operator<<(std::ostream& out, const NodeStatusReply& obj);
 
 typedef struct _ServerRecord__isset {
-  _ServerRecord__isset() : server(false), serviceName(false), address(false), failureDomain(false), slots(false), isLeaving(false), isPrimary(false), lifetime(false), sequence(false), isGone(false), confirmedTerm(false), leavingMilliseconds(false) {}
+  _ServerRecord__isset() : server(false), serviceName(false), address(false), failureDomain(false), slots(false), isLeaving(false), isPrimary(false), lifetime(false), sequence(false), isGone(false), confirmedTerm(false), leavingMilliseconds(false), readySequence(false), departedAfter(false) {}
   bool server :1;
   bool serviceName :1;
   bool address :1;
@@ -2069,6 +2069,8 @@
   bool isGone :1;
   bool confirmedTerm :1;
   bool leavingMilliseconds :1;
+  bool readySequence :1;
+  bool departedAfter :1;
 } _ServerRecord__isset;
 
 class ServerRecord : public virtual ::apache::thrift::TBase {
@@ -2088,7 +2090,9 @@
                  sequence(0),
                  isGone(0),
                  confirmedTerm(0),
-                 leavingMilliseconds(0) {
+                 leavingMilliseconds(0),
+                 readySequence(0),
+                 departedAfter(0) {
   }
 
   virtual ~ServerRecord() noexcept;
@@ -2104,6 +2108,8 @@
   bool isGone;
   int64_t confirmedTerm;
   int64_t leavingMilliseconds;
+  int64_t readySequence;
+  int64_t departedAfter;
 
   _ServerRecord__isset __isset;
 
@@ -2131,6 +2137,10 @@
 
   void __set_leavingMilliseconds(const int64_t val);
 
+  void __set_readySequence(const int64_t val);
+
+  void __set_departedAfter(const int64_t val);
+
   bool operator == (const ServerRecord & rhs) const
   {
     if (!(server == rhs.server))
@@ -2159,6 +2169,14 @@
       return false;
     else if (__isset.leavingMilliseconds && !(leavingMilliseconds == rhs.leavingMilliseconds))
       return false;
+    if (__isset.readySequence != rhs.__isset.readySequence)
+      return false;
+    else if (__isset.readySequence && !(readySequence == rhs.readySequence))
+      return false;
+    if (__isset.departedAfter != rhs.__isset.departedAfter)
+      return false;
+    else if (__isset.departedAfter && !(departedAfter == rhs.departedAfter))
+      return false;
     return true;
   }
   bool operator != (const ServerRecord &rhs) const {
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -283,6 +283,8 @@
   10: bool isGone,
   11: i64 confirmedTerm,                // in which control made sure who leads
   12: optional i64 leavingMilliseconds, // for which it has been leaving when this was sent
+  13: optional i64 readySequence,       // these two where a departure was noted in this lifetime
+  14: optional i64 departedAfter,
 }
 
 // An accepted configuration in the operator's own form.
--- a/include/nutmegtide/failover/serverroster.h
+++ b/include/nutmegtide/failover/serverroster.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <mutex>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -50,8 +51,9 @@
     // Returns the servers whose promotion may still be carried out.
     std::set<ServerId> openOrders(const ServiceName &service) const;
     std::set<ServiceName> servicesWithOpenOrders() const;
-    // Returns the servers of all services.
-    std::set<ServerId> presentServers() const;
+    // Returns the present servers of these services, or of all.
+    std::set<ServerId> presentServers(
+            const std::optional<std::set<ServiceName>> &services = std::nullopt) const;
     // Returns the announcements of the servers of all services.
     std::vector<ServerAnnouncement> announcements() const;
     // Increases whenever the servers of a service are replaced.
--- a/include/nutmegtide/proxy/routetable.h
+++ b/include/nutmegtide/proxy/routetable.h
@@ -76,6 +76,7 @@
     // some of their statements can wait for others, so their servers are shared by load. With 0
     // there are none.
     std::set<ServiceName> balancedServices(std::chrono::milliseconds patientObjective) const;
+    std::set<ServiceName> serviceNames() const;
     // Returns the services whose commits are confirmed: their primaries wait for replicas.
     std::set<ServiceName> confirmedServices() const;
     bool operator==(const RouteTable &) const = default;
--- a/include/nutmegtide/proxy/serverregistry.h
+++ b/include/nutmegtide/proxy/serverregistry.h
@@ -1,67 +1,39 @@
 #pragma once
 
-#include "nutmegtide/base/endpoint.h"
 #include "nutmegtide/base/ids.h"
 #include "nutmegtide/base/time.h"
-#include "nutmegtide/proxy/routetable.h"
+#include "nutmegtide/proxy/serverrecord.h"
 
 #include <map>
 #include <optional>
-#include <string>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace nutmegtide {
 
-// State that a backend server announces.
-struct ServerAnnouncement
-{
-    ServerId server;
-    ServiceName service;
-    Endpoint address;
-    FailureDomain failureDomain;
-    int slots = 0; // statements that the server runs concurrently
-    bool isLeaving = false;
-    bool isPrimary = false;
-    // Increases with each start of the server; 0 if the server doesn't announce it.
-    std::uint64_t lifetime = 0;
-    std::uint64_t sequence = 0; // increases with each announcement of a lifetime
-
-    bool operator==(const ServerAnnouncement &) const = default;
-};
-
-// Latest announcement of a server, and what is known of it besides.
-struct ServerRecord
-{
-    ServerAnnouncement announcement;
-    bool isGone = false;
-    // Latest term in which control confirmed the service's primary; announcement.isPrimary is from
-    // that confirmation or later. 0 if it was never confirmed.
-    Term confirmedTerm = 0;
-    // When the server began to leave, by the clock of this process; nullopt if it isn't leaving.
-    std::optional<TimePoint> leavingSince {};
-
-    // Returns whether the server has been leaving for `leaveTime`, after which it gets no new work.
-    bool isPastLeaveTime(Duration leaveTime, TimePoint now) const
-    {
-        return leavingSince && now - *leavingSince >= leaveTime;
-    }
-    // Ignores leavingSince: each process that receives the record computes it anew, so a difference
-    // is not a change.
-    bool operator==(const ServerRecord &other) const
-    {
-        return announcement == other.announcement && isGone == other.isGone
-                && confirmedTerm == other.confirmedTerm;
-    }
-};
-
-// Directory of all backend servers. An announcement older than the stored one is ignored, so copies
-// of the registry can be merged in any order.
+// Directory of all backend servers. latestOf() says which word about a server counts, so copies of
+// the registry can be merged in any order.
+//
+// Anybody may announce servers. Words about a service that the configuration doesn't name, or under
+// the id of another service's present server, are set aside: they hide no server, and nothing but
+// counts() tells of them. A bounded number is kept, for the case that the configuration names the
+// service later.
 //
+//   registry.setServices(routes.serviceNames());
 //   if (registry.merge({announcement, false}, now))
 //       tellOthers(registry.find(id));
 class ServerRegistry
 {
 public:
+    static constexpr std::size_t MostServers = 16'384; // of named services
+    static constexpr std::size_t MostSetAside = 1'024;
+
+    // Sets the services that the configuration names. Until then all count.
+    void setServices(std::set<ServiceName> services, TimePoint now);
+    const std::optional<std::set<ServiceName>> &services() const { return m_services; }
+    // Returns whether a word about this server counts, rather than being set aside.
+    bool counts(const ServerAnnouncement &announcement) const;
     // Merges a record. Returns whether the stored record changed.
     bool merge(const ServerRecord &record, TimePoint now);
     // Records that the server has left for good. Returns whether that is a change.
@@ -101,9 +73,14 @@
         std::uint64_t changedAt = 0; // the version of the latest change
     };
 
+    bool isNamed(const ServiceName &service) const;
     void noteChange(const ServerId &server, Entry &entry);
+    void setAside(const ServerRecord &record, TimePoint now);
+    void forgetSetAside(TimePoint now);
 
     std::map<ServerId, Entry> m_entries;
+    std::map<std::pair<ServiceName, ServerId>, Entry> m_setAside;
+    std::optional<std::set<ServiceName>> m_services;
     std::map<std::uint64_t, ServerId> m_byChange; // by Entry::changedAt
     std::uint64_t m_version = 0;
 };
--- a/src/failover/serverroster.cpp
+++ b/src/failover/serverroster.cpp
@@ -221,11 +221,14 @@
     return all;
 }
 
-std::set<ServerId> ServerRoster::presentServers() const
+std::set<ServerId> ServerRoster::presentServers(
+        const std::optional<std::set<ServiceName>> &services) const
 {
     std::set<ServerId> all;
     const std::lock_guard lock(m_mutex);
     for (const auto &[service, servers] : m_services) {
+        if (services && services->count(service) == 0)
+            continue;
         const auto departed = m_departed.find(service);
         for (const auto &[id, announcement] : servers) {
             const bool isDeparted = departed != m_departed.end() && departed->second.count(id) != 0;
--- a/src/proxy/routetable.cpp
+++ b/src/proxy/routetable.cpp
@@ -28,6 +28,14 @@
     return services;
 }
 
+std::set<ServiceName> RouteTable::serviceNames() const
+{
+    std::set<ServiceName> names;
+    for (const auto &[name, service] : services)
+        names.insert(name);
+    return names;
+}
+
 std::set<ServiceName> RouteTable::confirmedServices() const
 {
     std::set<ServiceName> confirmed;
--- a/src/proxy/serverregistry.cpp
+++ b/src/proxy/serverregistry.cpp
@@ -2,22 +2,23 @@
 
 #include <algorithm>
 #include <initializer_list>
-#include <tuple>
 
 namespace nutmegtide {
 
 namespace {
 
-// Ordering key of a server's records. Within a lifetime, the record of its departure is the last
-// one.
-auto orderOf(const ServerRecord &record)
+constexpr auto SetAsideTime = 10s; // a word that is set aside is kept for so long
+
+// Of a server that stays gone, nothing more is told.
+bool staysGone(const ServerRecord &left, const ServerRecord &right)
 {
-    return std::make_tuple(record.announcement.lifetime, record.isGone,
-                           record.announcement.sequence);
+    return left.isGone && right.isGone && left.announcement.lifetime == right.announcement.lifetime;
 }
 
 bool isSameState(const ServerRecord &left, const ServerRecord &right)
 {
+    if (staysGone(left, right))
+        return true;
     ServerRecord copy = left;
     copy.announcement.sequence = right.announcement.sequence;
     return copy == right;
@@ -41,33 +42,89 @@
 
 } // namespace
 
+void ServerRegistry::setServices(std::set<ServiceName> services, TimePoint now)
+{
+    if (m_services == services)
+        return;
+    m_services = std::move(services);
+    std::vector<ServerRecord> unnamed;
+    std::erase_if(m_entries, [&](const auto &item) {
+        const ServerRecord &record = item.second.record;
+        if (isNamed(record.announcement.service))
+            return false;
+        unnamed.push_back(record);
+        m_byChange.erase(item.second.changedAt);
+        return true;
+    });
+    if (!unnamed.empty())
+        ++m_version;
+    const auto kept = std::exchange(m_setAside, {});
+    for (const ServerRecord &record : unnamed)
+        setAside(record, now);
+    for (const auto &[key, entry] : kept)
+        merge(entry.record, now);
+}
+
+bool ServerRegistry::isNamed(const ServiceName &service) const
+{
+    return !m_services || m_services->count(service) != 0;
+}
+
+bool ServerRegistry::counts(const ServerAnnouncement &announcement) const
+{
+    if (!isNamed(announcement.service))
+        return false;
+    const auto found = m_entries.find(announcement.server);
+    if (found == m_entries.end())
+        return m_entries.size() < MostServers;
+    const ServerRecord &known = found->second.record;
+    return known.isGone || known.announcement.service == announcement.service;
+}
+
+void ServerRegistry::setAside(const ServerRecord &record, TimePoint now)
+{
+    if (m_setAside.size() >= MostSetAside)
+        forgetSetAside(now);
+    const auto key = std::make_pair(record.announcement.service, record.announcement.server);
+    const auto found = m_setAside.find(key);
+    if (found != m_setAside.end())
+        found->second = {latestOf(found->second.record, record), now};
+    else if (m_setAside.size() < MostSetAside)
+        m_setAside[key] = {record, now};
+}
+
+void ServerRegistry::forgetSetAside(TimePoint now)
+{
+    std::erase_if(m_setAside,
+                  [now](const auto &item) { return now - item.second.heardAt > SetAsideTime; });
+}
+
 bool ServerRegistry::merge(const ServerRecord &record, TimePoint now)
 {
-    const auto found = m_entries.find(record.announcement.server);
-    if (found == m_entries.end()) {
-        ServerRecord first = record;
-        first.leavingSince = leavingSince(record.announcement, {&record}, now);
-        Entry &entry = m_entries[record.announcement.server];
-        entry = {first, now};
-        noteChange(record.announcement.server, entry);
+    const ServerId &server = record.announcement.server;
+    if (!counts(record.announcement)) {
+        setAside(record, now);
+        return false;
+    }
+    const auto found = m_entries.find(server);
+    const bool isReplaced = found != m_entries.end()
+            && found->second.record.announcement.service != record.announcement.service;
+    if (found == m_entries.end() || isReplaced) {
+        Entry &entry = m_entries[server];
+        entry.record = latestOf(record, record);
+        entry.record.leavingSince = leavingSince(entry.record.announcement, {&record}, now);
+        entry.heardAt = now;
+        noteChange(server, entry);
         return true;
     }
     Entry &entry = found->second;
-    ServerRecord latest = entry.record;
-    if (orderOf(record) > orderOf(latest)) {
-        latest = record;
-        latest.confirmedTerm = std::max(record.confirmedTerm, entry.record.confirmedTerm);
+    ServerRecord latest = latestOf(entry.record, record);
+    if (latest.announcement != entry.record.announcement || latest.isGone != entry.record.isGone)
         entry.heardAt = now;
-    }
-    // A confirmation is later than the announcement in its own record, and perhaps than newer ones.
-    if (record.confirmedTerm > entry.record.confirmedTerm) {
-        latest.confirmedTerm = record.confirmedTerm;
-        latest.announcement.isPrimary = record.announcement.isPrimary;
-    }
     latest.leavingSince = leavingSince(latest.announcement, {&entry.record, &record}, now);
-    const bool isChanged = latest != entry.record;
+    const bool isChanged = latest != entry.record && !staysGone(latest, entry.record);
     if (!isSameState(entry.record, latest))
-        noteChange(record.announcement.server, entry);
+        noteChange(server, entry);
     entry.record = latest;
     return isChanged;
 }
@@ -77,7 +134,7 @@
     const auto found = m_entries.find(server);
     if (found == m_entries.end() || found->second.record.isGone)
         return false;
-    found->second.record.isGone = true;
+    found->second.record = departed(found->second.record);
     found->second.heardAt = now;
     noteChange(server, found->second);
     return true;
@@ -164,6 +221,7 @@
 
 void ServerRegistry::forget(std::chrono::milliseconds age, TimePoint now)
 {
+    forgetSetAside(now);
     std::erase_if(m_entries, [this, age, now](const auto &item) {
         const bool isForgotten = item.second.record.isGone && now - item.second.heardAt > age;
         if (isForgotten)
--- a/src/site/controlnode.cpp
+++ b/src/site/controlnode.cpp
@@ -162,13 +162,18 @@
     ServerRecord record {announcement, false};
     std::uint64_t before = 0;
     std::uint64_t after = 0;
+    bool isCounted = false;
     {
         const std::lock_guard lock(m_mutex);
         before = m_registry.version();
+        isCounted = m_registry.counts(announcement);
         m_registry.merge(record, EventLoop::now());
         after = m_registry.version();
-        record.leavingSince = m_registry.find(announcement.server)->leavingSince;
+        if (isCounted)
+            record = *m_registry.find(announcement.server);
     }
+    if (!isCounted)
+        logSetAside(announcement);
     if (before == after)
         return;
     log(LogLevel::Info, "server_announced",
@@ -182,6 +187,24 @@
     broadcast(record);
 }
 
+// Anybody may announce anything, so only some lines are written.
+void ControlNode::logSetAside(const ServerAnnouncement &announcement)
+{
+    const std::string event = "announcement_set_aside";
+    std::uint64_t suppressed = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_setAsideLog.take(event, EventLoop::now(), suppressed))
+            return;
+    }
+    log(LogLevel::Warning, event,
+        {{"server", announcement.server.text()},
+         {"service", announcement.service.text()},
+         {"address", toString(announcement.address)},
+         {"suppressed", std::to_string(suppressed)},
+         {"reason", "the service isn't named, or a server of another one has this id"}});
+}
+
 void ControlNode::depart(const ServerId &server)
 {
     ServerRecord record;
@@ -288,6 +311,8 @@
     for (const ServerRecord &record : m_registry.all()) {
         if (record.isGone)
             departed.insert(record.announcement.server);
+        else
+            departed.erase(record.announcement.server);
     }
     return departed;
 }
--- a/src/site/controlnode.h
+++ b/src/site/controlnode.h
@@ -16,6 +16,7 @@
 #include "site/primarychangemanager.h"
 #include "site/proofcollector.h"
 #include "site/siteidentity.h"
+#include "site/sitelog.h"
 #include "site/updatesender.h"
 
 #include <atomic>
@@ -41,6 +42,8 @@
     void reload(const NodeSettings &settings);
 
 private:
+    static constexpr int SetAsideLines = 2; // per second, of announcements that don't count
+
     // Requests of servers and operators.
     void announce(const ServerAnnouncement &announcement) override;
     void depart(const ServerId &server) override;
@@ -49,6 +52,7 @@
 
     // Requests of other processes.
     wire::FollowReply answerFollow(const wire::Header &from, const wire::FollowRequest &request);
+    void logSetAside(const ServerAnnouncement &announcement);
     // Returns null where this VM can't tell them.
     std::shared_ptr<const RecordedServers> knownRecordedServers(bool isCurrent);
     std::vector<wire::AgedProof> answerProofs(const std::vector<std::string> &services);
@@ -135,6 +139,7 @@
 
     mutable std::mutex m_mutex;
     ServerRegistry m_registry;
+    LogRateLimiter m_setAsideLog {SetAsideLines};
     // Added to the registry's version. Other runs of this process have other bases, and their
     // ranges don't overlap.
     const std::int64_t m_versionBase = std::int64_t(std::random_device()() & 0x7fff'ffffU) << 32U;
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -28,6 +28,16 @@
 constexpr auto LongestListInterval = 2s;
 constexpr std::size_t CompressFrom = 2048; // bytes; smaller configurations aren't compressed
 
+// Returns the services that the configuration names; nullopt for one that can't be read.
+std::optional<std::set<ServiceName>> servicesOf(const std::string &text)
+{
+    try {
+        return readConfiguration(text).serviceNames();
+    } catch (const RouteTableError &) {
+        return std::nullopt; // it was checked when it was accepted, perhaps by another version
+    }
+}
+
 // Returns the requesting entry VM where it accepts lanes. Throws EndpointError.
 std::optional<HomeCandidate> homeOf(const wire::Header &from, const std::string &lanes)
 {
@@ -136,7 +146,7 @@
     if (isChanged && now - m_ownRecordedAt >= listInterval()) {
         m_ownRecordedAt = now;
         m_ownRecorded = std::make_shared<const RecordedServers>(
-                recordedServers(m_roster.presentServers()));
+                recordedServers(m_roster.presentServers(m_registry.services())));
         m_ownRecordedVersion = version;
     }
     return m_ownRecorded;
@@ -227,8 +237,8 @@
     for (const ServerRecord &record : records) {
         const ServerAnnouncement &announcement = record.announcement;
         const bool isNew = m_registry.find(announcement.server) == nullptr;
-        m_registry.merge(record, EventLoop::now());
-        if (!isNew)
+        const bool isChanged = m_registry.merge(record, EventLoop::now());
+        if (!isNew || !isChanged)
             continue;
         log(LogLevel::Info, "server_learned",
             {{"server", announcement.server.text()},
@@ -241,9 +251,12 @@
 
 void ControlNode::setConfiguration(Revision revision, const std::string &text)
 {
+    const std::optional<std::set<ServiceName>> services = servicesOf(text);
     const std::lock_guard lock(m_mutex);
     if (revision <= m_revision)
         return;
+    if (services)
+        m_registry.setServices(*services, EventLoop::now());
     m_revision = revision;
     m_configuration = text;
     m_compressed.clear();
@@ -265,12 +278,12 @@
         m_rosterImportedAt = now;
     }
     const std::vector<ServerAnnouncement> known = m_roster.announcements();
-    const std::set<ServerId> departed = m_roster.departed();
     m_hasRoster = !known.empty();
     std::vector<ServerRecord> unheard;
     const std::lock_guard lock(m_mutex);
     for (const ServerAnnouncement &announcement : known) {
-        const bool isDeparted = departed.count(announcement.server) != 0;
+        const bool isDeparted = m_roster.departedOf(announcement.service).count(announcement.server)
+                != 0;
         if (isDeparted || m_registry.find(announcement.server) == nullptr)
             unheard.push_back({announcement, isDeparted});
     }
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -201,20 +201,24 @@
         for (const ServerRecord &record : *view.servers)
             isChanged = m_registry.merge(record, now) || isChanged;
         m_hasServerList = true;
-        if (isChanged) {
-            const std::vector<ServerRecord> present = m_registry.present();
-            m_proxy.setServers(present, now);
-            m_links.setServers(present);
-            updateLenders();
-            if (m_home)
-                m_home->setServers(present);
-            logLine(LogLevel::Info, "servers_known",
-                    {{"count", std::to_string(present.size())}, {"from", toString(view.from)}});
-        }
+        if (isChanged)
+            useServers(view.from);
     }
     updateReadiness();
 }
 
+void EntryNode::useServers(const Endpoint &from)
+{
+    const std::vector<ServerRecord> present = m_registry.present();
+    m_proxy.setServers(present, EventLoop::now());
+    m_links.setServers(present);
+    updateLenders();
+    if (m_home)
+        m_home->setServers(present);
+    logLine(LogLevel::Info, "servers_known",
+            {{"count", std::to_string(present.size())}, {"from", toString(from)}});
+}
+
 void EntryNode::applyOpenChanges(const ControlView &view, TimePoint now)
 {
     m_proxy.setChangesTold(view.tellsChanges);
@@ -244,6 +248,10 @@
     m_revision = routes.revision;
     m_counts.setRevision(m_revision);
     m_proxy.setRoutes(shared, EventLoop::now());
+    const std::uint64_t before = m_registry.version();
+    m_registry.setServices(routes.serviceNames(), EventLoop::now());
+    if (m_hasServerList && m_registry.version() != before)
+        useServers(from);
     std::map<ServiceName, int> limits;
     for (const auto &[name, service] : routes.services)
         limits[name] = service.maxConnections;
--- a/src/site/entrynode.h
+++ b/src/site/entrynode.h
@@ -81,6 +81,7 @@
     void updateLenders();
     void applyRoutes(RouteTable table, const Endpoint &from);
     void applyView(const ControlView &view);
+    void useServers(const Endpoint &from);
     void applyOpenChanges(const ControlView &view, TimePoint now);
     void askForOpenChanges();
     void afterEvents();
--- a/src/site/primarychangemanager.cpp
+++ b/src/site/primarychangemanager.cpp
@@ -167,7 +167,7 @@
     if (now < m_rosterDueAt)
         return;
     m_rosterDueAt = now + RosterInterval;
-    const std::set<ServerId> departed = m_departed();
+    const std::set<ServerId> departed = departedServers();
     for (const auto &[service, servers] : services) {
         const ServerRoster::Servers before = m_roster.announcementsOf(service);
         const std::set<ServerId> uncovered = rosterOf(service).departed;
--- a/src/site/primarychangemanager.h
+++ b/src/site/primarychangemanager.h
@@ -108,6 +108,10 @@
                                       const std::set<ServerId> &departed) const;
     // Returns the service's thread for calls that block.
     TaskWorker &workerOf(const ServiceName &service);
+    // Returns the departed servers that don't answer here any more.
+    std::set<ServerId> departedServers() const;
+    // Asks departed servers for their status, so that the link to one that has ended fails.
+    void askDeparted(TimePoint now);
     // Finds out which departed servers are covered, and passes it on to the change.
     void followDepartures(const std::map<ServiceName, std::vector<ServerRecord>> &services,
                           TimePoint now);
--- a/src/site/primarychangemanagerdepartures.cpp
+++ b/src/site/primarychangemanagerdepartures.cpp
@@ -6,6 +6,12 @@
 
 namespace nutmegtide {
 
+namespace {
+
+constexpr auto DepartedInterval = 100ms; // between questions to a departed server that answers
+
+} // namespace
+
 // Returns the recorded servers without those that have departed and are covered.
 RosterView PrimaryChangeManager::rosterOf(const ServiceName &service) const
 {
@@ -24,10 +30,35 @@
     return roster;
 }
 
+// One that answers still receives commits, or its departure was held up and it has started again.
+std::set<ServerId> PrimaryChangeManager::departedServers() const
+{
+    std::set<ServerId> departed = m_departed();
+    for (const auto &[key, link] : m_links) {
+        if (link.isOpen)
+            departed.erase(link.server);
+    }
+    return departed;
+}
+
+void PrimaryChangeManager::askDeparted(TimePoint now)
+{
+    const std::set<ServerId> departed = m_departed();
+    std::vector<std::pair<ServiceName, ServerId>> answering;
+    for (const auto &[key, link] : m_links) {
+        const bool isDue = link.isOpen && now - link.activeAt >= DepartedInterval;
+        if (isDue && departed.count(link.server) != 0)
+            answering.emplace_back(link.service, link.server);
+    }
+    for (const auto &[service, server] : answering)
+        askForDeparture(service, server, now);
+}
+
 void PrimaryChangeManager::followDepartures(
         const std::map<ServiceName, std::vector<ServerRecord>> &services, TimePoint now)
 {
-    const std::set<ServerId> departed = m_departed();
+    askDeparted(now);
+    const std::set<ServerId> departed = departedServers();
     for (const auto &[service, servers] : services)
         followDepartures(service, servers, departed, now);
 }
--- a/src/site/sitewire.cpp
+++ b/src/site/sitewire.cpp
@@ -84,6 +84,10 @@
     result.sequence = static_cast<std::int64_t>(announcement.sequence);
     result.isGone = record.isGone;
     result.confirmedTerm = static_cast<std::int64_t>(record.confirmedTerm);
+    if (record.departedAfter) {
+        result.__set_readySequence(static_cast<std::int64_t>(record.readySequence));
+        result.__set_departedAfter(static_cast<std::int64_t>(*record.departedAfter));
+    }
     if (record.leavingSince) {
         // Rounded up, since the time may be overestimated but not underestimated.
         const auto age = std::chrono::ceil<std::chrono::milliseconds>(now - *record.leavingSince);
@@ -107,6 +111,10 @@
     announcement.sequence = static_cast<std::uint64_t>(record.sequence);
     result.isGone = record.isGone;
     result.confirmedTerm = static_cast<Term>(record.confirmedTerm);
+    if (record.__isset.readySequence)
+        result.readySequence = static_cast<std::uint64_t>(record.readySequence);
+    if (record.__isset.departedAfter)
+        result.departedAfter = static_cast<std::uint64_t>(record.departedAfter);
     if (record.__isset.leavingMilliseconds) {
         const std::chrono::milliseconds age(record.leavingMilliseconds);
         result.leavingSince = now - std::clamp(age, 0ms, LongestLeave);
--- a/test/unit/failover/serverroster_test.cpp
+++ b/test/unit/failover/serverroster_test.cpp
@@ -123,3 +123,16 @@
     roster.apply(3, entry);
     CHECK(roster.snapshot() == before);
 }
+
+// Guards against a server that counts as recorded since another service has one of the same id.
+TEST_CASE("the present servers are those of the services that are asked for")
+{
+    ServerAnnouncement announcement;
+    announcement.address = {"10.0.0.1", 80};
+    ServerRoster roster;
+    roster.apply(1, ServerRoster::encode(ServiceName("db"), {{ServerId("s1"), announcement}}));
+    roster.apply(2, ServerRoster::encode(ServiceName("elsewhere"), {{ServerId("s2"), announcement}}));
+    CHECK(roster.presentServers().size() == 2);
+    CHECK((roster.presentServers(std::set<ServiceName> {ServiceName("db")})
+           == std::set<ServerId> {ServerId("s1")}));
+}
--- a/test/unit/site/sitewire_test.cpp
+++ b/test/unit/site/sitewire_test.cpp
@@ -46,6 +46,20 @@
     CHECK(fromWire(ahead, now).asOf == now);
 }
 
+TEST_CASE("a departure is passed on with the announcement after which it was noted")
+{
+    ServerRecord record;
+    record.announcement.sequence = 7;
+    record.announcement.isLeaving = true;
+    record.announcement.address = {"10.0.0.1", 80};
+    record.readySequence = 5;
+    record = departed(record);
+    const ServerRecord back = fromWire(toWire(record, TimePoint(1s)), TimePoint(1s));
+    CHECK(back.isGone);
+    CHECK(back.readySequence == 5);
+    CHECK(back.departedAfter == 7);
+}
+
 TEST_CASE("invalid fields in a peer's message are refused on reading")
 {
     wire::HomeVm candidate;
