--- a/include/nutmegtide/proxy/commitconfirmations.h
+++ b/include/nutmegtide/proxy/commitconfirmations.h
@@ -2,6 +2,7 @@
 
 #include "nutmegtide/base/ids.h"
 #include "nutmegtide/base/time.h"
+#include "nutmegtide/session/sessionstatement.h"
 
 #include <cstdint>
 #include <map>
@@ -36,6 +37,9 @@
     QuestionKind kind = QuestionKind::Applied;
 };
 
+// Returns the commands that ask the question: an empty transaction.
+std::vector<ServerCommand> commandsOf(const ConfirmationQuestion &question);
+
 // Why a question wasn't answered with yes.
 enum class ConfirmationMiss {
     Lags, // the server's log doesn't hold the position yet
--- a/include/nutmegtide/proxy/sessionproxy.h
+++ b/include/nutmegtide/proxy/sessionproxy.h
@@ -3,11 +3,13 @@
 #include "nutmegtide/proxy/caplender.h"
 #include "nutmegtide/proxy/connectionvouches.h"
 #include "nutmegtide/proxy/homequeue.h"
+#include "nutmegtide/proxy/pendingsessions.h"
 #include "nutmegtide/proxy/positionproofs.h"
 #include "nutmegtide/proxy/routeexplanation.h"
 #include "nutmegtide/proxy/routetable.h"
 #include "nutmegtide/proxy/serverpool.h"
 #include "nutmegtide/proxy/sessionproxydelegate.h"
+#include "nutmegtide/proxy/sessiontimers.h"
 #include "nutmegtide/session/sessionstatement.h"
 
 #include <memory>
@@ -71,8 +73,7 @@
     void setRecordedServers(std::set<ServerId> recorded);
     // From now on it isn't known which servers are recorded, so commits are answered at once.
     void forgetRecordedServers() { m_recorded.reset(); }
-    // Sets whether control tells the open changes of primary, and takes what it told. See
-    // ConnectionVouches.
+    // Whether control tells the open changes of primary, and what it told; see ConnectionVouches.
     void setChangesTold(bool isTold) { m_vouches.setTold(isTold); }
     void takeOpenChanges(const OpenChanges &changes, TimePoint now);
     // Returns whether the open changes have to be known for commits to be confirmed.
@@ -199,17 +200,6 @@
         std::deque<SessionStatement> queue;
         std::optional<Work> work;
         TimePoint usedAt;
-        TimePoint timerAt;
-        bool isTimed = false;
-    };
-
-    // A session that arrived before the first routes.
-    struct PendingSession
-    {
-        DatabaseName database;
-        KeyDigest credential;
-        TimePoint queuedAt;
-        std::deque<SessionStatement> queue;
     };
 
     struct ProofState
@@ -263,8 +253,6 @@
     void startIdleTimer(SessionKey key, TimePoint now);
     void endInactive(TimePoint now, bool (*isOfKind)(const Session &));
     void endSessions(const std::vector<SessionKey> &sessions, TimePoint now);
-    void setTimer(SessionKey key, TimePoint moment);
-    void clearTimer(SessionKey key);
     void onTimer(SessionKey key, TimePoint now);
     void note(SessionKey key, const Work &work, std::string_view step, std::string_view reason,
               TimePoint now);
@@ -384,7 +372,7 @@
     std::set<ServiceName> m_agedBalanced; // those of them with a route that accepts an age
     ServerPool m_pool;
     std::map<SessionKey, Session> m_sessions;
-    std::map<SessionKey, PendingSession> m_pendingSessions;
+    PendingSessions m_pendingSessions;
     TimePoint m_startsUntil {};
     std::map<ServiceName, ProofState> m_proofs;
     // Unknown while control tells none, as one of an older version.
@@ -392,7 +380,7 @@
     std::map<ServiceName, ConfirmationState> m_confirmations;
     ConnectionVouches m_vouches; // of direct connections; homes decide on those of lanes
     std::map<DatabaseName, AverageTime> m_runTimes; // run time of statements, by route
-    std::set<std::pair<TimePoint, SessionKey>> m_timers;
+    SessionTimers m_timers;
     TimePoint m_poolDueAt;
     std::map<WorkspaceName, CapQueue> m_capQueues;
     std::set<SessionKey> m_revoked; // sessions whose key was removed
--- a/src/proxy/commitconfirmations.cpp
+++ b/src/proxy/commitconfirmations.cpp
@@ -21,6 +21,17 @@
 
 } // namespace
 
+std::vector<ServerCommand> commandsOf(const ConfirmationQuestion &question)
+{
+    ServerCommand begin;
+    begin.kind = question.kind == QuestionKind::Received ? ServerCommandKind::Status
+                                                         : ServerCommandKind::BeginReadOnly;
+    begin.after = question.position;
+    ServerCommand rollback;
+    rollback.kind = ServerCommandKind::Rollback;
+    return {begin, rollback};
+}
+
 void CommitConfirmations::add(SessionKey session, const UnconfirmedCommit &commit)
 {
     Waiting &waiting = m_commits[session];
--- a/src/proxy/serverhome.cpp
+++ b/src/proxy/serverhome.cpp
@@ -1,5 +1,6 @@
 // Lane side of ServerHome: commands from other processes, and the order in which they are served.
 #include "nutmegtide/proxy/serverhome.h"
+#include "proxy/homecommands.h"
 
 #include <algorithm>
 
@@ -11,21 +12,6 @@
 // After a longer gap between two ticks, replies may be waiting unread in this process.
 constexpr auto StallThreshold = 150ms;
 
-bool runsInSlot(ServerCommandKind kind)
-{
-    return kind == ServerCommandKind::Read || kind == ServerCommandKind::Write
-            || kind == ServerCommandKind::Execute || kind == ServerCommandKind::Commit;
-}
-
-ServerReply busyReply(TransactionState state)
-{
-    ServerReply reply;
-    reply.fault = StatementFault::Busy;
-    reply.detail = "the server has no slot in time";
-    reply.state = state;
-    return reply;
-}
-
 } // namespace
 
 // Returns whether the lane's commands are a proof of position or a question for a commit: an empty
--- a/src/proxy/sessioncaps.cpp
+++ b/src/proxy/sessioncaps.cpp
@@ -59,7 +59,7 @@
         return fail(key, StatementFault::OverCap, *reason, now);
     session.work->phase = Phase::Cap;
     queue.waiting.push_back(key);
-    setTimer(key, now + LoanWait);
+    m_timers.set(key, now + LoanWait);
     if (queue.asked == 0)
         borrowForWaiting(session.workspace);
 }
--- a/src/proxy/sessionconfirmations.cpp
+++ b/src/proxy/sessionconfirmations.cpp
@@ -12,17 +12,6 @@
 constexpr auto StallTime = 300ms;
 constexpr std::string_view UnconfirmedReason = "no recorded replica is known to hold the commit";
 
-std::vector<ServerCommand> questionCommands(const ConfirmationQuestion &question)
-{
-    ServerCommand begin;
-    begin.kind = question.kind == QuestionKind::Received ? ServerCommandKind::Status
-                                                         : ServerCommandKind::BeginReadOnly;
-    begin.after = question.position;
-    ServerCommand rollback;
-    rollback.kind = ServerCommandKind::Rollback;
-    return {begin, rollback};
-}
-
 } // namespace
 
 void SessionProxy::setRecordedServers(std::set<ServerId> recorded)
@@ -47,7 +36,7 @@
     work.connection = 0;
     work.withheld = answer;
     work.withheldAt = now;
-    setTimer(key, work.replyDeadline);
+    m_timers.set(key, work.replyDeadline);
     const ServiceName service = work.route.service;
     CommitConfirmations &commits = m_confirmations[service].commits;
     commits.setRecorded(*m_recorded);
@@ -76,7 +65,7 @@
     ServerConnection &held = *m_pool.connection(connection);
     held.expected.push_back(Expectation::Confirmation);
     held.expected.push_back(Expectation::Rollback);
-    sendCommands(connection, questionCommands(*state.commits.asked()), {0, QuestionMaxWait}, now);
+    sendCommands(connection, commandsOf(*state.commits.asked()), {0, QuestionMaxWait}, now);
 }
 
 void SessionProxy::onConfirmation(ConnectionKey key, const ServiceName &service,
--- a/src/proxy/sessionkeys.cpp
+++ b/src/proxy/sessionkeys.cpp
@@ -17,7 +17,7 @@
     // Without routes it isn't known which databases exist.
     const bool hasRoutes = m_routes->revision != 0;
     if (!hasRoutes && !m_refusesSessions && now < m_startsUntil) {
-        m_pendingSessions[key] = {database, credential, now, {}};
+        m_pendingSessions.add(key, {database, credential, now, {}});
         m_poolDueAt = std::min(m_poolDueAt, now + PoolInterval);
         return;
     }
--- a/src/proxy/sessionproxy.cpp
+++ b/src/proxy/sessionproxy.cpp
@@ -29,7 +29,7 @@
     std::erase_if(m_capQueues, [](const auto &item) { return item.second.waiting.empty(); });
     std::erase_if(m_runTimes,
                   [this](const auto &item) { return m_routes->find(item.first) == nullptr; });
-    for (auto &[key, pending] : std::exchange(m_pendingSessions, {})) {
+    for (auto &[key, pending] : m_pendingSessions.takeAll()) {
         startSession(key, pending.database, pending.credential, pending.queuedAt);
         for (const SessionStatement &statement : pending.queue)
             receive(key, statement, pending.queuedAt);
@@ -55,17 +55,18 @@
 
 void SessionProxy::receive(SessionKey key, const SessionStatement &statement, TimePoint now)
 {
-    const auto pending = m_pendingSessions.find(key);
+    std::deque<SessionStatement> *queue = m_pendingSessions.queueOf(key);
     const auto found = m_sessions.find(key);
-    if (pending == m_pendingSessions.end() && found == m_sessions.end())
+    if (queue == nullptr && found != m_sessions.end())
+        queue = &found->second.queue;
+    if (queue == nullptr)
         return;
-    auto &queue = pending != m_pendingSessions.end() ? pending->second.queue : found->second.queue;
-    if (queue.size() >= MaxQueuedStatements) {
+    if (queue->size() >= MaxQueuedStatements) {
         m_delegate.end(key, StatementFault::TooLarge);
         callerLeft(key, now);
         return;
     }
-    queue.push_back(statement);
+    queue->push_back(statement);
     takeNext(key, now);
 }
 
@@ -82,7 +83,7 @@
 
 void SessionProxy::start(SessionKey key, const SessionStatement &statement, TimePoint now)
 {
-    clearTimer(key);
+    m_timers.clear(key);
     if (isRevocationDue(m_sessions.at(key), now))
         return answerRevoked(key, statement, now);
     if (answerLocally(key, statement, now))
@@ -213,7 +214,7 @@
     Work work = std::move(*session.work);
     session.work.reset();
     session.usedAt = now;
-    clearTimer(key);
+    m_timers.clear(key);
     work.lastFault = answer.fault;
     note(key, work, answer.fault ? "refused" : "answered", answer.detail, now);
     m_delegate.answer(key, work.statement.request, answer);
@@ -276,12 +277,11 @@
 
 void SessionProxy::callerLeft(SessionKey key, TimePoint now)
 {
-    m_pendingSessions.erase(key);
+    m_pendingSessions.remove(key);
     const auto found = m_sessions.find(key);
     if (found == m_sessions.end())
         return;
     Session &session = found->second;
-    clearTimer(key);
     if (session.work) {
         const Work &work = *session.work;
         stopWaiting(key, work);
@@ -296,6 +296,7 @@
 
 void SessionProxy::forgetSession(SessionKey key)
 {
+    m_timers.clear(key);
     m_revoked.erase(key);
     m_sessions.erase(key);
 }
@@ -305,33 +306,13 @@
 {
     const bool isOpen = m_sessions.at(key).state == TransactionState::Open;
     if (isOpen && m_routes->idleTransactionTimeout.count() > 0)
-        setTimer(key, now + m_routes->idleTransactionTimeout);
-}
-
-void SessionProxy::setTimer(SessionKey key, TimePoint moment)
-{
-    clearTimer(key);
-    Session &session = m_sessions.at(key);
-    session.timerAt = moment;
-    session.isTimed = true;
-    m_timers.emplace(moment, key);
-}
-
-void SessionProxy::clearTimer(SessionKey key)
-{
-    Session &session = m_sessions.at(key);
-    if (session.isTimed)
-        m_timers.erase({session.timerAt, key});
-    session.isTimed = false;
+        m_timers.set(key, now + m_routes->idleTransactionTimeout);
 }
 
 void SessionProxy::tick(TimePoint now)
 {
-    while (!m_timers.empty() && m_timers.begin()->first <= now) {
-        const SessionKey key = m_timers.begin()->second;
-        clearTimer(key);
-        onTimer(key, now);
-    }
+    while (const auto key = m_timers.takeDue(now))
+        onTimer(*key, now);
     tickConfirmations(now);
     if (now < m_poolDueAt)
         return;
@@ -357,9 +338,7 @@
 
 TimePoint SessionProxy::wakeAt() const
 {
-    TimePoint wake = m_poolDueAt;
-    if (!m_timers.empty())
-        wake = std::min(wake, m_timers.begin()->first);
+    TimePoint wake = std::min(m_poolDueAt, m_timers.next().value_or(m_poolDueAt));
     for (const auto &[service, state] : m_confirmations)
         wake = std::min(wake, state.commits.dueAt().value_or(wake));
     return wake;
--- a/src/proxy/sessionreplies.cpp
+++ b/src/proxy/sessionreplies.cpp
@@ -169,7 +169,7 @@
             m_delegate.serverAssessed(
                     {work.server, work.route.service, "stuck", "a write has no answer"});
         }
-        return setTimer(key, work.replyDeadline);
+        return m_timers.set(key, work.replyDeadline);
     }
     const ConnectionKey connection = session.work->connection != 0 ? session.work->connection
                                                                    : session.pinned;
--- a/src/proxy/sessionrouting.cpp
+++ b/src/proxy/sessionrouting.cpp
@@ -123,7 +123,7 @@
         work.phase = Phase::Proof;
         proof.waiting.insert(key);
         extendForPrimaryChange(work, now);
-        setTimer(key, work.sendDeadline);
+        m_timers.set(key, work.sendDeadline);
         askProof(work.route.service, now);
         return false;
     }
@@ -164,7 +164,7 @@
         return assignConnection(*idle, borrower, now);
     state.waiting.push_back(borrower);
     if (session != nullptr)
-        setTimer(borrower.session, session->work->sendDeadline);
+        m_timers.set(borrower.session, session->work->sendDeadline);
     openIfWanted(server, borrower.workspace, now);
 }
 
@@ -222,7 +222,7 @@
     held.expected.push_back(Expectation::Begin);
     session.pinned = connection;
     work.phase = Phase::Begin;
-    setTimer(key, now + BeginTimeout);
+    m_timers.set(key, now + BeginTimeout);
     sendCommands(connection, commands, urgencyOf(session, work, now), now);
 }
 
@@ -247,8 +247,8 @@
     const bool mayGoElsewhere = !isInTransaction && !work.isWrite;
     const Duration silence = std::max(Duration(MinReadTimeout),
                                       Duration(work.route.latencyObjective) * 3 / 4);
-    setTimer(key,
-             std::min(work.replyDeadline, now + (mayGoElsewhere ? silence : StuckWriteTimeout)));
+    m_timers.set(key,
+                 std::min(work.replyDeadline, now + (mayGoElsewhere ? silence : StuckWriteTimeout)));
     sendCommands(connection, commands, urgencyOf(session, work, now), now);
 }
 
@@ -367,7 +367,7 @@
     if (!mayRetryLater(work, now))
         return fail(key, work.lastFault.value_or(StatementFault::Busy), reason, now);
     work.phase = Phase::Pause;
-    setTimer(key, now + RetryPause);
+    m_timers.set(key, now + RetryPause);
 }
 
 // Sends the statement to another server. It either didn't run or is safe to repeat.
--- a/src/proxy/sessionstop.cpp
+++ b/src/proxy/sessionstop.cpp
@@ -12,15 +12,8 @@
 
 void SessionProxy::refusePendingSessions(TimePoint queuedBefore)
 {
-    std::vector<SessionKey> refused;
-    for (const auto &[key, pending] : m_pendingSessions) {
-        if (pending.queuedAt < queuedBefore)
-            refused.push_back(key);
-    }
-    for (const SessionKey key : refused) {
-        m_pendingSessions.erase(key);
+    for (const SessionKey key : m_pendingSessions.takeQueuedBefore(queuedBefore))
         m_delegate.end(key, StatementFault::Busy);
-    }
 }
 
 void SessionProxy::refuseSessions()
