--- a/include/nutmegtide/failover/serverroster.h
+++ b/include/nutmegtide/failover/serverroster.h
@@ -46,8 +46,8 @@
     Servers announcementsOf(const ServiceName &service) const;
     // Returns the servers of the service that have departed, but are still listed.
     std::set<ServerId> departedOf(const ServiceName &service) const;
-    // Returns those of all services.
-    std::set<ServerId> departed() const;
+    // Returns those of all services, each with the number of its recorded announcement.
+    std::map<ServerId, std::uint64_t> departures() const;
     // Returns the servers whose promotion may still be carried out.
     std::set<ServerId> openOrders(const ServiceName &service) const;
     std::set<ServiceName> servicesWithOpenOrders() const;
--- a/src/failover/serverroster.cpp
+++ b/src/failover/serverroster.cpp
@@ -212,12 +212,14 @@
     return found == m_departed.end() ? std::set<ServerId>() : found->second;
 }
 
-std::set<ServerId> ServerRoster::departed() const
+std::map<ServerId, std::uint64_t> ServerRoster::departures() const
 {
-    std::set<ServerId> all;
+    std::map<ServerId, std::uint64_t> all;
     const std::lock_guard lock(m_mutex);
-    for (const auto &[service, departed] : m_departed)
-        all.insert(departed.begin(), departed.end());
+    for (const auto &[service, departed] : m_departed) {
+        for (const ServerId &server : departed)
+            all[server] = m_services.at(service).at(server).sequence;
+    }
     return all;
 }
 
--- a/src/site/controlnode.cpp
+++ b/src/site/controlnode.cpp
@@ -304,13 +304,14 @@
         broadcast(record);
 }
 
-std::set<ServerId> ControlNode::departedServers() const
+PrimaryChangeManager::Departures ControlNode::departedServers() const
 {
-    std::set<ServerId> departed = m_roster.departed();
+    PrimaryChangeManager::Departures departed = m_roster.departures();
     const std::lock_guard lock(m_mutex);
     for (const ServerRecord &record : m_registry.all()) {
         if (record.isGone)
-            departed.insert(record.announcement.server);
+            departed[record.announcement.server] = record.departedAfter.value_or(
+                    record.announcement.sequence);
         else
             departed.erase(record.announcement.server);
     }
--- a/src/site/controlnode.h
+++ b/src/site/controlnode.h
@@ -119,7 +119,7 @@
     // Performs the leader's duties for primaries: changes, and proofs that they still lead.
     void tickChanges();
     Duration leaderTick() const;
-    std::set<ServerId> departedServers() const;
+    PrimaryChangeManager::Departures departedServers() const;
     void confirmPrimary(const ServiceName &service, const ServerId &server, Term term);
     void log(LogLevel level, const std::string &event, const std::vector<LogField> &fields) const;
 
@@ -160,7 +160,7 @@
     std::optional<Endpoint> m_followedLeader;
     std::shared_ptr<const RecordedServers> m_followedRecorded; // as a member told them
     std::shared_ptr<const RecordedServers> m_ownRecorded; // from m_roster's m_ownRecordedVersion
-    std::uint64_t m_ownRecordedVersion = 0;
+    std::optional<std::uint64_t> m_ownRecordedVersion; // unset where the services changed since
     TimePoint m_ownRecordedAt {}; // when it was made
     std::uint64_t m_importedRosterVersion = 0; // of m_roster, as merged last
     TimePoint m_rosterImportedAt {};
--- a/src/site/controlnodechanges.cpp
+++ b/src/site/controlnodechanges.cpp
@@ -36,8 +36,8 @@
     const TimePoint now = EventLoop::now();
     std::optional<OpenChanges> changes = ownOpenChanges();
     if (!changes) {
-        m_openChanges.want(now);
-        m_leaderFetcher.fetchNow();
+        if (m_openChanges.want(now))
+            m_leaderFetcher.fetchNow();
         changes = m_openChanges.latest();
     }
     if (changes)
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -140,7 +140,7 @@
     // Read before the servers, so that a change between the two is taken into account next time.
     const std::uint64_t version = m_roster.version();
     const TimePoint now = EventLoop::now();
-    const bool isChanged = !m_ownRecorded || version != m_ownRecordedVersion;
+    const bool isChanged = m_ownRecordedVersion != version;
     // The whole set is sent when it changes, so a large one changes less often. An outdated one
     // does no harm.
     if (isChanged && now - m_ownRecordedAt >= listInterval()) {
@@ -257,6 +257,7 @@
         return;
     if (services)
         m_registry.setServices(*services, EventLoop::now());
+    m_ownRecordedVersion.reset();
     m_revision = revision;
     m_configuration = text;
     m_compressed.clear();
--- a/src/site/leaderfetcher.cpp
+++ b/src/site/leaderfetcher.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr auto ProofInterval = 250ms;
-constexpr auto ChangeInterval = 50ms; // while open changes are wanted
+constexpr auto ChangeInterval = 100ms; // while open changes are wanted
 constexpr auto CallTimeout = 400ms;
 
 } // namespace
@@ -50,7 +50,8 @@
         const bool areProofsDue = now - m_proofsFetchedAt >= ProofInterval;
         const std::vector<ServiceName> services = areProofsDue ? m_proofs.wanted(now)
                                                                : std::vector<ServiceName>();
-        const bool areChangesDue = m_changes.isDue(now);
+        const bool areChangesDue = m_changes.isDue(now)
+                && now - m_changesFetchedAt >= ChangeInterval;
         if (m_isStopping || (services.empty() && !areChangesDue))
             continue;
         const auto leader = m_leader();
@@ -91,6 +92,7 @@
 void LeaderFetcher::fetchChanges(const Endpoint &leader)
 {
     const TimePoint askedAt = EventLoop::now();
+    m_changesFetchedAt = askedAt;
     try {
         const auto reply = m_peers.call(leader, CallTimeout, [&](wire::PeerClient &client) {
             wire::OpenChanges result;
--- a/src/site/leaderfetcher.h
+++ b/src/site/leaderfetcher.h
@@ -40,7 +40,8 @@
     ProofCache &m_proofs;
     OpenChangeCache &m_changes;
     const Leader m_leader;
-    TimePoint m_proofsFetchedAt {}; // used by m_thread only
+    TimePoint m_proofsFetchedAt {}; // used by m_thread only, like the next one
+    TimePoint m_changesFetchedAt {};
     Signal m_signal;
     std::atomic<bool> m_isStopping = false;
     std::thread m_thread;
--- a/src/site/openchangecache.cpp
+++ b/src/site/openchangecache.cpp
@@ -9,10 +9,12 @@
 
 } // namespace
 
-void OpenChangeCache::want(TimePoint now)
+bool OpenChangeCache::want(TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
+    const bool isFirst = !m_wantedAt || now - *m_wantedAt >= WantedTime;
     m_wantedAt = now;
+    return isFirst;
 }
 
 bool OpenChangeCache::isDue(TimePoint now) const
--- a/src/site/openchangecache.h
+++ b/src/site/openchangecache.h
@@ -12,8 +12,9 @@
 class OpenChangeCache
 {
 public:
-    // Records that an entry VM needs changes that are as of now or later.
-    void want(TimePoint now);
+    // Records that an entry VM needs changes that are as of now or later. Returns whether none did
+    // before, so that the leader is to be asked at once.
+    bool want(TimePoint now);
     // Returns whether the leader is to be asked now.
     bool isDue(TimePoint now) const;
     void put(OpenChanges changes);
--- a/src/site/primarychangemanager.cpp
+++ b/src/site/primarychangemanager.cpp
@@ -148,9 +148,11 @@
 // One whose log its successor has leaves together with the entry of that one, which waits for open
 // promotions.
 std::set<ServerId> PrimaryChangeManager::leavingServers(const ServiceName &service,
-                                                        const std::set<ServerId> &departed) const
+                                                        const Departures &departed) const
 {
-    std::set<ServerId> leaving = departed;
+    std::set<ServerId> leaving;
+    for (const auto &[server, after] : departed)
+        leaving.insert(server);
     const RosterView roster = rosterOf(service);
     const bool isOpen = isPromotionOpen(service);
     std::erase_if(leaving, [&](const ServerId &server) {
@@ -167,14 +169,20 @@
     if (now < m_rosterDueAt)
         return;
     m_rosterDueAt = now + RosterInterval;
-    const std::set<ServerId> departed = departedServers();
+    const Departures departed = departedServers();
     for (const auto &[service, servers] : services) {
         const ServerRoster::Servers before = m_roster.announcementsOf(service);
         const std::set<ServerId> uncovered = rosterOf(service).departed;
         RosterState state {before, {}, leavingServers(service, departed), isPromotionOpen(service)};
         for (const ServerRecord &record : servers)
             state.present.push_back(record.announcement);
-        const ServerRoster::Servers after = RosterPlan(std::move(state)).next();
+        ServerRoster::Servers after = RosterPlan(std::move(state)).next();
+        // A control VM that starts again takes the departure as of this announcement.
+        for (const ServerId &server : uncovered) {
+            const auto departure = departed.find(server);
+            if (departure != departed.end() && after.count(server) != 0)
+                after[server].sequence = std::max(after[server].sequence, departure->second);
+        }
         if (after == before && uncovered == m_roster.departedOf(service))
             continue;
         if (!m_rosterWorker)
--- a/src/site/primarychangemanager.h
+++ b/src/site/primarychangemanager.h
@@ -26,8 +26,9 @@
 class PrimaryChangeManager : private ServerEvents
 {
 public:
-    // Returns the servers that announced their permanent departure.
-    using DepartedServers = std::function<std::set<ServerId>()>;
+    // Servers that have departed, each with the number of the announcement after which it did.
+    using Departures = std::map<ServerId, std::uint64_t>;
+    using DepartedServers = std::function<Departures()>;
     // Called with a server whose address is used by another server, once that one has announced
     // itself: until then the roster has to keep the place of the gone server.
     using OnGone = std::function<void(const ServerId &)>;
@@ -104,19 +105,18 @@
     // Returns whether a promotion is being ordered, or may still be carried out.
     bool isPromotionOpen(const ServiceName &service) const;
     // Returns those of the departed servers of the service that may leave the roster.
-    std::set<ServerId> leavingServers(const ServiceName &service,
-                                      const std::set<ServerId> &departed) const;
+    std::set<ServerId> leavingServers(const ServiceName &service, const Departures &departed) const;
     // Returns the service's thread for calls that block.
     TaskWorker &workerOf(const ServiceName &service);
     // Returns the departed servers that don't answer here any more.
-    std::set<ServerId> departedServers() const;
+    Departures departedServers() const;
     // Asks departed servers for their status, so that the link to one that has ended fails.
     void askDeparted(TimePoint now);
     // Finds out which departed servers are covered, and passes it on to the change.
     void followDepartures(const std::map<ServiceName, std::vector<ServerRecord>> &services,
                           TimePoint now);
     void followDepartures(const ServiceName &service, const std::vector<ServerRecord> &servers,
-                          const std::set<ServerId> &allDeparted, TimePoint now);
+                          const Departures &allDeparted, TimePoint now);
     // Sends the query if there is an open connection.
     void askForDeparture(const ServiceName &service, const ServerId &server, TimePoint now);
     void noteStatus(const ServiceName &service, const ServerId &server,
--- a/src/site/primarychangemanagerdepartures.cpp
+++ b/src/site/primarychangemanagerdepartures.cpp
@@ -31,9 +31,9 @@
 }
 
 // One that answers still receives commits, or its departure was held up and it has started again.
-std::set<ServerId> PrimaryChangeManager::departedServers() const
+PrimaryChangeManager::Departures PrimaryChangeManager::departedServers() const
 {
-    std::set<ServerId> departed = m_departed();
+    Departures departed = m_departed();
     for (const auto &[key, link] : m_links) {
         if (link.isOpen)
             departed.erase(link.server);
@@ -43,7 +43,7 @@
 
 void PrimaryChangeManager::askDeparted(TimePoint now)
 {
-    const std::set<ServerId> departed = m_departed();
+    const Departures departed = m_departed();
     std::vector<std::pair<ServiceName, ServerId>> answering;
     for (const auto &[key, link] : m_links) {
         const bool isDue = link.isOpen && now - link.activeAt >= DepartedInterval;
@@ -58,14 +58,14 @@
         const std::map<ServiceName, std::vector<ServerRecord>> &services, TimePoint now)
 {
     askDeparted(now);
-    const std::set<ServerId> departed = departedServers();
+    const Departures departed = departedServers();
     for (const auto &[service, servers] : services)
         followDepartures(service, servers, departed, now);
 }
 
 void PrimaryChangeManager::followDepartures(const ServiceName &service,
                                             const std::vector<ServerRecord> &servers,
-                                            const std::set<ServerId> &allDeparted, TimePoint now)
+                                            const Departures &allDeparted, TimePoint now)
 {
     const std::set<ServerId> recorded = m_roster.serversOf(service);
     std::set<ServerId> present;
--- a/test/unit/failover/serverroster_test.cpp
+++ b/test/unit/failover/serverroster_test.cpp
@@ -111,7 +111,9 @@
     CHECK((roster.departedOf(service) == std::set<ServerId> {ServerId("s2")}));
     ServerRoster copy;
     copy.restore(roster.snapshot());
-    CHECK((copy.departed() == std::set<ServerId> {ServerId("s2")}));
+    CHECK((copy.departures()
+           == std::map<ServerId, std::uint64_t> {
+                   {ServerId("s2"), servers.at(ServerId("s2")).sequence}}));
     CHECK(copy.snapshot() == roster.snapshot());
 
     // An entry of a version that doesn't know departures.
@@ -131,7 +133,8 @@
     announcement.address = {"10.0.0.1", 80};
     ServerRoster roster;
     roster.apply(1, ServerRoster::encode(ServiceName("db"), {{ServerId("s1"), announcement}}));
-    roster.apply(2, ServerRoster::encode(ServiceName("elsewhere"), {{ServerId("s2"), announcement}}));
+    roster.apply(2,
+                 ServerRoster::encode(ServiceName("elsewhere"), {{ServerId("s2"), announcement}}));
     CHECK(roster.presentServers().size() == 2);
     CHECK((roster.presentServers(std::set<ServiceName> {ServiceName("db")})
            == std::set<ServerId> {ServerId("s1")}));
--- a/test/unit/site/openchangecache_test.cpp
+++ b/test/unit/site/openchangecache_test.cpp
@@ -14,8 +14,9 @@
 {
     OpenChangeCache cache;
     CHECK_FALSE(cache.isDue(Start));
-    cache.want(Start);
+    CHECK(cache.want(Start));
     CHECK(cache.isDue(Start));
+    CHECK_FALSE(cache.want(Start));
     cache.put({{ServiceName("db")}, Start});
     CHECK(cache.latest()->asOf == Start);
     CHECK(cache.isDue(Start + 499ms));
