--- a/include/nutmegtide/proxy/serverregistry.h
+++ b/include/nutmegtide/proxy/serverregistry.h
@@ -20,7 +20,7 @@
 // counts() tells of them. A bounded number is kept, for the case that the configuration names the
 // service later.
 //
-//   registry.setServices(routes.serviceNames());
+//   registry.addServices(routes.serviceNames(), now);
 //   if (registry.merge({announcement, false}, now))
 //       tellOthers(registry.find(id));
 class ServerRegistry
@@ -29,8 +29,9 @@
     static constexpr std::size_t MostServers = 16'384; // of named services
     static constexpr std::size_t MostSetAside = 1'024;
 
-    // Sets the services that the configuration names. Until then all count.
-    void setServices(std::set<ServiceName> services, TimePoint now);
+    // Adds the services that the configuration names. Before the first call all count. One that the
+    // configuration names no longer still counts, since transactions may be open there.
+    void addServices(const std::set<ServiceName> &services, TimePoint now);
     const std::optional<std::set<ServiceName>> &services() const { return m_services; }
     // Returns whether a word about this server counts, rather than being set aside.
     bool counts(const ServerAnnouncement &announcement) const;
--- a/src/proxy/serverregistry.cpp
+++ b/src/proxy/serverregistry.cpp
@@ -42,11 +42,14 @@
 
 } // namespace
 
-void ServerRegistry::setServices(std::set<ServiceName> services, TimePoint now)
+void ServerRegistry::addServices(const std::set<ServiceName> &services, TimePoint now)
 {
-    if (m_services == services)
+    const std::optional<std::set<ServiceName>> before = m_services;
+    if (!m_services)
+        m_services.emplace();
+    m_services->insert(services.begin(), services.end());
+    if (m_services == before)
         return;
-    m_services = std::move(services);
     std::vector<ServerRecord> unnamed;
     std::erase_if(m_entries, [&](const auto &item) {
         const ServerRecord &record = item.second.record;
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -256,7 +256,7 @@
     if (revision <= m_revision)
         return;
     if (services)
-        m_registry.setServices(*services, EventLoop::now());
+        m_registry.addServices(*services, EventLoop::now());
     m_ownRecordedVersion.reset();
     m_revision = revision;
     m_configuration = text;
--- a/src/site/entrynode.cpp
+++ b/src/site/entrynode.cpp
@@ -249,7 +249,7 @@
     m_counts.setRevision(m_revision);
     m_proxy.setRoutes(shared, EventLoop::now());
     const std::uint64_t before = m_registry.version();
-    m_registry.setServices(routes.serviceNames(), EventLoop::now());
+    m_registry.addServices(routes.serviceNames(), EventLoop::now());
     if (m_hasServerList && m_registry.version() != before)
         useServers(from);
     std::map<ServiceName, int> limits;
