--- a/src/site/controlnode.h
+++ b/src/site/controlnode.h
@@ -90,6 +90,8 @@
     // Imports the servers of the control log for which nothing newer is known.
     void importRoster();
     void onLedgerChanged();
+    // Names the services of the newest configuration to the registry.
+    void readServices();
     void setConfiguration(Revision revision, const std::string &text);
     void broadcast(const ServerRecord &record);
     // ownFollowers(), ownHomes() and entryCount() require m_mutex to be held.
@@ -156,6 +158,8 @@
     Revision m_revision = 0;
     std::string m_configuration; // of m_revision, as the operator sent it
     std::string m_compressed; // m_configuration, compressed
+    Revision m_servicesRevision = 0; // whose services the registry knows
+    TimePoint m_servicesReadAt {};
     bool m_isFollowerConnected = false;
     std::optional<Endpoint> m_followedLeader;
     std::shared_ptr<const RecordedServers> m_followedRecorded; // as a member told them
--- a/src/site/controlnodepeers.cpp
+++ b/src/site/controlnodepeers.cpp
@@ -11,6 +11,7 @@
 
 constexpr auto MaintainInterval = 200ms;
 constexpr auto StartInterval = 20ms; // MaintainInterval until the control log's servers are known
+constexpr auto ServicesInterval = 500ms; // between two configurations that are read
 constexpr auto StartTime = 3s; // the time limit for StartInterval
 constexpr auto BroadcastInterval = 2s; // between broadcasts of the whole registry
 constexpr auto ForgottenAfter = 60s; // departed servers are removed after this
@@ -251,18 +252,36 @@
 
 void ControlNode::setConfiguration(Revision revision, const std::string &text)
 {
-    const std::optional<std::set<ServiceName>> services = servicesOf(text);
     const std::lock_guard lock(m_mutex);
     if (revision <= m_revision)
         return;
-    if (services)
-        m_registry.addServices(*services, EventLoop::now());
-    m_ownRecordedVersion.reset();
     m_revision = revision;
     m_configuration = text;
     m_compressed.clear();
 }
 
+// Reads the newest configuration alone, and not on the control log's thread: after a start that one
+// applies all the configurations of the log.
+void ControlNode::readServices()
+{
+    const TimePoint now = EventLoop::now();
+    std::string text;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_servicesRevision == m_revision || now - m_servicesReadAt < ServicesInterval)
+            return;
+        m_servicesRevision = m_revision;
+        m_servicesReadAt = now;
+        text = m_configuration;
+    }
+    const std::optional<std::set<ServiceName>> services = servicesOf(text);
+    if (!services)
+        return;
+    const std::lock_guard lock(m_mutex);
+    m_registry.addServices(*services, now);
+    m_ownRecordedVersion.reset();
+}
+
 void ControlNode::importRoster()
 {
     const std::uint64_t version = m_roster.version();
@@ -335,6 +354,8 @@
         m_signal.restUntil(Clock::now() + (isStarting() ? StartInterval : MaintainInterval));
         maintainPeers();
         maintainMembers();
+        if (!isStarting())
+            readServices();
         importRoster();
         maintainHomes();
         if (Clock::now() < broadcastAt)
