--- a/src/site/primarychangemanager.h
+++ b/src/site/primarychangemanager.h
@@ -109,9 +109,10 @@
     // Returns the service's thread for calls that block.
     TaskWorker &workerOf(const ServiceName &service);
     // Returns the departed servers that don't answer here any more.
-    Departures departedServers() const;
+    Departures departedServers() const { return withoutAnswering(m_departed()); }
+    Departures withoutAnswering(Departures departed) const;
     // Asks departed servers for their status, so that the link to one that has ended fails.
-    void askDeparted(TimePoint now);
+    void askDeparted(const Departures &departed, TimePoint now);
     // Finds out which departed servers are covered, and passes it on to the change.
     void followDepartures(const std::map<ServiceName, std::vector<ServerRecord>> &services,
                           TimePoint now);
--- a/src/site/primarychangemanagerdepartures.cpp
+++ b/src/site/primarychangemanagerdepartures.cpp
@@ -31,9 +31,8 @@
 }
 
 // One that answers still receives commits, or its departure was held up and it has started again.
-PrimaryChangeManager::Departures PrimaryChangeManager::departedServers() const
+PrimaryChangeManager::Departures PrimaryChangeManager::withoutAnswering(Departures departed) const
 {
-    Departures departed = m_departed();
     for (const auto &[key, link] : m_links) {
         if (link.isOpen)
             departed.erase(link.server);
@@ -41,9 +40,8 @@
     return departed;
 }
 
-void PrimaryChangeManager::askDeparted(TimePoint now)
+void PrimaryChangeManager::askDeparted(const Departures &departed, TimePoint now)
 {
-    const Departures departed = m_departed();
     std::vector<std::pair<ServiceName, ServerId>> answering;
     for (const auto &[key, link] : m_links) {
         const bool isDue = link.isOpen && now - link.activeAt >= DepartedInterval;
@@ -57,8 +55,9 @@
 void PrimaryChangeManager::followDepartures(
         const std::map<ServiceName, std::vector<ServerRecord>> &services, TimePoint now)
 {
-    askDeparted(now);
-    const Departures departed = departedServers();
+    const Departures noted = m_departed();
+    askDeparted(noted, now);
+    const Departures departed = withoutAnswering(noted);
     for (const auto &[service, servers] : services)
         followDepartures(service, servers, departed, now);
 }
